The whole path, thin, as separate processes

Cause: nothing stood yet; the interfaces between the parts had to be fixed before the parts could be built side by side. Ruled out: a set of seen record ids for idempotence, which grows without bound; a lane with a rising sequence number does the same in constant size. Conclusion: a request and the three kinds of job go from end to end.

--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,229 @@
+"""The demonstration: a small cell of separate processes, seen from outside.
+
+Starts a stand-in platform, runners and workers and four entry instances in
+two zones, then does what operators and callers would, through the public
+interfaces alone.  Exits with 0 only if everything came out as it must.
+"""
+
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from standins.cluster import OPERATOR_KEY, Cluster, Proc, process_env  # noqa: E402
+
+PLANS = """[small]
+share = 1
+limit = 24
+slo_ms = 250
+
+[large]
+share = 4
+limit = 64
+urgent = yes
+"""
+TEAMS = """[ikoyi-estates]
+plan = small
+
+[ibadan-growers]
+plan = large
+"""
+
+
+def say(text: str) -> None:
+    """Print a step."""
+    print(f"\n== {text}", flush=True)
+
+
+def expect(what: str, ok: bool, seen: Any) -> None:
+    """Print a check and stop the demonstration if it failed."""
+    print(f"   {'ok ' if ok else 'BAD'} {what}", flush=True)
+    if not ok:
+        raise SystemExit(f"expected otherwise: {seen!r}")
+
+
+async def tool(proc: Proc, *args: str, key: str = OPERATOR_KEY) -> str:
+    """Run the firhook tool against an instance and return what it printed."""
+    env = {
+        **process_env(),
+        "FIRHOOK_URL": f"http://{proc.ports['gateway']}",
+        "FIRHOOK_KEY": key,
+    }
+    print(f"   $ firhook {' '.join(Path(a).name for a in args)}", flush=True)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "firhook",
+        *args,
+        env=env,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    out, _ = await process.communicate()
+    text = out.decode()
+    if process.returncode:
+        raise SystemExit(f"firhook {' '.join(args)} failed:\n{text}")
+    return text
+
+
+def show(text: str) -> None:
+    """Print the tool's output, indented."""
+    for line in text.strip().splitlines():
+        print(f"     {line}", flush=True)
+
+
+async def build(cluster: Cluster) -> list[Proc]:
+    """Start the cell and return its entry instances."""
+    for zone in cluster.zones:
+        for i in (1, 2):
+            await cluster.add_runner(f"{zone}-runner-{i}", zone, "subscriptions")
+            await cluster.add_worker(f"{zone}-worker-{i}", zone, f"{zone}-rack-{i}")
+    entries = [
+        await cluster.add_entry(f"{zone}-entry-{i}", zone)
+        for zone in cluster.zones
+        for i in (1, 2)
+    ]
+    await cluster.wait_ready(*entries)
+    return entries
+
+
+async def lists_and_keys(cluster: Cluster, entries: list[Proc], tmp: Path) -> str:
+    """Apply the two lists and give a key; return the key."""
+    say("operators apply the two lists and give a key")
+    (tmp / "plans.ini").write_text(PLANS)
+    (tmp / "teams.ini").write_text(TEAMS)
+    plans, teams = str(tmp / "plans.ini"), str(tmp / "teams.ini")
+    show(await tool(entries[0], "config", "apply", "--plans", plans, "--teams", teams))
+
+    async def in_force(proc: Proc) -> bool:
+        return (await cluster.call(proc, "GET", "/v1/config"))[1]["version"] == 1
+
+    for entry in entries:
+        await cluster.until(entry, in_force)
+    print("   ok  version 1 is in force at all four instances", flush=True)
+    out = await tool(entries[1], "key", "give", "ibadan-growers")
+    key = out.split()[-1]
+
+    async def knows(proc: Proc) -> bool:
+        return (await cluster.call(proc, "GET", "/v1/jobs", key=key))[0] == 200
+
+    for entry in entries:
+        await cluster.until(entry, knows)
+    return key
+
+
+async def requests(cluster: Cluster, entries: list[Proc], key: str) -> None:
+    """Send a quote, and a charge twice through two instances."""
+    say("a quote, and a renewal charge sent twice through two instances")
+    path = "/r/subscriptions/quote?n=7"
+    status, quote = await cluster.call(entries[2], "GET", path, key=key)
+    expect("the quote is answered", (status, quote.get("n")) == (200, "7"), quote)
+    answers = []
+    for entry in (entries[0], entries[3]):
+        answers.append(
+            await cluster.call(
+                entry,
+                "POST",
+                "/r/subscriptions/charge",
+                key=key,
+                data="nitrogen top-up 41",
+                headers={"Idempotency-Key": "charge-41"},
+            )
+        )
+    expect("both get the same answer", answers[0] == answers[1], answers)
+    runs = 0
+    assert cluster.http is not None
+    for proc in cluster.procs.values():
+        if proc.entry.get("kind") == "runner":
+            url = f"http://{proc.ports['http']}/admin/runs"
+            async with cluster.http.get(url) as resp:
+                runs += (await resp.json())["runs"].get("nitrogen top-up 41", 0)
+    expect("the runners counted one run", runs == 1, runs)
+
+
+JOBS = (
+    {"job_id": "blend-plan", "tasks": 3, "run_s": 1.0, "cpus": 2},
+    {"job_id": "soil-model", "tasks": 4, "gang": True, "run_s": 1.0, "cpus": 8},
+    {"job_id": "portal", "tasks": 2, "priority": "service", "cpus": 1},
+)
+
+
+async def jobs(cluster: Cluster, entries: list[Proc], key: str, tmp: Path) -> None:
+    """Submit a batch job, a gang job and a service, and see them through."""
+    say("a batch job, a gang job and a service")
+    for body in JOBS:
+        path = tmp / f"{body['job_id']}.json"
+        path.write_text(repr(body).replace("'", '"').replace("True", "true"))
+        show(await tool(entries[0], "job", "submit", str(path), key=key))
+
+    async def settled(proc: Proc) -> bool:
+        for body in JOBS:
+            path = f"/v1/jobs/{body['job_id']}"
+            status, data = await cluster.call(proc, "GET", path, key=key)
+            want = "" if body.get("priority") == "service" else "done"
+            placed = data.get("placed", {})
+            states = [t["outcome"] for t in placed.values()]
+            if status != 200 or states != [want] * int(str(body["tasks"])):
+                return False
+        return True
+
+    await cluster.until(entries[0], settled, 30.0)
+    print("   ok  batch and gang are done, the service is up", flush=True)
+    show(await tool(entries[0], "job", "list", key=key))
+    show(await tool(entries[0], "explain", "soil-model", key=key))
+
+
+async def withdraw(cluster: Cluster, entries: list[Proc], key: str) -> None:
+    """Withdraw the key and see it refused everywhere."""
+    say("the key is withdrawn and refused")
+    listed = await cluster.call(entries[0], "GET", "/v1/keys")
+    show(await tool(entries[0], "key", "withdraw", listed[1]["keys"][0]["key_id"]))
+
+    async def refused(proc: Proc) -> bool:
+        path = "/r/subscriptions/quote"
+        status, data = await cluster.call(proc, "GET", path, key=key)
+        return status == 401 and data["code"] == "key.refused"
+
+    for entry in entries:
+        await cluster.until(entry, refused)
+    print("   ok  all four instances refuse it", flush=True)
+
+
+async def stop(cluster: Cluster, entries: list[Proc]) -> None:
+    """Stop everything gracefully."""
+    say("everything stops gracefully")
+    for entry in entries:
+        entry.kill(15)
+    codes = [await entry.wait() for entry in entries]
+    expect("every instance ended with 0", codes == [0] * len(codes), codes)
+    others = [p for p in cluster.procs.values() if p not in entries]
+    for proc in others:
+        proc.kill(15)
+    codes = [await proc.wait() for proc in others]
+    expect("every stand-in ended with 0", codes == [0] * len(codes), codes)
+
+
+async def main() -> None:
+    """Run the whole demonstration."""
+    with tempfile.TemporaryDirectory() as name:
+        tmp = Path(name)
+        async with Cluster(("ikeja", "lekki")) as cluster:
+            say("starting a platform, 4 runners, 4 workers and 4 instances")
+            entries = await build(cluster)
+            show(await tool(entries[0], "status"))
+            key = await lists_and_keys(cluster, entries, tmp)
+            await requests(cluster, entries, key)
+            await jobs(cluster, entries, key, tmp)
+            await withdraw(cluster, entries, key)
+            say("the report on service-level burn")
+            show(await tool(entries[0], "report"))
+            await stop(cluster, entries)
+    say("done")
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/src/firhook/_codec.py
@@ -0,0 +1,99 @@
+"""Encoding of records for the log and of messages between instances.
+
+Records and messages are attrs classes.  msgspec encodes them; since it knows
+tagged unions only for its own structs, each class is registered here under a
+short stable tag and travels beside it.
+"""
+
+from typing import Any, TypeVar
+
+import attrs
+import msgspec
+
+from firhook._errors import FrameMalformedError, RecordMalformedError
+
+T = TypeVar("T", bound=type)
+
+_RECORDS: dict[str, type] = {}
+_MESSAGES: dict[str, type] = {}
+
+
+def record(cls: T) -> T:
+    """Register an attrs class as a kind of record on the platform's log."""
+    _RECORDS[cls.__name__] = cls
+    return cls
+
+
+def message(cls: T) -> T:
+    """Register an attrs class as a kind of message between instances."""
+    _MESSAGES[cls.__name__] = cls
+    return cls
+
+
+@attrs.frozen(slots=True)
+class Envelope:
+    """A record with its id.
+
+    The id is the pair of ``lane`` and ``seq``.  A lane is one run of one
+    instance; within a lane and a stream ``seq`` only rises.  A reader that
+    remembers the highest ``seq`` per lane therefore recognises a record that
+    was appended twice after a lost answer, and also one that arrives after
+    its sender gave it up and went on.
+
+    :param lane: the appending instance's name and incarnation.
+    :param seq: position in the lane, from 1.
+    :param body: the record.
+    """
+
+    lane: str
+    seq: int
+    body: Any
+
+
+_json = msgspec.json.Encoder(enc_hook=None)
+_pack = msgspec.msgpack.Encoder()
+
+
+def to_builtins(obj: Any) -> Any:
+    """Return attrs data as plain maps, lists and scalars."""
+    return msgspec.to_builtins(obj)
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Encode a record for the log, as JSON that operators can read."""
+    return _json.encode(
+        [type(envelope.body).__name__, envelope.lane, envelope.seq, envelope.body]
+    )
+
+
+def decode_envelope(payload: bytes) -> Envelope:
+    """Decode a record from the log.
+
+    :raises RecordMalformedError: if the payload is no known record; every reader
+        reaches this verdict alike, since it depends on the bytes alone.
+    """
+    try:
+        tag, lane, seq, raw = msgspec.json.decode(
+            payload, type=tuple[str, str, int, Any]
+        )
+        body = msgspec.convert(raw, _RECORDS[tag])
+    except (msgspec.MsgspecError, KeyError, ValueError, RecursionError) as exc:
+        raise RecordMalformedError(f"record {payload[:80]!r}: {exc}") from exc
+    return Envelope(lane, seq, body)
+
+
+def encode_message(msg: Any) -> bytes:
+    """Encode a message between instances."""
+    return _pack.encode([type(msg).__name__, msg])
+
+
+def decode_message(frame: bytes) -> Any:
+    """Decode a message between instances.
+
+    :raises FrameMalformedError: if the frame is no known message.
+    """
+    try:
+        tag, raw = msgspec.msgpack.decode(frame, type=tuple[str, Any])
+        return msgspec.convert(raw, _MESSAGES[tag])
+    except (msgspec.MsgspecError, KeyError, ValueError, RecursionError) as exc:
+        raise FrameMalformedError(f"frame of {len(frame)} bytes: {exc}") from exc
--- /dev/null
+++ b/src/firhook/_errors.py
@@ -0,0 +1,331 @@
+"""Typed errors with stable codes whose messages name the remedy."""
+
+from typing import Any, ClassVar
+
+__all__: list[str] = []
+
+
+def _public(cls: type) -> type:
+    """Add an error kind to the public names of :mod:`firhook.errors`."""
+    __all__.append(cls.__name__)
+    return cls
+
+
+@_public
+class FirhookError(Exception):
+    """Base of every error that firhook raises.
+
+    :param detail: what happened, with the value that caused it.
+    :param retry_after_s: when to come back, in seconds; ``None`` if coming
+        back unchanged cannot help.
+    :param ran: whether the work asked for was run: ``no``, ``unknown`` or
+        ``yes``.  ``no`` is a promise that callers may act upon.
+    :param extra: further members of the problem document.
+    """
+
+    code: ClassVar[str] = "internal"
+    status: ClassVar[int] = 500
+    title: ClassVar[str] = "Internal error"
+    remedy: ClassVar[str] = "Report this with the request id and the logs."
+    default_ran: ClassVar[str] = "no"
+
+    def __init__(
+        self,
+        detail: str,
+        *,
+        retry_after_s: float | None = None,
+        ran: str | None = None,
+        **extra: Any,
+    ) -> None:
+        super().__init__(f"{detail} [{self.code}] {self.remedy}")
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+        self.ran = ran or self.default_ran
+        self.extra = extra
+
+    def to_problem(self) -> dict[str, Any]:
+        """Return the RFC 9457 problem document for this error."""
+        problem: dict[str, Any] = {
+            "type": f"urn:firhook:{self.code}",
+            "code": self.code,
+            "title": self.title,
+            "status": self.status,
+            "detail": self.detail,
+            "remedy": self.remedy,
+            "ran": self.ran,
+        }
+        if self.retry_after_s is not None:
+            problem["retry_after"] = round(self.retry_after_s, 3)
+        problem.update(self.extra)
+        return problem
+
+
+def _kind(
+    name: str, code: str, status: int, title: str, remedy: str, ran: str = "no"
+) -> type[FirhookError]:
+    """Define one error kind.
+
+    The kinds differ only in these constants, so a table reads better than
+    thirty class bodies would.
+    """
+    cls = type(
+        name,
+        (FirhookError,),
+        {
+            "__doc__": f"{title}.  {remedy}",
+            "__module__": __name__,
+            "code": code,
+            "status": status,
+            "title": title,
+            "remedy": remedy,
+            "default_ran": ran,
+        },
+    )
+    return _public(cls)
+
+
+SettingsInvalidError = _kind(
+    "SettingsInvalidError",
+    "settings.invalid",
+    400,
+    "Settings are not valid",
+    "Mend the options named and run firhookd --check again.",
+)
+ListInvalidError = _kind(
+    "ListInvalidError",
+    "list.invalid",
+    422,
+    "A list is not valid",
+    "Mend the rows named and apply the list again; nothing was changed.",
+)
+ConfigConflictError = _kind(
+    "ConfigConflictError",
+    "config.conflict",
+    409,
+    "Another change came first",
+    "Read the lists again, redo your change on the new version and apply it.",
+)
+KeyMissingError = _kind(
+    "KeyMissingError",
+    "key.missing",
+    401,
+    "No key was shown",
+    "Send the team's key as 'Authorization: Bearer KEY'.",
+)
+KeyRefusedError = _kind(
+    "KeyRefusedError",
+    "key.refused",
+    401,
+    "The key is not valid",
+    "Ask an operator for a new key; this one is unknown or withdrawn.",
+)
+NotPermittedError = _kind(
+    "NotPermittedError",
+    "key.not_permitted",
+    403,
+    "The key does not permit this",
+    "Use a key of the team concerned, or an operator's key.",
+)
+KeyUnknownError = _kind(
+    "KeyUnknownError",
+    "key.unknown",
+    404,
+    "No such key",
+    "List the keys with 'firhook key list' and name one of them.",
+)
+ZoneStaleError = _kind(
+    "ZoneStaleError",
+    "zone.stale",
+    503,
+    "This availability zone cannot check for withdrawn keys",
+    "Try another zone, or come back after the time given.",
+)
+LogUnavailableError = _kind(
+    "LogUnavailableError",
+    "log.unavailable",
+    503,
+    "The platform's log cannot be reached",
+    "Nothing was recorded; come back after the time given.",
+)
+LogOutcomeUnknownError = _kind(
+    "LogOutcomeUnknownError",
+    "log.outcome_unknown",
+    503,
+    "The platform's log did not say whether it took the record",
+    "Ask again with the same id; it cannot take effect twice.",
+    "unknown",
+)
+LogTrimmedError = _kind(
+    "LogTrimmedError",
+    "log.trimmed",
+    410,
+    "The records asked for have expired",
+    "Rebuild from the latest snapshot; the journal does this by itself.",
+)
+PlatformUnavailableError = _kind(
+    "PlatformUnavailableError",
+    "platform.unavailable",
+    503,
+    "The platform's instance list cannot be reached",
+    "The last list stays in use; nothing needs doing unless this lasts.",
+)
+OverloadedError = _kind(
+    "OverloadedError",
+    "queue.overloaded",
+    503,
+    "More work is waiting than can be served in time",
+    "Come back after the time given; the request was not run.",
+)
+DeadlineUnmeetableError = _kind(
+    "DeadlineUnmeetableError",
+    "queue.deadline",
+    503,
+    "The request cannot be answered before its deadline",
+    "Come back after the time given, or allow a later deadline.",
+)
+TeamQueueFullError = _kind(
+    "TeamQueueFullError",
+    "queue.team_full",
+    429,
+    "The team has too many requests waiting",
+    "Send fewer at once, or come back after the time given.",
+)
+NoEndpointError = _kind(
+    "NoEndpointError",
+    "endpoint.none",
+    503,
+    "No runner of the service can take the request",
+    "Come back after the time given; if it lasts, check the service's runners.",
+)
+EndpointFailedError = _kind(
+    "EndpointFailedError",
+    "endpoint.failed",
+    502,
+    "The runner failed while it had the request",
+    "Check the outcome before sending a non-idempotent request again.",
+    "unknown",
+)
+EndpointTimeoutError = _kind(
+    "EndpointTimeoutError",
+    "endpoint.timeout",
+    504,
+    "The runner did not answer before the deadline",
+    "Check the outcome before sending a non-idempotent request again.",
+    "unknown",
+)
+OnceInProgressError = _kind(
+    "OnceInProgressError",
+    "once.in_progress",
+    409,
+    "A request with this Idempotency-Key is being run",
+    "Ask again with the same key after the time given to get its outcome.",
+    "unknown",
+)
+OnceUnknownError = _kind(
+    "OnceUnknownError",
+    "once.unknown",
+    409,
+    "The outcome of the request with this Idempotency-Key was lost",
+    "Check with the service whether it took effect; it is not run again.",
+    "unknown",
+)
+OnceMismatchError = _kind(
+    "OnceMismatchError",
+    "once.mismatch",
+    422,
+    "The Idempotency-Key was used before for another request",
+    "Use a fresh key for each distinct request.",
+)
+JobInvalidError = _kind(
+    "JobInvalidError",
+    "job.invalid",
+    422,
+    "The job is not valid",
+    "Mend the fields named and submit it again; nothing was accepted.",
+)
+JobImpossibleError = _kind(
+    "JobImpossibleError",
+    "job.impossible",
+    422,
+    "The job can never run in this cell",
+    "Ask for less, or have the plan or the workers enlarged.",
+)
+JobConflictError = _kind(
+    "JobConflictError",
+    "job.conflict",
+    409,
+    "Another job has this id",
+    "Choose a new id, or submit the same body to repeat the request.",
+)
+JobUnknownError = _kind(
+    "JobUnknownError",
+    "job.unknown",
+    404,
+    "No such job",
+    "List the team's jobs with 'firhook job list' and name one of them.",
+)
+BodyTooLargeError = _kind(
+    "BodyTooLargeError",
+    "request.too_large",
+    413,
+    "The body is larger than allowed",
+    "Send a smaller body, or have [gateway] max_body_bytes raised.",
+)
+RequestMalformedError = _kind(
+    "RequestMalformedError",
+    "request.malformed",
+    400,
+    "The request cannot be understood",
+    "Mend the part named and send it again.",
+)
+RecordMalformedError = _kind(
+    "RecordMalformedError",
+    "record.malformed",
+    500,
+    "A record on the log cannot be understood",
+    "Every instance ignores it; find who appended it.",
+)
+FrameMalformedError = _kind(
+    "FrameMalformedError",
+    "peer.malformed",
+    400,
+    "A message from a peer cannot be understood",
+    "Check that all instances run versions that work together.",
+)
+PeerUnreachableError = _kind(
+    "PeerUnreachableError",
+    "peer.unreachable",
+    503,
+    "A peer did not answer",
+    "Nothing needs doing unless this lasts.",
+    "unknown",
+)
+WorkerUnreachableError = _kind(
+    "WorkerUnreachableError",
+    "worker.unreachable",
+    503,
+    "A worker did not answer",
+    "Its tasks restart elsewhere once its lease has lapsed.",
+    "unknown",
+)
+WorkerFencedError = _kind(
+    "WorkerFencedError",
+    "worker.fenced",
+    409,
+    "The worker has seen a newer zone lead",
+    "This instance has lost the lead and stops placing by itself.",
+)
+StoppingError = _kind(
+    "StoppingError",
+    "instance.stopping",
+    503,
+    "This instance is stopping",
+    "Send the request again at once; the balancer picks another instance.",
+)
+NotReadyError = _kind(
+    "NotReadyError",
+    "instance.not_ready",
+    503,
+    "This instance has not read the lists yet",
+    "Send the request again; the balancer picks another instance.",
+)
--- /dev/null
+++ b/src/firhook/_web.py
@@ -0,0 +1,127 @@
+"""What all HTTP routes share: problem documents, request ids, bodies, keys."""
+
+import math
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from firhook._bus import Bus
+from firhook.errors import (
+    BodyTooLargeError,
+    FirhookError,
+    NotPermittedError,
+    RequestMalformedError,
+)
+from firhook.logs import log
+from firhook.queries import Authenticate, Principal
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+REQUEST_ID = "X-Request-Id"
+
+
+def request_id(req: web.Request) -> str:
+    """Return the caller's request id, or a new one if it gave none.
+
+    :raises RequestMalformedError: if it gave one that is unsafe to log.
+    """
+    given = req.headers.get(REQUEST_ID)
+    if given is None:
+        return uuid.uuid4().hex
+    if not 1 <= len(given) <= 128 or not given.isprintable():
+        raise RequestMalformedError(f"{REQUEST_ID}: give 1 to 128 printable characters")
+    return given
+
+
+def problem_response(exc: FirhookError, rid: str) -> web.Response:
+    """Return an error as an RFC 9457 problem document.
+
+    The Retry-After header takes whole seconds only and is rounded up; the
+    member ``retry_after`` of the document says it exactly.
+    """
+    headers = {REQUEST_ID: rid}
+    if exc.retry_after_s is not None:
+        headers["Retry-After"] = str(max(1, math.ceil(exc.retry_after_s)))
+    return web.Response(
+        status=exc.status,
+        body=msgspec.json.encode({**exc.to_problem(), "request_id": rid}),
+        headers=headers,
+        content_type="application/problem+json",
+    )
+
+
+@web.middleware
+async def problems(req: web.Request, handler: Handler) -> web.StreamResponse:
+    """Turn errors into problem documents and put the request id on answers."""
+    rid = "-"
+    try:
+        rid = request_id(req)
+        req["request_id"] = rid
+        resp = await handler(req)
+        if not resp.prepared:
+            resp.headers[REQUEST_ID] = rid
+        return resp
+    except FirhookError as exc:
+        level = "error" if exc.status >= 500 and exc.code == "internal" else "info"
+        log("request.refused", level=level, code=exc.code, request_id=rid)
+        return problem_response(exc, rid)
+    except web.HTTPRequestEntityTooLarge:
+        return problem_response(BodyTooLargeError("the body is over the limit"), rid)
+    except web.HTTPException as exc:
+        wrong = RequestMalformedError(f"{req.method} {req.path}: {exc.reason}")
+        resp = problem_response(wrong, rid)
+        resp.set_status(exc.status)
+        return resp
+    except Exception as exc:
+        log("request.failed", level="error", error=repr(exc), request_id=rid)
+        return problem_response(FirhookError(repr(exc), ran="unknown"), rid)
+
+
+async def read_json(req: web.Request) -> Any:
+    """Return the body decoded from JSON.
+
+    :raises RequestMalformedError: if it is not JSON.
+    """
+    try:
+        return msgspec.json.decode(await req.read())
+    except (msgspec.DecodeError, RecursionError) as exc:
+        raise RequestMalformedError(f"the body is not JSON: {exc}") from exc
+
+
+def json_response(data: Any, status: int = 200) -> web.Response:
+    """Return data as a JSON answer."""
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(data),
+        content_type="application/json",
+    )
+
+
+async def principal(bus: Bus, req: web.Request) -> Principal:
+    """Return whose key came with the request."""
+    return await bus.ask(Authenticate(req.headers.get("Authorization", "")))
+
+
+async def require_operator(bus: Bus, req: web.Request) -> Principal:
+    """Return the operator whose key came with the request.
+
+    :raises NotPermittedError: if it is a team's key.
+    """
+    who = await principal(bus, req)
+    if not who.operator:
+        raise NotPermittedError("this needs an operator's key")
+    return who
+
+
+async def serve(routes: list[web.RouteDef], host: str, port: int, max_body: int) -> Any:
+    """Start serving routes; return the runner and the port it got."""
+    app = web.Application(middlewares=[problems], client_max_size=max_body)
+    app.add_routes(routes)
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
+    await runner.setup()
+    site = web.TCPSite(runner, host, port)
+    await site.start()
+    return runner, site
--- /dev/null
+++ b/src/firhook/daemon.py
@@ -0,0 +1,5 @@
+"""The daemon ``firhookd``: one runs on every entry instance."""
+
+from firhook._daemon import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/firhook/logs.py
@@ -0,0 +1,42 @@
+"""Structured logs: one JSON object a line, each with a stable event name."""
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+_LOGGER = logging.getLogger("firhook")
+
+
+def setup_logs(zone: str, instance: str, level: str = "info") -> None:
+    """Send all logs to standard error as JSON lines.
+
+    :param zone: availability zone, put on every line.
+    :param instance: the instance's name, put on every line.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(
+            "%(levelname)s %(message)s",
+            timestamp=True,
+            rename_fields={"levelname": "level", "message": "event"},
+            static_fields={"zone": zone, "instance": instance},
+        )
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(logging.WARNING)
+    # mode announces each service that starts and stops; that says nothing
+    # which the events of the kernel do not say.
+    for noisy in ("firhook.roles", "firhook._kernel"):
+        logging.getLogger(noisy).setLevel(logging.WARNING)
+    _LOGGER.setLevel(level.upper())
+
+
+def log(event: str, *, level: str = "info", **fields: object) -> None:
+    """Log an event.
+
+    :param event: stable dotted name such as ``config.applied``.
+    :param fields: further members; ``code`` and ``request_id`` where known.
+    """
+    _LOGGER.log(logging.getLevelName(level.upper()), event, extra=fields)
--- /dev/null
+++ b/src/firhook/platform/__init__.py
@@ -0,0 +1,35 @@
+"""What the platform gives, as interfaces, and their HTTP adapters."""
+
+from firhook.platform._base import (
+    Endpoint,
+    EndpointClient,
+    Exchange,
+    InstanceList,
+    LogEntry,
+    LogPage,
+    LogService,
+    Order,
+    Platform,
+    Report,
+    StartOrder,
+    StopOrder,
+    TaskReport,
+    WorkerClient,
+)
+
+__all__ = [
+    "Endpoint",
+    "EndpointClient",
+    "Exchange",
+    "InstanceList",
+    "LogEntry",
+    "LogPage",
+    "LogService",
+    "Order",
+    "Platform",
+    "Report",
+    "StartOrder",
+    "StopOrder",
+    "TaskReport",
+    "WorkerClient",
+]
--- /dev/null
+++ b/standins/cluster.py
@@ -0,0 +1,243 @@
+"""Starts and stops a small cell of separate processes on loopback.
+
+Ports are bound to 0 by the processes themselves, which print what they got;
+the launcher then tells the stand-in platform, as a real platform would know.
+"""
+
+import asyncio
+import contextlib
+import hashlib
+import json
+import os
+import signal
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import attrs
+import zmq
+
+ROOT = Path(__file__).resolve().parent.parent
+OPERATOR_KEY = "fk_operator_of_the_demonstration"
+
+
+@attrs.define(eq=False)
+class Proc:
+    """A process that the launcher started."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    ports: dict[str, str]
+    entry: dict[str, Any]
+    settings: dict[str, dict[str, Any]] = attrs.field(factory=dict)
+
+    def kill(self, sig: int = signal.SIGKILL) -> None:
+        """Send a signal to this process."""
+        with contextlib.suppress(ProcessLookupError):
+            self.process.send_signal(sig)
+
+    async def wait(self, timeout_s: float = 40.0) -> int:
+        """Wait for the end and return the exit status."""
+        return await asyncio.wait_for(self.process.wait(), timeout_s)
+
+
+class Cluster:
+    """A platform, runners, workers and entry instances.
+
+    :param zones: names of the availability zones.
+    :param overrides: settings by section that differ from the defaults.
+    """
+
+    def __init__(
+        self,
+        zones: tuple[str, ...],
+        overrides: dict[str, dict[str, Any]] | None = None,
+        lag_s: float = 0.2,
+    ) -> None:
+        self.zones = zones
+        self.overrides = overrides or {}
+        self.lag_s = lag_s
+        self.procs: dict[str, Proc] = {}
+        public, secret = zmq.curve_keypair()
+        self.curve = public.decode(), secret.decode()
+        self.tmp = tempfile.TemporaryDirectory(prefix="firhook-")
+        self.http: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "Cluster":
+        self.http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(total=30),
+        )
+        await self._start("platform", "-m", "standins.platform", str(self.lag_s))
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        for proc in self.procs.values():
+            if proc.process.returncode is None:
+                proc.kill(signal.SIGCONT)
+                proc.kill(signal.SIGKILL)
+                await proc.wait()
+        assert self.http is not None
+        await self.http.close()
+        self.tmp.cleanup()
+
+    @property
+    def platform_url(self) -> str:
+        """Base address of the stand-in platform."""
+        return f"http://{self.procs['platform'].ports['http']}"
+
+    async def _start(self, name: str, *args: str, entry: Any = None) -> Proc:
+        log_path = Path(self.tmp.name) / f"{name}.log"
+        env = process_env()
+        with log_path.open("ab") as err:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *args,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=err,
+                cwd=ROOT,
+                env=env,
+            )
+        assert process.stdout is not None
+        line = await asyncio.wait_for(process.stdout.readline(), 30)
+        if not line:
+            raise RuntimeError(f"{name} did not start:\n{log_path.read_text()[-3000:]}")
+        proc = Proc(name, process, json.loads(line)["listening"], entry or {})
+        self.procs[name] = proc
+        return proc
+
+    def log_text(self, name: str) -> str:
+        """Return what a process logged."""
+        return (Path(self.tmp.name) / f"{name}.log").read_text()
+
+    async def admin(self, path: str, data: Any) -> Any:
+        """Post to the stand-in platform."""
+        assert self.http is not None
+        async with self.http.post(f"{self.platform_url}{path}", json=data) as resp:
+            return await resp.json()
+
+    async def list_instances(self, *procs: Proc) -> None:
+        """Tell the platform of instances."""
+        await self.admin("/admin/instances", [p.entry for p in procs])
+
+    async def add_runner(self, name: str, zone: str, service: str) -> Proc:
+        """Start a runner."""
+        proc = await self._start(name, "-m", "standins.runner")
+        proc.entry = {
+            "name": name,
+            "kind": "runner",
+            "zone": zone,
+            "service": service,
+            "address": proc.ports["http"],
+        }
+        await self.list_instances(proc)
+        return proc
+
+    async def add_worker(self, name: str, zone: str, rack: str, **size: Any) -> Proc:
+        """Start a worker."""
+        proc = await self._start(name, "-m", "standins.worker", name)
+        proc.entry = {
+            "name": name,
+            "kind": "worker",
+            "zone": zone,
+            "rack": rack,
+            "address": proc.ports["http"],
+            "cpus": 32.0,
+            "memory_mb": 65536,
+            **size,
+        }
+        await self.list_instances(proc)
+        return proc
+
+    def settings(self, name: str, zone: str) -> dict[str, dict[str, Any]]:
+        """Return the settings of an entry instance."""
+        settings: dict[str, dict[str, Any]] = {
+            "instance": {"name": name, "zone": zone, "zones": ", ".join(self.zones)},
+            "listen": {
+                "gateway": "127.0.0.1:0",
+                "ops": "127.0.0.1:0",
+                "peers": "127.0.0.1:0",
+            },
+            "platform": {"log_url": self.platform_url, "list_poll_s": 0.2},
+            "mesh": {
+                "curve_public": self.curve[0],
+                "curve_secret": self.curve[1],
+                "gossip_s": 0.2,
+            },
+            "keys": {
+                "operator_digest": hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
+            },
+            "gateway": {"drain_lag_s": 0.3},
+            "cell": {"lead_lease_s": 2, "sync_s": 0.3, "margin_s": 0.3},
+        }
+        for section, options in self.overrides.items():
+            settings.setdefault(section, {}).update(options)
+        return settings
+
+    async def add_entry(self, name: str, zone: str, **changed: dict[str, Any]) -> Proc:
+        """Start an entry instance of firhookd."""
+        settings = self.settings(name, zone)
+        for section, options in changed.items():
+            settings.setdefault(section, {}).update(options)
+        path = Path(self.tmp.name) / f"{name}.ini"
+        path.write_text(render_ini(settings))
+        proc = await self._start(name, "-m", "firhook._daemon", "--config", str(path))
+        proc.settings = settings
+        proc.entry = {
+            "name": name,
+            "kind": "entry",
+            "zone": zone,
+            "address": proc.ports["peers"],
+        }
+        await self.list_instances(proc)
+        return proc
+
+    async def call(
+        self, proc: Proc, method: str, path: str, key: str = OPERATOR_KEY, **kw: Any
+    ) -> tuple[int, Any]:
+        """Call an entry instance; return the status and the decoded answer."""
+        assert self.http is not None
+        headers = {"Authorization": f"Bearer {key}", **kw.pop("headers", {})}
+        url = f"http://{proc.ports['gateway']}{path}"
+        async with self.http.request(method, url, headers=headers, **kw) as resp:
+            return resp.status, await resp.json(content_type=None)
+
+    async def wait_ready(self, *procs: Proc, timeout_s: float = 20.0) -> None:
+        """Wait until instances are ready and their zones have leads."""
+        for proc in procs:
+            await self.until(proc, self._is_ready, timeout_s)
+
+    async def _is_ready(self, proc: Proc) -> bool:
+        status, data = await self.call(proc, "GET", "/v1/status")
+        return status == 200 and data["ready"] and bool(data["lead"]["instance"])
+
+    async def until(self, proc: Proc, check: Any, timeout_s: float = 20.0) -> None:
+        """Wait until an asynchronous check of an instance holds."""
+        give_up = time.monotonic() + timeout_s
+        while True:
+            with contextlib.suppress(aiohttp.ClientError):
+                if await check(proc):
+                    return
+            if time.monotonic() > give_up:
+                raise TimeoutError(
+                    f"{proc.name}: {check.__name__} did not come to hold"
+                )
+            await asyncio.sleep(0.05)
+
+
+def process_env() -> dict[str, str]:
+    """Return the environment of started processes: this tree's own source."""
+    path = os.pathsep.join((str(ROOT / "src"), str(ROOT)))
+    return {**os.environ, "PYTHONPATH": path, "PYTHONUNBUFFERED": "1"}
+
+
+def render_ini(settings: dict[str, dict[str, Any]]) -> str:
+    """Return settings as INI text."""
+    lines = []
+    for section, options in settings.items():
+        lines.append(f"[{section}]")
+        lines += [f"{option} = {value}" for option, value in options.items()]
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,144 @@
+"""A stand-in for the platform: its log and its lagging instance list.
+
+Faults on command: ``POST /admin/faults`` with any of ``log`` (``ok``,
+``down``, ``lose-answers``, ``hang``), ``slow_s`` and ``retain`` (records kept
+per stream).
+"""
+
+import asyncio
+import contextlib
+import json
+import time
+from typing import Any
+
+from aiohttp import web
+
+from standins.serving import serve_forever
+
+
+class Stream:
+    """One append-only stream with limited retention."""
+
+    def __init__(self) -> None:
+        self.first = 0
+        self.records: list[str] = []
+        self.grown = asyncio.Condition()
+
+    @property
+    def end(self) -> int:
+        """The offset that the next record gets."""
+        return self.first + len(self.records)
+
+    def trim(self, retain: int) -> None:
+        """Drop the records that have expired."""
+        expired = len(self.records) - retain
+        if expired > 0:
+            del self.records[:expired]
+            self.first += expired
+
+
+class Platform:
+    """The log and the instance list."""
+
+    def __init__(self, lag_s: float) -> None:
+        self.lag_s = lag_s
+        self.streams: dict[str, Stream] = {}
+        self.faults: dict[str, Any] = {"log": "ok", "slow_s": 0.0, "retain": 100_000}
+        self.instances: dict[str, tuple[float, dict[str, Any]]] = {}
+        self.listed: dict[str, dict[str, Any]] = {}
+        self.appends = 0
+
+    def stream(self, name: str) -> Stream:
+        """Return a stream, made on first use."""
+        return self.streams.setdefault(name, Stream())
+
+    async def append(self, req: web.Request) -> web.Response:
+        """Append records together."""
+        fault = self.faults["log"]
+        await asyncio.sleep(self.faults["slow_s"])
+        if fault == "down":
+            return web.json_response({"error": "down"}, status=503)
+        if fault == "hang":
+            await asyncio.sleep(3600)
+        stream = self.stream(req.match_info["stream"])
+        records = await req.json()
+        async with stream.grown:
+            first = stream.end
+            stream.records += records
+            stream.trim(self.faults["retain"])
+            stream.grown.notify_all()
+        self.appends += 1
+        if fault == "lose-answers" and req.transport is not None:
+            req.transport.abort()
+        return web.json_response({"first": first})
+
+    async def read(self, req: web.Request) -> web.Response:
+        """Return records from an offset on, waiting a while if none."""
+        if self.faults["log"] == "down":
+            return web.json_response({"error": "down"}, status=503)
+        if self.faults["log"] == "hang":
+            await asyncio.sleep(3600)
+        stream = self.stream(req.match_info["stream"])
+        offset = int(req.query["from"])
+        wait_s = min(float(req.query.get("wait", "0")), 30.0)
+        if offset < stream.first:
+            return web.json_response({"first": stream.first}, status=410)
+        if offset >= stream.end and wait_s > 0:
+            async with stream.grown:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(stream.grown.wait(), wait_s)
+        if self.faults["log"] == "down":
+            return web.json_response({"error": "down"}, status=503)
+        start = max(offset - stream.first, 0)
+        part = stream.records[start : start + 1000]
+        records = [[offset + i, text] for i, text in enumerate(part)]
+        return web.json_response({"records": records, "end": stream.end})
+
+    async def list(self, req: web.Request) -> web.Response:
+        """Return the instance list as it was a while ago."""
+        now = time.monotonic()
+        for name, (at, entry) in list(self.instances.items()):
+            if now - at >= self.lag_s:
+                del self.instances[name]
+                if entry.get("gone"):
+                    self.listed.pop(name, None)
+                else:
+                    self.listed[name] = entry
+        return web.json_response(list(self.listed.values()))
+
+    async def set_instances(self, req: web.Request) -> web.Response:
+        """Take over instances as the platform sees them now."""
+        for entry in await req.json():
+            self.instances[entry["name"]] = (time.monotonic(), entry)
+        return web.json_response({})
+
+    async def set_faults(self, req: web.Request) -> web.Response:
+        """Set faults, and return what was counted."""
+        self.faults.update(await req.json())
+        for stream in self.streams.values():
+            stream.trim(self.faults["retain"])
+        ends = {name: s.end for name, s in self.streams.items()}
+        return web.json_response({"appends": self.appends, "ends": ends})
+
+    async def dump(self, req: web.Request) -> web.Response:
+        """Return a whole stream, for tests."""
+        stream = self.stream(req.match_info["stream"])
+        return web.json_response([json.loads(r) for r in stream.records])
+
+    def app(self) -> web.Application:
+        """Return the web application."""
+        app = web.Application(client_max_size=16 << 20)
+        app.router.add_post("/log/{stream}", self.append)
+        app.router.add_get("/log/{stream}", self.read)
+        app.router.add_get("/instances", self.list)
+        app.router.add_post("/admin/instances", self.set_instances)
+        app.router.add_post("/admin/faults", self.set_faults)
+        app.router.add_get("/admin/log/{stream}", self.dump)
+        return app
+
+
+if __name__ == "__main__":
+    import sys
+
+    lag = float(sys.argv[1]) if len(sys.argv) > 1 else 0.2
+    asyncio.run(serve_forever(Platform(lag).app()))
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,23 @@
+"""What the stand-ins share: listen on a free port and say which."""
+
+import asyncio
+import contextlib
+import json
+import signal
+
+from aiohttp import web
+
+
+async def serve_forever(app: web.Application, port: int = 0) -> None:
+    """Serve an app until SIGTERM, having printed the port it got."""
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.5)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    address = f"127.0.0.1:{runner.addresses[0][1]}"
+    print(json.dumps({"listening": {"http": address}}), flush=True)
+    told = asyncio.Event()
+    for sig in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(sig, told.set)
+    await told.wait()
+    with contextlib.suppress(asyncio.CancelledError):
+        await runner.cleanup()
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,42 @@
+"""Settings of the whole suite: Hypothesis runs derandomized in CI."""
+
+import os
+from pathlib import Path
+
+import pytest
+from hypothesis import HealthCheck, settings
+
+settings.register_profile(
+    "ci",
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+settings.register_profile("dev", deadline=None)
+settings.load_profile("ci" if os.environ.get("CI") else "dev")
+
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+def known_red() -> list[str]:
+    """Return the lines of KNOWN-RED.txt; each starts with a test's id."""
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
+    return [line for line in lines if line.strip() and not line.startswith("#")]
+
+
+def pytest_collection_modifyitems(config, items):
+    """Pass over the tests that KNOWN-RED.txt lists, and over no others."""
+    lines = known_red()
+    if len(lines) > 3:
+        raise pytest.UsageError("KNOWN-RED.txt lists more than three tests")
+    red = {line.split()[0] for line in lines}
+    for item in items:
+        if item.nodeid in red:
+            item.add_marker(pytest.mark.skip(reason="listed in KNOWN-RED.txt"))
+
+
+def pytest_terminal_summary(terminalreporter):
+    """Print the known red tests with every run."""
+    for line in known_red():
+        terminalreporter.write_line(f"KNOWN RED: {line}")
--- /dev/null
+++ b/tests/state/test_config.py
@@ -0,0 +1,77 @@
+"""Lists and keys in force: first change wins, nothing ever goes back."""
+
+import pytest
+
+from firhook.errors import KeyRefusedError, ListInvalidError
+from firhook.model import Envelope, KeyGiven, KeyWithdrawn, Row, RowsChanged, Verdict
+from firhook.state import ConfigState
+
+SMALL = Row("plans", "small", {"share": "1", "limit": "4"})
+
+
+def feed(state: ConfigState, *bodies: object) -> list[Verdict]:
+    """Apply records as one lane's next ones."""
+    verdicts = []
+    for body in bodies:
+        seq = state.next_offset + 1
+        verdicts.append(state.apply(state.next_offset, Envelope("i#1", seq, body)))
+    return verdicts
+
+
+def test_second_change_on_the_same_base_conflicts_and_names_the_first():
+    """Two operators edit the lists made from the same version at once.
+
+    The slower one must not undo the other's change without seeing it: it is
+    told which rows came first.
+    """
+    state = ConfigState()
+    team = Row("teams", "lisboa", {"plan": "small"})
+    verdicts = feed(state, RowsChanged(0, (SMALL,)), RowsChanged(0, (team,)))
+    assert verdicts == [Verdict.APPLIED, Verdict.CONFLICT]
+    assert (state.version, state.changed_since(0)) == (1, ["plans/small"])
+
+
+def test_bad_record_leaves_the_last_good_version_in_force():
+    state = ConfigState()
+    bad = Row("plans", "small", {"share": "none"})
+    feed(state, RowsChanged(0, (SMALL,)))
+    assert feed(state, RowsChanged(1, (bad,))) == [Verdict.IGNORED]
+    assert (state.version, state.plans["small"].limit) == (1, 4)
+
+
+def test_withdrawn_key_is_refused():
+    state = ConfigState()
+    feed(state, KeyGiven("k1", "lisboa", "d" * 64))
+    assert state.find_key("d" * 64).team == "lisboa"
+    feed(state, KeyWithdrawn("k1"))
+    with pytest.raises(KeyRefusedError):
+        state.find_key("d" * 64)
+
+
+def test_record_that_is_in_the_log_twice_is_applied_once():
+    """The log's answer to an append is lost, and the record is sent again.
+
+    Both copies are in the log; counting the second would, for a change of
+    the lists, answer its author with a conflict against itself.
+    """
+    state = ConfigState()
+    envelope = Envelope("i#1", 1, RowsChanged(0, (SMALL,)))
+    assert state.apply(0, envelope) is Verdict.APPLIED
+    assert state.apply(1, envelope) is Verdict.REPEATED
+    assert state.version == 1
+
+
+def test_snapshot_restores_the_whole_state():
+    state = ConfigState()
+    feed(state, RowsChanged(0, (SMALL,)), KeyGiven("k1", "", "d" * 64))
+    feed(state, KeyWithdrawn("k1"))
+    other = ConfigState()
+    other.from_text(state.next_offset, state.to_text())
+    assert other.to_text() == state.to_text()
+    assert other.next_offset == state.next_offset
+
+
+def test_team_on_an_unknown_plan_is_refused_with_the_known_ones():
+    state = ConfigState()
+    with pytest.raises(ListInvalidError, match="give one of"):
+        state.check_rows((Row("teams", "lisboa", {"plan": "huge"}),))
