A registry of measures for make bench

Cause: several parts are to be measured, each beside its own code. Change: measures register themselves; python -m bench runs them and prints one JSON line each. Ruled out: one long script, which every part would edit. Conclusion: nothing is measured yet.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,28 @@
+"""``python -m bench [NAME ...]`` runs the measures, all if none is named."""
+
+import importlib
+import json
+import pkgutil
+import sys
+
+import bench
+from bench._registry import MEASURES
+
+
+def main(names: list[str]) -> int:
+    """Run measures and print one JSON line for each result."""
+    for module in pkgutil.iter_modules(bench.__path__):
+        if not module.name.startswith("_"):
+            importlib.import_module(f"bench.{module.name}")
+    unknown = sorted(set(names) - set(MEASURES))
+    if unknown:
+        print(f"unknown measures {unknown}: use {sorted(MEASURES)}", file=sys.stderr)
+        return 2
+    for name in names or sorted(MEASURES):
+        for line in MEASURES[name]():
+            print(json.dumps({"measure": name, **line}), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
