--- a/src/firhook/_messages.py
+++ b/src/firhook/_messages.py
@@ -105,12 +105,18 @@
 
     key: str
     holder: str
+    nonce: int = 0
 
 
 @message
 @attrs.frozen(slots=True)
 class ClaimInquiryAnswer:
-    """Whether the request was, may have been or was certainly never sent."""
+    """Whether the request was sent.
+
+    :param sent: ``never`` for certain and for good, ``running``, ``done`` if
+        its outcome is on its way to the log, or ``unknown`` if its outcome was
+        lost or the holder has gone.
+    """
 
     key: str
     sent: str
--- a/src/firhook/_records.py
+++ b/src/firhook/_records.py
@@ -228,32 +228,45 @@
     :param key: digest of team and Idempotency-Key.
     :param body: digest of method, path and body.
     :param holder: incarnation of the instance that will dispatch it.
+    :param nonce: tells this claim from others of the same holder.
     """
 
     key: str
     team: str
     body: str
     holder: str
+    nonce: int = 0
 
 
 @record
 @attrs.frozen(slots=True)
 class OnceDone:
-    """The whole outcome of a claimed request.
+    """The outcome of a claimed request.
 
     :param data: the answer's body in base64.
+    :param whole: whether the body is there; one that is too long is left out.
+    :param holder: whose claim it is; empty matches any.
     """
 
     key: str
     status: int
     content_type: str
     data: str
+    whole: bool = True
+    holder: str = ""
+    nonce: int = 0
 
 
 @record
 @attrs.frozen(slots=True)
 class OnceReleased:
-    """Gives a claim back whose request was certainly never sent."""
+    """Gives a claim back whose request was certainly never sent.
+
+    Appended by the holder, or by a peer that had its word.  It names the
+    claim by its nonce: a copy that lands late must not free a later claim of
+    the same holder, whose request may be running.
+    """
 
     key: str
     holder: str
+    nonce: int = 0
--- a/src/firhook/_settings.py
+++ b/src/firhook/_settings.py
@@ -122,6 +122,7 @@
     log_timeout_s: float = _opt("platform", _number(0.1, 60), 2.0)
     log_poll_s: float = _opt("platform", _number(0.1, 30), 5.0)
     list_poll_s: float = _opt("platform", _number(0.1, 30), 1.0)
+    carry_forward_s: float = _opt("platform", _number(1, 1e6), 3600.0)
     carry_forward_records: int = _opt("platform", _number(10, 1e7, int), 5000)
 
     curve_public: str = _opt("mesh", _curve)
--- a/src/firhook/events.py
+++ b/src/firhook/events.py
@@ -69,9 +69,10 @@
     """Append a record and wait until it has been read back and applied.
 
     :param deadline_s: after so many seconds the asker gets an error:
-        ``LogUnavailableError`` if the record was certainly never sent, else
-        ``LogOutcomeUnknownError``.
+        ``LogUnavailableError`` if the record certainly is not and never will
+        be recorded, else ``LogOutcomeUnknownError``.
     :param urgent: goes before others under the append budget.
+    :raises NotReadyError: if the stream's state is not whole; nothing was sent.
     """
 
     stream: str
@@ -87,6 +88,17 @@
     stream: str
 
 
+@attrs.frozen(slots=True)
+class StreamReady(Query[bool]):
+    """Whether a stream's state is whole, so that it may be acted upon.
+
+    It is from when the end of the stream was seen, or a peer's state was
+    taken over while the log was out, and until records expired unread.
+    """
+
+    stream: str
+
+
 @attrs.frozen(slots=True)
 class AskPeer(Query[Any]):
     """Send a message to a peer and wait for its answer.
--- a/src/firhook/platform/_http.py
+++ b/src/firhook/platform/_http.py
@@ -48,6 +48,16 @@
 )
 
 _LOG_RETRY_S = 2.0
+#: What an answer of the log raises that is cut short, late or no such answer.
+_UNREADABLE = (
+    aiohttp.ClientError,
+    msgspec.MsgspecError,
+    TimeoutError,
+    OSError,
+    ValueError,
+    KeyError,
+    TypeError,
+)
 
 
 class HttpLog(LogService):
@@ -73,16 +83,19 @@
         try:
             async with self._session.post(url, data=body, timeout=timeout) as resp:
                 text = await resp.read()
-                if resp.status == 503:
+                answer = msgspec.json.decode(text)
+                if resp.status == 503 and answer["taken"] is False:
+                    # Only the log's own word counts.  A balancer before it
+                    # also answers 503, perhaps after the log took them.
                     raise LogUnavailableError(
                         "the log refused", retry_after_s=_LOG_RETRY_S
                     )
                 if resp.status != 200:
                     raise LogOutcomeUnknownError(f"the log answered {resp.status}")
-                return int(msgspec.json.decode(text)["first"])
+                return int(answer["first"])
         except aiohttp.ClientConnectorError as exc:
             raise LogUnavailableError(str(exc), retry_after_s=_LOG_RETRY_S) from exc
-        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as exc:
+        except _UNREADABLE as exc:
             raise LogOutcomeUnknownError(repr(exc), retry_after_s=_LOG_RETRY_S) from exc
 
     async def read(self, stream: str, offset: int, wait_s: float) -> LogPage:
@@ -100,11 +113,11 @@
                     raise LogUnavailableError(f"the log answered {resp.status}")
                 page = msgspec.json.decode(text)
                 entries = tuple(
-                    LogEntry(int(at), str(data).encode())
+                    LogEntry(int(at), str(data).encode("utf-8", "replace"))
                     for at, data in page["records"]
                 )
                 return LogPage(entries, int(page["end"]))
-        except (aiohttp.ClientError, TimeoutError, ValueError, KeyError) as exc:
+        except _UNREADABLE as exc:
             raise LogUnavailableError(repr(exc), retry_after_s=_LOG_RETRY_S) from exc
 
 
--- a/src/firhook/queries.py
+++ b/src/firhook/queries.py
@@ -25,12 +25,26 @@
     """Checks the Authorization header.
 
     :raises KeyMissingError: if it holds no key.
-    :raises KeyRefusedError: if the key is unknown or withdrawn.
+    :raises KeyRefusedError: if the key is unknown or withdrawn, or its team
+        is not in the list any more.
+    :raises NotReadyError: if the keys have not been read whole.
+    :raises ZoneStaleError: if the keys known are too old for any work.
     """
 
     authorization: str
 
 
+@attrs.frozen(slots=True)
+class CheckFresh(Query[None]):
+    """Checks that the keys known are fresh enough for the work asked for.
+
+    :param idempotent: whether running the work twice does no harm.
+    :raises ZoneStaleError: if they are not; nothing was run.
+    """
+
+    idempotent: bool
+
+
 @attrs.frozen(slots=True)
 class ChangeRows(Query[int]):
     """Changes rows of the lists; the answer is the new version.
@@ -111,9 +125,20 @@
     key: str
 
 
+@attrs.frozen(slots=True)
+class OnceLost:
+    """Event: a claimed request ended with neither an outcome nor a give-back.
+
+    Its answer was lost, or its caller went away.  Repeats are then told that
+    the outcome is unknown, or may run if it was certainly never sent.
+    """
+
+    key: str
+
+
 @attrs.frozen(slots=True)
 class OnceFinish(Query[None]):
-    """Stores the outcome of a claimed request."""
+    """Stores the outcome of a claimed request, without waiting for the log."""
 
     key: str
     answer: Exchange
--- a/src/firhook/roles/_cell.py
+++ b/src/firhook/roles/_cell.py
@@ -46,6 +46,7 @@
     to_builtins,
 )
 from firhook.platform import Order, Report, StartOrder, StopOrder
+from firhook.queries import CheckFresh
 
 #: An order that is still on its way after so long is refused by its worker.
 ORDER_TTL_S = 5.0
@@ -100,6 +101,7 @@
         who = await principal(self.bus, req)
         if who.operator:
             raise NotPermittedError("submit a job with its team's key")
+        await self.bus.ask(CheckFresh(idempotent=False))
         spec = check_job(await read_json(req), who.team)
         plan = self.states.config.plan_of(who.team)
         if plan is None:
--- a/src/firhook/roles/_config.py
+++ b/src/firhook/roles/_config.py
@@ -3,29 +3,53 @@
 import hashlib
 import secrets
 
+from firhook.decide.staleness import (
+    PeerLogView,
+    Served,
+    StalePolicy,
+    served,
+    view_age,
+)
 from firhook.errors import (
     ConfigConflictError,
     KeyMissingError,
     KeyUnknownError,
+    ListInvalidError,
+    LogOutcomeUnknownError,
     NotPermittedError,
+    NotReadyError,
+    ZoneStaleError,
+)
+from firhook.events import (
+    Append,
+    LogAge,
+    Members,
+    RecordApplied,
+    StreamReady,
+    StreamRebuilt,
 )
-from firhook.events import Append, RecordApplied
 from firhook.kernel import Role, register_role
 from firhook.logs import log
 from firhook.model import KeyGiven, KeyWithdrawn, RowsChanged, Verdict
 from firhook.queries import (
     Authenticate,
     ChangeRows,
+    CheckFresh,
     GiveKey,
     GivenKey,
     Principal,
     WithdrawKey,
 )
 
+#: A cut zone does not know when it will be joined again; callers come back at
+#: this interval, which another zone can bear if they all do.
+_STALE_RETRY_S = 5.0
+_NOT_READY_RETRY_S = 1.0
+
 
 def digest_of(key: str) -> str:
     """Return the digest under which a key is kept."""
-    return hashlib.sha256(key.encode()).hexdigest()
+    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
 
 
 @register_role("config")
@@ -34,27 +58,46 @@
 
     def wire(self) -> None:
         """Offer changes and checks of keys."""
+        cfg = self.cfg
+        self._policy = StalePolicy(
+            cfg.stale == "refuse", cfg.key_stale_s, cfg.key_stale_max_s
+        )
         self.bus.answer(ChangeRows, self._change_rows)
         self.bus.answer(GiveKey, self._give_key)
         self.bus.answer(WithdrawKey, self._withdraw_key)
         self.bus.answer(Authenticate, self._authenticate)
+        self.bus.answer(CheckFresh, self._check_fresh)
         self.bus.subscribe(RecordApplied, self._on_record)
+        self.bus.subscribe(StreamRebuilt, self._on_rebuilt)
+
+    # -- changes ---------------------------------------------------------
 
     async def _change_rows(self, query: ChangeRows) -> int:
         state = self.states.config
+        if query.base < state.version:
+            raise self._conflict(query.base)
         if query.base == state.version:
             state.check_rows(query.rows)
-        applied = await self.bus.ask(
-            Append("config", RowsChanged(query.base, query.rows, query.author))
-        )
-        if applied.verdict is not Verdict.APPLIED:
-            raise ConfigConflictError(
-                f"the change was made from version {query.base}; "
-                f"version {state.version} is in force",
-                version=state.version,
-                changed=state.changed_since(query.base),
+        record = RowsChanged(query.base, query.rows, query.author)
+        applied = await self.bus.ask(Append("config", record))
+        if applied.verdict is Verdict.APPLIED:
+            return query.base + 1
+        if applied.verdict is Verdict.IGNORED:
+            # It was made from a version not read here when it was checked.
+            raise ListInvalidError(
+                f"the change is not valid on version {query.base}, which is in force"
             )
-        return query.base + 1
+        raise self._conflict(query.base)
+
+    def _conflict(self, base: int) -> ConfigConflictError:
+        state = self.states.config
+        changed = state.changed_since(base)
+        return ConfigConflictError(
+            f"the change was made from version {base}; version {state.version} is "
+            f"in force; changed since: {', '.join(changed[:20]) or 'nothing'}",
+            version=state.version,
+            changed=changed,
+        )
 
     async def _give_key(self, query: GiveKey) -> GivenKey:
         if query.team and query.team not in self.states.config.teams:
@@ -62,7 +105,9 @@
         key = f"fk_{secrets.token_urlsafe(24)}"
         key_id = secrets.token_hex(6)
         record = KeyGiven(key_id, query.team, digest_of(key))
-        await self.bus.ask(Append("config", record, urgent=True))
+        applied = await self.bus.ask(Append("config", record, urgent=True))
+        if applied.verdict is not Verdict.APPLIED:
+            raise LogOutcomeUnknownError(f"key {key_id} was not taken", ran="no")
         return GivenKey(key_id, query.team, key)
 
     async def _withdraw_key(self, query: WithdrawKey) -> int:
@@ -72,6 +117,8 @@
         applied = await self.bus.ask(Append("config", record, urgent=True))
         return applied.offset
 
+    # -- checks ----------------------------------------------------------
+
     async def _authenticate(self, query: Authenticate) -> Principal:
         scheme, _, key = query.authorization.partition(" ")
         if scheme.lower() != "bearer" or not key.strip():
@@ -79,16 +126,51 @@
         digest = digest_of(key.strip())
         if secrets.compare_digest(digest, self.cfg.operator_digest):
             return Principal("root", "")
+        if not await self.bus.ask(StreamReady("config")):
+            raise NotReadyError(
+                "the lists and keys are not read whole",
+                retry_after_s=_NOT_READY_RETRY_S,
+            )
         entry = self.states.config.find_key(digest)
+        await self._require(Served.IDEMPOTENT)
         return Principal(entry.key_id, entry.team)
 
+    async def _check_fresh(self, query: CheckFresh) -> None:
+        await self._require(Served.IDEMPOTENT if query.idempotent else Served.ALL)
+
+    async def _require(self, wanted: Served) -> None:
+        age_s = await self._view_age()
+        if served(self._policy, age_s) < wanted:
+            raise ZoneStaleError(
+                f"the last word of withdrawn keys came {age_s:.0f} s ago",
+                retry_after_s=_STALE_RETRY_S,
+            )
+
+    async def _view_age(self) -> float:
+        own_s = await self.bus.ask(LogAge("config"))
+        if own_s < self._policy.stale_s:
+            return own_s
+        members = await self.bus.ask(Members())
+        views = [
+            PeerLogView(m.age_s, m.gossip.log_age_s, m.gossip.config_offset)
+            for m in members
+        ]
+        return view_age(own_s, self.states.config.next_offset, views)
+
+    # -- what is in force ------------------------------------------------
+
     def _on_record(self, event: RecordApplied) -> None:
         if event.stream != "config":
             return
         log(
             "config.applied",
+            level="info" if event.verdict is Verdict.APPLIED else "warning",
             kind=type(event.envelope.body).__name__,
             verdict=event.verdict.value,
             version=self.states.config.version,
             offset=event.offset,
         )
+
+    def _on_rebuilt(self, event: StreamRebuilt) -> None:
+        if event.stream == "config":
+            log("config.rebuilt", version=self.states.config.version)
--- a/src/firhook/roles/_gateway.py
+++ b/src/firhook/roles/_gateway.py
@@ -32,7 +32,14 @@
 from firhook.logs import log
 from firhook.model import Gossip
 from firhook.platform import Exchange
-from firhook.queries import OnceBegin, OnceFinish, OnceGiveBack, OnceSending
+from firhook.queries import (
+    CheckFresh,
+    OnceBegin,
+    OnceFinish,
+    OnceGiveBack,
+    OnceLost,
+    OnceSending,
+)
 
 IDEMPOTENT = frozenset(("GET", "HEAD", "OPTIONS", "PUT", "DELETE"))
 CLASSES = ("interactive", "standard", "bulk")
@@ -133,6 +140,7 @@
         who = await principal(self.bus, req)
         if who.operator:
             raise NotPermittedError("an operator's key runs no requests")
+        await self.bus.ask(CheckFresh(req.method in IDEMPOTENT))
         klass = req.headers.get("X-Class", "standard")
         if klass not in CLASSES:
             raise RequestMalformedError(f"X-Class = {klass!r}: give one of {CLASSES}")
@@ -294,9 +302,11 @@
             return known
         try:
             answer = await self._run(call, key)
-        except FirhookError as exc:
-            if exc.ran == "no":
+        except BaseException as exc:
+            if isinstance(exc, FirhookError) and exc.ran == "no":
                 await self.bus.ask(OnceGiveBack(key))
+            else:
+                self.bus.publish(OnceLost(key))
             raise
         await self.bus.ask(OnceFinish(key, answer))
         return answer
--- a/src/firhook/roles/_journal.py
+++ b/src/firhook/roles/_journal.py
@@ -1,196 +1,55 @@
-"""The journal: follows the platform's log and appends to it.
+"""The journal: keeps the states of all streams in step with the log.
 
-Every other role learns what holds from records that this one has read back;
-nobody acts on a record because its append was answered.
+Every other role learns what holds from records that were read back; nobody
+acts on a record because its append was answered.
 """
 
 import asyncio
 import time
-from collections import deque
-from collections.abc import Sequence
 from typing import Any
 
-import attrs
 from mode import Service
 
-from firhook._bus import Bus
-from firhook.errors import (
-    LogOutcomeUnknownError,
-    LogTrimmedError,
-    LogUnavailableError,
-    RecordMalformedError,
+from firhook._budget import Budget
+from firhook._lane import Lane
+from firhook.decide.carry import carry_due, carry_rank
+from firhook.errors import FirhookError, FrameMalformedError, NotReadyError
+from firhook.events import (
+    Append,
+    Applied,
+    AskPeer,
+    InstancesListed,
+    LogAge,
+    Members,
+    ServePeer,
+    StreamReady,
 )
-from firhook.events import Append, Applied, LogAge, RecordApplied
 from firhook.kernel import Role, register_role
 from firhook.logs import log
-from firhook.model import Envelope, Verdict, decode_envelope, encode_envelope
-from firhook.platform import LogPage, LogService
-from firhook.state import StreamState
-
-#: Records that go into one append; more would make one lost answer cost much.
-MAX_BATCH = 256
-_BACKOFF_S = 0.3
-
-
-@attrs.define(slots=True, eq=False)
-class _Pending:
-    """A record on its way to the log and back."""
-
-    envelope: Envelope
-    fut: asyncio.Future[Applied]
-    sent: bool = False
-
-
-class Budget:
-    """A token bucket over this instance's appends.
-
-    :param per_s: appends a second; the log's rate is for everyone together,
-        so each instance keeps to its part of it.
-    """
-
-    def __init__(self, per_s: float) -> None:
-        self._per_s = per_s
-        self._free_at = 0.0
-
-    async def wait(self) -> None:
-        """Wait until the next append is within the budget."""
-        now = time.monotonic()
-        self._free_at = max(self._free_at + 1 / self._per_s, now - 1.0)
-        if self._free_at > now:
-            await asyncio.sleep(self._free_at - now)
-
-
-class Lane(Service):
-    """Follows one stream and appends to it, one append in flight at a time."""
-
-    def __init__(
-        self,
-        stream: str,
-        lane: str,
-        state: StreamState,
-        service: LogService,
-        bus: Bus,
-        budget: Budget,
-        poll_s: float,
-    ) -> None:
-        super().__init__()
-        self.stream = stream
-        self.stream_state = state
-        self.seen_end_at = float("-inf")
-        self._lane = lane
-        self._service = service
-        self._bus = bus
-        self._budget = budget
-        self._poll_s = poll_s
-        self._seq = 0
-        self._queue: deque[_Pending] = deque()
-        self._pending: dict[int, _Pending] = {}
-        self._wake = asyncio.Event()
-
-    async def append(self, query: Append) -> Applied:
-        """Append a record and wait until it was read back."""
-        self._seq += 1
-        fut = asyncio.get_running_loop().create_future()
-        item = _Pending(Envelope(self._lane, self._seq, query.body), fut)
-        self._pending[self._seq] = item
-        self._queue.append(item)
-        self._wake.set()
-        try:
-            return await asyncio.wait_for(fut, query.deadline_s)
-        except TimeoutError:
-            return self._give_up(item)
-        finally:
-            self._pending.pop(item.envelope.seq, None)
-
-    def _give_up(self, item: _Pending) -> Applied:
-        if not item.sent:
-            if item in self._queue:
-                self._queue.remove(item)
-            raise LogUnavailableError("the log did not answer", retry_after_s=2.0)
-        raise LogOutcomeUnknownError("the log has not confirmed", retry_after_s=2.0)
+from firhook.model import SnapshotAnswer, SnapshotAsk
+from firhook.state import split_snapshot
 
-    @Service.task
-    async def _append_loop(self) -> None:
-        while not self.should_stop:
-            await self._wake.wait()
-            self._wake.clear()
-            while self._queue and not self.should_stop:
-                await self._budget.wait()
-                batch = [
-                    self._queue.popleft()
-                    for _ in range(min(len(self._queue), MAX_BATCH))
-                ]
-                if batch:
-                    await self._send(batch)
-
-    async def _send(self, batch: Sequence[_Pending]) -> None:
-        """Append a batch until the log has it or readers have seen it.
-
-        The answer can be lost after the records landed.  Sending the same
-        ids again is safe, since readers pass over a record they have seen.
-        """
-        payloads = [encode_envelope(item.envelope) for item in batch]
-        while not self.should_stop:
-            if all(item.fut.done() for item in batch):
-                return
-            for item in batch:
-                item.sent = True
-            try:
-                await self._service.append(self.stream, payloads)
-            except LogUnavailableError:
-                await self.sleep(_BACKOFF_S)
-            except LogOutcomeUnknownError as exc:
-                log("log.outcome_unknown", level="warning", code=exc.code)
-                await self.sleep(_BACKOFF_S)
-            else:
-                return
-
-    @Service.task
-    async def _follow_loop(self) -> None:
-        while not self.should_stop:
-            try:
-                page = await self._service.read(
-                    self.stream, self.stream_state.next_offset, self._poll_s
-                )
-                self._apply(page)
-            except LogTrimmedError as exc:
-                log("log.trimmed", level="error", stream=self.stream, code=exc.code)
-                self.stream_state.next_offset = int(exc.extra["first"])
-            except LogUnavailableError as exc:
-                log("log.unavailable", level="warning", code=exc.code)
-                await self.sleep(_BACKOFF_S)
-
-    def _apply(self, page: LogPage) -> None:
-        for entry in page.entries:
-            try:
-                envelope = decode_envelope(entry.payload)
-            except RecordMalformedError as exc:
-                log("record.malformed", level="error", code=exc.code, detail=str(exc))
-                self.stream_state.skip(entry.offset)
-                continue
-            verdict = self.stream_state.apply(entry.offset, envelope)
-            self._bus.publish(
-                RecordApplied(self.stream, entry.offset, envelope, verdict)
-            )
-            self._resolve(entry.offset, envelope, verdict)
-        if self.stream_state.next_offset >= page.end:
-            self.seen_end_at = time.monotonic()
-
-    def _resolve(self, offset: int, envelope: Envelope, verdict: Verdict) -> None:
-        if envelope.lane != self._lane:
-            return
-        item = self._pending.get(envelope.seq)
-        if item is not None and not item.fut.done():
-            item.fut.set_result(Applied(offset, verdict))
+#: A peer's snapshot goes into one frame; a larger state has to come from the
+#: log, which sends it in chunks.
+MAX_PEER_SNAPSHOT = 3_000_000
+#: Streams whose state a peer's snapshot may give while the log is out.  Claims
+#: of requests are not among them: they are worth nothing without the log.
+PEER_STREAMS = ("config", "cell")
+#: Chunks that are appended together.
+_CHUNKS_AT_ONCE = 4
+_CHUNK_DEADLINE_S = 30.0
+_TICK_S = 1.0
 
 
 @register_role("journal")
 class Journal(Role):
-    """Keeps the states of all streams in step with the log."""
+    """Follows the streams, carries them forward, and asks peers without the log."""
 
     def wire(self) -> None:
         """Offer appends and the log's age."""
-        budget = Budget(self.cfg.append_budget_per_s / self.cfg.instances_expected)
+        cfg = self.cfg
+        budget = Budget(cfg.append_budget_per_s / cfg.instances_expected)
+        self._listed: set[str] = set()
         self.lanes = {
             stream: Lane(
                 stream,
@@ -199,19 +58,144 @@
                 self.platform.log,
                 self.bus,
                 budget,
-                self.cfg.log_poll_s,
+                cfg.log_poll_s,
+                cfg.carry_forward_s,
             )
             for stream, state in self.states.by_stream.items()
         }
         self.bus.answer(Append, self._append)
         self.bus.answer(LogAge, self._age)
+        self.bus.answer(StreamReady, self._stream_ready)
+        self.bus.subscribe(InstancesListed, self._on_instances)
 
     def on_init_dependencies(self) -> list[Any]:
         """Return the lanes, one for each stream."""
         return list(self.lanes.values())
 
+    async def on_start(self) -> None:
+        """Answer peers that boot while the log is out."""
+        self.bus.publish(ServePeer(SnapshotAsk, self._on_snapshot_ask))
+
     async def _append(self, query: Append) -> Applied:
         return await self.lanes[query.stream].append(query)
 
     async def _age(self, query: LogAge) -> float:
-        return time.monotonic() - self.lanes[query.stream].seen_end_at
+        return self.lanes[query.stream].age_s
+
+    async def _stream_ready(self, query: StreamReady) -> bool:
+        return self.lanes[query.stream].ready
+
+    def _on_instances(self, event: InstancesListed) -> None:
+        self._listed = {e.name for e in event.instances if e.kind == "entry"}
+
+    # -- snapshots carried forward ---------------------------------------
+
+    @Service.task
+    async def _carry_loop(self) -> None:
+        while not self.should_stop:
+            await self.sleep(_TICK_S)
+            for lane in self.lanes.values():
+                try:
+                    if self._carries(lane):
+                        await self._carry(lane)
+                except FirhookError as exc:
+                    # Not appended in whole; due again at the next turn.
+                    log("snapshot.failed", level="warning", code=exc.code)
+                except Exception as exc:
+                    log("snapshot.failed", level="error", error=repr(exc))
+
+    def _carries(self, lane: Lane) -> bool:
+        if not lane.ready or self.kernel.stopping or not lane.stream_state.next_offset:
+            return False
+        lead = self.states.cell.leads[self.cfg.zone]
+        if lead.released or lead.instance != self.kernel.lane:
+            return False
+        own = lane.stream.startswith("zone.")
+        rank = 0 if own else carry_rank(self.cfg.zone, self.cfg.zones)
+        state = lane.stream_state
+        return carry_due(
+            state.next_offset - state.carried_upto,
+            time.monotonic() - lane.carried_at,
+            rank,
+            state.carried_parts,
+            self.cfg.carry_forward_records,
+            self.cfg.carry_forward_s,
+        )
+
+    async def _carry(self, lane: Lane) -> None:
+        state = lane.stream_state
+        chunks = split_snapshot(state.next_offset, state.to_text())
+        for i in range(0, len(chunks), _CHUNKS_AT_ONCE):
+            appends = [
+                lane.append(Append(lane.stream, chunk, _CHUNK_DEADLINE_S))
+                for chunk in chunks[i : i + _CHUNKS_AT_ONCE]
+            ]
+            outcomes = await asyncio.gather(*appends, return_exceptions=True)
+            for outcome in outcomes:
+                if isinstance(outcome, BaseException):
+                    raise outcome
+        log(
+            "snapshot.carried",
+            stream=lane.stream,
+            upto=chunks[0].upto,
+            parts=len(chunks),
+        )
+
+    # -- peers, while the log is out -------------------------------------
+
+    async def _on_snapshot_ask(self, ask: SnapshotAsk) -> SnapshotAnswer:
+        lane = self.lanes.get(ask.stream)
+        if lane is None:
+            raise FrameMalformedError(f"stream {ask.stream!r} is not followed here")
+        if not lane.ready:
+            raise NotReadyError(f"{ask.stream} has not been read whole")
+        text = lane.stream_state.to_text()
+        if len(text) > MAX_PEER_SNAPSHOT:
+            raise NotReadyError(
+                f"{ask.stream} has {len(text)} characters; read the log"
+            )
+        return SnapshotAnswer(ask.stream, lane.stream_state.next_offset, text)
+
+    @Service.task
+    async def _peer_loop(self) -> None:
+        while not self.should_stop:
+            await self.sleep(_TICK_S)
+            for stream in PEER_STREAMS:
+                try:
+                    await self._catch_up(self.lanes[stream])
+                except Exception as exc:
+                    log("snapshot.peer_failed", level="error", error=repr(exc))
+
+    async def _catch_up(self, lane: Lane) -> None:
+        """Take over the furthest peer's state if the log does not show it.
+
+        A zone that is cut off from the log but not from its peers goes on
+        learning of changes this way, and so does an instance that starts
+        during an outage.
+        """
+        if lane.age_s <= self.cfg.log_poll_s + 2 * _TICK_S:
+            return
+        peers = await self._peers_to_ask(lane)
+        asks = [self.bus.ask(AskPeer(p, SnapshotAsk(lane.stream))) for p in peers]
+        answers = await asyncio.gather(*asks, return_exceptions=True)
+        whole = [a for a in answers if isinstance(a, SnapshotAnswer)]
+        for answer in sorted(whole, key=lambda a: a.offset, reverse=True):
+            if answer.stream == lane.stream and lane.load_peer(
+                answer.offset, answer.data
+            ):
+                log("snapshot.from_peer", stream=lane.stream, offset=answer.offset)
+                return
+
+    async def _peers_to_ask(self, lane: Lane) -> set[str]:
+        members = await self.bus.ask(Members())
+        if lane.ready and lane.stream != "config":
+            return set()
+        if lane.ready:
+            ahead = [
+                m
+                for m in members
+                if m.gossip.config_offset > lane.stream_state.next_offset
+            ]
+            return {m.name for m in ahead[:1]}
+        names = self._listed | {m.name for m in members}
+        return (names | {str(seed) for seed in self.cfg.seeds}) - {self.cfg.name}
--- a/src/firhook/roles/_members.py
+++ b/src/firhook/roles/_members.py
@@ -13,7 +13,6 @@
     FirhookError,
     FrameMalformedError,
     LogUnavailableError,
-    PeerUnreachableError,
     PlatformUnavailableError,
 )
 from firhook.events import (
@@ -32,6 +31,7 @@
     RoomChanged,
     RoomWanted,
     ServePeer,
+    StreamRebuilt,
 )
 from firhook.kernel import Role, register_role
 from firhook.logs import log
@@ -80,6 +80,7 @@
         bus.answer(LeadView, self._lead_view)
         bus.subscribe(ServePeer, self._on_serve_peer)
         bus.subscribe(RecordApplied, self._on_record)
+        bus.subscribe(StreamRebuilt, self._on_rebuilt)
         bus.subscribe(InstancesListed, self._on_instances)
         bus.subscribe(RoomWanted, self._on_room_wanted)
         bus.subscribe(LoopStalled, self._on_stall)
@@ -180,9 +181,8 @@
 
     async def _ask_peer(self, query: AskPeer) -> Any:
         assert self._mesh is not None
-        address = self._addresses.get(query.peer)
-        if address is None:
-            raise PeerUnreachableError(f"{query.peer}: no address is known", ran="no")
+        # A seed is known by its address before it is known by its name.
+        address = self._addresses.get(query.peer, query.peer)
         return await self._mesh.ask(address, query.body, query.timeout_s)
 
     @Service.task
@@ -231,6 +231,12 @@
         if isinstance(body, LeadClaimed):
             log("lead.claimed", epoch=body.epoch, holder=body.instance)
 
+    def _on_rebuilt(self, event: StreamRebuilt) -> None:
+        # The lead's last renewal is in the snapshot and was not read by
+        # itself; counting it as long ago would depose a lead that is well.
+        if event.stream == "cell":
+            self._seen.read_at = self.kernel.clock()
+
     def _on_stall(self, event: LoopStalled) -> None:
         self._held.void()
         log("loop.stalled", level="warning", stall_s=round(event.stall_s, 3))
--- a/src/firhook/roles/_ops.py
+++ b/src/firhook/roles/_ops.py
@@ -12,14 +12,11 @@
 from firhook._stats import Stats
 from firhook._web import json_response, read_json, require_operator, serve
 from firhook.errors import ListInvalidError, PeerUnreachableError, RequestMalformedError
-from firhook.events import AskPeer, LeadView, LogAge, Members, ServePeer
+from firhook.events import AskPeer, LeadView, Members, ServePeer, StreamReady
 from firhook.kernel import Role, register_role
 from firhook.model import Row, StatsAnswer, StatsAsk, parse_list, render_list
 from firhook.queries import ChangeRows, GiveKey, WithdrawKey
 
-#: The lists have been read once the end of their stream was seen this lately.
-_READY_AGE_S = 15.0
-
 
 @register_role("ops")
 class Ops(Role):
@@ -61,8 +58,7 @@
     async def _ready_loop(self) -> None:
         while not self.should_stop:
             if not self.kernel.ready:
-                age = await self.bus.ask(LogAge("config"))
-                self.kernel.ready = age < _READY_AGE_S
+                self.kernel.ready = await self.bus.ask(StreamReady("config"))
             await self.sleep(0.05)
 
     async def _healthz(self, req: web.Request) -> web.Response:
--- a/src/firhook/state/_base.py
+++ b/src/firhook/state/_base.py
@@ -5,29 +5,55 @@
 
 import msgspec
 
+from firhook.errors import RecordMalformedError
 from firhook.model import Envelope, Marker, SnapshotChunk, Verdict
 from firhook.state._lanes import Lanes
+from firhook.state._snapshots import ChunkSets
 
 
 class StreamState(ABC):
     """State of one stream: a function of its records and of nothing else.
 
     :ivar next_offset: the offset of the record to apply next.
+    :ivar carried_upto: the offset of the last complete snapshot in the log.
+    :ivar carried_parts: how many chunks that one had.
+    :ivar fault: what the last record ran into that was ignored because
+        applying it failed; empty if none did.
     """
 
     def __init__(self) -> None:
         self.next_offset = 0
         self.lanes = Lanes()
-        self._chunks: dict[int, str] = {}
+        self.carried_upto = 0
+        self.carried_parts = 0
+        self.fault = ""
+        self._chunks = ChunkSets(keep=False)
 
     def apply(self, offset: int, envelope: Envelope) -> Verdict:
         """Apply a record and return the verdict that every reader reaches."""
         self.next_offset = offset + 1
         if not self.lanes.admit(envelope.lane, envelope.seq):
             return Verdict.REPEATED
-        if isinstance(envelope.body, (Marker, SnapshotChunk)):
+        if isinstance(envelope.body, Marker):
             return Verdict.IGNORED
-        return self.apply_body(offset, envelope.lane, envelope.body)
+        if isinstance(envelope.body, SnapshotChunk):
+            self._note_chunk(envelope.lane, envelope.body)
+            return Verdict.IGNORED
+        try:
+            return self.apply_body(offset, envelope.lane, envelope.body)
+        except Exception as exc:
+            # One record that no check foresaw would otherwise end the
+            # follower of every instance at the same offset, again after each
+            # restart.  Every reader fails at it alike, so ignoring it keeps
+            # them the same.
+            self.fault = f"offset {offset}: {exc!r}"
+            return Verdict.IGNORED
+
+    def _note_chunk(self, lane: str, chunk: SnapshotChunk) -> None:
+        snapshot = self._chunks.add(lane, chunk)
+        if snapshot is not None and snapshot.upto >= self.carried_upto:
+            self.carried_upto = snapshot.upto
+            self.carried_parts = snapshot.parts
 
     def skip(self, offset: int) -> None:
         """Pass over a record that cannot be understood."""
@@ -37,6 +63,15 @@
     def apply_body(self, offset: int, lane: str, body: Any) -> Verdict:
         """Apply a record that is new."""
 
+    def holds(self, lane: str, body: Any) -> bool:
+        """Return whether the state shows that a record of a lane was applied.
+
+        Asked for a record that expired before its own sender read it.  A
+        state that cannot tell answers no, and the sender is told that the
+        outcome is unknown.
+        """
+        return False
+
     @abstractmethod
     def dump(self) -> Any:
         """Return the state as plain data."""
@@ -47,13 +82,30 @@
 
     def to_text(self) -> str:
         """Return the whole state as JSON text, for a snapshot."""
-        return msgspec.json.encode(
-            {"lanes": self.lanes.dump(), "state": self.dump()}
-        ).decode()
+        data = {
+            "lanes": self.lanes.dump(),
+            "carried": [self.carried_upto, self.carried_parts],
+            "state": self.dump(),
+        }
+        return msgspec.json.encode(data).decode()
 
     def from_text(self, offset: int, text: str) -> None:
-        """Replace the whole state by a snapshot as of an offset."""
-        data = msgspec.json.decode(text)
-        self.lanes.load([(lane, seq) for lane, seq in data["lanes"]])
-        self.load(data["state"])
+        """Replace the whole state by a snapshot as of an offset.
+
+        :raises RecordMalformedError: if the text is no dumped state, or is older
+            than what is known already, which must never go back.
+        """
+        if offset < self.next_offset:
+            raise RecordMalformedError(
+                f"a snapshot as of {offset} is older than {self.next_offset}"
+            )
+        try:
+            data = msgspec.json.decode(text)
+            lanes = msgspec.convert(data["lanes"], list[tuple[str, int]])
+            upto, parts = msgspec.convert(data["carried"], tuple[int, int])
+            self.load(data["state"])
+        except Exception as exc:
+            raise RecordMalformedError(f"snapshot as of {offset}: {exc!r}") from exc
+        self.lanes.load(lanes)
+        self.carried_upto, self.carried_parts = upto, parts
         self.next_offset = offset
--- a/src/firhook/state/_cell.py
+++ b/src/firhook/state/_cell.py
@@ -137,7 +137,23 @@
         )
 
     def load(self, data: Any) -> None:
-        """Replace the state by dumped plain data."""
-        self.leads = msgspec.convert(data["leads"], dict[str, LeadState])
-        self.moved = data["moved"]
-        self.jobs = msgspec.convert(data["jobs"], dict[str, JobEntry])
+        """Replace the state by dumped plain data, all of it or nothing."""
+        leads = msgspec.convert(data["leads"], dict[str, LeadState])
+        moved = msgspec.convert(data["moved"], dict[str, dict[str, int]])
+        jobs = msgspec.convert(data["jobs"], dict[str, JobEntry])
+        # Zones that were added since the snapshot have had no lead yet.
+        self.leads = {z: leads.get(z, LeadState()) for z in self.zones}
+        self.moved, self.jobs = moved, jobs
+
+    def holds(self, lane: str, body: Any) -> bool:
+        """Return whether a claim of lead or a job is in force."""
+        if isinstance(body, (LeadClaimed, LeadRenewed)):
+            lead = self.leads.get(body.zone)
+            return lead is not None and (
+                (lead.epoch, lead.instance, lead.released)
+                == (body.epoch, body.instance, False)
+            )
+        if isinstance(body, JobAccepted):
+            entry = self.jobs.get(body.job.key)
+            return entry is not None and entry.job == body.job
+        return False
--- a/src/firhook/state/_lanes.py
+++ b/src/firhook/state/_lanes.py
@@ -11,8 +11,9 @@
     """
 
     #: A lane is one run of one instance; 330 restarts a day use up this many
-    #: in twelve days, far longer than a record can be on its way to the log.
-    MAX_LANES = 4096
+    #: in three days, far longer than a record can be on its way to the log.
+    #: Every snapshot carries them, so that more would cost bytes each time.
+    MAX_LANES = 1024
 
     def __init__(self) -> None:
         self._last: dict[str, int] = {}
@@ -29,6 +30,10 @@
             del self._last[next(iter(self._last))]
         return True
 
+    def last(self, lane: str) -> int:
+        """Return the highest number applied for a lane; 0 if none was."""
+        return self._last.get(lane, 0)
+
     def dump(self) -> list[tuple[str, int]]:
         """Return the lanes in order of last use."""
         return list(self._last.items())
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -57,7 +57,7 @@
         fault = self.faults["log"]
         await asyncio.sleep(self.faults["slow_s"])
         if fault == "down":
-            return web.json_response({"error": "down"}, status=503)
+            return web.json_response({"error": "down", "taken": False}, status=503)
         if fault == "hang":
             await asyncio.sleep(3600)
         stream = self.stream(req.match_info["stream"])
