State machine over lanes, states, rebuilds and claims; tests of each failure

Change of a test: test_withdrawn_key_is_refused gave a key to a team that is not in the lists. Such a key is refused now (a removed team has no plan and no limit), so the test puts the team into the lists first; what it asserts stays.

--- a/tests/state/test_config.py
+++ b/tests/state/test_config.py
@@ -7,6 +7,7 @@
 from firhook.state import ConfigState
 
 SMALL = Row("plans", "small", {"share": "1", "limit": "4"})
+LISBOA = Row("teams", "lisboa", {"plan": "small"})
 
 
 def feed(state: ConfigState, *bodies: object) -> list[Verdict]:
@@ -41,6 +42,7 @@
 
 def test_withdrawn_key_is_refused():
     state = ConfigState()
+    feed(state, RowsChanged(0, (SMALL, LISBOA)))
     feed(state, KeyGiven("k1", "lisboa", "d" * 64))
     assert state.find_key("d" * 64).team == "lisboa"
     feed(state, KeyWithdrawn("k1"))
@@ -48,6 +50,19 @@
         state.find_key("d" * 64)
 
 
+def test_key_of_a_team_that_was_removed_is_refused():
+    """A team leaves and its row is removed, but nobody withdraws its keys.
+
+    Work under them would be of no plan, and so under no limit.
+    """
+    state = ConfigState()
+    feed(state, RowsChanged(0, (SMALL, LISBOA)), KeyGiven("k1", "lisboa", "d" * 64))
+    assert state.find_key("d" * 64).team == "lisboa"
+    feed(state, RowsChanged(1, (Row("teams", "lisboa", None),)))
+    with pytest.raises(KeyRefusedError, match="not in the list"):
+        state.find_key("d" * 64)
+
+
 def test_record_that_is_in_the_log_twice_is_applied_once():
     """The log's answer to an append is lost, and the record is sent again.
 
--- /dev/null
+++ b/tests/state/test_machine.py
@@ -0,0 +1,248 @@
+"""Lanes, states, rebuilds and claims under every order of the log's failures."""
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from firhook.model import SnapshotChunk, Verdict
+from firhook.state import _snapshots
+from tests.state.world import STREAMS, Copy, FakeStream, Node, facts
+
+NAMES = ("a", "b", "c")
+names = st.sampled_from(NAMES)
+streams = st.sampled_from(sorted(STREAMS))
+keys = st.sampled_from(("renewal-1", "renewal-2"))
+
+
+class LogMachine(RuleBasedStateMachine):
+    """Appends lose answers, arrive late or twice; instances crash and lag.
+
+    The log keeps records for a limited time only, and instances that fell
+    behind rebuild from snapshots.  A user would notice a fault as a charge
+    that ran twice, a change of the lists that came and went, or a refusal
+    that said "not recorded" of something that then took effect.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.chunk_chars = _snapshots.CHUNK_CHARS
+        _snapshots.CHUNK_CHARS = 150
+        self.log = {name: FakeStream(kind) for name, kind in STREAMS.items()}
+        self.runs = 0
+        self.nodes: dict[str, Node] = {}
+        self.late: list[Copy] = []
+        self.tickets = []
+        self.dispatches: dict[str, int] = {}
+        for name in NAMES:
+            self._start(name)
+
+    def teardown(self) -> None:
+        try:
+            self._settle_everything()
+        finally:
+            _snapshots.CHUNK_CHARS = self.chunk_chars
+
+    def _start(self, name: str) -> None:
+        self.runs += 1
+        self.nodes[name] = Node(name, self.runs, self.log)
+
+    # -- what callers ask for --------------------------------------------
+
+    @rule(name=names, team=st.sampled_from(("lisboa", "porto")))
+    def change_rows(self, name, team):
+        if self.nodes[name].ports["config"].ready:
+            self.tickets.append(self.nodes[name].change_rows(team))
+
+    @rule(name=names, urgent=st.booleans())
+    def give_key(self, name, urgent):
+        if self.nodes[name].ports["config"].rebuild is None:
+            number = len(self.tickets)
+            self.tickets.append(self.nodes[name].give_key(number, urgent))
+
+    @rule(name=names, key=keys)
+    def claim(self, name, key):
+        if self.nodes[name].ports["once"].rebuild is None:
+            self.nodes[name].claim(key)
+
+    @rule(name=names, key=keys)
+    def dispatch(self, name, key):
+        node = self.nodes[name]
+        if key in node.held():
+            node.dispatch(key)
+            self.dispatches[key] = self.dispatches.get(key, 0) + 1
+            assert self.dispatches[key] == 1, f"{key} was run twice"
+
+    @rule(name=names, key=keys)
+    def finish(self, name, key):
+        node = self.nodes[name]
+        claim = node.book.find(key)
+        if claim is not None and claim.phase.value == "sending":
+            node.finish(key)
+
+    @rule(name=names, key=keys)
+    def give_back(self, name, key):
+        if key in self.nodes[name].held():
+            self.nodes[name].give_back(key)
+
+    @rule(name=names, key=keys)
+    def inquire(self, name, key):
+        node = self.nodes[name]
+        entry = node.ports["once"].state.entries.get(key)
+        holders = {n.lane: n for n in self.nodes.values()}
+        node.inquire(key, holders.get(entry.holder) if entry else None)
+
+    @rule(name=names, stream=streams, data=st.data())
+    def give_up(self, name, stream, data):
+        port = self.nodes[name].ports[stream]
+        if port.waiting:
+            port.give_up(data.draw(st.sampled_from(port.waiting)))
+            self._step_claims()
+
+    # -- what the log does -----------------------------------------------
+
+    @rule(
+        name=names,
+        stream=streams,
+        fate=st.sampled_from(("ok", "lost answer", "late", "dropped", "refused")),
+    )
+    def append(self, name, stream, fate):
+        port = self.nodes[name].ports[stream]
+        copy = port.send()
+        if copy is None:
+            return
+        if fate in ("ok", "lost answer"):
+            self.log[stream].land(copy.payloads)
+        elif fate == "late":
+            self.late.append(copy)
+        port.copy = None
+        if fate == "ok":
+            port.outbox.note_taken()
+        elif fate == "refused":
+            port.outbox.note_refused()
+        else:
+            port.outbox.note_unknown()
+
+    @rule(name=names, stream=streams)
+    def send(self, name, stream):
+        """Leave an append in flight, so that others happen meanwhile."""
+        self.nodes[name].ports[stream].send()
+
+    @precondition(lambda self: self.late)
+    @rule(data=st.data(), again=st.booleans())
+    def land_late(self, data, again):
+        copy = data.draw(st.sampled_from(self.late))
+        self.log[copy.stream].land(copy.payloads)
+        if not again:
+            self.late.remove(copy)
+
+    @rule(name=names, stream=streams, count=st.integers(1, 20))
+    def read(self, name, stream, count):
+        self.nodes[name].ports[stream].read(count)
+        self._step_claims()
+
+    @rule(name=names, stream=streams)
+    def carry(self, name, stream):
+        if self.nodes[name].ports[stream].ready and self.log[stream].end:
+            self.nodes[name].carry(stream)
+
+    @rule(stream=streams, keep=st.integers(0, 12), wild=st.integers(0, 19))
+    def trim(self, stream, keep, wild):
+        """Let records expire, mostly but not always behind a snapshot."""
+        log = self.log[stream]
+        first = log.end - keep
+        if wild:
+            first = min(first, log.reference.carried_upto)
+        log.first = max(log.first, first)
+
+    @rule(name=names)
+    def crash(self, name):
+        for port in self.nodes[name].ports.values():
+            if port.copy is not None:
+                self.late.append(port.copy)
+        self._start(name)
+
+    @rule(name=names, peer=names, stream=streams)
+    def load_from_peer(self, name, peer, stream):
+        port, other = self.nodes[name].ports[stream], self.nodes[peer].ports[stream]
+        ahead = other.state.next_offset > port.state.next_offset
+        if other.rebuild is None and ahead:
+            port.load(other.state.next_offset, other.state.to_text())
+            self._step_claims()
+
+    def _step_claims(self):
+        for node in self.nodes.values():
+            node.step_claims()
+
+    # -- what must hold --------------------------------------------------
+
+    @invariant()
+    def every_reader_reaches_the_same_state(self):
+        for node in self.nodes.values():
+            for port in node.ports.values():
+                expected = port.log.history[port.state.next_offset]
+                assert facts(port.state) == expected
+
+    @invariant()
+    def version_never_falls(self):
+        for node in self.nodes.values():
+            version = node.ports["config"].state.version
+            assert version >= node.version
+            node.version = version
+
+    @invariant()
+    def what_callers_were_told_is_true(self):
+        for ticket in self.tickets:
+            if ticket.told == "never":
+                assert not self._was_applied(ticket.body)
+            if ticket.told == "applied" and ticket.offset >= 0:
+                verdict = self.log["config"].verdicts[ticket.offset]
+                assert verdict is ticket.verdict is not Verdict.REPEATED
+
+    def _was_applied(self, body):
+        """Whether a record that only one ticket asked for was applied."""
+        log = self.log["config"]
+        sole = sum(t.body == body for t in self.tickets) == 1
+        return sole and (body, Verdict.APPLIED) in zip(
+            log.bodies, log.verdicts, strict=True
+        )
+
+    def _settle_everything(self):
+        """Once the log is well again, nobody waits forever or is voided."""
+        for stream, log in self.log.items():
+            for node in self.nodes.values():
+                port = node.ports[stream]
+                if port.copy is not None:
+                    port.copy = None
+                    port.outbox.note_unknown()
+            for _ in range(40):
+                for name in NAMES:
+                    self.append(name, stream, "ok")
+                    self.read(name, stream, 500)
+            for node in self.nodes.values():
+                port = node.ports[stream]
+                if port.rebuild is not None or port.state.next_offset < log.first:
+                    continue
+                left = [
+                    item
+                    for item in port.waiting
+                    if not isinstance(item.body, SnapshotChunk)
+                ]
+                assert left == []
+
+
+LogMachine.TestCase.settings = settings(
+    max_examples=120, stateful_step_count=60, deadline=None
+)
+TestLogMachine = LogMachine.TestCase
+
+
+@pytest.mark.proof
+def test_log_machine_at_length():
+    """The same machine with many more orders of events."""
+    from hypothesis.stateful import run_state_machine_as_test
+
+    run_state_machine_as_test(
+        LogMachine,
+        settings=settings(max_examples=3000, stateful_step_count=80, deadline=None),
+    )
