--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""A small specification of the core protocol, checked by z3."""
--- /dev/null
+++ b/spec/_checker.py
@@ -0,0 +1,181 @@
+"""Checks of a model: an unbounded proof and a search for shortest failures.
+
+A model is a transition system over integers and truth values.  Its safety is
+proved for runs of any length: by z3's Spacer engine, which finds an inductive
+invariant by itself, or, where that takes too long, by induction with an
+invariant that the model states.  A seeded defect is shown by unrolling the
+transitions step by step until a bad state is reached, which yields the run
+that leads there.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Mapping
+from typing import Any, ClassVar
+
+import attrs
+import z3
+
+State = Mapping[str, Any]
+
+PROOF_TIMEOUT_MS = 30_000
+
+
+class Model(ABC):
+    """A transition system with a state that must never be reached.
+
+    :param defect: name of the safeguard that is left out, or empty.
+    """
+
+    #: Variables by name with their kind, ``int`` or ``bool``.
+    variables: ClassVar[dict[str, type]]
+    #: Safeguards that can be left out; each must be caught.
+    defects: ClassVar[tuple[str, ...]]
+
+    def __init__(self, defect: str = "") -> None:
+        if defect and defect not in self.defects:
+            raise ValueError(f"{defect!r} is no defect: use one of {self.defects}")
+        self.defect = defect
+
+    def guarded(self, safeguard: str, condition: Any) -> Any:
+        """Return the condition, or truth if the safeguard is left out."""
+        return z3.BoolVal(True) if self.defect == safeguard else condition
+
+    @abstractmethod
+    def init(self, s: State) -> Any:
+        """Return what holds at first."""
+
+    @abstractmethod
+    def actions(self, s: State) -> dict[str, tuple[Any, dict[str, Any]]]:
+        """Return each action's condition and the variables it changes."""
+
+    @abstractmethod
+    def bad(self, s: State) -> Any:
+        """Return what must never hold."""
+
+    def invariant(self, s: State) -> Any | None:
+        """Return what always holds and excludes the bad, if it is known."""
+        return None
+
+    def fresh(self, tag: str) -> dict[str, Any]:
+        """Return variables for one state."""
+        kinds = {int: z3.Int, bool: z3.Bool}
+        return {n: kinds[k](f"{n}@{tag}") for n, k in self.variables.items()}
+
+    def step(self, s: State, t: State) -> dict[str, Any]:
+        """Return each action as a relation between two states."""
+        relations = {}
+        for name, (condition, changes) in self.actions(s).items():
+            unknown = set(changes) - set(self.variables)
+            if unknown:
+                raise ValueError(f"{name} changes unknown variables {unknown}")
+            after = [t[v] == changes.get(v, s[v]) for v in self.variables]
+            relations[name] = z3.And(condition, *after)
+        return relations
+
+
+@attrs.frozen
+class Step:
+    """One step of a run that ends badly."""
+
+    action: str
+    state: dict[str, str]
+
+
+def is_safe(model: Model) -> bool:
+    """Return whether no run of any length reaches a bad state.
+
+    :raises RuntimeError: if z3 could not tell in time.
+    """
+    if model.invariant(model.fresh("s")) is not None:
+        return _is_inductive(model)
+    return _spacer_proves(model)
+
+
+def _is_inductive(model: Model) -> bool:
+    """Return whether the invariant holds at first, is kept, and excludes the bad."""
+    s, t = model.fresh("s"), model.fresh("t")
+    before, after = model.invariant(s), model.invariant(t)
+    claims = [
+        z3.Implies(model.init(s), before),
+        z3.Implies(before, z3.Not(model.bad(s))),
+    ]
+    for relation in model.step(s, t).values():
+        claims.append(z3.Implies(z3.And(before, relation), after))
+    return all(_holds(claim) for claim in claims)
+
+
+def _holds(claim: Any) -> bool:
+    solver = z3.Solver()
+    solver.set(timeout=PROOF_TIMEOUT_MS)
+    solver.add(z3.Not(claim))
+    verdict = solver.check()
+    if verdict == z3.unknown:
+        raise RuntimeError(f"z3 could not tell: {solver.reason_unknown()}")
+    return verdict == z3.unsat
+
+
+def _spacer_proves(model: Model) -> bool:
+    z3.set_param("fp.spacer.random_seed", 0)
+    solver = z3.Fixedpoint()
+    solver.set(engine="spacer", timeout=PROOF_TIMEOUT_MS)
+    s, t = model.fresh("s"), model.fresh("t")
+    sorts = [v.sort() for v in s.values()]
+    reachable = z3.Function("reachable", *sorts, z3.BoolSort())
+    solver.register_relation(reachable)
+    solver.declare_var(*s.values(), *t.values())
+    solver.rule(reachable(*s.values()), model.init(s))
+    for relation in model.step(s, t).values():
+        solver.rule(reachable(*t.values()), [reachable(*s.values()), relation])
+    verdict = solver.query(z3.And(reachable(*s.values()), model.bad(s)))
+    if verdict == z3.unknown:
+        raise RuntimeError(f"z3 could not tell: {solver.reason_unknown()}")
+    return verdict == z3.unsat
+
+
+def find_failure(model: Model, depth: int) -> list[Step] | None:
+    """Return the shortest run to a bad state, or ``None`` up to a depth."""
+    solver = z3.Solver()
+    states = [model.fresh("0")]
+    solver.add(model.init(states[0]))
+    choices: list[dict[str, Any]] = []
+    for i in range(1, depth + 1):
+        states.append(model.fresh(str(i)))
+        relations = model.step(states[-2], states[-1])
+        labels = {name: z3.Bool(f"{name}#{i}") for name in relations}
+        solver.add(z3.Or(*labels.values()))
+        for name, label in labels.items():
+            solver.add(z3.Implies(label, relations[name]))
+        choices.append(labels)
+        solver.push()
+        solver.add(model.bad(states[-1]))
+        if solver.check() == z3.sat:
+            return _read_run(solver.model(), states, choices)
+        solver.pop()
+    return None
+
+
+def _read_run(
+    found: Any, states: list[dict[str, Any]], choices: list[dict[str, Any]]
+) -> list[Step]:
+    steps = []
+    for state, labels in zip(states[1:], choices, strict=True):
+        action = next(n for n, v in labels.items() if z3.is_true(found.eval(v)))
+        values = {n: str(found.eval(v)) for n, v in state.items()}
+        steps.append(Step(action, values))
+    return steps
+
+
+def can_happen(model: Model, goal: Any, depth: int) -> bool:
+    """Return whether a state is reached at all, up to a depth.
+
+    A model whose actions never fire is safe for no good reason; the checks
+    ask of each model that what it is about can happen.
+
+    :param goal: function from a state to what shall hold.
+    """
+
+    class Goal(type(model)):  # type: ignore[misc]
+        def bad(self, s: State) -> Any:
+            return goal(s)
+
+    return find_failure(Goal(model.defect), depth) is not None
