--- a/spec/test_spec.py
+++ b/spec/test_spec.py
@@ -12,7 +12,12 @@
 from spec.once_claim import OnceClaim
 from spec.task_lease import TaskLease
 
-MODELS = (TaskLease, LimitTransfer, ConfigVersions, OnceClaim)
+MODELS = (
+    pytest.param(TaskLease, marks=pytest.mark.row(2)),
+    pytest.param(LimitTransfer, marks=pytest.mark.row(4)),
+    pytest.param(ConfigVersions, marks=pytest.mark.row(10)),
+    pytest.param(OnceClaim, marks=[pytest.mark.row(6), pytest.mark.row(7)]),
+)
 DEPTH = 20
 
 GOALS = {
@@ -35,8 +40,11 @@
 
 @pytest.mark.parametrize(
     ("model", "defect"),
-    [(m, d) for m in MODELS for d in m.defects],
-    ids=lambda v: v if isinstance(v, str) else v.__name__,
+    [
+        pytest.param(p.values[0], d, marks=p.marks, id=f"{p.values[0].__name__}-{d}")
+        for p in MODELS
+        for d in p.values[0].defects
+    ],
 )
 def test_leaving_out_a_safeguard_is_caught(model, defect):
     failure = find_failure(model(defect), DEPTH)
--- a/src/firhook/roles/_members.py
+++ b/src/firhook/roles/_members.py
@@ -129,7 +129,7 @@
     async def _gossip_once(self) -> None:
         assert self._mesh is not None
         config = self.states.config
-        account = self.kernel.account
+        account, load = self.kernel.account, self.kernel.load
         msg = Gossip(
             instance=self.cfg.name,
             zone=self.cfg.zone,
@@ -141,12 +141,14 @@
             stopping=self.kernel.stopping,
             withdrawn=tuple(list(config.withdrawn)[-20:]),
             teams=tuple(
-                TeamUse(team, n, self.kernel.load.waiting.get(team, 0), 0.0)
+                TeamUse(team, n, load.waiting.get(team, 0), 0.0)
                 for team, n in account.running.items()
             ),
             runners=tuple(
-                RunnerLoad(name, n, name in self.kernel.load.leaving)
-                for name, n in self.kernel.load.in_flight.items()
+                RunnerLoad(
+                    name, load.in_flight.get(name, 0), leaving=name in load.leaving
+                )
+                for name in sorted(load.in_flight.keys() | load.leaving)
             ),
         )
         for address in self._mesh.addresses:
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -20,6 +20,8 @@
 import attrs
 import zmq
 
+from standins.links import Link
+
 ROOT = Path(__file__).resolve().parent.parent
 OPERATOR_KEY = "fk_operator_of_the_demonstration"
 
@@ -49,6 +51,9 @@
 
     :param zones: names of the availability zones.
     :param overrides: settings by section that differ from the defaults.
+    :param lag_s: how far the instance list lags.
+    :param links: whether zones reach the platform and each other through
+        links that can be cut.
     """
 
     def __init__(
@@ -56,8 +61,11 @@
         zones: tuple[str, ...],
         overrides: dict[str, dict[str, Any]] | None = None,
         lag_s: float = 0.2,
+        links: bool = False,
     ) -> None:
         self.zones = zones
+        self.with_links = links
+        self.links: dict[tuple[str, str], Link] = {}
         self.overrides = overrides or {}
         self.lag_s = lag_s
         self.procs: dict[str, Proc] = {}
@@ -72,6 +80,9 @@
             timeout=aiohttp.ClientTimeout(total=30),
         )
         await self._start("platform", "-m", "standins.platform", str(self.lag_s))
+        if self.with_links:
+            for zone in self.zones:
+                await self._link(zone, "platform", self.procs["platform"].ports["http"])
         return self
 
     async def __aexit__(self, *exc: object) -> None:
@@ -80,6 +91,8 @@
                 proc.kill(signal.SIGCONT)
                 proc.kill(signal.SIGKILL)
                 await proc.wait()
+        for link in self.links.values():
+            await link.close()
         assert self.http is not None
         await self.http.close()
         self.tmp.cleanup()
@@ -121,8 +134,50 @@
 
     async def list_instances(self, *procs: Proc) -> None:
         """Tell the platform of instances."""
+        if self.with_links:
+            for proc in procs:
+                await self._link_zones(proc)
         await self.admin("/admin/instances", [p.entry for p in procs])
 
+    async def _link(self, zone: str, name: str, target: str) -> str:
+        link = self.links.get((zone, name))
+        if link is None:
+            link = self.links[zone, name] = Link(target)
+            await link.start()
+        link.target = target
+        return link.address
+
+    async def _link_zones(self, proc: Proc) -> None:
+        """Let every other zone see an instance through a link of its own."""
+        entry = proc.entry
+        for zone in self.zones:
+            if zone != entry["zone"]:
+                address = await self._link(zone, entry["name"], entry["address"])
+                links = {zone: {entry["name"]: address}}
+                await self.admin("/admin/links", links)
+
+    def _links_of(self, zone: str) -> list[Link]:
+        """Return the links that part a zone from the platform and the others."""
+        zones = {n: p.entry.get("zone") for n, p in self.procs.items()}
+        return [
+            link
+            for (seen_from, name), link in self.links.items()
+            if seen_from == zone or zones.get(name) == zone
+        ]
+
+    def cut_zone(self, zone: str, platform_only: bool = False) -> None:
+        """Part a zone from the platform, and from the other zones if not told."""
+        if platform_only:
+            self.links[zone, "platform"].cut()
+            return
+        for link in self._links_of(zone):
+            link.cut()
+
+    def heal_zone(self, zone: str) -> None:
+        """Undo a cut."""
+        for link in self._links_of(zone):
+            link.heal()
+
     async def add_runner(self, name: str, zone: str, service: str) -> Proc:
         """Start a runner."""
         proc = await self._start(name, "-m", "standins.runner")
@@ -152,6 +207,11 @@
         await self.list_instances(proc)
         return proc
 
+    def _log_url(self, zone: str) -> str:
+        if not self.with_links:
+            return self.platform_url
+        return f"http://{self.links[zone, 'platform'].address}/z/{zone}"
+
     def settings(self, name: str, zone: str) -> dict[str, dict[str, Any]]:
         """Return the settings of an entry instance."""
         settings: dict[str, dict[str, Any]] = {
@@ -161,7 +221,7 @@
                 "ops": "127.0.0.1:0",
                 "peers": "127.0.0.1:0",
             },
-            "platform": {"log_url": self.platform_url, "list_poll_s": 0.2},
+            "platform": {"log_url": self._log_url(zone), "list_poll_s": 0.2},
             "mesh": {
                 "curve_public": self.curve[0],
                 "curve_secret": self.curve[1],
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -47,6 +47,9 @@
         self.instances: dict[str, tuple[float, dict[str, Any]]] = {}
         self.listed: dict[str, dict[str, Any]] = {}
         self.appends = 0
+        # Where a zone reaches another zone's instances through a link of its
+        # own, the list that it reads names the link.
+        self.seen_from: dict[str, dict[str, str]] = {}
 
     def stream(self, name: str) -> Stream:
         """Return a stream, made on first use."""
@@ -104,7 +107,19 @@
                     self.listed.pop(name, None)
                 else:
                     self.listed[name] = entry
-        return web.json_response(list(self.listed.values()))
+        links = self.seen_from.get(req.match_info.get("zone", ""), {})
+        return web.json_response(
+            [
+                {**entry, "address": links.get(name, entry["address"])}
+                for name, entry in self.listed.items()
+            ]
+        )
+
+    async def set_links(self, req: web.Request) -> web.Response:
+        """Take over the addresses under which a zone sees other zones."""
+        for zone, links in (await req.json()).items():
+            self.seen_from.setdefault(zone, {}).update(links)
+        return web.json_response({})
 
     async def set_instances(self, req: web.Request) -> web.Response:
         """Take over instances as the platform sees them now."""
@@ -131,6 +146,11 @@
         app.router.add_post("/log/{stream}", self.append)
         app.router.add_get("/log/{stream}", self.read)
         app.router.add_get("/instances", self.list)
+        # The same again for each zone, which may see others through links.
+        app.router.add_post("/z/{zone}/log/{stream}", self.append)
+        app.router.add_get("/z/{zone}/log/{stream}", self.read)
+        app.router.add_get("/z/{zone}/instances", self.list)
+        app.router.add_post("/admin/links", self.set_links)
         app.router.add_post("/admin/instances", self.set_instances)
         app.router.add_post("/admin/faults", self.set_faults)
         app.router.add_get("/admin/log/{stream}", self.dump)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -1,12 +1,14 @@
 """A stand-in for a customer's runner: quotes, charges and logbook entries.
 
 ``GET /quote?ms=20`` answers after so many ms; ``POST /charge`` counts a run;
-``GET /runs`` says how often each charge ran.  ``POST /admin/faults`` takes
+``GET /admin/runs`` says how often each charge ran and when each request was
+being served, by the machine's monotonic clock.  ``POST /admin/faults`` takes
 ``slow_s``, ``fail`` (cut every exchange), ``fail_after`` (run, then cut) and
 ``leaving``.
 """
 
 import asyncio
+import time
 from collections import Counter
 from typing import Any
 
@@ -23,6 +25,7 @@
         self.runs: Counter[str] = Counter()
         self.in_flight = 0
         self.most_in_flight = 0
+        self.spans: list[tuple[str, float, float]] = []
 
     def _answer(self, data: dict[str, Any]) -> web.Response:
         headers = {"X-Leaving": "yes"} if self.faults.get("leaving") else {}
@@ -32,10 +35,12 @@
         """Serve one request of any kind."""
         self.in_flight += 1
         self.most_in_flight = max(self.most_in_flight, self.in_flight)
+        began = time.monotonic()
         try:
             return await self._serve(req)
         finally:
             self.in_flight -= 1
+            self.spans.append((req.query.get("n", ""), began, time.monotonic()))
 
     async def _serve(self, req: web.Request) -> web.Response:
         if self.faults.get("fail") and req.transport is not None:
@@ -54,7 +59,11 @@
     async def counted(self, req: web.Request) -> web.Response:
         """Return how often each body was posted."""
         return web.json_response(
-            {"runs": self.runs, "most_in_flight": self.most_in_flight}
+            {
+                "runs": self.runs,
+                "most_in_flight": self.most_in_flight,
+                "spans": self.spans,
+            }
         )
 
     async def set_faults(self, req: web.Request) -> web.Response:
--- /dev/null
+++ b/tests/failures/cells.py
@@ -0,0 +1,229 @@
+"""Cells of separate processes for the tests of failures, and what they share."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from typing import Any
+
+from standins.cluster import Cluster, Proc
+
+PLANS = """
+[small]
+share = 1
+limit = {limit}
+urgent = yes
+"""
+TEAMS = "[lisboa]\nplan = small\n[porto]\nplan = small\n"
+
+#: Short leases, so that what takes a minute in production takes seconds here.
+SHORT = {
+    "cell": {
+        "lead_lease_s": 2,
+        "hold_s": 5,
+        "task_lease_s": 3,
+        "sync_s": 0.3,
+        "margin_s": 0.3,
+        "grant_ttl_s": 1.5,
+    },
+    "gateway": {"drain_lag_s": 0.3, "default_deadline_s": 6},
+    "keys": {"key_stale_s": 3, "key_stale_max_s": 8},
+    "platform": {"list_poll_s": 0.2, "log_poll_s": 1, "log_timeout_s": 1},
+}
+
+Scenario = Callable[[], Awaitable[None]]
+
+
+def run(scenario: Scenario, limit_s: float = 150.0) -> None:
+    """Run a scenario to its end."""
+    asyncio.run(asyncio.wait_for(scenario(), limit_s))
+
+
+@contextlib.asynccontextmanager
+async def cell(
+    zones: tuple[str, ...] = ("porto",),
+    entries: int = 2,
+    runners: int = 0,
+    workers: int = 0,
+    links: bool = False,
+    limit: int = 40,
+    **overrides: dict[str, Any],
+) -> AsyncIterator["Cell"]:
+    """Start a cell with so many entries, runners and workers in each zone."""
+    settings = {s: {**SHORT.get(s, {}), **overrides.get(s, {})} for s in SHORT}
+    async with Cluster(zones, settings, links=links) as cluster:
+        made = Cell(cluster)
+        for zone in zones:
+            for i in range(runners):
+                name = f"{zone}-runner-{i}"
+                made.runners.append(await cluster.add_runner(name, zone, "logbook"))
+            for i in range(workers):
+                name = f"{zone}-worker-{i}"
+                made.workers.append(await cluster.add_worker(name, zone, f"rack-{i}"))
+            for i in range(entries):
+                made.entries.append(await cluster.add_entry(f"{zone}-entry-{i}", zone))
+        await cluster.wait_ready(*made.entries)
+        made.key = await made.set_up(limit)
+        yield made
+
+
+class Cell:
+    """A running cell and the key of its team ``lisboa``."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self.cluster = cluster
+        self.entries: list[Proc] = []
+        self.runners: list[Proc] = []
+        self.workers: list[Proc] = []
+        self.key = ""
+        self.key_id = ""
+
+    def entries_of(self, zone: str) -> list[Proc]:
+        """Return the entry instances of a zone that still run."""
+        return [
+            e
+            for e in self.entries
+            if e.entry["zone"] == zone and e.process.returncode is None
+        ]
+
+    async def operate(self, method: str, path: str, body: Any = None) -> Any:
+        """Call the first entry as an operator and return the answer."""
+        status, data = await self.cluster.call(self.entries[0], method, path, json=body)
+        assert status < 400, data
+        return data
+
+    async def set_up(self, limit: int) -> str:
+        """Apply the lists and give a key that every entry knows."""
+        body = {"base": 0, "plans": PLANS.format(limit=limit), "teams": TEAMS}
+        await self.operate("POST", "/v1/config", body)
+        given = await self.operate("POST", "/v1/keys", {"team": "lisboa"})
+        self.key_id = given["key_id"]
+        for entry in self.entries:
+            await self.until_status(entry, "GET", "/v1/jobs", given["key"], 200)
+        return given["key"]
+
+    async def until_status(
+        self, entry: Proc, method: str, path: str, key: str, wanted: int
+    ) -> None:
+        """Wait until an entry answers with a status."""
+
+        async def answers(proc: Proc) -> bool:
+            return (await self.cluster.call(proc, method, path, key=key))[0] == wanted
+
+        await self.cluster.until(entry, answers, 40.0)
+
+    async def request(
+        self, entry: Proc, method: str, path: str, **kw: Any
+    ) -> tuple[int, Any]:
+        """Send a request of the team; status 0 if the exchange was cut."""
+        kw.setdefault("key", self.key)
+        try:
+            return await self.cluster.call(entry, method, path, **kw)
+        except (TimeoutError, OSError, ValueError):
+            return 0, None
+        except Exception as exc:
+            # aiohttp's errors of connections that were cut are no OSError.
+            if type(exc).__module__.startswith("aiohttp"):
+                return 0, None
+            raise
+
+    async def fetch(self, proc: Proc, path: str) -> Any:
+        """Return what a stand-in counted."""
+        assert self.cluster.http is not None
+        async with self.cluster.http.get(f"http://{proc.ports['http']}{path}") as resp:
+            return await resp.json()
+
+    async def fault(self, proc: Proc, **faults: Any) -> None:
+        """Set faults of a stand-in."""
+        assert self.cluster.http is not None
+        url = f"http://{proc.ports['http']}/admin/faults"
+        async with self.cluster.http.post(url, json=faults) as resp:
+            assert resp.status == 200
+
+    async def log_fault(self, **faults: Any) -> None:
+        """Set faults of the platform's log."""
+        await self.cluster.admin("/admin/faults", faults)
+
+    async def runs(self) -> dict[str, int]:
+        """Return how often each body was run, over all runners."""
+        total: dict[str, int] = {}
+        for runner in self.runners:
+            for body, n in (await self.fetch(runner, "/admin/runs"))["runs"].items():
+                total[body] = total.get(body, 0) + n
+        return total
+
+    async def spans(self) -> list[tuple[str, float, float]]:
+        """Return when each request was being served, over all runners."""
+        found = []
+        for runner in self.runners:
+            found += (await self.fetch(runner, "/admin/runs"))["spans"]
+        return [(n, began, ended) for n, began, ended in found]
+
+    async def lead_of(self, zone: str) -> Proc:
+        """Return the entry that leads a zone."""
+        for entry in self.entries_of(zone):
+            status, data = await self.cluster.call(entry, "GET", "/v1/status")
+            name = data["leads"][zone].partition("#")[0] if status == 200 else ""
+            for candidate in self.entries_of(zone):
+                if candidate.name == name:
+                    return candidate
+        raise AssertionError(f"zone {zone} has no lead")
+
+    async def submit(self, entry: Proc, **job: Any) -> None:
+        """Submit a job and see it accepted."""
+        status, data = await self.cluster.call(
+            entry, "POST", "/v1/jobs", key=self.key, json=job
+        )
+        assert status == 202, data
+
+    async def until_done(self, entry: Proc, job_id: str, timeout_s: float) -> None:
+        """Wait until all tasks of a job are done."""
+
+        async def done(proc: Proc) -> bool:
+            status, data = await self.cluster.call(
+                proc, "GET", f"/v1/jobs/{job_id}", key=self.key
+            )
+            states = [t["outcome"] for t in (data.get("placed") or {}).values()]
+            return status == 200 and states == ["done"] * data["tasks"]
+
+        await self.cluster.until(entry, done, timeout_s)
+
+    async def task_runs(self) -> list[dict[str, Any]]:
+        """Return every run of a task at any worker, with start and end."""
+        found = []
+        for worker in self.workers:
+            for seen in await self.fetch(worker, "/admin/seen"):
+                found.append({**seen, "worker": worker.name})
+        return found
+
+
+def most_at_once(spans: Iterable[tuple[float, float | None, float]]) -> float:
+    """Return the highest sum of weights over spans (start, end, weight)."""
+    events = []
+    for start, end, weight in spans:
+        events.append((start, 1, weight))
+        events.append((float("inf") if end is None else end, 0, -weight))
+    level = most = 0.0
+    for _, _, change in sorted(events):
+        level += change
+        most = max(most, level)
+    return most
+
+
+def assert_no_double_run(runs: list[dict[str, Any]]) -> None:
+    """Check that no task ran in two places at once."""
+    by_task: dict[tuple[str, int], list[tuple[float, float | None, float]]] = {}
+    for run_ in runs:
+        job, index, _ = run_["ref"]
+        span = (run_["start"], run_["end"], 1.0)
+        by_task.setdefault((job, index), []).append(span)
+    for task, spans in by_task.items():
+        assert most_at_once(spans) <= 1, (task, spans)
+
+
+def assert_no_overcommit(runs: list[dict[str, Any]], cpus: float) -> None:
+    """Check that no worker ever had more than it has."""
+    for worker in {r["worker"] for r in runs}:
+        spans = [
+            (r["start"], r["end"], r["cpus"]) for r in runs if r["worker"] == worker
+        ]
+        assert most_at_once(spans) <= cpus, worker
--- /dev/null
+++ b/tests/failures/test_endpoints.py
@@ -0,0 +1,86 @@
+"""Runners that are slow, cut answers short or are about to leave."""
+
+import asyncio
+
+import pytest
+
+from tests.failures.cells import cell, run
+
+
+@pytest.mark.row(5)
+def test_each_caller_gets_its_own_answer_though_some_come_late():
+    """Some answers come after their callers have stopped waiting.
+
+    An answer that comes late must not be taken for the answer to the next
+    request on the same connection: a technician would see the certificate of
+    another firm.
+    """
+
+    async def scenario():
+        async with cell(runners=1, entries=1) as c:
+
+            async def ask(n: int) -> tuple[int, int, object]:
+                late = n % 3 == 0
+                ms, deadline = (400, 150) if late else (5, 5000)
+                path = f"/r/logbook/quote?n={n}&ms={ms}"
+                headers = {"X-Deadline-Ms": str(deadline)}
+                return (n, *await c.request(c.entries[0], "GET", path, headers=headers))
+
+            answers = []
+            for start in range(0, 60, 6):
+                batch = range(start, start + 6)
+                answers += await asyncio.gather(*(ask(n) for n in batch))
+            whole = [(n, data) for n, status, data in answers if status == 200]
+            assert len(whole) >= 20
+            assert [n for n, data in whole if data["n"] != str(n)] == []
+
+    run(scenario)
+
+
+@pytest.mark.row(8)
+def test_leaving_runner_gets_no_new_work():
+    """The platform says that a runner is about to be taken away.
+
+    Work that it got after that would be cut when it goes.
+    """
+
+    async def scenario():
+        async with cell(runners=2, entries=2) as c:
+            leaving = c.runners[0]
+            leaving.entry["leaving"] = True
+            await c.cluster.list_instances(leaving)
+            # The list lags and is polled; within these seconds it may get some.
+            await asyncio.sleep(2.0)
+            before = len((await c.fetch(leaving, "/admin/runs"))["spans"])
+            for n in range(40):
+                entry = c.entries[n % 2]
+                status, _ = await c.request(entry, "GET", f"/r/logbook/quote?n={n}")
+                assert status == 200
+            after = len((await c.fetch(leaving, "/admin/runs"))["spans"])
+            assert after == before
+
+    run(scenario)
+
+
+@pytest.mark.row(8)
+def test_runner_that_says_it_leaves_is_left_alone_by_every_instance():
+    """A runner says in its answers that it takes no new work.
+
+    One instance hears it; all must heed it, long before the list says so.
+    """
+
+    async def scenario():
+        async with cell(runners=2, entries=2) as c:
+            await c.fault(c.runners[0], leaving=True)
+            for n in range(30):
+                await c.request(c.entries[0], "GET", f"/r/logbook/quote?n={n}")
+            await asyncio.sleep(2.0)
+            before = len((await c.fetch(c.runners[0], "/admin/runs"))["spans"])
+            for n in range(30):
+                entry = c.entries[n % 2]
+                status, _ = await c.request(entry, "GET", f"/r/logbook/quote?n={n}")
+                assert status == 200
+            after = len((await c.fetch(c.runners[0], "/admin/runs"))["spans"])
+            assert after == before
+
+    run(scenario)
--- /dev/null
+++ b/tests/failures/test_keys_and_lists.py
@@ -0,0 +1,157 @@
+"""Keys and lists: withdrawn is withdrawn, accepted is in force for good."""
+
+import asyncio
+
+import pytest
+
+from standins.cluster import OPERATOR_KEY, Cluster, Proc
+from tests.failures.cells import PLANS, TEAMS, cell, run
+
+
+@pytest.mark.row(3)
+def test_key_withdrawn_elsewhere_is_refused_at_an_instance_without_the_log():
+    """A zone cannot reach the platform when a leaked key is withdrawn.
+
+    Whoever has the leaked key must not get in through that zone: its
+    instances learn of the withdrawal from their peers.
+    """
+
+    async def scenario():
+        async with cell(("lisboa", "porto"), entries=1, runners=1, links=True) as c:
+            cut = c.entries_of("porto")[0]
+            c.cluster.cut_zone("porto", platform_only=True)
+            await c.operate("DELETE", f"/v1/keys/{c.key_id}")
+            await c.until_status(cut, "GET", "/r/logbook/quote", c.key, 401)
+
+    run(scenario)
+
+
+@pytest.mark.row(3)
+@pytest.mark.proof
+def test_zone_cut_from_everything_takes_no_new_charges():
+    """A zone reaches neither the platform nor any other zone.
+
+    It cannot learn that a key was withdrawn.  It goes on with quotes for a
+    while, takes neither charges nor jobs, and at last refuses everything.
+    """
+
+    async def scenario():
+        async with cell(("lisboa", "porto"), entries=1, runners=1, links=True) as c:
+            cut = c.entries_of("porto")[0]
+            c.cluster.cut_zone("porto")
+            await asyncio.sleep(4.0)
+            status, data = await c.request(cut, "POST", "/r/logbook/e", data="x")
+            assert (status, data["code"], data["ran"]) == (503, "zone.stale", "no")
+            status, data = await c.request(
+                cut, "POST", "/v1/jobs", json={"job_id": "j"}
+            )
+            assert (status, data["ran"]) == (503, "no")
+            status, _ = await c.request(cut, "GET", "/r/logbook/quote")
+            assert status == 200
+            await c.until_status(cut, "GET", "/r/logbook/quote", c.key, 503)
+            c.cluster.heal_zone("porto")
+            await c.until_status(cut, "GET", "/r/logbook/quote", c.key, 200)
+            assert "x" not in await c.runs()
+
+    run(scenario)
+
+
+async def version_of(cluster: Cluster, entry: Proc) -> int:
+    """Return the version in force at an instance."""
+    return (await cluster.call(entry, "GET", "/v1/config"))[1]["version"]
+
+
+@pytest.mark.row(10)
+def test_of_two_operators_that_race_one_wins_and_the_other_is_told():
+    """Two operators change the lists at the same moment at two instances."""
+
+    async def scenario():
+        async with cell(entries=2) as c:
+            body = {
+                "base": 1,
+                "rows": [
+                    {"list_name": "teams", "name": "faro", "values": {"plan": "small"}}
+                ],
+            }
+            answers = await asyncio.gather(
+                *(c.cluster.call(e, "POST", "/v1/config", json=body) for e in c.entries)
+            )
+            assert sorted(status for status, _ in answers) == [200, 409]
+            loser = next(data for status, data in answers if status == 409)
+            assert loser["code"] == "config.conflict"
+            assert loser["changed"] == ["teams/faro"]
+
+            async def in_force(entry: Proc) -> bool:
+                return await version_of(c.cluster, entry) == 2
+
+            for entry in c.entries:
+                await c.cluster.until(entry, in_force)
+
+    run(scenario)
+
+
+@pytest.mark.row(10)
+@pytest.mark.proof
+def test_accepted_lists_stay_in_force_through_restarts_and_expired_records():
+    """Changes go on while records expire, the log fails and instances restart.
+
+    A limit that an operator lowered must not come back because an instance
+    started anew from old records.
+    """
+
+    async def scenario():
+        async with cell(entries=3, platform={"carry_forward_records": 20}) as c:
+            version, floor = 1, dict.fromkeys((e.name for e in c.entries), 0)
+
+            async def watch() -> None:
+                while True:
+                    for entry in [e for e in c.entries if e.process.returncode is None]:
+                        status, data = await c.request(
+                            entry, "GET", "/v1/config", key=OPERATOR_KEY
+                        )
+                        if status == 200:
+                            assert data["version"] >= floor[entry.name]
+                            floor[entry.name] = data["version"]
+                    await asyncio.sleep(0.05)
+
+            watching = asyncio.create_task(watch())
+            for n in range(120):
+                plans = PLANS.format(limit=41 + n)
+                body = {"base": version, "plans": plans, "teams": TEAMS}
+                version = (await c.operate("POST", "/v1/config", body))["version"]
+                if n == 60:
+                    await c.log_fault(retain=60)
+                    c.entries[2].kill()
+                    await c.entries[2].wait()
+            fresh = await c.cluster.add_entry("porto-entry-9", "porto")
+
+            async def in_force(entry: Proc) -> bool:
+                return await version_of(c.cluster, entry) == version
+
+            await c.cluster.until(fresh, in_force, 30.0)
+            await c.cluster.until(c.entries[1], in_force, 30.0)
+            watching.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await watching
+
+    run(scenario)
+
+
+@pytest.mark.row(10)
+@pytest.mark.proof
+def test_instance_that_starts_while_the_log_is_out_serves_from_its_peers():
+    """An instance is replaced while the platform's log is down.
+
+    Callers whom the balancer sends there must be served, with the lists and
+    keys in force.
+    """
+
+    async def scenario():
+        async with cell(entries=2, runners=1) as c:
+            await c.log_fault(log="down")
+            fresh = await c.cluster.add_entry("porto-entry-9", "porto")
+            await c.until_status(fresh, "GET", "/r/logbook/quote", c.key, 200)
+            assert await version_of(c.cluster, fresh) == 1
+            await c.log_fault(log="ok")
+
+    run(scenario)
--- /dev/null
+++ b/tests/failures/test_limits.py
@@ -0,0 +1,78 @@
+"""No team has more running than its upper limit, whatever fails."""
+
+import asyncio
+import signal
+
+import pytest
+
+from tests.failures.cells import Cell, cell, most_at_once, run
+
+QUOTE = "/r/logbook/quote?ms=300"
+LIMIT = 6
+
+
+async def flood(c: Cell, seconds: float) -> list[int]:
+    """Send far more than the limit through every instance; return statuses."""
+    statuses: list[int] = []
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+
+    async def client(i: int) -> None:
+        while loop.time() < end:
+            entry = c.entries[i % len(c.entries)]
+            statuses.append((await c.request(entry, "GET", QUOTE))[0])
+            await asyncio.sleep(0.01)
+
+    await asyncio.gather(*(client(i) for i in range(24)))
+    return statuses
+
+
+async def assert_limit_kept(c: Cell) -> None:
+    """Check what the runners saw, by the machine's one monotonic clock."""
+    spans = [(began, ended, 1.0) for _, began, ended in await c.spans()]
+    assert spans
+    assert most_at_once(spans) <= LIMIT
+
+
+@pytest.mark.row(4)
+def test_team_stays_within_its_limit_over_two_zones():
+    """A team sends far more than it may to every instance at once."""
+
+    async def scenario():
+        async with cell(("lisboa", "porto"), runners=2, limit=LIMIT) as c:
+            statuses = await flood(c, 4.0)
+            assert 200 in statuses
+            await assert_limit_kept(c)
+
+    run(scenario)
+
+
+@pytest.mark.row(4)
+@pytest.mark.proof
+@pytest.mark.parametrize("how", ["kill", "pause", "cut"])
+def test_team_stays_within_its_limit_while_the_lead_fails(how):
+    """The lead that lends room under the limit dies, stands still or is cut.
+
+    The next lead does not know what was lent.  Were it to lend it again, the
+    team would have more running than it pays for, at the others' cost.
+    """
+
+    async def scenario():
+        zones = ("lisboa", "porto")
+        async with cell(zones, runners=2, limit=LIMIT, links=True) as c:
+            flooding = asyncio.create_task(flood(c, 14.0))
+            await asyncio.sleep(3.0)
+            lead = await c.lead_of("porto")
+            if how == "cut":
+                c.cluster.cut_zone("porto")
+                await asyncio.sleep(5.0)
+                c.cluster.heal_zone("porto")
+            else:
+                lead.kill(signal.SIGSTOP if how == "pause" else signal.SIGKILL)
+                await asyncio.sleep(5.0)
+                lead.kill(signal.SIGCONT)
+            statuses = await flooding
+            assert 200 in statuses
+            await assert_limit_kept(c)
+
+    run(scenario)
--- /dev/null
+++ b/tests/failures/test_once.py
@@ -0,0 +1,127 @@
+"""Non-idempotent requests run at most once, and refusals say the truth."""
+
+import asyncio
+
+import pytest
+
+from tests.failures.cells import Cell, cell, run
+
+CHARGE = "/r/logbook/entries"
+
+
+def charge(key: str, body: str) -> dict:
+    """Return the arguments of a keyed charge."""
+    return {"headers": {"Idempotency-Key": key}, "data": body}
+
+
+@pytest.mark.row(7)
+def test_keyed_charge_sent_through_two_instances_runs_once():
+    """A caller's connection breaks and it sends its charge again.
+
+    The balancer gives the repeat to another instance.  The customer must be
+    charged once, and the caller must learn the outcome of that one charge.
+    """
+
+    async def scenario():
+        async with cell(runners=1) as c:
+            kw = charge("k1", "entry 1")
+            first = await c.request(c.entries[0], "POST", CHARGE, **kw)
+            again = await c.request(c.entries[1], "POST", CHARGE, **kw)
+            assert first == again
+            assert first[0] == 200
+            assert await c.runs() == {"entry 1": 1}
+
+    run(scenario)
+
+
+async def send_until_settled(c: Cell, entries: list, n: int, refused: list) -> None:
+    """Send a charge through one instance after the other, as a caller would."""
+    for i in range(8):
+        entry = entries[(n + i) % len(entries)]
+        kw = charge(f"key {n}", f"charge {n}")
+        status, data = await c.request(entry, "POST", CHARGE + "?ms=150", **kw)
+        if status == 200:
+            return
+        if status and data["ran"] == "no":
+            refused.append((n, i))
+        await asyncio.sleep(0.4)
+
+
+@pytest.mark.row(7)
+@pytest.mark.proof
+def test_charges_repeated_while_instances_are_killed_run_at_most_once():
+    """Instances die while they have charges in hand; callers send them again.
+
+    A customer who is charged twice for one renewal notices on her statement.
+    """
+
+    async def scenario():
+        async with cell(entries=3, runners=2) as c:
+            sending = [
+                asyncio.create_task(send_until_settled(c, c.entries, n, []))
+                for n in range(40)
+            ]
+            await asyncio.sleep(0.25)
+            c.entries[2].kill()
+            await asyncio.gather(*sending)
+            counts = await c.runs()
+            assert counts
+            assert set(counts.values()) == {1}
+
+    run(scenario)
+
+
+@pytest.mark.row(6)
+@pytest.mark.proof
+@pytest.mark.parametrize("fault", ["down", "lose-answers", "hang"])
+def test_refusal_that_says_not_run_is_true_while_the_log_fails(fault):
+    """The platform's log is out, hangs or loses its answers during charges.
+
+    The caller is told that a charge was not run and acts on it, by another
+    way; had it run all the same, the customer would pay twice.
+    """
+
+    async def scenario():
+        async with cell(runners=1) as c:
+            refusals = {}
+
+            async def once(n: int) -> None:
+                kw = charge(f"key {n}", f"charge {n}")
+                entry = c.entries[n % 2]
+                status, data = await c.request(entry, "POST", CHARGE, **kw)
+                if status != 200 and status:
+                    refusals[n] = data["ran"]
+
+            await c.log_fault(log=fault)
+            await asyncio.gather(*(once(n) for n in range(10)))
+            await c.log_fault(log="ok")
+            # What was under way may land now; time to show whether it runs.
+            await asyncio.sleep(3.0)
+            counts = await c.runs()
+            assert max(counts.values(), default=1) == 1
+            told_no = [n for n, ran in refusals.items() if ran == "no"]
+            assert [n for n in told_no if f"charge {n}" in counts] == []
+
+    run(scenario)
+
+
+@pytest.mark.row(7)
+def test_charge_whose_answer_is_cut_is_not_sent_again():
+    """The runner charges the customer and dies before it has answered.
+
+    firhook cannot know whether the charge was made.  It must say so, and must
+    not try another runner.
+    """
+
+    async def scenario():
+        async with cell(runners=2) as c:
+            for runner in c.runners:
+                await c.fault(runner, fail_after=True)
+            kw = charge("k1", "entry 1")
+            status, data = await c.request(c.entries[0], "POST", CHARGE, **kw)
+            assert (status, data["ran"]) == (502, "unknown")
+            status, data = await c.request(c.entries[1], "POST", CHARGE, **kw)
+            assert (status, data["ran"]) != (200, "no")
+            assert await c.runs() == {"entry 1": 1}
+
+    run(scenario)
