Queue by slot seconds, admit by deadline, share the runners' slots

Cause: the thin path charged a turn per request, so a team of long requests got most of the fleet; it waited to the deadline before it refused; every instance took all eight slots of a runner for its own; it dropped repeated headers and decoded paths; an idempotent request whose first try may have run could end in 'ran: no' when its second found no runner; aiohttp sent cut idempotent requests again by itself. Change: decide/ gets the queue by slot seconds, admission by expected wait, parts of the runners' slots from gossiped demand, outlier ejection, the retry budget; one Dispatcher joins them and the gateway only carries it out.

--- a/src/firhook/_errors.py
+++ b/src/firhook/_errors.py
@@ -278,6 +278,13 @@
     "The request cannot be understood",
     "Mend the part named and send it again.",
 )
+CallerGoneError = _kind(
+    "CallerGoneError",
+    "request.abandoned",
+    499,
+    "The caller closed its connection while the request waited",
+    "Keep the connection open until the answer or the deadline.",
+)
 RecordMalformedError = _kind(
     "RecordMalformedError",
     "record.malformed",
--- a/src/firhook/_kernel.py
+++ b/src/firhook/_kernel.py
@@ -47,11 +47,13 @@
     """What this instance tells its peers of its load.
 
     :ivar waiting: requests waiting, by team.
-    :ivar in_flight: requests in flight, by runner.
-    :ivar leaving: runners that said they take no new work.
+    :ivar served_s: seconds of slot time that each team used lately, decayed.
+    :ivar in_flight: requests in flight, by runner and address.
+    :ivar leaving: runners that said they take no new work, likewise.
     """
 
     waiting: dict[str, int] = attrs.field(factory=dict)
+    served_s: dict[str, float] = attrs.field(factory=dict)
     in_flight: dict[str, int] = attrs.field(factory=dict)
     leaving: set[str] = attrs.field(factory=set)
 
--- a/src/firhook/_web.py
+++ b/src/firhook/_web.py
@@ -44,7 +44,7 @@
     """
     headers = {REQUEST_ID: rid}
     if exc.retry_after_s is not None:
-        headers["Retry-After"] = str(max(1, math.ceil(exc.retry_after_s)))
+        headers["Retry-After"] = str(math.ceil(exc.retry_after_s))
     return web.Response(
         status=exc.status,
         body=msgspec.json.encode({**exc.to_problem(), "request_id": rid}),
@@ -120,7 +120,12 @@
     """Start serving routes; return the runner and the port it got."""
     app = web.Application(middlewares=[problems], client_max_size=max_body)
     app.add_routes(routes)
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=1.0)
+    # A body is passed on with the headers that describe it, so it must stay as
+    # it was sent: unpacked under "Content-Encoding: gzip" a runner would fail
+    # on it, and a small packed body could fill the memory.
+    runner = web.AppRunner(
+        app, access_log=None, shutdown_timeout=1.0, auto_decompress=False
+    )
     await runner.setup()
     site = web.TCPSite(runner, host, port)
     await site.start()
--- /dev/null
+++ b/src/firhook/decide/_admit.py
@@ -0,0 +1,344 @@
+"""Admission and dispatch: which request goes where, which waits, which never will."""
+
+import math
+from collections.abc import Collection, Mapping
+from typing import Any
+
+import attrs
+
+from firhook.decide._limits import Account
+from firhook.decide._parts import (
+    FleetUse,
+    instance_parts,
+    local_weights,
+    runner_parts,
+    usable_parts,
+)
+from firhook.decide._queue import FairQueue, Waiting
+from firhook.decide._retry import RetryBudget
+from firhook.decide._route import Router, RunnerView
+from firhook.decide._times import ServiceTimes
+from firhook.errors import (
+    DeadlineUnmeetableError,
+    FirhookError,
+    NoEndpointError,
+    OverloadedError,
+    TeamQueueFullError,
+)
+from firhook.model import Endpoint
+
+#: A request that holds a slot for longer than this counts as long: someone on
+#: the page notices a wait of a quarter of a second.
+LONG_S = 0.25
+#: Long work leaves free as many slots as this many standard deviations of the
+#: slots that short work uses, which is what a burst of it takes at once.
+_SHORT_SPREAD = 1.0
+#: But never more than this part, or long work would starve beside short work.
+_SHORT_MOST = 0.25
+#: Without a short request for so long, long work may have every slot.
+_SHORT_GONE_S = 10.0
+#: A waiting request is given up once its expected end is past its deadline by
+#: this part of its whole time; expectations are rough, and giving up at the
+#: first doubt would refuse requests that could have been served.
+_GIVE_UP_SLACK = 0.1
+#: The lead answers within milliseconds.  A team that got no room for so long
+#: is at its limit elsewhere, or the lead is away, and its requests are told.
+ROOM_WAIT_S = 2.0
+#: Parts that must agree before a slot that moved here is used.
+_PARTS_AGREE = 3
+_RETRY_MOST_S = 30.0
+_RETRY_LEAST_S = 0.1
+
+
+@attrs.frozen(slots=True)
+class QueueLimits:
+    """Bounds of the queue.
+
+    :param waiting: most requests waiting at this instance.
+    :param team_waiting: most of one team.
+    """
+
+    waiting: int
+    team_waiting: int
+
+
+@attrs.define(slots=True, eq=False)
+class Placed:
+    """A request that got a slot.
+
+    :param view: the runner it goes to.
+    :param started: when, in seconds.
+    """
+
+    item: Waiting
+    view: RunnerView
+    started: float
+
+
+@attrs.frozen(slots=True)
+class GivenUp:
+    """A waiting request that is to be refused now."""
+
+    item: Waiting
+    exc: FirhookError
+
+
+class Dispatcher:
+    """Admits, queues and sends the requests of one service.
+
+    Made for a full fleet with far more work than it can do.  The harm it
+    prevents: requests that wait only to be refused at their deadline, or that
+    take a slot though their caller can no longer use the answer.  Both turn an
+    overload into an outage, since work is done for nobody.
+
+    :param name: this instance, as it is called in its gossip.
+    :param zone: its zone.
+    :param account: room under the teams' limits, shared by all services.
+    """
+
+    def __init__(
+        self, name: str, zone: str, account: Account, limits: QueueLimits
+    ) -> None:
+        self._name = name
+        self._account = account
+        self._limits = limits
+        self.router = Router(zone)
+        self.queue = FairQueue()
+        self.times = ServiceTimes()
+        self.budget = RetryBudget()
+        self.running = 0
+        self.weights: dict[str, float] = {}
+        self._long_running = 0
+        self._capacity = 0
+        self._short_seen = -math.inf
+        self._short_load = 0.0
+        self._short_at = 0.0
+        self._parts: list[dict[str, int]] = []
+        self._roomless_since: dict[str, float] = {}
+
+    # -- what is known of the runners and of the fleet --------------------
+
+    def update(self, endpoints: Collection[Endpoint], now: float) -> None:
+        """Take over a fresh list of the service's runners."""
+        self.router.update(endpoints)
+        self._capacity = self.router.capacity(now)
+
+    def rebalance(self, use: FleetUse, shares: Mapping[str, float], now: float) -> None:
+        """Take over the fleet's use: this instance's slots and its teams' weights.
+
+        Called about as often as the instances gossip.
+        """
+        slots = self.router.slots()
+        total = sum(slots.values())
+        parts = instance_parts(total, use, shares)
+        mine = runner_parts(self._name, parts, slots)
+        if not self._parts or len(use.demand) == 1:
+            self._parts = [mine] * _PARTS_AGREE
+        self._parts = [*self._parts[1 - _PARTS_AGREE :], mine]
+        self.router.set_parts(usable_parts(self._parts), len(use.demand))
+        self.weights = dict(shares)
+        self.weights.update(local_weights(self._name, total, use, shares))
+        self._capacity = self.router.capacity(now)
+
+    # -- admission --------------------------------------------------------
+
+    def admit(self, item: Waiting, now: float, jitter: float) -> None:
+        """Queue a request, or refuse it at once if waiting cannot help it.
+
+        :param jitter: 0 to 1, at random, so that callers refused together do
+            not come back together.
+        :raises NoEndpointError: if the service has no runner.
+        :raises OverloadedError: if the queue is full.
+        :raises TeamQueueFullError: if the team's part of it is full.
+        :raises DeadlineUnmeetableError: if its turn would come too late.
+        """
+        self._expire_short(now)
+        if not item.long:
+            self._note_short(item, now)
+        wait_s = self.expected_wait_s(item, now)
+        back_s = _come_back(self._drain_s(item.team), jitter)
+        if not self.router.slots():
+            raise NoEndpointError("no runner is known", retry_after_s=back_s)
+        if len(self.queue) >= self._limits.waiting:
+            raise OverloadedError("too many requests wait", retry_after_s=back_s)
+        if self.queue.waiting(item.team) >= self._limits.team_waiting:
+            raise TeamQueueFullError(
+                f"{self._limits.team_waiting} requests of the team wait",
+                retry_after_s=back_s,
+            )
+        if now + wait_s + item.expected_s > item.deadline:
+            raise DeadlineUnmeetableError(
+                f"it would wait {wait_s:.2f} s and run {item.expected_s:.2f} s",
+                retry_after_s=back_s,
+            )
+        self.queue.push(item)
+
+    def expected_wait_s(self, item: Waiting, now: float) -> float:
+        """Return how long a new request would wait for its turn."""
+        if not len(self.queue) and self.running < self._capacity:
+            return 0.0
+        ahead_s = self.queue.ahead_s(item.team, item.klass) + self.times.mean_s
+        return ahead_s / self._rate(item.team)
+
+    def _rate(self, team: str) -> float:
+        """Return how many slots serve a team while others wait as well."""
+        busy = set(self.queue.teams()) | {team}
+        total = sum(self.weights.get(t, 1.0) for t in busy)
+        # An instance whose part is none yet gets one once its peers have heard
+        # that it has requests.
+        slots = max(self._capacity, 1)
+        rate = slots * self.weights.get(team, 1.0) / total
+        room = self._account.room.get(team, 0)
+        # Room not lent yet is asked for when the request is queued; until it
+        # is known, only the slots bound the rate.
+        return min(rate, room) if room > 0 else rate
+
+    def _drain_s(self, team: str) -> float:
+        """Return how long the team's backlog takes."""
+        work_s = self.queue.ahead_s(team, "bulk") + self.times.mean_s
+        return work_s / self._rate(team)
+
+    # -- dispatch ---------------------------------------------------------
+
+    def take(self, now: float) -> Placed | None:
+        """Give the next request a slot; ``None`` if none can have one."""
+        blocked: set[str] = set()
+        while len(self.queue):
+            item = self.queue.pop(self.weights, blocked, self._long_ok(now))
+            if item is None:
+                return None
+            if not self._account.take(item.team):
+                self._put_back(item)
+                blocked.add(item.team)
+                self._roomless_since.setdefault(item.team, now)
+                continue
+            self._roomless_since.pop(item.team, None)
+            view = self.router.pick(now, item.tried)
+            if view is None:
+                self._account.give_back(item.team)
+                self._put_back(item)
+                if not item.tried:
+                    return None
+                # Only runners that failed this one have room; others may use
+                # them meanwhile.
+                blocked.add(item.team)
+                continue
+            self.running += 1
+            self._long_running += item.long
+            return Placed(item, view, now)
+        return None
+
+    def _put_back(self, item: Waiting) -> None:
+        self.queue.put_back(item, self.weights)
+
+    def roomless(self) -> list[str]:
+        """Return the teams that wait for room under their limit."""
+        return list(self._roomless_since)
+
+    def _long_ok(self, now: float) -> bool:
+        """Return whether a long request may take a slot.
+
+        Without this, a few teams' long work fills every slot and a quote that
+        comes next waits until one of them ends, however urgent its class.
+        """
+        free = self._capacity - self.running
+        if free <= 0:
+            return False
+        if now - self._short_seen > _SHORT_GONE_S:
+            return True
+        keep = min(
+            math.ceil(_SHORT_SPREAD * math.sqrt(self._short_load)),
+            int(_SHORT_MOST * self._capacity),
+        )
+        return free > keep
+
+    def _note_short(self, item: Waiting, now: float) -> None:
+        """Follow how many slots short work uses, over about a second."""
+        self._short_load += item.expected_s
+        self._short_seen = now
+
+    def _expire_short(self, now: float) -> None:
+        self._short_load *= math.exp(min(self._short_at - now, 0.0))
+        self._short_at = now
+
+    def end(self, placed: Placed, now: float) -> None:
+        """Count a request as ended for certain, or as past the bound."""
+        self.running -= 1
+        self._long_running -= placed.item.long
+        self.router.done(placed.view)
+        self._account.give_back(placed.item.team)
+        self.queue.settle(placed.item, now - placed.started, self.weights)
+
+    # -- giving up --------------------------------------------------------
+
+    def sweep(self, now: float, jitter: float) -> list[GivenUp]:
+        """Take out the requests whose deadline can no longer be met.
+
+        A runner that dies, or a large team's return, makes the queue slower
+        than it was when they were admitted.  Told now, their callers can still
+        do something; told at the deadline, they cannot.
+        """
+        self._capacity = self.router.capacity(now)
+        given_up = []
+        ahead: dict[str, float] = {}
+        for item in list(self.queue):
+            exc = self._hopeless(item, ahead.get(item.team, 0.0), now, jitter)
+            if exc is None:
+                ahead[item.team] = ahead.get(item.team, 0.0) + item.expected_s
+            else:
+                self.queue.remove(item)
+                given_up.append(GivenUp(item, exc))
+        for team in self.roomless():
+            if not self.queue.waiting(team):
+                del self._roomless_since[team]
+        return given_up
+
+    def _has_no_room(self, team: str, now: float) -> bool:
+        """Return whether a team waits for room that does not come.
+
+        While some of its requests run here, their ends make room for others.
+        """
+        waited_s = now - self._roomless_since.get(team, now)
+        held = self._account.room.get(team, 0) + self._account.running.get(team, 0)
+        return waited_s > ROOM_WAIT_S and held == 0
+
+    def _hopeless(
+        self, item: Waiting, ahead_s: float, now: float, jitter: float
+    ) -> FirhookError | None:
+        back_s = _come_back(self._drain_s(item.team), jitter)
+        if self._has_no_room(item.team, now):
+            return TeamQueueFullError(
+                f"the team had no room under its limit for {ROOM_WAIT_S:g} s",
+                retry_after_s=max(back_s, ROOM_WAIT_S),
+            )
+        if not self.router.slots():
+            return NoEndpointError("every runner has gone", retry_after_s=back_s)
+        end = now + ahead_s / self._rate(item.team) + item.expected_s
+        slack = _GIVE_UP_SLACK * (item.deadline - item.arrived)
+        hopeless = now + item.expected_s > item.deadline or end > item.deadline + slack
+        if not hopeless:
+            return None
+        return DeadlineUnmeetableError(
+            "its turn would come too late", retry_after_s=back_s
+        )
+
+
+def _come_back(drain_s: float, jitter: float) -> float:
+    """Return when a refused caller should come back, in seconds."""
+    bounded = min(max(drain_s, _RETRY_LEAST_S), _RETRY_MOST_S)
+    return bounded * (0.75 + 0.5 * jitter)
+
+
+def expected_item(
+    times: ServiceTimes,
+    kind: tuple[str, ...],
+    team: str,
+    klass: str,
+    now: float,
+    deadline: float,
+    token: Any = None,
+) -> Waiting:
+    """Return a request to queue, with what is expected of it."""
+    expected_s = times.expect(kind)
+    long = klass == "bulk" or expected_s > LONG_S
+    return Waiting(team, klass, now, deadline, token, expected_s, long)
--- a/src/firhook/decide/_route.py
+++ b/src/firhook/decide/_route.py
@@ -1,33 +1,87 @@
 """Routing: the runner with the least expected wait, own zone first."""
 
+from collections import Counter
 from collections.abc import Collection, Mapping
 
 import attrs
 
 from firhook.model import Endpoint
 
-#: Weight of the newest latency in the moving average.
-_ALPHA = 0.2
-
-
-@attrs.define(slots=True)
+#: Weight of the newest answer in a runner's moving slowness.
+_ALPHA = 0.1
+#: A runner of another zone is taken once those of this zone look this much
+#: worse: the way there costs about as much as a short request's wait.
+_OTHER_ZONE = 1.25
+#: Failures in a row that eject a runner.  One or two happen with every restart.
+_FAILURES = 3
+#: A runner is ejected once it takes this many times as long as its peers do
+#: for the same requests, seen over at least ``_SAMPLES`` of them.
+_SLOW_RATIO = 4.0
+_SAMPLES = 10
+#: At most this part of a zone's runners of a service is ejected at a time.
+#: When more look bad the cause is likelier the load or the network than the
+#: runners, and the rest would fall over under the work of those ejected.
+_EJECT_PART = 1 / 3
+_EJECT_S = 1.0
+_EJECT_MAX_S = 30.0
+#: Requests at once that a new or returned runner gets at first; each answer
+#: adds one.  A cold runner given its full part at once would time out.
+_SLOW_START = 2
+
+
+@attrs.define(slots=True, eq=False)
 class RunnerView:
-    """What this instance knows of a runner.
+    """What this instance knows of a runner at one address.
 
     :ivar in_flight: requests this instance has there.
     :ivar elsewhere: requests its peers say they have there.
-    :ivar latency_s: moving average of its answers' time.
+    :ivar part: slots of it that this instance may use.
+    :ivar slowness: moving ratio of the time its answers took to the time that
+        such requests take elsewhere.
+    :ivar ramp: requests at once that it may have while it starts slowly.
+    :ivar ejected_until: gets no work before, in seconds.
     """
 
     endpoint: Endpoint
+    part: int = 0
     in_flight: int = 0
     elsewhere: int = 0
-    latency_s: float = 0.01
+    slowness: float = 1.0
+    samples: int = 0
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+    ramp: int = _SLOW_START
     leaving: bool = False
 
+    @property
+    def key(self) -> str:
+        """Name and address: a runner that comes back elsewhere is a new one."""
+        return f"{self.endpoint.name}@{self.endpoint.address}"
+
+    def room(self, now: float) -> int:
+        """Return how many more requests it may get from here."""
+        if self.leaving or now < self.ejected_until:
+            return 0
+        own = min(self.part, self.ramp) - self.in_flight
+        free = self.endpoint.slots - self.elsewhere - self.in_flight
+        return max(min(own, free), 0)
+
+    def cost(self, zone: str) -> float:
+        """Return the expected wait there, in units of a usual request."""
+        load = (self.in_flight + self.elsewhere) / self.endpoint.slots
+        away = 1.0 if self.endpoint.zone == zone else _OTHER_ZONE
+        return self.slowness * (1.0 + load) * away
+
 
 class Router:
-    """Chooses runners by in-flight count and latency."""
+    """Chooses among the runners of one service.
+
+    Made for a service with one slow, one failing and one leaving runner among
+    good ones, at any load.
+
+    :param zone: this instance's zone.
+    """
 
     def __init__(self, zone: str) -> None:
         self._zone = zone
@@ -35,51 +89,118 @@
 
     def update(self, endpoints: Collection[Endpoint]) -> None:
         """Take over a fresh list of runners."""
-        names = {e.name for e in endpoints}
-        for name in [n for n, v in self.views.items() if n not in names]:
-            if self.views[name].in_flight == 0:
-                del self.views[name]
-            else:
-                self.views[name].leaving = True
+        listed = {}
         for endpoint in endpoints:
-            view = self.views.get(endpoint.name)
-            if view is None or view.endpoint.address != endpoint.address:
-                view = self.views[endpoint.name] = RunnerView(endpoint)
+            fresh = RunnerView(endpoint)
+            view = self.views.get(fresh.key, fresh)
             view.endpoint = endpoint
+            # A runner said to be leaving stays so at its address: the list
+            # lags, and may still show it as it was before it said so.
             view.leaving = view.leaving or endpoint.leaving
+            listed[view.key] = view
+        self.views = listed
+
+    def slots(self) -> dict[str, int]:
+        """Return the slots of each runner that takes new work."""
+        return {k: v.endpoint.slots for k, v in self.views.items() if not v.leaving}
 
-    def pick(self, service: str, tried: Collection[str] = ()) -> RunnerView | None:
+    def set_parts(self, parts: Mapping[str, int], connection_part: int) -> None:
+        """Take over this instance's part of each runner's slots.
+
+        :param connection_part: how many instances share a runner's connections.
+        """
+        for key, view in self.views.items():
+            conns = max(view.endpoint.connections // max(connection_part, 1), 1)
+            view.part = min(parts.get(key, 0), conns)
+
+    def capacity(self, now: float) -> int:
+        """Return how many slots this instance may use in all."""
+        return sum(
+            min(v.part, v.endpoint.slots)
+            for v in self.views.values()
+            if not v.leaving and now >= v.ejected_until
+        )
+
+    def pick(self, now: float, tried: Collection[str] = ()) -> RunnerView | None:
         """Return the runner to send to and count the request there.
 
-        :param tried: runners that failed this request already.
-        :return: ``None`` if every runner of the service is full or leaving.
+        :param tried: keys of runners that failed this request already.
+        :return: ``None`` if no runner has room.
         """
         best, best_cost = None, float("inf")
         for view in self.views.values():
-            endpoint = view.endpoint
-            load = view.in_flight + view.elsewhere
-            if (
-                endpoint.service != service
-                or view.leaving
-                or endpoint.name in tried
-                or load >= endpoint.slots
-            ):
+            if view.room(now) <= 0 or view.key in tried:
                 continue
-            cost = view.latency_s * (1 + load / endpoint.slots)
-            cost *= 1.0 if endpoint.zone == self._zone else 1.5
+            cost = view.cost(self._zone)
             if cost < best_cost:
                 best, best_cost = view, cost
         if best is not None:
             best.in_flight += 1
         return best
 
-    def done(self, view: RunnerView, latency_s: float | None) -> None:
-        """Count a request as ended; ``None`` if it taught nothing of latency."""
+    def done(self, view: RunnerView) -> None:
+        """Count a request as ended at its runner."""
         view.in_flight -= 1
-        if latency_s is not None:
-            view.latency_s += _ALPHA * (latency_s - view.latency_s)
+
+    def answered(
+        self, view: RunnerView, took_s: float, expected_s: float, now: float
+    ) -> None:
+        """Learn from an answer.
+
+        :param expected_s: how long such a request usually takes.
+        """
+        view.failures = 0
+        view.ramp = min(view.ramp + 1, view.endpoint.slots)
+        ratio = min(took_s / max(expected_s, 1e-4), 100.0)
+        view.samples += 1
+        view.slowness += max(_ALPHA, 1 / view.samples) * (ratio - view.slowness)
+        if view.samples < _SAMPLES:
+            return
+        if view.slowness > _SLOW_RATIO and self._is_outlier(view):
+            self._eject(view, now)
+        else:
+            view.ejections = 0
+
+    def failed(self, view: RunnerView, now: float) -> None:
+        """Learn from an exchange that was refused, cut or too late."""
+        view.failures += 1
+        # Back from an ejection, its first failure tells that it is not well.
+        if view.failures >= (1 if view.ejections else _FAILURES):
+            self._eject(view, now)
+
+    def _peers(self, view: RunnerView) -> list[RunnerView]:
+        zone = view.endpoint.zone
+        return [v for v in self.views.values() if v.endpoint.zone == zone]
+
+    def _is_outlier(self, view: RunnerView) -> bool:
+        others = sorted(v.slowness for v in self.views.values() if v is not view)
+        return bool(others) and view.slowness > _SLOW_RATIO * others[len(others) // 2]
+
+    def _eject(self, view: RunnerView, now: float) -> None:
+        peers = self._peers(view)
+        out = sum(1 for v in peers if v is not view and now < v.ejected_until)
+        if out + 1 > len(peers) * _EJECT_PART:
+            return
+        pause_s = min(_EJECT_S * 2**view.ejections, _EJECT_MAX_S)
+        view.ejections += 1
+        view.ejected_until = now + pause_s
+        # It comes back with one request at a time, judged afresh.
+        view.ramp = 1
+        view.samples = 0
+        view.slowness = 1.0
+        view.failures = 0
 
     def set_elsewhere(self, counts: Mapping[str, int]) -> None:
         """Take over what the peers have in flight at each runner."""
-        for name, view in self.views.items():
-            view.elsewhere = counts.get(name, 0)
+        for key, view in self.views.items():
+            view.elsewhere = counts.get(key, 0)
+
+    def set_leaving(self, keys: Collection[str]) -> None:
+        """Take over which runners told a peer that they are leaving."""
+        for key in keys:
+            if key in self.views:
+                self.views[key].leaving = True
+
+    def in_flight(self) -> Counter[str]:
+        """Return what this instance has in flight at each runner."""
+        return Counter({k: v.in_flight for k, v in self.views.items() if v.in_flight})
--- a/src/firhook/decide/queue.py
+++ b/src/firhook/decide/queue.py
@@ -1,5 +1,5 @@
-"""Which waiting request goes next, and which is refused."""
+"""Fair queueing of requests."""
 
-from firhook.decide._queue import FairQueue, Waiting
+from firhook.decide._queue import CLASSES, FairQueue, Waiting
 
-__all__ = ["FairQueue", "Waiting"]
+__all__ = ["CLASSES", "FairQueue", "Waiting"]
--- /dev/null
+++ b/src/firhook/decide/times.py
@@ -0,0 +1,5 @@
+"""Expected service times."""
+
+from firhook.decide._times import ServiceTimes
+
+__all__ = ["ServiceTimes"]
--- a/src/firhook/platform/_http.py
+++ b/src/firhook/platform/_http.py
@@ -1,10 +1,11 @@
 """The platform's services over HTTP, by aiohttp."""
 
 from collections.abc import Mapping, Sequence
-from typing import Any
 
 import aiohttp
 import msgspec
+from multidict import CIMultiDict
+from yarl import URL
 
 from firhook.errors import (
     EndpointFailedError,
@@ -31,11 +32,16 @@
     WorkerClient,
 )
 
-#: These belong to one connection and must not pass from one to the other.
+#: These belong to one connection and must not pass from one to the other.  A
+#: Content-Length or Transfer-Encoding passed on beside the one that the library
+#: writes would let the two ends disagree on where a message stops, and one
+#: caller's bytes be taken for the start of another's request.
 HOP_HEADERS = frozenset(
     (
         "connection",
+        "expect",
         "keep-alive",
+        "proxy-connection",
         "proxy-authenticate",
         "proxy-authorization",
         "te",
@@ -167,6 +173,14 @@
             raise WorkerUnreachableError(f"{worker.name}: {exc!r}") from exc
 
 
+#: Runners commonly close a connection that was idle for five seconds or more.
+#: A request sent into that moment is cut, and nobody can tell whether it was
+#: run; connections are therefore given up well before.
+_IDLE_S = 3.0
+_CONNECT_S = 1.0
+_BODILESS = frozenset((204, 304))
+
+
 class HttpEndpoints(EndpointClient):
     """Runners over HTTP.
 
@@ -180,10 +194,22 @@
     def __init__(self, max_answer_bytes: int = 8 << 20) -> None:
         self._max = max_answer_bytes
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
+            connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=_IDLE_S),
+            # A cookie that a runner sets is for one caller; a jar would send
+            # it with the requests of all.
+            cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            skip_auto_headers=(
+                "User-Agent",
+                "Accept",
+                "Accept-Encoding",
+                "Content-Type",
+            ),
         )
+        # aiohttp would send an idempotent request again by itself when a reused
+        # connection breaks, past the retry budget and unseen by the router.
+        # The session has no public way to turn this off.
+        self._session._retry_connection = False
 
     async def send(
         self,
@@ -194,49 +220,89 @@
         body: bytes,
         timeout_s: float,
     ) -> Exchange:
-        """Send a request; see :class:`EndpointClient`."""
-        sent = {k: v for k, v in headers.items() if k.lower() not in HOP_HEADERS}
-        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=1.0)
-        url = f"http://{endpoint.address}{path}"
+        """Send a request; see :class:`EndpointClient`.
+
+        No byte can have left when the connection was never made: refused,
+        unreachable or not made in time.  Any other error leaves open whether
+        the runner has the request, also on a reused connection that it closed.
+        """
+        timeout = aiohttp.ClientTimeout(total=timeout_s, sock_connect=_CONNECT_S)
+        # The path goes out as it came in; decoding it and encoding it again
+        # would turn "%2F" into a slash.
+        url = URL(f"http://{endpoint.address}{path}", encoded=True)
         try:
             async with self._session.request(
                 method,
                 url,
-                headers=sent,
+                headers=end_to_end(headers),
                 data=body or None,
                 timeout=timeout,
                 allow_redirects=False,
             ) as resp:
-                answer = await resp.content.read(self._max + 1)
-                while not resp.content.at_eof() and len(answer) <= self._max:
-                    answer += await resp.content.read(self._max + 1 - len(answer))
-                if len(answer) > self._max:
-                    resp.close()
-                    raise EndpointFailedError(
-                        f"{endpoint.name}: answer over {self._max} B"
-                    )
-                return _exchange(resp, answer)
-        except aiohttp.ServerTimeoutError as exc:
-            if isinstance(exc, aiohttp.ConnectionTimeoutError):
-                raise NoEndpointError(f"{endpoint.name}: {exc!r}") from exc
-            raise EndpointTimeoutError(f"{endpoint.name}: {exc!r}") from exc
+                answer = await self._read_whole(endpoint, method, resp)
+                return _exchange(method, resp, answer)
+        except (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError) as exc:
+            raise NoEndpointError(
+                f"{endpoint.name}: {exc}", retry_after_s=_CONNECT_S
+            ) from exc
         except TimeoutError as exc:
             raise EndpointTimeoutError(f"{endpoint.name}: no answer in time") from exc
-        except aiohttp.ClientConnectorError as exc:
-            raise NoEndpointError(f"{endpoint.name}: {exc}") from exc
-        except (aiohttp.ClientError, ValueError) as exc:
+        except (aiohttp.ClientError, OSError, ValueError) as exc:
             raise EndpointFailedError(f"{endpoint.name}: {exc!r}") from exc
 
+    async def _read_whole(
+        self, endpoint: Endpoint, method: str, resp: aiohttp.ClientResponse
+    ) -> bytes:
+        """Return the answer's body once all of it has come.
+
+        :raises EndpointFailedError: if it is too long, or if its end cannot be
+            told from a cut: an answer that ends with its connection looks the
+            same when the runner dies half way.
+        """
+        bodiless = method == "HEAD" or resp.status in _BODILESS
+        framed = "Content-Length" in resp.headers or (
+            "chunked" in resp.headers.get("Transfer-Encoding", "").lower()
+        )
+        if not framed and not bodiless:
+            resp.close()
+            raise EndpointFailedError(
+                f"{endpoint.name}: the answer says neither its length nor chunked"
+            )
+        chunks, size = [], 0
+        async for chunk in resp.content.iter_any():
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > self._max:
+                resp.close()
+                raise EndpointFailedError(
+                    f"{endpoint.name}: answer over {self._max} B", ran="yes"
+                )
+        return b"".join(chunks)
+
     async def close(self) -> None:
         """Close all connections."""
         await self._session.close()
 
 
-def _exchange(resp: Any, body: bytes) -> Exchange:
-    headers = tuple(
-        (k, v) for k, v in resp.headers.items() if k.lower() not in HOP_HEADERS
-    )
-    return Exchange(resp.status, headers, body, "X-Leaving" in resp.headers)
+def end_to_end(headers: Mapping[str, str]) -> CIMultiDict[str]:
+    """Return the headers that may pass on, repeated ones as often as they came.
+
+    Besides the well-known ones, those that the Connection header names belong
+    to one connection.
+    """
+    named = headers.get("Connection") or headers.get("connection") or ""
+    dropped = HOP_HEADERS | {n.strip().lower() for n in named.split(",")}
+    return CIMultiDict((k, v) for k, v in headers.items() if k.lower() not in dropped)
+
+
+def _exchange(method: str, resp: aiohttp.ClientResponse, body: bytes) -> Exchange:
+    headers = end_to_end(resp.headers)
+    length = resp.headers.get("Content-Length")
+    if length is not None and (method == "HEAD" or resp.status in _BODILESS):
+        # It tells the length of the body that a GET would have got.
+        headers["Content-Length"] = length
+    pairs = tuple(headers.items())
+    return Exchange(resp.status, pairs, body, "X-Leaving" in resp.headers)
 
 
 def http_platform(
--- a/src/firhook/roles/_gateway.py
+++ b/src/firhook/roles/_gateway.py
@@ -1,74 +1,66 @@
 """The gateway: callers' requests to the runners of services."""
 
 import asyncio
-import hashlib
+import contextlib
+import random
 from typing import Any
 
 import attrs
 from aiohttp import web
+from mode import Service
 
-from firhook._web import principal, problem_response, serve
-from firhook.decide.queue import FairQueue, Waiting
-from firhook.decide.route import Router, RunnerView
+from firhook._calls import Call, read_call, whole_response
+from firhook._web import problem_response, serve
+from firhook.decide.admit import Dispatcher, Placed, QueueLimits, expected_item
+from firhook.decide.parts import FleetUse
+from firhook.decide.retry import may_resend
 from firhook.errors import (
-    DeadlineUnmeetableError,
+    CallerGoneError,
     EndpointFailedError,
     EndpointTimeoutError,
     FirhookError,
     NoEndpointError,
-    NotPermittedError,
-    OverloadedError,
-    RequestMalformedError,
     StoppingError,
-    TeamQueueFullError,
-)
-from firhook.events import (
-    InstancesListed,
-    PeerMessage,
-    RoomChanged,
-    RoomWanted,
 )
+from firhook.events import InstancesListed, PeerMessage, RoomChanged, RoomWanted
 from firhook.kernel import Role, register_role
 from firhook.logs import log
-from firhook.model import Gossip
+from firhook.model import Endpoint, Gossip
 from firhook.platform import Exchange
 from firhook.queries import OnceBegin, OnceFinish, OnceGiveBack, OnceSending
 
-IDEMPOTENT = frozenset(("GET", "HEAD", "OPTIONS", "PUT", "DELETE"))
-CLASSES = ("interactive", "standard", "bulk")
-MAX_TRIES = 3
+#: How often waiting requests are looked through for those to give up.
+_TICK_S = 0.05
+#: Slot seconds served lose half their weight in so many seconds: long enough
+#: to even out single requests, short enough that a team which was idle over
+#: lunch is not paid back for it.
+_SERVED_HALF_S = 5.0
+#: A request cut by its runner's end or by its timeout.
+_SEND_ERRORS = (NoEndpointError, EndpointFailedError)
 
 
 @attrs.define(slots=True, eq=False)
-class Call:
-    """A caller's request on its way through the gateway."""
-
-    rid: str
-    team: str
-    service: str
-    method: str
-    path: str
-    headers: dict[str, str]
-    body: bytes
-    klass: str
-    arrived: float
-    deadline: float
-
-    @property
-    def idempotent(self) -> bool:
-        """Whether running it twice does no harm."""
-        return self.method in IDEMPOTENT
+class _Heard:
+    """A peer's latest word."""
+
+    at: float
+    gossip: Gossip
 
 
 @register_role("gateway")
 class Gateway(Role):
-    """Admits, queues, routes and answers requests."""
+    """Admits, queues, routes and answers requests; decide/ says how."""
 
     def wire(self) -> None:
         """Offer the callers' routes."""
-        self._router = Router(self.cfg.zone)
-        self._queues: dict[str, FairQueue] = {}
-        self._in_flight = 0
+        self._services: dict[str, Dispatcher] = {}
+        self._entries: set[str] = {self.cfg.name}
+        self._heard: dict[str, _Heard] = {}
+        self._callers = 0
+        self._late: set[asyncio.Task[Any]] = set()
+        self._served_s: dict[str, float] = {}
+        self._ticked = self.kernel.clock()
+        self._balanced = -1e9
         self._runner: Any = None
         self._site: Any = None
         self.stats = self.kernel.stats
@@ -78,7 +70,6 @@
         self.bus.subscribe(InstancesListed, self._on_instances)
         self.bus.subscribe(RoomChanged, lambda event: self._pump())
         self.bus.subscribe(PeerMessage, self._on_peer)
-        self._peer_loads: dict[str, Gossip] = {}
 
     async def on_started(self) -> None:
         """Listen for callers."""
@@ -98,8 +89,21 @@
         if self._site is not None:
             await self._site.stop()
         deadline = self.kernel.clock() + self.cfg.drain_max_s
-        while self._in_flight and self.kernel.clock() < deadline:
+        while self._callers and self.kernel.clock() < deadline:
             await asyncio.sleep(0.02)
+        self._refuse_waiting()
+        if self._late:
+            # A keyed request's outcome is worth storing though its caller has
+            # been told that it is unknown: the repeat will ask for it.
+            left_s = max(deadline - self.kernel.clock(), 0.1)
+            await asyncio.wait(self._late, timeout=left_s)
+
+    def _refuse_waiting(self) -> None:
+        for service in self._services.values():
+            for item in list(service.queue):
+                service.queue.remove(item)
+                exc = StoppingError("the instance is stopping", retry_after_s=0.0)
+                _refuse(item.token.fut, exc)
 
     async def on_stop(self) -> None:
         """Close what is left."""
@@ -110,216 +114,298 @@
     # -- from a caller to a runner and back ------------------------------
 
     async def _handle(self, req: web.Request) -> web.StreamResponse:
-        self._in_flight += 1
+        self._callers += 1
         try:
-            call = await self._read_call(req)
-            answer = await self._answer(call, req.headers.get("Idempotency-Key"))
-            resp = web.Response(status=answer.status, body=answer.body)
-            for name, value in answer.headers:
-                resp.headers.add(name, value)
-            if self.kernel.stopping:
-                resp.force_close()
-            return resp
+            call = await read_call(
+                self.bus, req, self.kernel.clock(), self.cfg.default_deadline_s
+            )
+            answer = await self._answer(call)
+            return whole_response(answer, self.kernel.stopping)
         except FirhookError as exc:
             self.stats.refused(exc.code)
-            resp = problem_response(exc, req["request_id"])
             log("request.refused", code=exc.code, request_id=req["request_id"])
+            resp = problem_response(exc, req["request_id"])
+            if self.kernel.stopping:
+                resp.force_close()
             return resp
         finally:
-            self._in_flight -= 1
+            self._callers -= 1
 
-    async def _read_call(self, req: web.Request) -> Call:
-        now = self.kernel.clock()
-        who = await principal(self.bus, req)
-        if who.operator:
-            raise NotPermittedError("an operator's key runs no requests")
-        klass = req.headers.get("X-Class", "standard")
-        if klass not in CLASSES:
-            raise RequestMalformedError(f"X-Class = {klass!r}: give one of {CLASSES}")
-        return Call(
-            rid=req["request_id"],
-            team=who.team,
-            service=req.match_info["service"],
-            method=req.method,
-            path="/"
-            + req.match_info["path"]
-            + (f"?{req.query_string}" if req.query_string else ""),
-            headers={
-                k: v for k, v in req.headers.items() if k.lower() != "authorization"
-            },
-            body=await req.read(),
-            klass=klass,
-            arrived=now,
-            deadline=now + self._deadline_s(req.headers.get("X-Deadline-Ms")),
-        )
-
-    def _deadline_s(self, header: str | None) -> float:
-        if header is None:
-            return self.cfg.default_deadline_s
-        if not header.isascii() or not header.isdigit() or int(header) < 1:
-            raise RequestMalformedError(
-                f"X-Deadline-Ms = {header!r}: give whole ms above 0"
-            )
-        return min(int(header) / 1000, self.cfg.default_deadline_s)
-
-    async def _answer(self, call: Call, once_key: str | None) -> Exchange:
-        if once_key is None or call.idempotent:
+    async def _answer(self, call: Call) -> Exchange:
+        if not call.once_key:
             return await self._run(call)
-        if not 1 <= len(once_key) <= 255 or not once_key.isprintable():
-            raise RequestMalformedError(
-                "Idempotency-Key: give 1 to 255 printable characters"
-            )
-        return await self._run_once(call, once_key)
+        key, body = call.once_digests()
+        known = await self.bus.ask(OnceBegin(key, call.team, body))
+        if known is not None:
+            return known
+        try:
+            answer = await self._run(call, key)
+        except FirhookError as exc:
+            if exc.ran == "no":
+                await self.bus.ask(OnceGiveBack(key))
+            raise
+        await self.bus.ask(OnceFinish(key, answer))
+        return answer
 
     async def _run(self, call: Call, once_key: str = "") -> Exchange:
         """Queue, send and, where that is safe, try again."""
+        service = self._service(call.service)
         tried: list[str] = []
+        may_have_run = False
         while True:
-            view = await self._wait_for_slot(call, tried)
-            started = self.kernel.clock()
-            latency: float | None = None
-            if once_key:
-                self.bus.publish(OnceSending(once_key))
             try:
-                answer = await self.platform.endpoints.send(
-                    view.endpoint,
-                    call.method,
-                    call.path,
-                    call.headers,
-                    call.body,
-                    call.deadline - started,
-                )
-                latency = self.kernel.clock() - started
-                if answer.leaving:
-                    view.leaving = True
-                    self.kernel.load.leaving.add(view.endpoint.name)
-                self.stats.answered(
-                    call.team, call.klass, started - call.arrived, latency
-                )
-                return answer
-            except (NoEndpointError, EndpointFailedError) as exc:
-                tried.append(view.endpoint.name)
-                never_sent = isinstance(exc, NoEndpointError)
-                if not (call.idempotent or never_sent) or len(tried) >= MAX_TRIES:
-                    raise
-            except EndpointTimeoutError:
-                latency = self.kernel.clock() - started
+                placed = await self._wait_for_slot(service, call, tried)
+                return await self._send(service, call, placed, once_key)
+            except FirhookError as exc:
+                # Whatever a later try met, an earlier one may have been run,
+                # and the caller must not be told that it was not.
+                may_have_run = may_have_run or exc.ran != "no"
+                cut = isinstance(exc, _SEND_ERRORS) and len(tried) > 0
+                again = cut and may_resend(call.idempotent, exc.ran, len(tried))
+                if again and service.budget.take():
+                    continue
+                if may_have_run:
+                    exc.ran = "unknown"
                 raise
-            finally:
-                self._slot_done(call, view, latency)
-
-    async def _wait_for_slot(self, call: Call, tried: list[str]) -> RunnerView:
-        queue = self._queues.setdefault(call.service, FairQueue())
-        if self.kernel.stopping and not self._runner:
-            raise StoppingError("the instance is stopping", retry_after_s=0.0)
-        if sum(map(len, self._queues.values())) >= self.cfg.max_waiting:
-            raise OverloadedError("too many requests wait", retry_after_s=1.0)
-        if queue.waiting(call.team) >= self.cfg.max_waiting_per_team:
-            raise TeamQueueFullError("too many of the team wait", retry_after_s=1.0)
-        fut: asyncio.Future[RunnerView] = asyncio.get_running_loop().create_future()
-        item = Waiting(call.team, call.klass, call.arrived, call.deadline, (fut, tried))
-        queue.push(item)
-        self._note_waiting()
+
+    def _service(self, name: str) -> Dispatcher:
+        service = self._services.get(name)
+        if service is None:
+            raise NoEndpointError(
+                f"no runner of {name[:64]!r} is listed",
+                retry_after_s=self.cfg.list_poll_s,
+            )
+        return service
+
+    async def _wait_for_slot(
+        self, service: Dispatcher, call: Call, tried: list[str]
+    ) -> Placed:
+        now = self.kernel.clock()
+        waiter = _Waiter(call, asyncio.get_running_loop().create_future())
+        item = expected_item(
+            service.times, call.kind, call.team, call.klass, now, call.deadline, waiter
+        )
+        item.tried = list(tried)
+        service.admit(item, now, random.random())
         self._pump()
+        placed = await waiter.fut
+        tried.append(placed.view.key)
+        return placed
+
+    async def _send(
+        self, service: Dispatcher, call: Call, placed: Placed, once_key: str
+    ) -> Exchange:
+        """Send a request, and wait for its answer until the deadline.
+
+        A runner goes on with a request whose caller has given up.  The
+        exchange therefore goes on as well, counted against the runner's slots
+        and the team's limit, until its end is known or it has lasted
+        ``default_deadline_s``.
+        """
+        exchange = asyncio.create_task(self._exchange(service, call, placed, once_key))
+        left_s = max(call.deadline - self.kernel.clock(), 0.0)
+        done, _ = await asyncio.wait({exchange}, timeout=left_s)
+        if done:
+            return exchange.result()
+        late = asyncio.create_task(self._finish_late(exchange, once_key))
+        self._late.add(late)
+        late.add_done_callback(self._late.discard)
+        raise EndpointTimeoutError(
+            f"{placed.view.endpoint.name}: no answer in time",
+            retry_after_s=1.0,
+        )
+
+    async def _finish_late(
+        self, exchange: "asyncio.Task[Exchange]", once_key: str
+    ) -> None:
+        with contextlib.suppress(FirhookError):
+            answer = await exchange
+            if once_key:
+                await self.bus.ask(OnceFinish(once_key, answer))
+
+    async def _exchange(
+        self, service: Dispatcher, call: Call, placed: Placed, once_key: str
+    ) -> Exchange:
+        if once_key:
+            self.bus.publish(OnceSending(once_key))
+        view = placed.view
         try:
-            return await asyncio.wait_for(fut, call.deadline - self.kernel.clock())
-        except TimeoutError as exc:
-            raise DeadlineUnmeetableError(
-                "no slot came free in time", retry_after_s=1.0
-            ) from exc
+            answer = await self.platform.endpoints.send(
+                view.endpoint,
+                call.method,
+                call.path,
+                call.headers,
+                call.body,
+                self.cfg.default_deadline_s,
+            )
+        except FirhookError:
+            service.router.failed(view, self.kernel.clock())
+            raise
+        else:
+            self._learn(service, call, placed, answer)
+            return answer
         finally:
-            if not fut.done() or fut.cancelled():
-                queue.remove(item)
-            self._note_waiting()
+            service.end(placed, self.kernel.clock())
+            self._pump()
 
-    def _note_waiting(self) -> None:
-        counts: dict[str, int] = {}
-        for queue in self._queues.values():
-            for team in queue.teams():
-                counts[team] = counts.get(team, 0) + queue.waiting(team)
-        self.kernel.load.waiting = counts
+    def _learn(
+        self, service: Dispatcher, call: Call, placed: Placed, answer: Exchange
+    ) -> None:
+        now = self.kernel.clock()
+        took_s = now - placed.started
+        view = placed.view
+        if answer.leaving:
+            view.leaving = True
+            self.kernel.load.leaving.add(view.key)
+        expected_s = service.times.expect(call.kind)
+        service.router.answered(view, took_s, expected_s, now)
+        service.times.learn(call.kind, took_s)
+        service.budget.answered()
+        self.stats.answered(
+            call.team, call.klass, placed.started - call.arrived, took_s
+        )
+
+    # -- the queue ---------------------------------------------------------
 
     def _pump(self) -> None:
         """Give free slots to waiting requests."""
-        account = self.kernel.account
-        shares = {
-            team: self.states.config.plan_of(team).share  # type: ignore[union-attr]
-            for team in self.states.config.teams
-        }
-        for service, queue in self._queues.items():
-            blocked: set[str] = set()
-            while len(queue):
-                view = self._router.pick(service)
-                if view is None:
-                    break
-                item = queue.pop(shares, blocked)
-                while item is not None and not account.take(item.team):
-                    blocked.add(item.team)
-                    queue.push(item)
-                    self._want_room(item.team)
-                    item = queue.pop(shares, blocked)
-                if item is None:
-                    self._router.done(view, None)
-                    break
-                fut, _ = item.token
-                if fut.done():
-                    account.give_back(item.team)
-                    self._router.done(view, None)
-                    continue
-                fut.set_result(view)
-        self._note_in_flight()
-
-    def _want_room(self, team: str) -> None:
-        waiting = sum(q.waiting(team) for q in self._queues.values())
-        running = self.kernel.account.running.get(team, 0)
-        self.bus.publish(RoomWanted(team, running + waiting))
-
-    def _slot_done(self, call: Call, view: RunnerView, latency: float | None) -> None:
-        self._router.done(view, latency)
-        self.kernel.account.give_back(call.team)
+        now = self.kernel.clock()
+        for service in self._services.values():
+            while (placed := service.take(now)) is not None:
+                waiter = placed.item.token
+                if waiter.call.gone or waiter.fut.done():
+                    service.end(placed, now)
+                    _refuse(waiter.fut, CallerGoneError("its turn had come"))
+                else:
+                    waiter.fut.set_result(placed)
+            for team in service.roomless():
+                running = self.kernel.account.running.get(team, 0)
+                wanted = running + service.queue.waiting(team)
+                self.bus.publish(RoomWanted(team, wanted))
+
+    @Service.task
+    async def _tick_loop(self) -> None:
+        while not self.should_stop:
+            self._tick(self.kernel.clock())
+            await self.sleep(_TICK_S)
+
+    def _tick(self, now: float) -> None:
+        for service in self._services.values():
+            for item in list(service.queue):
+                if item.token.call.gone:
+                    service.queue.remove(item)
+                    _refuse(item.token.fut, CallerGoneError("it was waiting"))
+            for given_up in service.sweep(now, random.random()):
+                _refuse(given_up.item.token.fut, given_up.exc)
+        self._note_load(now)
+        if now - self._balanced >= self.cfg.gossip_s:
+            self._rebalance(now)
         self._pump()
 
-    def _note_in_flight(self) -> None:
-        self.kernel.load.in_flight = {
-            name: v.in_flight for name, v in self._router.views.items() if v.in_flight
+    def _note_load(self, now: float) -> None:
+        """Fill in what the peers are told."""
+        passed_s, self._ticked = now - self._ticked, now
+        fade = 0.5 ** (passed_s / _SERVED_HALF_S)
+        running = self.kernel.account.running
+        for team in {*self._served_s, *running}:
+            served = self._served_s.get(team, 0.0) * fade
+            self._served_s[team] = served + running.get(team, 0) * passed_s
+            if self._served_s[team] < 1e-3:
+                del self._served_s[team]
+        load = self.kernel.load
+        load.served_s = dict(self._served_s)
+        load.waiting = {}
+        load.in_flight = {}
+        for service in self._services.values():
+            load.in_flight.update(service.router.in_flight())
+            for team in service.queue.teams():
+                n = service.queue.waiting(team)
+                load.waiting[team] = load.waiting.get(team, 0) + n
+        known = {k for s in self._services.values() for k in s.router.views}
+        load.leaving &= known
+
+    # -- what is known of the fleet ----------------------------------------
+
+    def _rebalance(self, now: float) -> None:
+        self._balanced = now
+        use = self._fleet_use(now)
+        config = self.states.config
+        shares = {
+            t: config.plans[entry.plan].share for t, entry in config.teams.items()
         }
-
-    # -- non-idempotent requests, at most once ---------------------------
-
-    async def _run_once(self, call: Call, once_key: str) -> Exchange:
-        key = _digest(call.team, once_key)
-        body = _digest(call.method, call.service, call.path, call.body.hex())
-        known = await self.bus.ask(OnceBegin(key, call.team, body))
-        if known is not None:
-            return known
-        try:
-            answer = await self._run(call, key)
-        except FirhookError as exc:
-            if exc.ran == "no":
-                await self.bus.ask(OnceGiveBack(key))
-            raise
-        await self.bus.ask(OnceFinish(key, answer))
-        return answer
-
-    # -- what is known of the runners ------------------------------------
+        for service in self._services.values():
+            service.rebalance(use, shares, now)
+
+    def _fleet_use(self, now: float) -> FleetUse:
+        account, load = self.kernel.account, self.kernel.load
+        mine = {
+            team: float(account.running.get(team, 0) + load.waiting.get(team, 0))
+            for team in {*account.running, *load.waiting}
+        }
+        # Listed instances that were not heard may be serving all the same, cut
+        # off from here; they keep the least part.
+        demand: dict[str, dict[str, float]] = {name: {} for name in self._entries}
+        demand[self.cfg.name] = mine
+        served = dict(load.served_s)
+        for name, heard in self._live_peers(now).items():
+            demand[name] = {t.team: float(t.running + t.waiting) for t in heard.teams}
+            for use in heard.teams:
+                served[use.team] = served.get(use.team, 0.0) + use.served_s
+        return FleetUse(demand, served)
+
+    def _live_peers(self, now: float) -> dict[str, Gossip]:
+        old = now - self.cfg.member_timeout_s
+        return {n: h.gossip for n, h in self._heard.items() if h.at >= old}
 
     def _on_instances(self, event: InstancesListed) -> None:
-        self._router.update([e for e in event.instances if e.kind == "runner"])
+        now = self.kernel.clock()
+        listed: dict[str, list[Endpoint]] = {name: [] for name in self._services}
+        for endpoint in event.instances:
+            if endpoint.kind == "runner":
+                listed.setdefault(endpoint.service, []).append(endpoint)
+        self._entries = {e.name for e in event.instances if e.kind == "entry"}
+        self._heard = {n: h for n, h in self._heard.items() if n in self._entries}
+        for name, endpoints in listed.items():
+            if name not in self._services:
+                self._services[name] = self._new_service()
+            self._services[name].update(endpoints, now)
+            if not endpoints and not self._services[name].running:
+                self._drop_service(name)
+        self._rebalance(now)
         self._pump()
 
+    def _new_service(self) -> Dispatcher:
+        limits = QueueLimits(self.cfg.max_waiting, self.cfg.max_waiting_per_team)
+        return Dispatcher(self.cfg.name, self.cfg.zone, self.kernel.account, limits)
+
+    def _drop_service(self, name: str) -> None:
+        service = self._services[name]
+        if not len(service.queue):
+            del self._services[name]
+
     def _on_peer(self, event: PeerMessage) -> None:
         if not isinstance(event.body, Gossip):
             return
-        self._peer_loads[event.peer] = event.body
+        now = self.kernel.clock()
+        self._heard[event.peer] = _Heard(now, event.body)
         counts: dict[str, int] = {}
-        for gossip in self._peer_loads.values():
+        for gossip in self._live_peers(now).values():
             for load in gossip.runners:
                 counts[load.runner] = counts.get(load.runner, 0) + load.in_flight
-                if load.leaving and load.runner in self._router.views:
-                    self._router.views[load.runner].leaving = True
-        self._router.set_elsewhere(counts)
+        leaving = [load.runner for load in event.body.runners if load.leaving]
+        for service in self._services.values():
+            service.router.set_elsewhere(counts)
+            service.router.set_leaving(leaving)
+
+
+@attrs.define(slots=True, eq=False)
+class _Waiter:
+    """The caller's side of a queued request."""
+
+    call: Call
+    fut: "asyncio.Future[Placed]"
 
 
-def _digest(*parts: str) -> str:
-    joined = "\0".join(parts)
-    return hashlib.sha256(joined.encode()).hexdigest()
+def _refuse(fut: "asyncio.Future[Placed]", exc: FirhookError) -> None:
+    if not fut.done():
+        fut.set_exception(exc)
--- a/src/firhook/roles/_members.py
+++ b/src/firhook/roles/_members.py
@@ -130,6 +130,7 @@
         assert self._mesh is not None
         config = self.states.config
         account = self.kernel.account
+        load = self.kernel.load
         msg = Gossip(
             instance=self.cfg.name,
             zone=self.cfg.zone,
@@ -141,12 +142,17 @@
             stopping=self.kernel.stopping,
             withdrawn=tuple(list(config.withdrawn)[-20:]),
             teams=tuple(
-                TeamUse(team, n, self.kernel.load.waiting.get(team, 0), 0.0)
-                for team, n in account.running.items()
+                TeamUse(
+                    team,
+                    account.running.get(team, 0),
+                    load.waiting.get(team, 0),
+                    round(load.served_s.get(team, 0.0), 3),
+                )
+                for team in sorted({*account.running, *load.waiting, *load.served_s})
             ),
             runners=tuple(
-                RunnerLoad(name, n, name in self.kernel.load.leaving)
-                for name, n in self.kernel.load.in_flight.items()
+                RunnerLoad(key, load.in_flight.get(key, 0), key in load.leaving)
+                for key in sorted({*load.in_flight, *load.leaving})
             ),
         )
         for address in self._mesh.addresses:
