--- a/src/firhook/roles/_members.py
+++ b/src/firhook/roles/_members.py
@@ -130,7 +130,8 @@
     async def _gossip_once(self) -> None:
         assert self._mesh is not None
         config = self.states.config
-        account, load = self.kernel.account, self.kernel.load
+        account = self.kernel.account
+        load = self.kernel.load
         msg = Gossip(
             instance=self.cfg.name,
             zone=self.cfg.zone,
@@ -142,14 +143,17 @@
             stopping=self.kernel.stopping,
             withdrawn=tuple(list(config.withdrawn)[-20:]),
             teams=tuple(
-                TeamUse(team, n, load.waiting.get(team, 0), 0.0)
-                for team, n in account.running.items()
+                TeamUse(
+                    team,
+                    account.running.get(team, 0),
+                    load.waiting.get(team, 0),
+                    round(load.served_s.get(team, 0.0), 3),
+                )
+                for team in sorted({*account.running, *load.waiting, *load.served_s})
             ),
             runners=tuple(
-                RunnerLoad(
-                    name, load.in_flight.get(name, 0), leaving=name in load.leaving
-                )
-                for name in sorted(load.in_flight.keys() | load.leaving)
+                RunnerLoad(key, load.in_flight.get(key, 0), key in load.leaving)
+                for key in sorted({*load.in_flight, *load.leaving})
             ),
         )
         for address in self._mesh.addresses:
