--- /dev/null
+++ b/bench/journal.py
@@ -0,0 +1,213 @@
+"""Cost of the journal: appends, bytes, snapshots, rebuilds and changes."""
+
+import asyncio
+import time
+import tracemalloc
+from collections.abc import Iterable
+from typing import Any
+
+from bench._registry import measure
+from firhook.model import (
+    Envelope,
+    KeyGiven,
+    OnceClaimed,
+    OnceDone,
+    Row,
+    RowsChanged,
+    SnapshotChunk,
+    decode_envelope,
+    encode_envelope,
+)
+from firhook.state import ConfigState, OnceState, Rebuild, StreamState, split_snapshot
+from standins.cluster import Cluster
+
+PLANS = "[small]\nshare = 1\nlimit = 40\n"
+TEAMS = "[lisboa]\nplan = small\n"
+IDLE_S = 20.0
+LOAD_S = 10.0
+CALLERS = 8
+
+
+def filled_config(teams: int, changes: int) -> tuple[ConfigState, list[bytes], float]:
+    """Return lists with keys, their records, and the time to apply them."""
+    bodies: list[Any] = [
+        Row("plans", f"plan{i}", {"share": "1", "limit": "40"}) for i in range(6)
+    ]
+    first = [
+        Row("teams", f"team{i:03}", {"plan": f"plan{i % 6}"}) for i in range(teams)
+    ]
+    records: list[Any] = [RowsChanged(0, tuple(bodies + first), "root")]
+    records += [
+        KeyGiven(f"{i:012x}", f"team{i % teams:03}", f"{i:064x}")
+        for i in range(3 * teams)
+    ]
+    for i in range(changes):
+        row = Row("teams", f"team{i % teams:03}", {"plan": f"plan{(i + 1) % 6}"})
+        records.append(RowsChanged(i + 1, (row,), "root"))
+    payloads = [
+        encode_envelope(Envelope(f"entry{i % 9}#0a1b2c3d", i + 1, body))
+        for i, body in enumerate(records)
+    ]
+    state = ConfigState()
+    return state, payloads, replay(state, payloads)
+
+
+def filled_once(claims: int) -> tuple[OnceState, list[bytes], float]:
+    """Return finished claims with answers of 200 B, their records and the time."""
+    payloads = []
+    for i in range(claims):
+        holder = f"entry{i % 9}#0a1b2c3d"
+        claim = OnceClaimed(f"{i:064x}", "team001", f"{i:064x}", holder, i)
+        done = OnceDone(claim.key, 200, "application/json", "x" * 268, True, holder, i)
+        payloads += [
+            encode_envelope(Envelope(holder, 2 * i + n, body))
+            for n, body in ((1, claim), (2, done))
+        ]
+    state = OnceState()
+    return state, payloads, replay(state, payloads)
+
+
+def replay(state: StreamState, payloads: list[bytes]) -> float:
+    """Apply records and return the seconds it took."""
+    started = time.perf_counter()
+    for offset, payload in enumerate(payloads):
+        state.apply(offset, decode_envelope(payload))
+    return time.perf_counter() - started
+
+
+def memory_bytes(payloads: list[bytes]) -> int:
+    """Return the bytes that a state of claims takes in memory."""
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    state = OnceState()
+    replay(state, payloads)
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return after - before
+
+
+def rebuild_s(state: StreamState, fresh: StreamState) -> tuple[int, int, float]:
+    """Return a snapshot's bytes and chunks, and the seconds to rebuild from it."""
+    chunks = split_snapshot(state.next_offset, state.to_text())
+    payloads = [
+        encode_envelope(Envelope("entry1#0a1b2c3d", 10**6 + i, chunk))
+        for i, chunk in enumerate(chunks)
+    ]
+    started = time.perf_counter()
+    rebuild = Rebuild(state.next_offset)
+    for payload in payloads:
+        envelope = decode_envelope(payload)
+        assert isinstance(envelope.body, SnapshotChunk)
+        snapshot = rebuild.add(envelope.lane, envelope.body)
+    assert snapshot is not None
+    fresh.from_text(snapshot.upto, snapshot.text)
+    took = time.perf_counter() - started
+    assert fresh.to_text() == state.to_text()
+    return sum(map(len, payloads)), len(chunks), took
+
+
+@measure("snapshots")
+def snapshots() -> Iterable[dict[str, Any]]:
+    """Yield sizes of snapshots and times of rebuilds, in process."""
+    for teams in (6, 24, 120):
+        state, payloads, applied_s = filled_config(teams, 3400)
+        size, parts, took = rebuild_s(state, ConfigState())
+        yield {
+            "stream": "config",
+            "teams": teams,
+            "keys": 3 * teams,
+            "snapshot_bytes": size,
+            "chunks": parts,
+            "rebuild_ms": round(took * 1000, 2),
+            "records": len(payloads),
+            "record_bytes": sum(map(len, payloads)),
+            "apply_us_per_record": round(applied_s / len(payloads) * 1e6, 1),
+        }
+    for claims in (1000, 4900, OnceState.MAX_ENTRIES):
+        once, payloads, applied_s = filled_once(claims)
+        size, parts, took = rebuild_s(once, OnceState())
+        yield {
+            "stream": "once",
+            "claims": claims,
+            "snapshot_bytes": size,
+            "chunks": parts,
+            "rebuild_ms": round(took * 1000, 2),
+            "record_bytes": sum(map(len, payloads)),
+            "apply_us_per_record": round(applied_s / len(payloads) * 1e6, 1),
+            "memory_bytes": memory_bytes(payloads),
+        }
+
+
+@measure("journal")
+def journal() -> Iterable[dict[str, Any]]:
+    """Yield appends and bytes of a small cell, idle and with keyed charges."""
+    return asyncio.run(_journal())
+
+
+async def _log(cluster: Cluster) -> tuple[int, int]:
+    counted = await cluster.admin("/admin/faults", {})
+    return counted["appends"], counted["bytes"]
+
+
+async def _journal() -> list[dict[str, Any]]:
+    zones = ("ikeja", "lekki")
+    async with Cluster(zones) as cluster:
+        for zone in zones:
+            await cluster.add_runner(f"runner-{zone}", zone, "quotes")
+        entries = [await cluster.add_entry(f"e{i}", zones[i % 2]) for i in range(4)]
+        await cluster.wait_ready(*entries)
+        body = {"base": 0, "plans": PLANS, "teams": TEAMS}
+        await cluster.call(entries[0], "POST", "/v1/config", json=body)
+        status, given = await cluster.call(
+            entries[0], "POST", "/v1/keys", json={"team": "lisboa"}
+        )
+        assert status == 201
+        await asyncio.sleep(2)
+        idle = await _rates(cluster, asyncio.sleep(IDLE_S))
+        done: list[int] = []
+        charges = asyncio.gather(
+            *(_charge(cluster, entries, given["key"], n, done) for n in range(CALLERS))
+        )
+        loaded = await _rates(cluster, charges)
+    return [
+        {"load": "idle", "instances": len(entries), **idle},
+        {
+            "load": "keyed charges",
+            "instances": len(entries),
+            "charges_per_s": round(done.count(200) / LOAD_S, 1),
+            "refused": len(done) - done.count(200),
+            "appends_per_charge": round(
+                loaded["appends_per_s"] * LOAD_S / max(done.count(200), 1), 2
+            ),
+            **loaded,
+        },
+    ]
+
+
+async def _rates(cluster: Cluster, work: Any) -> dict[str, Any]:
+    started, (appends, size) = time.monotonic(), await _log(cluster)
+    await work
+    took = time.monotonic() - started
+    appends_after, size_after = await _log(cluster)
+    return {
+        "appends_per_s": round((appends_after - appends) / took, 2),
+        "appended_bytes_per_s": round((size_after - size) / took, 1),
+    }
+
+
+async def _charge(
+    cluster: Cluster, entries: list[Any], key: str, caller: int, done: list[int]
+) -> None:
+    end = time.monotonic() + LOAD_S
+    count = 0
+    while time.monotonic() < end:
+        count += 1
+        status, _ = await cluster.call(
+            entries[(caller + count) % len(entries)],
+            "POST",
+            "/r/quotes/charges",
+            key=key,
+            headers={"Idempotency-Key": f"{caller}-{count}"},
+            data="x",
+        )
+        done.append(status)
--- a/src/firhook/decide/_carry.py
+++ b/src/firhook/decide/_carry.py
@@ -4,6 +4,10 @@
 
 #: How much longer than the zone before it each zone waits for a snapshot.
 RANK_STEP = 0.25
+#: Records for each further chunk that the last snapshot had.  A chunk is as
+#: long as some 150 records of claims, so that at any rate of claims the
+#: snapshots take no more of the log than the claims themselves.
+RECORDS_PER_CHUNK = 200
 #: An instance that has just started does not know when the last snapshot was
 #: made, and counts it as this share of the interval old.
 START_AGE = 0.75
@@ -29,8 +33,8 @@
 
     :param records: records since the last complete snapshot's offset.
     :param age_s: seconds since a complete snapshot was last read.
-    :param parts: chunks that the last snapshot had.  They are records, too:
-        a snapshot of many must not by itself make the next one due.
+    :param parts: chunks that the last snapshot had.
     """
     patience = 1 + RANK_STEP * rank
-    return records >= max(every, 4 * parts) * patience or age_s >= every_s * patience
+    enough = max(every, RECORDS_PER_CHUNK * (parts - 1))
+    return records >= enough * patience or age_s >= every_s * patience
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -47,6 +47,7 @@
         self.instances: dict[str, tuple[float, dict[str, Any]]] = {}
         self.listed: dict[str, dict[str, Any]] = {}
         self.appends = 0
+        self.bytes = 0
         # Where a zone reaches another zone's instances through a link of its
         # own, the list that it reads names the link.
         self.seen_from: dict[str, dict[str, str]] = {}
@@ -71,6 +72,7 @@
             stream.trim(self.faults["retain"])
             stream.grown.notify_all()
         self.appends += 1
+        self.bytes += sum(map(len, records))
         if fault == "lose-answers" and req.transport is not None:
             req.transport.abort()
         return web.json_response({"first": first})
@@ -133,7 +135,9 @@
         for stream in self.streams.values():
             stream.trim(self.faults["retain"])
         ends = {name: s.end for name, s in self.streams.items()}
-        return web.json_response({"appends": self.appends, "ends": ends})
+        return web.json_response(
+            {"appends": self.appends, "bytes": self.bytes, "ends": ends}
+        )
 
     async def dump(self, req: web.Request) -> web.Response:
         """Return a whole stream, for tests."""
