--- a/src/firhook/_errors.py
+++ b/src/firhook/_errors.py
@@ -300,6 +300,13 @@
     "Nothing needs doing unless this lasts.",
     "unknown",
 )
+NotLeadError = _kind(
+    "NotLeadError",
+    "lead.not_here",
+    503,
+    "This instance cannot lend room now",
+    "The asker finds the zone's lead and asks again by itself.",
+)
 WorkerUnreachableError = _kind(
     "WorkerUnreachableError",
     "worker.unreachable",
--- a/src/firhook/_kernel.py
+++ b/src/firhook/_kernel.py
@@ -107,7 +107,7 @@
         self.lane = f"{cfg.name}#{incarnation}"
         self.bus = Bus()
         self.states = States(cfg.zones, cfg.zone)
-        self.account = Account()
+        self.account = Account(clock)
         self.grants = GrantBook(cfg.grant_ttl_s, cfg.default_deadline_s)
         self.load = Load()
         self.stats = Stats()
--- /dev/null
+++ b/src/firhook/_leadership.py
@@ -0,0 +1,220 @@
+"""This instance's view of its zone's lead, and its own hold on it."""
+
+import asyncio
+import random
+
+from firhook.decide.lead import (
+    LeadTimes,
+    Sight,
+    TakeOver,
+    may_claim,
+    may_lend,
+    silent_until,
+)
+from firhook.decide.lease import HeldLease, SeenLease
+from firhook.events import Append, Lead, LogAge
+from firhook.kernel import Kernel
+from firhook.logs import log
+from firhook.model import LeadClaimed, LeadReleased, LeadRenewed, Verdict
+from firhook.state import LeadState
+
+#: Instances of a zone that see the lead lapse together spread their claims
+#: over this time, so that most read the winner's claim and send none.
+_CLAIM_SPREAD_S = 0.2
+#: A poll of the log may be answered this much later than asked.
+_POLL_SLACK_S = 1.0
+
+
+class Leadership:
+    """Claims, renews and hands back the lead of this instance's zone.
+
+    Nothing here is believed by having been told so: every use of the lead
+    compares the clock at that moment with the lease.  A process that was
+    paused finds the lease lapsed whichever coroutine runs first.
+
+    :param kernel: for settings, states, clock and bus.
+    """
+
+    def __init__(self, kernel: Kernel) -> None:
+        cfg = kernel.cfg
+        self._kernel = kernel
+        self._cfg = cfg
+        self._held = HeldLease()
+        self._hold = HeldLease()
+        self._outage = HeldLease()
+        self._seen = SeenLease()
+        self._seen_offset: int | None = None
+        self._before: TakeOver | None = None
+        self._offered: frozenset[str] = frozenset()
+        self.before_holders = 1
+        self._promises: dict[str, float] = {}
+        self._fenced = 0
+        self.answered_at = float("-inf")
+        self.joining: set[str] = set()
+        self.leaving: set[str] = set()
+        self.wake = asyncio.Event()
+        self.times = LeadTimes(
+            cfg.lead_lease_s,
+            cfg.margin_s,
+            cfg.grant_ttl_s,
+            cfg.default_deadline_s,
+            cfg.lend_outage_s,
+        )
+
+    @property
+    def state(self) -> LeadState:
+        """The zone's lead as the log has it."""
+        return self._kernel.states.cell.leads[self._cfg.zone]
+
+    @property
+    def mine(self) -> bool:
+        """Whether the log names this run of this instance as lead."""
+        lead = self.state
+        return (
+            lead.instance == self._kernel.lane
+            and not lead.released
+            and lead.epoch >= self._fenced
+        )
+
+    def is_held(self, now: float) -> bool:
+        """Return whether the lease by the log is held for certain."""
+        return self.mine and self._held.held(now)
+
+    def may_lend(self, now: float) -> bool:
+        """Return whether room may be lent at this moment."""
+        if not self.mine:
+            return False
+        others = (self._offered | set(self.state.roster)) - {self._kernel.lane}
+        promises = [self._promises.get(o, float("-inf")) for o in others]
+        return may_lend(self._held.until, self._outage.until, promises, now)
+
+    def view(self, now: float) -> Lead:
+        """Return the lead for other roles."""
+        lead = self.state
+        left = self._hold.until - now if self.mine else float("-inf")
+        return Lead(lead.epoch, lead.instance, self.is_held(now), left)
+
+    def promised(self, holder: str, stamp: float) -> None:
+        """Note a promise that a holder gave after this lead made a stamp."""
+        until = stamp + self.times.ttl_s
+        self._promises[holder] = max(self._promises.get(holder, until), until)
+
+    def fence(self, epoch: int) -> None:
+        """Follow no lead of an older epoch from now on, this one included."""
+        self._fenced = max(self._fenced, epoch)
+        if self.state.epoch < epoch:
+            self.void()
+
+    def void(self) -> None:
+        """Forget everything believed held until the log confirms it again."""
+        self._held.void()
+        self._hold.void()
+        self._outage.void()
+
+    def stalled(self) -> None:
+        """Void the lease by the log after a stall of the event loop."""
+        self._held.void()
+
+    def look(self, now: float) -> None:
+        """Note when the lead's latest record was read.
+
+        A lead that was renewed before this instance had read anything counts
+        as renewed when it was first seen here, also after a snapshot.
+        """
+        if self.state.offset != self._seen_offset:
+            self._seen_offset = self.state.offset
+            self._seen.read_at = now
+
+    def silent_until(self, answered: frozenset[str], now: float) -> float:
+        """Return when what silent holders have has certainly ended."""
+        if self._before is None:
+            return now + self.times.outage_s
+        seen = self._before
+        return silent_until(
+            TakeOver(seen.released, seen.roster, seen.me, answered, seen.lead_read_at),
+            self.times,
+            now,
+        )
+
+    async def step(self, roster: frozenset[str], holders: int) -> None:
+        """Renew or claim the lead if it is time to.
+
+        :param roster: instances that may be lent to from now on, by this lead.
+        :param holders: the number of holders by which each loan is capped.
+        """
+        now = self._kernel.clock()
+        self.look(now)
+        lead = self.state
+        if self.mine:
+            if self._kernel.stopping:
+                await self.release(frozenset(lead.roster))
+            else:
+                await self._renew(lead, roster, holders)
+            return
+        if self._kernel.stopping:
+            return
+        age = await self._kernel.bus.ask(LogAge("cell"))
+        lapsed = self._seen.lapsed(now, self.times.lease_s, self.times.margin_s)
+        sight = Sight(lead.released, lapsed, age, self.answered_at)
+        if not may_claim(sight, self.times, now, self._cfg.log_poll_s + _POLL_SLACK_S):
+            return
+        await asyncio.sleep(random.uniform(0, _CLAIM_SPREAD_S))
+        # The claim is for the lead as judged before the wait.  Had anyone
+        # claimed or renewed meanwhile, it must lose rather than depose them.
+        await self._claim(lead)
+
+    async def _claim(self, lead: LeadState) -> None:
+        me = self._kernel.lane
+        self._before = TakeOver(
+            lead.released,
+            frozenset(lead.roster),
+            me,
+            frozenset(),
+            self._seen.read_at,
+        )
+        body = LeadClaimed(self._cfg.zone, lead.epoch + 1, me, lead.offset)
+        self.before_holders = lead.holders
+        self._promises.clear()
+        self._offered = frozenset(lead.roster) | {me}
+        if await self._confirmed(body):
+            log("lead.claimed", epoch=body.epoch, holder=me)
+
+    async def _renew(
+        self, lead: LeadState, roster: frozenset[str], holders: int
+    ) -> None:
+        self._offered |= roster
+        names = tuple(sorted(roster))
+        body = LeadRenewed(self._cfg.zone, lead.epoch, lead.instance, names, holders)
+        if await self._confirmed(body):
+            # Records of a lane that are read back settle all earlier ones, so
+            # no older roster can come into force any more.
+            self._offered = roster
+            self.joining -= roster
+            self.leaving &= roster
+
+    async def _confirmed(self, body: LeadClaimed | LeadRenewed) -> bool:
+        sent_at = self._kernel.clock()
+        if not await self._append(body):
+            self.void()
+            return False
+        self._held.renewed(sent_at, self.times.lease_s)
+        self._hold.renewed(sent_at, self._cfg.hold_s)
+        self._outage.renewed(sent_at, self.times.outage_s)
+        return True
+
+    async def release(self, roster: frozenset[str]) -> None:
+        """Hand the lead back by record, so that a peer takes it at once.
+
+        :param roster: the instances that may still hold room.
+        """
+        lead = self.state
+        self.void()
+        names = tuple(sorted(roster))
+        await self._append(
+            LeadReleased(self._cfg.zone, lead.epoch, lead.instance, names)
+        )
+
+    async def _append(self, body: LeadClaimed | LeadRenewed | LeadReleased) -> bool:
+        query = Append("cell", body, deadline_s=self.times.lease_s / 2, urgent=True)
+        applied = await self._kernel.bus.ask(query)
+        return applied.verdict is Verdict.APPLIED
--- /dev/null
+++ b/src/firhook/_lender.py
@@ -0,0 +1,304 @@
+"""The zone lead's side of room: lends within the zone, moves between zones."""
+
+import asyncio
+
+import attrs
+
+from firhook._leadership import Leadership
+from firhook._room import RoomKeeper, name_of
+from firhook.decide.limits import zone_parts
+from firhook.decide.moves import TeamView, choose_move
+from firhook.errors import FirhookError, LogUnavailableError, NotLeadError
+from firhook.events import Append, AskPeer, Members, RecordApplied
+from firhook.kernel import Kernel
+from firhook.logs import log
+from firhook.model import (
+    GrantAnswer,
+    GrantAsk,
+    Holdings,
+    HoldingsAsk,
+    LimitMoved,
+    TeamGrant,
+    Verdict,
+)
+
+#: How long a new lead waits for what an instance holds, in seconds.
+_HOLDINGS_S = 0.5
+#: How long the outcome of a transfer is waited for, in seconds.
+_MOVE_S = 2.0
+
+
+@attrs.define(slots=True, eq=False)
+class _Unsettled:
+    """A transfer whose outcome the log has not told."""
+
+    move: LimitMoved
+    failed_at: float
+
+
+class Lender:
+    """Keeps the book while this instance leads its zone.
+
+    :param keeper: this instance's own room.
+    """
+
+    def __init__(self, kernel: Kernel, leadership: Leadership) -> None:
+        self._kernel = kernel
+        self._leadership = leadership
+        self._book = kernel.grants
+        self._epoch = 0
+        self._unsettled: list[_Unsettled] = []
+        self._given_at: dict[str, float] = {}
+        self.keeper: RoomKeeper | None = None
+
+    def part(self, team: str) -> int:
+        """Return the zone's part of a team's limit."""
+        return self._parts(team).get(self._kernel.cfg.zone, 0)
+
+    def _parts(self, team: str) -> dict[str, int]:
+        plan = self._kernel.states.config.plan_of(team)
+        if plan is None:
+            return {}
+        moved = self._kernel.states.cell.moved.get(team, ())
+        return zone_parts(plan.limit, self._kernel.cfg.zones, moved)
+
+    # -- taking over -----------------------------------------------------
+
+    def roster(self) -> frozenset[str]:
+        """Return the instances to lend to from the next renewal on."""
+        stays, grown = self._stays(), self._grown()
+        if self._book.opened and self._book.fits(len(grown), self.part):
+            return grown
+        return stays
+
+    def _stays(self) -> frozenset[str]:
+        now = self._kernel.clock()
+        roster = self._leadership.state.roster
+        if not self._book.opened:
+            return frozenset(roster) | {self._kernel.lane}
+        stays = frozenset(h for h in roster if not self._gone(h, now))
+        return stays | {self._kernel.lane}
+
+    def _grown(self) -> frozenset[str]:
+        lead = self._leadership
+        return self._stays() | (lead.joining - lead.leaving)
+
+    def capped_by(self) -> int:
+        """Return the number of holders to publish with the roster."""
+        return self._book.capped_by(self._kernel.clock(), len(self.roster()))
+
+    def _gone(self, holder: str, now: float) -> bool:
+        if holder in self._leadership.leaving:
+            return True
+        unheard = not self._book.asked_lately(holder, now)
+        return unheard and self._book.lapsed(holder, now)
+
+    async def follow_lead(self) -> None:
+        """Open the book after a won claim; close it after a loss."""
+        lead = self._leadership
+        if not lead.mine:
+            if self._book.opened:
+                self._book.close()
+            self._epoch = 0
+            return
+        if self._epoch != lead.state.epoch and lead.is_held(self._kernel.clock()):
+            await self._take_over(lead.state.epoch)
+        elif self._book.opened:
+            await self._ask_silent()
+
+    async def _take_over(self, epoch: int) -> None:
+        assert self.keeper is not None
+        lead = self._leadership
+        self._book.close()
+        roster = frozenset(lead.state.roster) - {self._kernel.lane}
+        answers = await self._holdings(epoch, roster)
+        if not lead.mine or lead.state.epoch != epoch:
+            return
+        now = self._kernel.clock()
+        known = {
+            h.instance: {room.team: room.held for room in h.teams} for h in answers
+        }
+        silent = roster - set(known)
+        own = self.keeper.holdings(self.keeper.teams())
+        known[self._kernel.lane] = {room.team: room.held for room in own}
+        until = lead.silent_until(frozenset(known), now)
+        holders = len(roster) + 1
+        self._book.open(now, known, silent, until, lead.before_holders, holders)
+        self._epoch = epoch
+        log(
+            "lead.opened",
+            epoch=epoch,
+            holders=holders,
+            silent=sorted(silent),
+            silent_s=round(until - now, 1) if silent else 0,
+        )
+
+    async def _ask_silent(self) -> None:
+        now = self._kernel.clock()
+        silent = self._book.silent(now)
+        for h in await self._holdings(self._epoch, silent):
+            held = {room.team: room.held for room in h.teams}
+            self._book.heard(h.instance, held, self._kernel.clock())
+
+    async def _holdings(self, epoch: int, lanes: frozenset[str]) -> list[Holdings]:
+        me = self._kernel.lane
+        asks = [
+            self._kernel.bus.ask(
+                AskPeer(name_of(lane), HoldingsAsk(epoch, me, lane), _HOLDINGS_S)
+            )
+            for lane in sorted(lanes)
+        ]
+        answers = await asyncio.gather(*asks, return_exceptions=True)
+        return [a for a in answers if isinstance(a, Holdings) and a.instance in lanes]
+
+    # -- lending ---------------------------------------------------------
+
+    async def on_ask(self, ask: GrantAsk) -> GrantAnswer:
+        """Answer an instance of the zone that wants room."""
+        now = self._kernel.clock()
+        lead = self._leadership
+        if not lead.mine or ask.epoch != lead.state.epoch or not self._book.opened:
+            raise NotLeadError(f"epoch {ask.epoch} is not led from here")
+        if ask.echo >= 0:
+            lead.promised(ask.instance, ask.echo)
+        if not lead.may_lend(now):
+            raise NotLeadError("the lease has lapsed and others may claim the lead")
+        if self._book.is_late(ask.instance, ask.seq, now):
+            raise NotLeadError(f"ask {ask.seq} came after a later one")
+        if ask.leaving:
+            self._book.left(ask.instance)
+            lead.leaving.add(ask.instance)
+            lead.wake.set()
+            return self._answer(ask.epoch, now, ())
+        if ask.instance not in lead.state.roster:
+            lead.joining.add(ask.instance)
+            lead.wake.set()
+            raise NotLeadError("the roster does not name the asker yet")
+        # Loans are held to the smaller cap of all who want to join from now on,
+        # so that they come to fit it; the larger cap of fewer holders is used
+        # only once the log has the smaller roster.
+        self._book.holders = max(len(lead.state.roster), len(self._grown()))
+        grants = tuple(
+            TeamGrant(
+                room.team,
+                self._book.ask(
+                    room.team,
+                    ask.instance,
+                    max(room.wanted, 0),
+                    max(room.held, 0),
+                    self.part(room.team),
+                    now,
+                ),
+            )
+            for room in ask.teams
+        )
+        return self._answer(ask.epoch, now, grants)
+
+    def _answer(
+        self, epoch: int, now: float, grants: tuple[TeamGrant, ...]
+    ) -> GrantAnswer:
+        return GrantAnswer(epoch, now, self._book.ttl_s, grants)
+
+    # -- transfers between zones -----------------------------------------
+
+    def on_record(self, event: RecordApplied) -> None:
+        """Note transfers to this zone, and the fate of own ones."""
+        body = event.envelope.body
+        if not isinstance(body, LimitMoved):
+            return
+        if event.verdict is Verdict.APPLIED and body.receiver == self._kernel.cfg.zone:
+            self._given_at[body.team] = self._kernel.clock()
+        if event.envelope.lane == self._kernel.lane:
+            for item in [u for u in self._unsettled if u.move == body][:1]:
+                self._settle(item)
+
+    def settle_before(self, sent_at: float) -> None:
+        """Settle transfers given up before a record that was read back.
+
+        Readers pass over a record that lands after a later one of its lane,
+        so such a transfer can no longer take effect.
+        """
+        for item in [u for u in self._unsettled if u.failed_at < sent_at]:
+            self._settle(item)
+
+    def _settle(self, item: _Unsettled) -> None:
+        self._unsettled.remove(item)
+        self._release(item.move)
+
+    def _release(self, move: LimitMoved) -> None:
+        if move.epoch != self._epoch:
+            # The book was closed since, and counts only this epoch's.
+            return
+        left = self._book.moving.get(move.team, 0) - move.amount
+        self._book.moving[move.team] = max(left, 0)
+
+    async def move_spare(self) -> None:
+        """Give spare room to zones where teams are short of it."""
+        now = self._kernel.clock()
+        if not self._leadership.is_held(now) or not self._book.opened:
+            return
+        moves = []
+        for team, short in (await self._short()).items():
+            move = self._choose(team, short, now)
+            if move is not None:
+                moves.append(self._move(move))
+        await asyncio.gather(*moves)
+
+    def _choose(
+        self, team: str, short: dict[str, int], now: float
+    ) -> LimitMoved | None:
+        cfg = self._kernel.cfg
+        plan = self._kernel.states.config.plan_of(team)
+        if plan is None:
+            return None
+        view = TeamView(
+            zone_parts(plan.limit, cfg.zones)[cfg.zone],
+            self._book.spare(team, self.part(team), now),
+            short,
+            len(cfg.zones),
+            self._given_at.get(team, float("-inf")),
+        )
+        chosen = choose_move(cfg.zone, view, now)
+        if chosen is None:
+            return None
+        zone, amount = chosen
+        epoch = self._leadership.state.epoch
+        move = LimitMoved(team, cfg.zone, zone, amount, epoch, plan.limit)
+        # Counted as gone from now on, whatever becomes of the append.
+        moving = self._book.moving
+        moving[team] = moving.get(team, 0) + amount
+        return move
+
+    async def _short(self) -> dict[str, dict[str, int]]:
+        """Return the teams that are short of room, with how much by zone."""
+        assert self.keeper is not None
+        result: dict[str, dict[str, int]] = {}
+        for member in await self._kernel.bus.ask(Members()):
+            for use in member.gossip.teams:
+                if use.short > 0:
+                    by_zone = result.setdefault(use.team, {})
+                    by_zone[member.zone] = by_zone.get(member.zone, 0) + use.short
+        zone = self._kernel.cfg.zone
+        for team, by_zone in result.items():
+            by_zone[zone] = by_zone.get(zone, 0) + self.keeper.short(team)
+        return result
+
+    async def _move(self, move: LimitMoved) -> None:
+        try:
+            applied = await self._kernel.bus.ask(
+                Append("cell", move, deadline_s=_MOVE_S)
+            )
+        except LogUnavailableError:
+            # Certainly never sent.
+            self._release(move)
+        except FirhookError:
+            self._unsettled.append(_Unsettled(move, self._kernel.clock()))
+        else:
+            self._release(move)
+            log(
+                "limit.moved",
+                team=move.team,
+                receiver=move.receiver,
+                amount=move.amount,
+                verdict=applied.verdict.value,
+            )
--- a/src/firhook/_messages.py
+++ b/src/firhook/_messages.py
@@ -12,12 +12,14 @@
     :param running: requests and tasks running.
     :param waiting: requests waiting.
     :param served_s: seconds of slot time served lately, decayed.
+    :param short: room wanted and not lent, so that other zones may give some.
     """
 
     team: str
     running: int
     waiting: int
     served_s: float
+    short: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -41,6 +43,7 @@
     :param log_age_s: seconds since the sender last saw the log's end.
     :param withdrawn: key ids withdrawn lately, passed on so that an instance
         that cannot reach the log learns of them all the same.
+    :param every_s: when the next word comes, in seconds.
     """
 
     instance: str
@@ -54,6 +57,7 @@
     withdrawn: tuple[str, ...] = ()
     teams: tuple[TeamUse, ...] = ()
     runners: tuple[RunnerLoad, ...] = ()
+    every_s: float = 0.0
 
 
 @message
@@ -71,31 +75,88 @@
     detail: str
 
 
+@attrs.frozen(slots=True)
+class TeamRoom:
+    """Room of one team at one instance.
+
+    :param wanted: how much the instance wants to hold in all.
+    :param held: the most that it may have running before its next answer.
+    """
+
+    team: str
+    wanted: int
+    held: int
+
+
 @message
 @attrs.frozen(slots=True)
 class GrantAsk:
-    """Asks the zone lead for room under a team's limit.
+    """Asks the zone lead for room under the limits of several teams at once.
 
-    :param wanted: how much the asker wants to hold in all.
-    :param running: how much it has running and cannot give back now.
+    It is also a promise not to claim the zone's lead until ``ttl_s`` after
+    the lead made the stamp that is sent back here.
+
+    :param instance: the asker's lane.
+    :param seq: rises with each ask of the lane.
+    :param epoch: of the lead that is asked.
+    :param echo: the stamp of the last answer, or -1 if there was none.
+    :param leaving: whether the asker holds nothing and takes no more.
     """
 
     instance: str
-    incarnation: str
+    seq: int
+    epoch: int
+    echo: float
+    teams: tuple[TeamRoom, ...]
+    leaving: bool = False
+
+
+@attrs.frozen(slots=True)
+class TeamGrant:
+    """Room lent for one team."""
+
     team: str
-    wanted: int
-    running: int
+    granted: int
 
 
 @message
 @attrs.frozen(slots=True)
 class GrantAnswer:
-    """The room lent, for so long from when the asker sent its question."""
+    """The room lent, for so long from when the asker sent its question.
 
-    team: str
-    granted: int
+    :param stamp: the lead's clock when it answered.
+    """
+
+    epoch: int
+    stamp: float
     ttl_s: float
+    teams: tuple[TeamGrant, ...]
+
+
+@message
+@attrs.frozen(slots=True)
+class HoldingsAsk:
+    """A new lead asks what an instance holds.
+
+    Whoever answers takes no more room from a lead of an older epoch.
+
+    :param epoch: of the new lead.
+    :param lead: lane of the new lead.
+    :param instance: the lane that is asked.
+    """
+
     epoch: int
+    lead: str
+    instance: str
+
+
+@message
+@attrs.frozen(slots=True)
+class Holdings:
+    """The most that an instance may have running, by team."""
+
+    instance: str
+    teams: tuple[TeamRoom, ...]
 
 
 @message
--- a/src/firhook/_records.py
+++ b/src/firhook/_records.py
@@ -81,31 +81,47 @@
 @record
 @attrs.frozen(slots=True)
 class LeadClaimed:
-    """Claims the lead of a zone; valid only as the successor of the epoch."""
+    """Claims the lead of a zone; valid only as the successor of the epoch.
+
+    :param seen: offset of the last claim, renewal or release of the lead that
+        the claimant has read.  A later one makes the claim void: it was judged
+        on a lease that has been renewed since, whose holder relies on it.
+    """
 
     zone: str
     epoch: int
     instance: str
+    seen: int
 
 
 @record
 @attrs.frozen(slots=True)
 class LeadRenewed:
-    """Renews the lead of a zone."""
+    """Renews the lead of a zone.
+
+    :param roster: the instances that the lead may lend room to from now on.
+    :param holders: the number of holders by which each loan is capped.
+    """
 
     zone: str
     epoch: int
     instance: str
+    roster: tuple[str, ...]
+    holders: int
 
 
 @record
 @attrs.frozen(slots=True)
 class LeadReleased:
-    """Hands the lead of a zone back at a graceful stop."""
+    """Hands the lead of a zone back at a graceful stop.
+
+    :param roster: the instances that may still hold room.
+    """
 
     zone: str
     epoch: int
     instance: str
+    roster: tuple[str, ...]
 
 
 @record
@@ -115,6 +131,9 @@
 
     The giver's lead appends it after it has lowered its own part, so that the
     sum over the zones never exceeds the limit at any moment.
+
+    :param epoch: of the giver's lead; a later lead makes the transfer void.
+    :param limit: the team's limit as the giver knew it.
     """
 
     team: str
@@ -122,6 +141,7 @@
     receiver: str
     amount: int
     epoch: int
+    limit: int
 
 
 @record
--- /dev/null
+++ b/src/firhook/_room.py
@@ -0,0 +1,202 @@
+"""This instance's room: what it asks its zone's lead for, and holds."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+
+from firhook._leadership import Leadership
+from firhook.decide.grants import Demand
+from firhook.errors import FirhookError, NotLeadError
+from firhook.events import AskPeer, RoomChanged, RoomWanted
+from firhook.kernel import Kernel
+from firhook.logs import log
+from firhook.model import GrantAnswer, GrantAsk, Holdings, HoldingsAsk, TeamRoom
+
+#: A team that was refused room asks again after so long at the earliest.
+_RETRY_S = 0.1
+#: Wants that come within this time go into one message.
+_GATHER_S = 0.01
+#: Demand that is not renewed falls by half in this time.
+_HALF_LIFE_S = 2.0
+
+
+def name_of(lane: str) -> str:
+    """Return the instance's name of a lane."""
+    return lane.partition("#")[0]
+
+
+class RoomKeeper:
+    """Borrows room from the zone's lead for what waits here.
+
+    All teams of an instance go into one message: at the two-year size 120
+    teams would otherwise cost each instance 120 messages a second.
+
+    :param lend: answers an ask where this instance is the lead itself.
+    """
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        leadership: Leadership,
+        lend: Callable[[GrantAsk], Awaitable[GrantAnswer]],
+    ) -> None:
+        self._kernel = kernel
+        self._leadership = leadership
+        self._lend = lend
+        self._demand = Demand(_HALF_LIFE_S)
+        self._pressed: set[str] = set()
+        self._quiet_until: dict[str, float] = {}
+        self._wake = asyncio.Event()
+        self._seq = 0
+        self._echo: tuple[int, float] = (0, -1.0)
+        self._lead: tuple[int, str] = (0, "")
+        self._left = False
+
+    def want(self, event: RoomWanted) -> None:
+        """Note that work waits for room."""
+        now = self._kernel.clock()
+        self._demand.note(event.team, event.wanted, now)
+        if now >= self._quiet_until.get(event.team, 0.0):
+            self._pressed.add(event.team)
+            self._wake.set()
+
+    def teams(self) -> list[str]:
+        """Return the teams that want or hold room."""
+        account, waiting = self._kernel.account, self._kernel.load.waiting
+        demand = self._demand.teams(self._kernel.clock())
+        return sorted({*demand, *account.room, *account.running, *waiting})
+
+    def short(self, team: str) -> int:
+        """Return how much room is wanted and not held."""
+        wanted = self._wanted(team, self._kernel.clock())
+        return max(wanted - self._kernel.account.held(team), 0)
+
+    def _wanted(self, team: str, now: float) -> int:
+        # Whatever waits wants room for one at least: its want may have been
+        # noted long ago, while the lead was away, and nothing would note it
+        # again before its deadline.
+        least = self._kernel.account.running.get(team, 0)
+        least += bool(self._kernel.load.waiting.get(team))
+        return self._demand.wanted(team, least, now)
+
+    def holdings(self, teams: Iterable[str]) -> tuple[TeamRoom, ...]:
+        """Return what is wanted and held for teams.
+
+        Room that is no longer wanted is given up here, before the lead hears
+        of it, so that nobody else can use it while this instance still does.
+        """
+        account = self._kernel.account
+        now = self._kernel.clock()
+        result = []
+        for team in teams:
+            wanted = self._wanted(team, now)
+            if account.room.get(team, 0) > wanted:
+                account.room[team] = wanted
+            result.append(TeamRoom(team, wanted, account.held(team)))
+        return tuple(result)
+
+    async def on_holdings_ask(self, ask: HoldingsAsk) -> Holdings:
+        """Tell a new lead what is held, and follow no older one any more."""
+        if ask.instance != self._kernel.lane:
+            # Another run of this instance held that; it may be paused only.
+            raise NotLeadError(f"this is {self._kernel.lane}, not {ask.instance}")
+        self._leadership.fence(ask.epoch)
+        if ask.epoch > self._lead[0]:
+            self._lead = (ask.epoch, ask.lead)
+        return Holdings(self._kernel.lane, self.holdings(self.teams()))
+
+    def _known_lead(self) -> tuple[int, str]:
+        lead = self._leadership.state
+        if lead.released or not lead.instance:
+            return self._lead if self._lead[0] > lead.epoch else (0, "")
+        return max(self._lead, (lead.epoch, lead.instance))
+
+    async def run(self) -> None:
+        """Ask again and again, for everything or for what is pressed."""
+        ttl_s = self._kernel.cfg.grant_ttl_s
+        next_full = 0.0
+        while not self._left:
+            now = self._kernel.clock()
+            if now >= next_full:
+                self._pressed.clear()
+                done = await self._try_ask(self.teams())
+                next_full = now + (ttl_s / 3 if done else _RETRY_S)
+            elif self._pressed:
+                teams = sorted(self._pressed)
+                self._pressed.clear()
+                if not await self._try_ask(teams):
+                    next_full = now + _RETRY_S
+            self._wake.clear()
+            if not self._pressed:
+                await self._pause(next_full - self._kernel.clock())
+            await asyncio.sleep(_GATHER_S)
+
+    async def _pause(self, seconds: float) -> None:
+        try:
+            await asyncio.wait_for(self._wake.wait(), max(seconds, 0.0))
+        except TimeoutError:
+            return
+
+    async def _try_ask(self, teams: Iterable[str]) -> bool:
+        try:
+            return await self._ask(teams)
+        except FirhookError as exc:
+            # The lead is away or changing.  What is held stays held until it
+            # lapses, and the next round finds the lead that is there then.
+            log("room.ask_failed", level="debug", code=exc.code, detail=exc.detail)
+            return False
+
+    async def _ask(self, teams: Iterable[str], leaving: bool = False) -> bool:
+        epoch, lead = self._known_lead()
+        if not lead:
+            return False
+        self._seq += 1
+        echo = self._echo[1] if self._echo[0] == epoch else -1.0
+        sent_at = self._kernel.clock()
+        rooms = self.holdings(teams)
+        ask = GrantAsk(self._kernel.lane, self._seq, epoch, echo, rooms, leaving)
+        if lead == self._kernel.lane:
+            answer = await self._lend(ask)
+        else:
+            answer = await self._kernel.bus.ask(AskPeer(name_of(lead), ask))
+        self._apply(ask, answer, sent_at)
+        return True
+
+    def _apply(self, ask: GrantAsk, answer: GrantAnswer, sent_at: float) -> None:
+        if answer.epoch != ask.epoch or answer.epoch < self._known_lead()[0]:
+            # A newer lead has been told what is held here; it does not know
+            # of this grant.
+            return
+        now = self._kernel.clock()
+        self._echo = (answer.epoch, answer.stamp)
+        self._leadership.answered_at = now
+        account = self._kernel.account
+        wanted = {room.team: room.wanted for room in ask.teams}
+        for grant in answer.teams:
+            # The lead counts from when it answered, this instance from before
+            # it asked, so the grant ends here before it ends in the book.
+            account.lend(grant.team, grant.granted, sent_at + answer.ttl_s)
+            if grant.granted < wanted.get(grant.team, 0):
+                self._quiet_until[grant.team] = now + _RETRY_S
+            else:
+                self._quiet_until.pop(grant.team, None)
+            self._kernel.bus.publish(RoomChanged(grant.team))
+
+    async def leave(self) -> bool:
+        """Give everything back at a graceful stop; return whether it was free.
+
+        Work that is still running keeps its room in the lead's book until it
+        has certainly ended.
+        """
+        self._left = True
+        self._wake.set()
+        account = self._kernel.account
+        account.room.clear()
+        account.until.clear()
+        if account.running:
+            return False
+        try:
+            await self._ask((), leaving=True)
+        except FirhookError:
+            # The lead counts this instance as silent and waits it out.
+            return True
+        return True
--- a/src/firhook/_settings.py
+++ b/src/firhook/_settings.py
@@ -147,6 +147,7 @@
     task_lease_s: float = _opt("cell", _number(0.5, 600), 15.0)
     margin_s: float = _opt("cell", _number(0.1, 60), 1.0)
     sync_s: float = _opt("cell", _number(0.05, 60), 2.0)
+    lend_outage_s: float = _opt("cell", _number(1, 86400), 900.0)
     grant_ttl_s: float = _opt("cell", _number(0.2, 60), 3.0)
 
     log_level: str = _opt(
--- a/src/firhook/decide/_grants.py
+++ b/src/firhook/decide/_grants.py
@@ -1,5 +1,8 @@
 """The lead's book of what it lent within its zone's part of each limit."""
 
+import math
+from collections.abc import Callable, Iterable, Mapping
+
 import attrs
 
 
@@ -10,12 +13,29 @@
     counted_until: float
 
 
+def holder_cap(part: int, holders: int) -> int:
+    """Return the most of a part that one instance is lent.
+
+    A lead that dies takes its book with it.  What an instance that does not
+    answer might hold must then count as lent until it has certainly lapsed,
+    and without a cap that would be the whole part.  The cap is twice an even
+    share of one holder more: the platform's balancer spreads requests evenly,
+    so it is rarely felt, and with three instances of which one dies half of
+    the part can be lent again at once.
+
+    :param holders: instances that may be lent to.
+    """
+    return math.ceil(part * 2 / (max(holders, 1) + 1))
+
+
 class GrantBook:
     """Lends room under each team's limit to the instances of one zone.
 
-    A holder that goes silent may still run requests that it sent just before
-    its grant lapsed.  Its loan is therefore counted for ``linger_s`` beyond
-    the lapse: the longest that a request may run.
+    Made for many small requests, so room is lent ahead and not asked for one
+    by one.  The harm it prevents is more running than the limit when holders
+    die, pause or are cut off: a holder that goes silent may still run what it
+    started just before its grant lapsed, so its loan is counted for
+    ``linger_s`` beyond the lapse, the longest that a request may run.
 
     :param ttl_s: how long a grant lasts without being renewed.
     :param linger_s: the longest that a request may run.
@@ -25,28 +45,128 @@
         self._ttl_s = ttl_s
         self._linger_s = linger_s
         self._loans: dict[str, dict[str, _Loan]] = {}
-        self._closed_until = float("inf")
-        self.tasks: dict[str, int] = {}
+        self._seqs: dict[str, int] = {}
+        self._asked_at: dict[str, float] = {}
+        self._opened = False
+        self._silent: set[str] = set()
+        self._silent_until = float("inf")
+        self._silent_caps: dict[str, int] = {}
+        self._silent_holders = 1
+        self._holders = 1
+        self._tasks: dict[str, int] = {}
+        self._promised: dict[str, int] = {}
+        self.moving: dict[str, int] = {}
 
     @property
     def ttl_s(self) -> float:
         """How long a grant lasts, in seconds."""
         return self._ttl_s
 
-    def open(self, now: float, first: bool) -> None:
-        """Start lending as a new lead.
+    @property
+    def holders(self) -> int:
+        """How many instances may be lent to."""
+        return self._holders
 
-        Loans of the lead before are unknown here; until the last of them has
-        lapsed, only what holders report back as theirs is renewed.
+    @holders.setter
+    def holders(self, count: int) -> None:
+        self._holders = count
 
-        :param first: whether the zone never had a lead before, and so no loans.
+    @property
+    def tasks(self) -> dict[str, int]:
+        """Tasks of each team that the zone's log holds as running."""
+        return self._tasks
+
+    @tasks.setter
+    def tasks(self, counts: dict[str, int]) -> None:
+        # A new count includes the tasks that the room was promised for.
+        self._tasks = counts
+        self._promised = {}
+
+    def open(
+        self,
+        now: float,
+        known: Mapping[str, Mapping[str, int]],
+        silent: Iterable[str],
+        silent_until: float,
+        silent_holders: int,
+        holders: int,
+    ) -> None:
+        """Start lending as a new lead.
+
+        :param known: what each holder that answered holds, by team.
+        :param silent: instances that the lead before may have lent to and that
+            have not answered.
+        :param silent_until: when whatever those hold has certainly ended.
+        :param silent_holders: the number of holders by which those were capped.
+        :param holders: instances that may be lent to.
         """
         self._loans.clear()
-        self._closed_until = now if first else now + self._ttl_s + self._linger_s
+        self._seqs.clear()
+        self._asked_at = dict.fromkeys((*known, *silent), now)
+        self._opened = True
+        self._holders = holders
+        for holder, teams in known.items():
+            for team, held in teams.items():
+                self._count(team, holder, held, now)
+        self._silent = set(silent)
+        self._silent_until = silent_until
+        self._silent_caps.clear()
+        self._silent_holders = silent_holders
+
+    @property
+    def opened(self) -> bool:
+        """Whether this instance lends."""
+        return self._opened
 
     def close(self) -> None:
         """Stop lending, having lost the lead."""
-        self._closed_until = float("inf")
+        self._opened = False
+        self.moving.clear()
+
+    def heard(self, holder: str, teams: Mapping[str, int], now: float) -> None:
+        """Note what a silent holder said that it holds, when it answers late."""
+        if holder in self._silent:
+            self._silent.discard(holder)
+            for team, held in teams.items():
+                self._count(team, holder, held, now)
+
+    def left(self, holder: str) -> None:
+        """Forget a holder that said that it holds nothing and takes no more."""
+        self._silent.discard(holder)
+        self._asked_at.pop(holder, None)
+        for loans in self._loans.values():
+            loans.pop(holder, None)
+
+    def silent(self, now: float) -> frozenset[str]:
+        """Return the instances whose holdings are unknown."""
+        return frozenset(self._silent if now < self._silent_until else ())
+
+    def lapsed(self, holder: str, now: float) -> bool:
+        """Return whether nothing is counted for a holder any more."""
+        if holder in self.silent(now):
+            return False
+        loans = (by_holder.get(holder) for by_holder in self._loans.values())
+        return all(loan is None or loan.counted_until < now for loan in loans)
+
+    def fits(self, holders: int, part_of: Callable[[str], int]) -> bool:
+        """Return whether every loan is within the cap for a number of holders.
+
+        The cap falls when an instance joins.  Were the larger number published
+        first, the next lead would count a silent holder of the old, larger cap
+        as holding less than it does.
+        """
+        return all(
+            loan.amount <= holder_cap(part_of(team), holders)
+            for team, loans in self._loans.items()
+            for loan in loans.values()
+        )
+
+    def _count(self, team: str, holder: str, amount: int, now: float) -> None:
+        loans = self._loans.setdefault(team, {})
+        if amount == 0:
+            loans.pop(holder, None)
+        else:
+            loans[holder] = _Loan(amount, now + self._ttl_s + self._linger_s)
 
     def lent(self, team: str, now: float, without: str = "") -> int:
         """Return what is counted as lent to a team's holders."""
@@ -55,6 +175,53 @@
             del loans[holder]
         return sum(loan.amount for h, loan in loans.items() if h != without)
 
+    def free(self, team: str, part: int, now: float, without: str = "") -> int:
+        """Return what of a part is certainly not in use; negative if over.
+
+        :param without: a holder whose own loan is not counted.
+        """
+        unknown = len(self.silent(now) - {without}) * self._silent_cap(team, part)
+        return (
+            part
+            - self.lent(team, now, without)
+            - self._tasks.get(team, 0)
+            - self._promised.get(team, 0)
+            - self.moving.get(team, 0)
+            - unknown
+        )
+
+    def _silent_cap(self, team: str, part: int) -> int:
+        # Fixed when first asked for: room that is given to the zone later was
+        # never the old lead's to lend, and counting a silent holder as having
+        # some of it would keep the zone from ever using it.
+        return self._silent_caps.setdefault(
+            team, holder_cap(part, self._silent_holders)
+        )
+
+    def capped_by(self, now: float, holders: int) -> int:
+        """Return the number of holders by which every loan is capped.
+
+        :param holders: the number by which loans of this lead are capped.
+        """
+        return min(holders, self._silent_holders) if self.silent(now) else holders
+
+    def asked_lately(self, holder: str, now: float) -> bool:
+        """Return whether a holder has asked within three times a grant's time."""
+        asked_at = self._asked_at.get(holder, float("-inf"))
+        return now - asked_at <= 3 * self._ttl_s
+
+    def is_late(self, holder: str, seq: int, now: float) -> bool:
+        """Return whether an ask came after a later one of the same holder.
+
+        Its holder may by then hold what the later one was granted, which this
+        one does not count.
+        """
+        if seq <= self._seqs.get(holder, 0):
+            return True
+        self._seqs[holder] = seq
+        self._asked_at[holder] = now
+        return False
+
     def ask(
         self, team: str, holder: str, wanted: int, held: int, part: int, now: float
     ) -> int:
@@ -64,19 +231,77 @@
             running: the least that must be counted.
         :param part: the zone's part of the team's limit.
         """
-        free = part - self.lent(team, now, without=holder) - self.tasks.get(team, 0)
-        ceiling = free if now >= self._closed_until else min(free, held)
+        self._silent.discard(holder)
+        ceiling = 0
+        if self._opened:
+            ceiling = min(
+                self.free(team, part, now, without=holder),
+                holder_cap(part, self._holders),
+            )
         granted = max(min(wanted, ceiling), 0)
-        counted = max(granted, held)
-        loans = self._loans.setdefault(team, {})
-        if counted == 0:
-            loans.pop(holder, None)
-        else:
-            loans[holder] = _Loan(counted, now + self._ttl_s + self._linger_s)
+        self._count(team, holder, max(granted, held), now)
         return granted
 
     def room_for_tasks(self, team: str, part: int, now: float) -> int:
-        """Return how many more tasks a team may start in this zone."""
-        if now < self._closed_until:
+        """Return how many more tasks a team may start in this zone.
+
+        The answer stays set aside until :attr:`tasks` is next set.  Between
+        the decision to start a task and the log's word that it is assigned,
+        the same room would otherwise be lent for requests.
+        """
+        if not self._opened:
             return 0
-        return max(part - self.lent(team, now) - self.tasks.get(team, 0), 0)
+        room = max(self.free(team, part, now), 0)
+        if room:
+            self._promised[team] = self._promised.get(team, 0) + room
+        return room
+
+    def spare(self, team: str, part: int, now: float) -> int:
+        """Return how much of a part may be moved to another zone.
+
+        What is left must still have every loan under the cap, by which the
+        next lead judges what a silent holder may have.
+        """
+        if not self._opened:
+            return 0
+        spare = max(self.free(team, part, now), 0)
+        most = max((n.amount for n in self._loans.get(team, {}).values()), default=0)
+        while spare and holder_cap(part - spare, self._holders) < most:
+            spare -= 1
+        return spare
+
+
+class Demand:
+    """What an instance wants to hold for each team.
+
+    A burst raises it at once; afterwards it falls by half every
+    ``half_life_s`` to what is running.  Without the fall an instance that
+    once saw a burst would keep the room from its peers until a restart; with
+    an immediate fall it would have to ask again for every request.
+
+    :param half_life_s: in seconds.
+    """
+
+    def __init__(self, half_life_s: float) -> None:
+        self._half_life_s = half_life_s
+        self._peaks: dict[str, tuple[int, float]] = {}
+
+    def note(self, team: str, wanted: int, now: float) -> None:
+        """Note that work waits which could use so much room in all."""
+        self._peaks[team] = (max(wanted, self.wanted(team, 0, now)), now)
+
+    def wanted(self, team: str, least: int, now: float) -> int:
+        """Return how much room the team could use now.
+
+        :param least: what it uses or could use now in any case.
+        """
+        peak, at = self._peaks.get(team, (0, now))
+        fallen = peak * 0.5 ** ((now - at) / self._half_life_s)
+        return max(least, round(fallen))
+
+    def teams(self, now: float) -> list[str]:
+        """Return the teams with demand, and forget those without."""
+        for team in list(self._peaks):
+            if self.wanted(team, 0, now) == 0:
+                del self._peaks[team]
+        return list(self._peaks)
--- a/src/firhook/decide/_limits.py
+++ b/src/firhook/decide/_limits.py
@@ -1,43 +1,10 @@
-"""Parts of a team's upper limit, and the count of what runs under them."""
+"""The count of what a team has running here, against the room it has."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable
 
 
-def split(limit: int, holders: Sequence[str]) -> dict[str, int]:
-    """Split a limit into whole parts that add up to it.
-
-    :param limit: the team's upper limit over the fleet.
-    :param holders: who gets a part; the order does not matter.
-    :return: each holder's part.  The remainder goes to the first by name, so
-        that every instance computes the same parts from the same lists.
-    """
-    ordered = sorted(holders)
-    if not ordered:
-        return {}
-    base, rest = divmod(max(limit, 0), len(ordered))
-    return {h: base + (i < rest) for i, h in enumerate(ordered)}
-
-
-def zone_parts(
-    limit: int, zones: Sequence[str], moved: Mapping[str, int]
-) -> dict[str, int]:
-    """Return each zone's part of a limit after transfers between zones.
-
-    When the limit was lowered under what was moved, a zone may stand below
-    zero; it then has no room, and the others' parts are cut by the shortfall,
-    so that the sum stays within the limit.
-
-    :param moved: net amount moved to each zone, adding up to zero.
-    """
-    parts = {z: p + moved.get(z, 0) for z, p in split(limit, zones).items()}
-    short = -sum(p for p in parts.values() if p < 0)
-    result = {}
-    for zone in sorted(parts):
-        part = max(parts[zone], 0)
-        cut = min(part, short)
-        short -= cut
-        result[zone] = part - cut
-    return result
+def _no_time() -> float:
+    return 0.0
 
 
 class Account:
@@ -46,16 +13,44 @@
     Counted at dispatch and given back only on a known end: an attempt whose
     end is unknown may still be running, and counting it as ended would let
     the team exceed its limit just when things go wrong.
+
+    Room ends by time, and the time is looked at whenever room is taken.  A
+    process that was paused and goes on may run any coroutine first; were
+    lapsed room only swept away by a task of its own, a request dispatched
+    before the sweep would run on room that a peer has been lent meanwhile.
+
+    :param clock: the holder's monotonic clock, in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float] = _no_time) -> None:
+        self._clock = clock
         self.room: dict[str, int] = {}
+        self.until: dict[str, float] = {}
         self.running: dict[str, int] = {}
 
+    def room_now(self, team: str) -> int:
+        """Return the room of a team that has not lapsed."""
+        if self._clock() >= self.until.get(team, float("inf")):
+            return 0
+        return self.room.get(team, 0)
+
+    def lend(self, team: str, amount: int, until: float) -> None:
+        """Set the room of a team until a time on the clock."""
+        if amount > 0:
+            self.room[team] = amount
+            self.until[team] = until
+        else:
+            self.room.pop(team, None)
+            self.until.pop(team, None)
+
+    def held(self, team: str) -> int:
+        """Return the most that may run here before room is next lent."""
+        return max(self.room_now(team), self.running.get(team, 0))
+
     def take(self, team: str, amount: int = 1) -> bool:
         """Count ``amount`` more as running if there is room for all of it."""
         used = self.running.get(team, 0)
-        if used + amount > self.room.get(team, 0):
+        if used + amount > self.room_now(team):
             return False
         self.running[team] = used + amount
         return True
--- a/src/firhook/decide/limits.py
+++ b/src/firhook/decide/limits.py
@@ -1,5 +1,6 @@
-"""Upper limits over the whole fleet, kept without asking anyone."""
+"""Parts of the teams' upper limits, and the count of what runs under them."""
 
-from firhook.decide._limits import Account, split, zone_parts
+from firhook.decide._limits import Account
+from firhook.decide._tokens import MAX_SPANS, Span, move_tokens, split, zone_parts
 
-__all__ = ["Account", "split", "zone_parts"]
+__all__ = ["MAX_SPANS", "Account", "Span", "move_tokens", "split", "zone_parts"]
--- a/src/firhook/roles/_members.py
+++ b/src/firhook/roles/_members.py
@@ -1,23 +1,23 @@
 """Members: peers, the zone's lead, and room under the teams' limits."""
 
 import asyncio
-import random
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from mode import Service
 
+from firhook._leadership import Leadership
+from firhook._lender import Lender
 from firhook._mesh import Mesh
-from firhook.decide.lease import HeldLease, SeenLease
-from firhook.decide.limits import zone_parts
+from firhook._room import RoomKeeper
+from firhook.decide.gossip import gossip_every
 from firhook.errors import (
     FirhookError,
     FrameMalformedError,
-    LogUnavailableError,
     PeerUnreachableError,
     PlatformUnavailableError,
 )
 from firhook.events import (
-    Append,
     AskPeer,
     InstancesListed,
     Lead,
@@ -29,7 +29,6 @@
     Members,
     PeerMessage,
     RecordApplied,
-    RoomChanged,
     RoomWanted,
     ServePeer,
 )
@@ -37,14 +36,15 @@
 from firhook.logs import log
 from firhook.model import (
     Gossip,
-    GrantAnswer,
     GrantAsk,
+    HoldingsAsk,
     LeadClaimed,
     LeadReleased,
     LeadRenewed,
     RunnerLoad,
     TeamUse,
     Verdict,
+    encode_message,
 )
 
 #: The loop is looked at this often for having stood still.
@@ -52,6 +52,19 @@
 #: Past this the clock was read before something that took too long to rely
 #: on what was believed then.
 _STALL_S = 0.5
+#: Between two looks at whether the lead is free to claim.
+_LOOK_S = 0.25
+#: Between two renewals that were hurried, so that joining instances cannot
+#: drive the lead over the append budget.
+_HURRY_S = 0.3
+#: Between two rounds of transfers to other zones.
+_MOVE_EVERY_S = 1.0
+#: What gossip may cost an instance in sending, of 14 KB/s for all of control.
+GOSSIP_BYTES_PER_S = 5000.0
+#: Bytes that CURVE, the framing and TCP/IP add to a message.
+TRANSPORT_BYTES = 110
+#: Peers that are remembered; far above any cell, against a flood of names.
+MAX_HEARD = 1000
 
 
 @register_role("members")
@@ -61,19 +74,15 @@
     def wire(self) -> None:
         """Offer peers, lead and room."""
         self._mesh: Mesh | None = None
-        self._handlers: dict[type, Any] = {}
+        self._handlers: dict[type, Callable[[Any], Awaitable[Any]]] = {}
         self._heard: dict[str, tuple[float, Gossip]] = {}
         self._addresses: dict[str, str] = {}
-        self._held = HeldLease()
-        self._hold = HeldLease()
-        self._seen = SeenLease()
+        self._every_s = self.cfg.gossip_s
         self._was_held = False
-        self._wanted: dict[str, int] = {}
-        self._grants: dict[str, tuple[int, float]] = {}
-        self._asking: set[str] = set()
-        self._pressed: dict[str, float] = {}
-        self.gossip_extras: list[Any] = []
-        self._pending_asks: set[asyncio.Task[None]] = set()
+        self.leadership = Leadership(self.kernel)
+        self.lender = Lender(self.kernel, self.leadership)
+        self.keeper = RoomKeeper(self.kernel, self.leadership, self.lender.on_ask)
+        self.lender.keeper = self.keeper
         bus = self.bus
         bus.answer(AskPeer, self._ask_peer)
         bus.answer(Members, self._members)
@@ -81,10 +90,11 @@
         bus.subscribe(ServePeer, self._on_serve_peer)
         bus.subscribe(RecordApplied, self._on_record)
         bus.subscribe(InstancesListed, self._on_instances)
-        bus.subscribe(RoomWanted, self._on_room_wanted)
+        bus.subscribe(RoomWanted, self.keeper.want)
         bus.subscribe(LoopStalled, self._on_stall)
         self._handlers[Gossip] = self._on_gossip
-        self._handlers[GrantAsk] = self._on_grant_ask
+        self._handlers[GrantAsk] = self.lender.on_ask
+        self._handlers[HoldingsAsk] = self.keeper.on_holdings_ask
 
     async def on_start(self) -> None:
         """Bind the socket to the peers."""
@@ -101,17 +111,18 @@
             self._mesh.close()
 
     async def drain(self) -> None:
-        """Hand the lead back by record, so that a peer takes it at once."""
-        lead = self._lead_state()
-        if self._held.held(self.kernel.clock()):
-            self._held.void()
-            self._hold.void()
-            await self._append(LeadReleased(self.cfg.zone, lead.epoch, self.lane))
-
-    @property
-    def lane(self) -> str:
-        """This run of this instance."""
-        return self.kernel.lane
+        """Hand lead and room back, so that peers can use both at once."""
+        free = await self.keeper.leave()
+        lead = self.leadership.state
+        if lead.instance != self.kernel.lane:
+            return
+        # The lead was released when the stop began, with this instance on the
+        # roster while it finished its requests.  Unless another has taken over
+        # meanwhile, the roster must not go on naming an instance that is gone.
+        roster = frozenset(lead.roster)
+        if free:
+            roster -= {self.kernel.lane}
+        await self.leadership.release(roster)
 
     # -- peers ---------------------------------------------------------
 
@@ -123,34 +134,71 @@
     @Service.task
     async def _gossip_loop(self) -> None:
         while not self.should_stop:
-            await self._gossip_once()
-            await self.sleep(self.cfg.gossip_s)
+            await self._guarded("gossip", self._gossip_once())
+            await self.sleep(self._every_s)
+
+    async def _guarded(self, what: str, step: Coroutine[Any, Any, None]) -> None:
+        """Run one step of a loop, so that no error of it ends the loop.
+
+        A loop that dies takes the whole daemon with it, or, worse, leaves it
+        up and silent; the next round starts from the state as it then is.
+        """
+        try:
+            await step
+        except FirhookError as exc:
+            log(
+                "members.step_failed",
+                level="warning",
+                step=what,
+                code=exc.code,
+                detail=exc.detail,
+            )
+        except Exception as exc:
+            log("members.step_crashed", level="error", step=what, error=repr(exc))
 
     async def _gossip_once(self) -> None:
         assert self._mesh is not None
+        msg = await self._word()
+        size = len(encode_message(msg)) + TRANSPORT_BYTES
+        peers = len(self._mesh.addresses)
+        self._every_s = gossip_every(size, peers, self.cfg.gossip_s, GOSSIP_BYTES_PER_S)
+        for address in self._mesh.addresses:
+            await self._mesh.tell(address, msg)
+
+    async def _word(self) -> Gossip:
         config = self.states.config
-        account = self.kernel.account
-        msg = Gossip(
+        load = self.kernel.load
+        return Gossip(
             instance=self.cfg.name,
             zone=self.cfg.zone,
-            incarnation=self.lane,
+            incarnation=self.kernel.lane,
             config_version=config.version,
             config_offset=config.next_offset,
-            log_age_s=min(await self.bus.ask(LogAge("config")), 1e9),
+            log_age_s=round(min(await self.bus.ask(LogAge("config")), 1e9), 3),
             ready=self.kernel.ready,
             stopping=self.kernel.stopping,
             withdrawn=tuple(list(config.withdrawn)[-20:]),
-            teams=tuple(
-                TeamUse(team, n, self.kernel.load.waiting.get(team, 0), 0.0)
-                for team, n in account.running.items()
-            ),
+            teams=self._team_uses(),
             runners=tuple(
-                RunnerLoad(name, n, name in self.kernel.load.leaving)
-                for name, n in self.kernel.load.in_flight.items()
+                RunnerLoad(name, load.in_flight.get(name, 0), name in load.leaving)
+                for name in sorted({*load.in_flight, *load.leaving})
             ),
+            every_s=round(self._every_s, 3),
         )
-        for address in self._mesh.addresses:
-            await self._mesh.tell(address, msg)
+
+    def _team_uses(self) -> tuple[TeamUse, ...]:
+        running, waiting = self.kernel.account.running, self.kernel.load.waiting
+        uses = (
+            TeamUse(
+                team,
+                running.get(team, 0),
+                waiting.get(team, 0),
+                0.0,
+                self.keeper.short(team),
+            )
+            for team in sorted({*running, *waiting, *self.keeper.teams()})
+        )
+        return tuple(u for u in uses if u.running or u.waiting or u.short)
 
     async def _serve(self, msg: Any) -> Any:
         handler = self._handlers.get(type(msg))
@@ -162,20 +210,32 @@
         self._handlers[event.kind] = event.handler
 
     async def _on_gossip(self, msg: Gossip) -> None:
-        if msg.incarnation == self.lane:
+        if msg.incarnation == self.kernel.lane:
             return
-        self._heard[msg.instance] = (self.kernel.clock(), msg)
+        now = self.kernel.clock()
+        self._forget_silent(now)
+        if msg.instance not in self._heard and len(self._heard) >= MAX_HEARD:
+            raise FrameMalformedError(f"more than {MAX_HEARD} peers")
+        self._heard[msg.instance] = (now, msg)
         for key_id in msg.withdrawn:
             if self.states.config.withdraw(key_id) is Verdict.APPLIED:
                 log("key.withdrawn_by_peer", key_id=key_id, peer=msg.instance)
         self.bus.publish(PeerMessage(msg.instance, msg))
 
+    def _lives_s(self, word: Gossip) -> float:
+        return max(self.cfg.member_timeout_s, 3 * min(word.every_s, 60.0))
+
+    def _forget_silent(self, now: float) -> None:
+        for name, (at, word) in list(self._heard.items()):
+            if now - at > self._lives_s(word):
+                del self._heard[name]
+
     async def _members(self, query: Members) -> tuple[Member, ...]:
         now = self.kernel.clock()
+        self._forget_silent(now)
         return tuple(
-            Member(name, g.zone, g.incarnation, now - at, g)
-            for name, (at, g) in sorted(self._heard.items())
-            if now - at <= self.cfg.member_timeout_s
+            Member(name, word.zone, word.incarnation, now - at, word)
+            for name, (at, word) in sorted(self._heard.items())
         )
 
     async def _ask_peer(self, query: AskPeer) -> Any:
@@ -204,35 +264,31 @@
         }
         wanted = {a for a in self._addresses.values() if a != own}
         wanted |= {str(s) for s in self.cfg.seeds} - {own}
-        for address in wanted:
-            self._mesh.connect(address)
         for address in self._mesh.addresses - wanted:
             self._mesh.disconnect(address)
+        for address in wanted:
+            self._mesh.connect(address)
 
     # -- the zone's lead -----------------------------------------------
 
-    def _lead_state(self) -> Any:
-        return self.states.cell.leads[self.cfg.zone]
-
     async def _lead_view(self, query: LeadView) -> Lead:
-        now = self.kernel.clock()
-        lead = self._lead_state()
-        return Lead(
-            lead.epoch, lead.instance, self._held.held(now), self._hold.until - now
-        )
+        return self.leadership.view(self.kernel.clock())
 
     def _on_record(self, event: RecordApplied) -> None:
+        if event.stream != "cell":
+            return
+        self.lender.on_record(event)
         body = event.envelope.body
         if not isinstance(body, (LeadClaimed, LeadRenewed, LeadReleased)):
             return
-        if body.zone != self.cfg.zone or event.verdict is not Verdict.APPLIED:
+        if body.zone != self.cfg.zone:
             return
-        self._seen.read_at = self.kernel.clock()
-        if isinstance(body, LeadClaimed):
-            log("lead.claimed", epoch=body.epoch, holder=body.instance)
+        self.leadership.look(self.kernel.clock())
+        if event.envelope.lane != self.kernel.lane:
+            self.leadership.wake.set()
 
     def _on_stall(self, event: LoopStalled) -> None:
-        self._held.void()
+        self.leadership.stalled()
         log("loop.stalled", level="warning", stall_s=round(event.stall_s, 3))
 
     @Service.task
@@ -245,146 +301,49 @@
                 self.bus.publish(LoopStalled(now - last))
             last = now
             self._note_lead(now)
-            self._drop_lapsed(now)
 
     def _note_lead(self, now: float) -> None:
-        held = self._held.held(now)
+        held = self.leadership.is_held(now)
         if held == self._was_held:
             return
         self._was_held = held
-        epoch = self._lead_state().epoch
-        if held:
-            self.kernel.grants.open(now, first=epoch == 1)
-        else:
-            self.kernel.grants.close()
+        epoch = self.leadership.state.epoch
         log("lead.changed", epoch=epoch, held=held)
         self.bus.publish(LeadChanged(epoch, held))
 
     @Service.task
     async def _lead_loop(self) -> None:
         while not self.should_stop:
-            if not self.kernel.stopping:
-                try:
-                    await self._lead_step()
-                except FirhookError as exc:
-                    log("lead.step_failed", level="warning", code=exc.code)
-            await self.sleep(self.cfg.lead_lease_s / 4)
+            await self._guarded("lead", self._lead_step())
+            mine = self.leadership.mine
+            await self._pause(self.cfg.lead_lease_s / 3 if mine else _LOOK_S)
 
     async def _lead_step(self) -> None:
-        lead = self._lead_state()
-        zone = self.cfg.zone
-        now = self.kernel.clock()
-        if lead.instance == self.lane and not lead.released:
-            await self._claim(LeadRenewed(zone, lead.epoch, self.lane))
-            return
-        age = await self.bus.ask(LogAge("cell"))
-        if age > self.cfg.log_poll_s + 1.0:
+        started = self.kernel.clock()
+        self.leadership.wake.clear()
+        await self.leadership.step(self.lender.roster(), self.lender.capped_by())
+        self._note_lead(self.kernel.clock())
+        if self.leadership.is_held(self.kernel.clock()):
+            self.lender.settle_before(started)
+        await self.lender.follow_lead()
+
+    async def _pause(self, seconds: float) -> None:
+        least = min(_HURRY_S, seconds)
+        await self.sleep(least)
+        try:
+            await asyncio.wait_for(self.leadership.wake.wait(), seconds - least)
+        except TimeoutError:
             return
-        cfg = self.cfg
-        if lead.released or self._seen.lapsed(now, cfg.lead_lease_s, cfg.margin_s):
-            # The epoch is the one judged before the pause: had a peer claimed
-            # meanwhile, this claim must lose rather than depose that peer.
-            await self.sleep(random.uniform(0, 0.2))
-            await self._claim(LeadClaimed(zone, lead.epoch + 1, self.lane))
-
-    async def _claim(self, body: LeadClaimed | LeadRenewed) -> None:
-        sent_at = self.kernel.clock()
-        if await self._append(body):
-            self._held.renewed(sent_at, self.cfg.lead_lease_s)
-            self._hold.renewed(sent_at, self.cfg.hold_s)
-            self._note_lead(self.kernel.clock())
-        else:
-            self._held.void()
-            self._hold.void()
-
-    async def _append(self, body: Any) -> bool:
-        deadline_s = self.cfg.lead_lease_s / 2
-        query = Append("cell", body, deadline_s=deadline_s, urgent=True)
-        applied = await self.bus.ask(query)
-        return applied.verdict is Verdict.APPLIED
 
     # -- room under the limits -----------------------------------------
 
-    def _part(self, team: str) -> int:
-        plan = self.states.config.plan_of(team)
-        if plan is None:
-            return 0
-        moved = self.states.cell.moved.get(team, {})
-        return zone_parts(plan.limit, self.cfg.zones, moved)[self.cfg.zone]
-
-    async def _on_grant_ask(self, ask: GrantAsk) -> GrantAnswer:
-        now = self.kernel.clock()
-        if not self._held.held(now):
-            raise LogUnavailableError("this instance does not hold the lead")
-        granted = self.kernel.grants.ask(
-            ask.team,
-            ask.incarnation,
-            ask.wanted,
-            ask.running,
-            self._part(ask.team),
-            now,
-        )
-        return GrantAnswer(
-            ask.team, granted, self.cfg.grant_ttl_s, self._lead_state().epoch
-        )
-
-    def _on_room_wanted(self, event: RoomWanted) -> None:
-        self._wanted[event.team] = max(self._wanted.get(event.team, 0), event.wanted)
-        self._pressed[event.team] = self.kernel.clock()
-        self._start_ask(event.team)
-
-    def _start_ask(self, team: str) -> None:
-        if team in self._asking:
-            return
-        self._asking.add(team)
-        task = asyncio.create_task(self._ask_room(team))
-        self._pending_asks.add(task)
-        task.add_done_callback(self._pending_asks.discard)
-
-    async def _ask_room(self, team: str) -> None:
-        try:
-            await self._ask_room_once(team)
-        except FirhookError:
-            # The lead is away or changing; the renewal loop asks again.
-            await asyncio.sleep(0.1)
-        finally:
-            self._asking.discard(team)
-
-    async def _ask_room_once(self, team: str) -> None:
-        sent_at = self.kernel.clock()
-        account = self.kernel.account
-        wanted = max(self._wanted.get(team, 0), account.running.get(team, 0))
-        # Room that is no longer wanted is given up here before the lead hears
-        # of it, so that nobody else can use it while this instance still does.
-        account.room[team] = min(account.room.get(team, 0), wanted)
-        held = max(account.room[team], account.running.get(team, 0))
-        ask = GrantAsk(self.cfg.name, self.lane, team, wanted, held)
-        lead = self._lead_state()
-        if lead.instance == self.lane:
-            answer = await self._on_grant_ask(ask)
-        else:
-            peer = lead.instance.partition("#")[0]
-            answer = await self._ask_peer(AskPeer(peer, ask))
-        # The lead counts from when it answered, this instance from before it
-        # asked, so the grant ends here before it ends in the lead's book.
-        self._grants[team] = (answer.granted, sent_at + answer.ttl_s)
-        account.room[team] = answer.granted
-        self.bus.publish(RoomChanged(team))
-
-    def _drop_lapsed(self, now: float) -> None:
-        for team, (_, until) in list(self._grants.items()):
-            if now >= until:
-                del self._grants[team]
-                self.kernel.account.room.pop(team, None)
+    @Service.task
+    async def _room_loop(self) -> None:
+        await self.keeper.run()
+        await self.wait_until_stopped()
 
     @Service.task
-    async def _renew_grants_loop(self) -> None:
+    async def _move_loop(self) -> None:
         while not self.should_stop:
-            now = self.kernel.clock()
-            for team in list(self._wanted):
-                idle = now - self._pressed.get(team, now) > 10 * self.cfg.grant_ttl_s
-                if idle and not self.kernel.account.running.get(team):
-                    del self._wanted[team]
-                    continue
-                self._start_ask(team)
-            await self.sleep(self.cfg.grant_ttl_s / 3)
+            await self._guarded("move", self.lender.move_spare())
+            await self.sleep(_MOVE_EVERY_S)
--- a/src/firhook/state/_cell.py
+++ b/src/firhook/state/_cell.py
@@ -5,6 +5,7 @@
 import attrs
 import msgspec
 
+from firhook.decide.limits import Span, move_tokens
 from firhook.model import (
     JobAccepted,
     JobCancelled,
@@ -27,12 +28,17 @@
     :param epoch: rises by one with each claim; 0 before the first.
     :param offset: of the last claim or renewal.
     :param released: whether the holder has handed it back.
+    :param roster: the instances that may hold room lent by it or its
+        predecessors.
+    :param holders: the number of holders by which that room is capped.
     """
 
     epoch: int = 0
     instance: str = ""
     offset: int = -1
     released: bool = True
+    roster: tuple[str, ...] = ()
+    holders: int = 1
 
 
 @attrs.frozen(slots=True)
@@ -55,7 +61,7 @@
         super().__init__()
         self.zones = tuple(sorted(zones))
         self.leads: dict[str, LeadState] = {z: LeadState() for z in self.zones}
-        self.moved: dict[str, dict[str, int]] = {}
+        self.moved: dict[str, tuple[Span, ...]] = {}
         self.jobs: dict[str, JobEntry] = {}
 
     def apply_body(self, offset: int, lane: str, body: Any) -> Verdict:
@@ -78,7 +84,12 @@
         lead = self.leads.get(claim.zone)
         if lead is None or claim.epoch != lead.epoch + 1:
             return Verdict.CONFLICT
-        self.leads[claim.zone] = LeadState(claim.epoch, claim.instance, offset, False)
+        if claim.seen != lead.offset:
+            return Verdict.CONFLICT
+        roster = tuple(sorted({*lead.roster, claim.instance}))
+        self.leads[claim.zone] = LeadState(
+            claim.epoch, claim.instance, offset, False, roster, lead.holders
+        )
         return Verdict.APPLIED
 
     def _apply_renewal(self, offset: int, body: LeadRenewed | LeadReleased) -> Verdict:
@@ -86,16 +97,33 @@
         if lead is None or (lead.epoch, lead.instance) != (body.epoch, body.instance):
             return Verdict.CONFLICT
         released = isinstance(body, LeadReleased)
-        self.leads[body.zone] = attrs.evolve(lead, offset=offset, released=released)
+        if lead.released and not released:
+            return Verdict.CONFLICT
+        holders = lead.holders if isinstance(body, LeadReleased) else body.holders
+        self.leads[body.zone] = attrs.evolve(
+            lead,
+            offset=offset,
+            released=released,
+            roster=body.roster,
+            holders=holders,
+        )
         return Verdict.APPLIED
 
     def _apply_move(self, move: LimitMoved) -> Verdict:
         lead = self.leads.get(move.giver)
-        if lead is None or lead.epoch != move.epoch or move.receiver not in self.leads:
+        if lead is None or lead.epoch != move.epoch or lead.released:
+            return Verdict.CONFLICT
+        moved = move_tokens(
+            self.moved.get(move.team, ()),
+            self.zones,
+            move.limit,
+            move.giver,
+            move.receiver,
+            move.amount,
+        )
+        if moved is None:
             return Verdict.CONFLICT
-        by_zone = self.moved.setdefault(move.team, {})
-        by_zone[move.giver] = by_zone.get(move.giver, 0) - move.amount
-        by_zone[move.receiver] = by_zone.get(move.receiver, 0) + move.amount
+        self.moved[move.team] = moved
         return Verdict.APPLIED
 
     def _apply_job(self, offset: int, accepted: JobAccepted) -> Verdict:
@@ -139,5 +167,5 @@
     def load(self, data: Any) -> None:
         """Replace the state by dumped plain data."""
         self.leads = msgspec.convert(data["leads"], dict[str, LeadState])
-        self.moved = data["moved"]
+        self.moved = msgspec.convert(data["moved"], dict[str, tuple[Span, ...]])
         self.jobs = msgspec.convert(data["jobs"], dict[str, JobEntry])
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -12,6 +12,7 @@
     JobSpec,
     Row,
     RowsChanged,
+    TeamRoom,
     decode_envelope,
     decode_message,
     encode_envelope,
@@ -33,7 +34,7 @@
 
 
 def test_message_survives_the_wire():
-    msg = GrantAsk("i", "i#1", "t", 3, 1)
+    msg = GrantAsk("i#1", 1, 2, 0.5, (TeamRoom("t", 3, 1),))
     assert decode_message(encode_message(msg)) == msg
 
 
