A fleet of members under a fake log, network and clock

The real lead, room and lending code, the cell's state, book and account run under virtual time with kills, pauses, cuts, lost answers, a slow or absent log and changes of the limit. Invariant: what runs over the fleet stays within the limit, or the largest that a zone has not read away from for a grant and a request.

--- /dev/null
+++ b/tests/roles/fleet.py
@@ -0,0 +1,404 @@
+"""A fleet of members under a fake log, network and clock.
+
+The lead, room and lending code is the real one, and so are the state of the
+cell, the book and the account.  Time is virtual: the event loop jumps to the
+next timer, so minutes pass in milliseconds and each run is the same.
+"""
+
+import asyncio
+import contextlib
+
+import attrs
+
+from firhook._bus import Bus
+from firhook._kernel import Load
+from firhook._leadership import Leadership
+from firhook._lender import Lender
+from firhook._room import RoomKeeper
+from firhook.decide.grants import GrantBook
+from firhook.decide.limits import Account
+from firhook.errors import (
+    FirhookError,
+    LogOutcomeUnknownError,
+    LogUnavailableError,
+    PeerUnreachableError,
+)
+from firhook.events import (
+    Append,
+    Applied,
+    AskPeer,
+    LogAge,
+    Member,
+    Members,
+    RecordApplied,
+    RoomChanged,
+    RoomWanted,
+)
+from firhook.model import Envelope, Gossip, GrantAsk, HoldingsAsk, Plan, TeamUse
+from firhook.state import CellState
+
+ZONES = ("a", "b", "c")
+TEAM = "t"
+LINGER_S = 5.0
+OUTAGE_S = 16.0
+NET_S = 0.002
+
+
+@attrs.frozen
+class Cfg:
+    """The settings that the members' code reads."""
+
+    zone: str
+    zones: tuple[str, ...] = ZONES
+    lead_lease_s: float = 3.0
+    margin_s: float = 0.3
+    grant_ttl_s: float = 2.0
+    default_deadline_s: float = LINGER_S
+    lend_outage_s: float = OUTAGE_S
+    hold_s: float = 10.0
+    log_poll_s: float = 1.0
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time is that of its next timer."""
+
+    def __init__(self):
+        super().__init__()
+        self._virtual = 1000.0
+        self._selector.select = self._skip
+
+    def _skip(self, timeout=None):
+        if timeout:
+            self._virtual += timeout
+        return []
+
+    def time(self):
+        """Return the virtual time in seconds."""
+        return self._virtual
+
+
+class FakeLog:
+    """The two streams, which the members share."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.records: list[Envelope] = []
+        self.limits = [20]
+        self.down = False
+        self.delay_s = 0.005
+
+
+class Config:
+    """A node's reading of the lists: just one team's limit."""
+
+    def __init__(self, log):
+        self.log = log
+        self.version = 0
+
+    def plan_of(self, team):
+        """Return the team's plan at the version that was read."""
+        return Plan("p", 1.0, self.log.limits[self.version])
+
+
+@attrs.define
+class States:
+    """The states of one node."""
+
+    config: Config
+    cell: CellState
+
+
+class Node:
+    """One instance: the members' code with requests that run under it."""
+
+    def __init__(self, fleet, name, zone, run):
+        self.fleet, self.name = fleet, name
+        self.lane = f"{name}#{run}"
+        self.cfg = Cfg(zone)
+        loop = fleet.loop
+        self.clock = loop.time
+        self.bus = Bus()
+        self.states = States(Config(fleet.log), CellState(ZONES))
+        self.account = Account(self.clock)
+        self.grants = GrantBook(self.cfg.grant_ttl_s, LINGER_S)
+        self.load = Load()
+        self.stopping = False
+        self.alive = True
+        self.cut = False
+        self.gate = asyncio.Event()
+        self.gate.set()
+        self.seen_end_at = float("-inf")
+        self.seq = 0
+        self.pending: dict[int, asyncio.Future] = {}
+        self.demand = 0
+        self.leadership = Leadership(self)
+        self.lender = Lender(self, self.leadership)
+        self.keeper = RoomKeeper(self, self.leadership, self.lender.on_ask)
+        self.lender.keeper = self.keeper
+        self.bus.answer(AskPeer, self._ask_peer)
+        self.bus.answer(Append, self._append)
+        self.bus.answer(LogAge, self._log_age)
+        self.bus.answer(Members, self._members)
+        self.bus.subscribe(RecordApplied, self.lender.on_record)
+        self.bus.subscribe(RoomWanted, self.keeper.want)
+        self.bus.subscribe(RoomChanged, lambda event: self.serve())
+        self.tasks = [
+            loop.create_task(t)
+            for t in (
+                self._follow(),
+                self._every(0.25, self._lead_step),
+                self.keeper.run(),
+                self._every(1.0, self.lender.move_spare),
+                self._serve_loop(),
+            )
+        ]
+
+    # -- the world around it ---------------------------------------------
+
+    @property
+    def reaches_log(self):
+        """Whether the log answers this node now."""
+        zone_cut = self.cfg.zone in self.fleet.cut_zones
+        return not (self.fleet.log.down or self.cut or zone_cut)
+
+    def reaches(self, other):
+        """Whether a message gets from this node to another now."""
+        if self.cut or other.cut or not other.alive:
+            return False
+        cut = self.fleet.cut_zones
+        same = self.cfg.zone == other.cfg.zone
+        return same or not ({self.cfg.zone, other.cfg.zone} & cut)
+
+    async def _ask_peer(self, query):
+        await self.gate.wait()
+        other = self.fleet.nodes.get(query.peer)
+        await asyncio.sleep(NET_S)
+        if other is None or not self.reaches(other):
+            await asyncio.sleep(query.timeout_s)
+            raise PeerUnreachableError(f"{query.peer}: cut")
+        kinds = {
+            GrantAsk: other.lender.on_ask,
+            HoldingsAsk: other.keeper.on_holdings_ask,
+        }
+        serve = self.fleet.loop.create_task(
+            other.served(kinds[type(query.body)], query)
+        )
+        try:
+            answer = await asyncio.wait_for(serve, query.timeout_s)
+        except TimeoutError as exc:
+            raise PeerUnreachableError(f"{query.peer}: no answer") from exc
+        except FirhookError as exc:
+            raise PeerUnreachableError(f"{query.peer}: {exc.code}") from exc
+        await asyncio.sleep(NET_S)
+        if not self.reaches(other) or self.fleet.lose_answers:
+            await asyncio.sleep(query.timeout_s)
+            raise PeerUnreachableError(f"{query.peer}: answer lost")
+        await self.gate.wait()
+        return answer
+
+    async def served(self, handler, query):
+        """Serve a peer's message, also late if this node is paused."""
+        await self.gate.wait()
+        if not self.alive:
+            raise PeerUnreachableError("gone")
+        return await handler(query.body)
+
+    async def _append(self, query):
+        await self.gate.wait()
+        self.seq += 1
+        envelope = Envelope(self.lane, self.seq, query.body)
+        fut = self.fleet.loop.create_future()
+        self.pending[self.seq] = fut
+        if not self.reaches_log:
+            await asyncio.sleep(query.deadline_s)
+            await self.gate.wait()
+            raise LogUnavailableError("down")
+        log = self.fleet.log
+        self.fleet.loop.call_later(log.delay_s, log.records.append, envelope)
+        try:
+            applied = await asyncio.wait_for(fut, query.deadline_s)
+        except TimeoutError as exc:
+            await self.gate.wait()
+            raise LogOutcomeUnknownError("no word") from exc
+        await self.gate.wait()
+        return applied
+
+    async def _log_age(self, query):
+        return self.clock() - self.seen_end_at
+
+    async def _members(self, query):
+        result = []
+        for node in list(self.fleet.nodes.values()):
+            if node is self or not node.reaches(self) or not node.gate.is_set():
+                continue
+            use = TeamUse(TEAM, 0, 0, 0.0, node.keeper.short(TEAM))
+            word = Gossip(
+                node.name, node.cfg.zone, node.lane, 0, 0, 0.0, True, False, (), (use,)
+            )
+            result.append(Member(node.name, node.cfg.zone, node.lane, 0.1, word))
+        return tuple(result)
+
+    # -- its loops -------------------------------------------------------
+
+    async def _every(self, seconds, step):
+        while True:
+            await self.gate.wait()
+            with contextlib.suppress(FirhookError):
+                await step()
+            await asyncio.sleep(seconds)
+
+    async def _lead_step(self):
+        started = self.clock()
+        await self.leadership.step(self.lender.roster(), self.lender.capped_by())
+        if self.leadership.is_held(self.clock()):
+            self.lender.settle_before(started)
+        await self.lender.follow_lead()
+
+    async def _follow(self):
+        while True:
+            await asyncio.sleep(0.05)
+            await self.gate.wait()
+            if self.reaches_log:
+                self.read_on()
+
+    def read_on(self):
+        """Apply what the streams hold beyond what was read."""
+        log = self.fleet.log
+        self.states.config.version = len(log.limits) - 1
+        cell = self.states.cell
+        while cell.next_offset < len(log.records):
+            offset = cell.next_offset
+            envelope = log.records[offset]
+            verdict = cell.apply(offset, envelope)
+            self.bus.publish(RecordApplied("cell", offset, envelope, verdict))
+            self.leadership.look(self.clock())
+            fut = self.pending.pop(envelope.seq, None)
+            if envelope.lane == self.lane and fut is not None and not fut.done():
+                fut.set_result(Applied(offset, verdict))
+            elif fut is not None:
+                self.pending[envelope.seq] = fut
+        self.seen_end_at = self.clock()
+
+    # -- requests --------------------------------------------------------
+
+    async def _serve_loop(self):
+        while True:
+            await self.gate.wait()
+            self.serve()
+            await asyncio.sleep(0.2)
+
+    def serve(self):
+        """Start requests as far as there is demand and room."""
+        if not self.alive or not self.gate.is_set() or self.stopping:
+            return
+        while self.account.running.get(TEAM, 0) < self.demand:
+            if not self.account.take(TEAM):
+                self.load.waiting = {TEAM: 1}
+                self.bus.publish(RoomWanted(TEAM, self.demand))
+                return
+            self.fleet.start(self)
+        self.load.waiting = {}
+
+    async def ended(self):
+        """Give room back once the answer is read."""
+        await self.gate.wait()
+        if self.alive:
+            self.account.give_back(TEAM)
+
+    def kill(self):
+        """End the process; its requests run on at the runners."""
+        self.alive = False
+        for task in self.tasks:
+            task.cancel()
+
+
+class Fleet:
+    """Three zones of two instances each."""
+
+    def __init__(self, per_zone=2):
+        self.loop = VirtualLoop()
+        asyncio.set_event_loop(self.loop)
+        self.log = FakeLog(self.loop)
+        self.cut_zones: set[str] = set()
+        self.lose_answers = False
+        self.running = 0
+        self.took_s = 0.5
+        self.runs = 0
+        self.worst: list[str] = []
+        self.lowered: list[tuple[float, int]] = []
+        self.nodes: dict[str, Node] = {}
+        for zone in ZONES:
+            for i in range(per_zone):
+                self.boot(f"{zone}{i}", zone)
+        self.loop.set_exception_handler(self._failed)
+        self.failures: list[str] = []
+
+    def _failed(self, loop, context):
+        exc = context.get("exception")
+        if not isinstance(exc, FirhookError):
+            self.failures.append(repr(context))
+
+    def boot(self, name, zone):
+        """Start an instance, afresh if it ran before."""
+        self.runs += 1
+        self.nodes[name] = Node(self, name, zone, self.runs)
+
+    def bound(self):
+        """Return the most that may run at this moment.
+
+        The limit itself, or the largest that a zone has not read away from
+        long enough for everything under it to have ended.
+        """
+        now = self.loop.time()
+        read = min(
+            (n.states.config.version for n in self.nodes.values() if n.alive),
+            default=0,
+        )
+        self.lowered.append((now, read))
+        grace_s = self.nodes["a0"].cfg.grant_ttl_s + LINGER_S + 1.0
+        while len(self.lowered) > 1 and self.lowered[1][0] < now - grace_s:
+            self.lowered.pop(0)
+        oldest = min(version for _, version in self.lowered)
+        return max(self.log.limits[oldest:])
+
+    def start(self, node):
+        """Count a request that a node dispatched."""
+        self.running += 1
+        if self.running > self.bound():
+            self.worst.append(
+                f"{self.running} run of {self.bound()} at {self.loop.time():.3f} "
+                f"through {node.lane}"
+            )
+        self.loop.call_later(self.took_s, self._end, node)
+
+    def _end(self, node):
+        self.running -= 1
+        self.loop.create_task(node.ended())
+
+    def run(self, seconds):
+        """Let time pass."""
+        self.bound()
+        self.loop.run_until_complete(asyncio.sleep(seconds))
+        assert not self.failures, self.failures
+        assert not self.worst, self.worst
+
+    def heal(self):
+        """Mend everything and replace what died."""
+        self.cut_zones.clear()
+        self.lose_answers = False
+        self.log.down, self.log.delay_s = False, 0.005
+        for node in list(self.nodes.values()):
+            node.cut = False
+            node.gate.set()
+            if not node.alive:
+                self.boot(node.name, node.cfg.zone)
+
+    def close(self):
+        """End all tasks."""
+        for node in self.nodes.values():
+            node.kill()
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.loop.run_until_complete(asyncio.sleep(0))
+        self.loop.close()
+        asyncio.set_event_loop(None)
