The zone's lead decides in a pure core, proved by a state machine

Cause: the lead's rules stood inside its loop and had gaps. A worker that restarted forgot the highest epoch and its clock, so an old order could start an attempt again; a new lead sent the starts of the lead before it; an ended attempt was forgotten at its worker while a start of it could still arrive; one slow worker held up every order; explained steps were written outside records; ended jobs were kept for good.

Change: decide/_orders.py holds one term of a lead (orders, ends, fences); decide/_rounds.py plans a round (turns, preemption, gangs, quarantine); orders name the worker's run; a term begins with the record ZoneFenced, which also settles an append of unknown outcome; steps are derived in apply; ended jobs are pruned by records; the state indexes attempts by worker.

Ruled out: judging an attempt absent from a look alone. A look does not bar an older lead's order that is still on its way.

--- a/src/firhook/_records.py
+++ b/src/firhook/_records.py
@@ -127,10 +127,16 @@
 @record
 @attrs.frozen(slots=True)
 class JobAccepted:
-    """A job, and the zone whose lead places it."""
+    """A job, and the zone whose lead places it.
+
+    :param accepted_at: wall-clock time of acceptance, in seconds since the
+        epoch; deadlines count from it.  It decides about order only, never
+        about safety, so that a wrong clock does little harm.
+    """
 
     job: JobSpec
     zone: str
+    accepted_at: float = 0.0
 
 
 @record
@@ -156,6 +162,78 @@
     seen: int
 
 
+@attrs.frozen(slots=True)
+class JobEnd:
+    """How a whole job ended: ``done`` or ``cancelled``."""
+
+    job_id: str
+    outcome: str
+
+
+@record
+@attrs.frozen(slots=True)
+class JobsEnded:
+    """Jobs that have ended, on stream ``cell``, by the lead that placed them."""
+
+    zone: str
+    epoch: int
+    items: tuple[JobEnd, ...]
+
+
+@attrs.frozen(slots=True)
+class JobNote:
+    """A step of a job in words, for explain."""
+
+    job_id: str
+    text: str
+
+
+@record
+@attrs.frozen(slots=True)
+class ZoneFenced:
+    """The first record of a lead in its zone's stream.
+
+    A record of an older epoch that lands after it is void; one that landed
+    before it has been read by the time this one is.  The lead appends it
+    again after an append whose outcome it does not know: reading it back
+    then says that the append before it landed earlier or never will.
+    """
+
+    epoch: int
+    instance: str
+
+
+@record
+@attrs.frozen(slots=True)
+class JobsClosed:
+    """Jobs of a zone whose attempts need no longer be remembered."""
+
+    epoch: int
+    job_ids: tuple[str, ...]
+
+
+@attrs.frozen(slots=True)
+class CarriedTask:
+    """What a lost zone's stream says of a task that another zone adopted."""
+
+    job_id: str
+    index: int
+    attempt: int
+    outcome: str
+    progress: float = 0.0
+    failures: int = 0
+
+
+@record
+@attrs.frozen(slots=True)
+class TasksCarried:
+    """Ended attempts of adopted tasks, brought over from a lost zone's stream."""
+
+    epoch: int
+    giver: str
+    items: tuple[CarriedTask, ...]
+
+
 @attrs.frozen(slots=True)
 class Assignment:
     """One attempt of a task, given to a worker."""
@@ -169,10 +247,11 @@
 @record
 @attrs.frozen(slots=True)
 class Assigned:
-    """A batch of assignments by the zone lead of an epoch."""
+    """A batch of assignments by the zone lead of an epoch, and why."""
 
     epoch: int
     items: tuple[Assignment, ...]
+    notes: tuple[JobNote, ...] = ()
 
 
 @attrs.frozen(slots=True)
@@ -210,6 +289,14 @@
     note: str
 
 
+@record
+@attrs.frozen(slots=True)
+class JobsNoted:
+    """Steps of several jobs, folded into one record."""
+
+    notes: tuple[JobNote, ...]
+
+
 @record
 @attrs.frozen(slots=True)
 class WorkerMarked:
--- a/src/firhook/decide/_lease.py
+++ b/src/firhook/decide/_lease.py
@@ -60,3 +60,12 @@
     :param until: the lease's end, on this instance's clock.
     """
     return stamp + (until - read_at) * (1 - DRIFT)
+
+
+def latest(moment: float, span_s: float) -> float:
+    """Return when a span that another clock counts is over at the latest.
+
+    :param moment: when it began at the latest, on this clock.
+    :param span_s: its length on a clock that may be slow by the drift.
+    """
+    return moment + span_s / (1 - DRIFT)
--- a/src/firhook/decide/_place.py
+++ b/src/firhook/decide/_place.py
@@ -1,9 +1,19 @@
 """Placing: best fit by dominant resource, never above what a worker has."""
 
-from collections.abc import Iterable
+from bisect import bisect_left, insort
+from collections.abc import Iterable, Mapping, Set
 
 import attrs
 
+from firhook.model import JobSpec
+
+#: Fitting workers that are compared for each task.  The search goes from the
+#: fullest up, so that the first few are the tightest; looking at all 910 for
+#: each of 62 starts a second would cost a core more than control may take.
+COMPARED = 6
+
+_SLACK = 1e-9
+
 
 @attrs.frozen(slots=True)
 class Need:
@@ -13,6 +23,19 @@
     memory_mb: int
     accelerators: int
 
+    @classmethod
+    def of(cls, job: JobSpec) -> "Need":
+        """Return what each task of a job needs."""
+        return cls(job.cpus, job.memory_mb, job.accelerators)
+
+    def covers(self, other: "Need") -> bool:
+        """Return whether this need is at least another in every resource."""
+        return (
+            self.cpus >= other.cpus
+            and self.memory_mb >= other.memory_mb
+            and self.accelerators >= other.accelerators
+        )
+
 
 @attrs.define(slots=True)
 class Room:
@@ -27,7 +50,7 @@
     def fits(self, need: Need) -> bool:
         """Return whether a task fits whole."""
         return (
-            need.cpus <= self.cpus + 1e-9
+            need.cpus <= self.cpus + _SLACK
             and need.memory_mb <= self.memory_mb
             and need.accelerators <= self.accelerators
         )
@@ -38,36 +61,134 @@
         self.memory_mb -= need.memory_mb
         self.accelerators -= need.accelerators
 
+    def give_back(self, need: Need) -> None:
+        """Free what a task needed."""
+        self.cpus += need.cpus
+        self.memory_mb += need.memory_mb
+        self.accelerators += need.accelerators
+
+    def slots(self, need: Need) -> int:
+        """Return how many such tasks fit."""
+        counts = [(self.cpus + _SLACK) // need.cpus, self.memory_mb // need.memory_mb]
+        if need.accelerators:
+            counts.append(self.accelerators // need.accelerators)
+        return max(int(min(counts)), 0)
+
 
-def place(need: Need, rooms: Iterable[Room]) -> Room | None:
-    """Return the worker that a task fits most tightly, or ``None``.
+class Rooms:
+    """The rooms of a zone's workers, in order of what they have left.
 
-    The worker left with the least of its scarcest resource is filled first,
-    which keeps others whole for large tasks.  A worker with accelerators is
-    taken for a task that needs none only when no other has room.
+    Workers with accelerators stand apart: a task that needs none gets one of
+    them only when no other worker has room.
+
+    :param mb_per_cpu: memory that goes with one processor over the zone, by
+        which processors and memory are compared.
     """
-    fitting = [r for r in rooms if r.fits(need)]
-    if not fitting:
-        return None
-    return min(
-        fitting,
-        key=lambda r: (
-            r.accelerators > 0 and need.accelerators == 0,
-            max(r.cpus - need.cpus, (r.memory_mb - need.memory_mb) / 2048),
-            r.worker,
-        ),
-    )
-
-
-def place_gang(need: Need, count: int, rooms: list[Room]) -> list[Room] | None:
-    """Return workers for all tasks of a gang, or ``None`` if not all fit."""
-    trial = {r.worker: attrs.evolve(r) for r in rooms}
-    chosen = []
-    for _ in range(count):
-        room = place(need, trial.values())
-        if room is None:
-            return None
+
+    def __init__(self, rooms: Iterable[Room]) -> None:
+        self.by_name = {room.worker: room for room in rooms}
+        cpus = sum(max(r.cpus, 0.0) for r in self.by_name.values())
+        memory = sum(max(r.memory_mb, 0) for r in self.by_name.values())
+        self.mb_per_cpu = memory / cpus if cpus > 0 and memory > 0 else 2048.0
+        self._plain: list[tuple[float, str]] = []
+        self._accelerated: list[tuple[float, str]] = []
+        for room in self.by_name.values():
+            insort(self._order_of(room), self._entry(room))
+
+    def _size(self, cpus: float, memory_mb: float) -> float:
+        return max(cpus, memory_mb / self.mb_per_cpu)
+
+    def _entry(self, room: Room) -> tuple[float, str]:
+        return (self._size(room.cpus, room.memory_mb), room.worker)
+
+    def _order_of(self, room: Room) -> list[tuple[float, str]]:
+        return self._accelerated if room.accelerators > 0 else self._plain
+
+    def _remove(self, room: Room) -> None:
+        order = self._order_of(room)
+        del order[bisect_left(order, self._entry(room))]
+
+    def take(self, worker: str, need: Need) -> None:
+        """Reserve what a task needs on a worker."""
+        room = self.by_name[worker]
+        self._remove(room)
         room.take(need)
-        chosen.append(room.worker)
-    by_name = {r.worker: r for r in rooms}
-    return [by_name[name] for name in chosen]
+        insort(self._order_of(room), self._entry(room))
+
+    def give_back(self, worker: str, need: Need) -> None:
+        """Free what a task needed on a worker."""
+        room = self.by_name[worker]
+        self._remove(room)
+        room.give_back(need)
+        insort(self._order_of(room), self._entry(room))
+
+    def find(self, need: Need, avoid: Set[str] = frozenset()) -> Room | None:
+        """Return the worker that a task fits most tightly, or ``None``.
+
+        The worker left with the least of its scarcest resource is filled
+        first, which keeps others whole for large tasks; of the tightest few
+        the one is taken whose processors and memory are left in balance, so
+        that neither is stranded without the other.
+        """
+        if need.accelerators == 0:
+            room = self._find(self._plain, need, avoid)
+            if room is not None:
+                return room
+        return self._find(self._accelerated, need, avoid)
+
+    def _find(
+        self, order: list[tuple[float, str]], need: Need, avoid: Set[str]
+    ) -> Room | None:
+        ratio = self.mb_per_cpu
+        need_cpus, need_memory = need.cpus, need.memory_mb / ratio
+        least = max(need_cpus, need_memory) - _SLACK
+        best, best_score, seen = None, float("inf"), 0
+        by_name = self.by_name
+        for i in range(bisect_left(order, (least, "")), len(order)):
+            room = by_name[order[i][1]]
+            if not room.fits(need) or room.worker in avoid:
+                continue
+            cpus = room.cpus - need_cpus
+            memory = room.memory_mb / ratio - need_memory
+            score = max(cpus, memory) + abs(cpus - memory)
+            if score < best_score:
+                best, best_score = room, score
+            seen += 1
+            if seen >= COMPARED:
+                break
+        return best
+
+    def find_apart(
+        self, need: Need, racks: Mapping[str, int], avoid: Set[str] = frozenset()
+    ) -> Room | None:
+        """Return a worker in the rack with the fewest replicas, or ``None``.
+
+        A rack goes every month or two; a service whose replicas share one
+        would be gone with it.  Every worker is looked at: services start
+        seldom, and the choice lasts.
+        """
+        best, best_key = None, (float("inf"), True, float("inf"), "")
+        for room in self.by_name.values():
+            if not room.fits(need) or room.worker in avoid:
+                continue
+            size, name = self._entry(room)
+            wasted = room.accelerators > 0 and need.accelerators == 0
+            key = (racks.get(room.rack, 0), wasted, size, name)
+            if key < best_key:
+                best, best_key = room, key
+        return best
+
+    def find_all(
+        self, need: Need, count: int, avoid: Set[str] = frozenset()
+    ) -> list[str] | None:
+        """Reserve room for all tasks of a gang, or for none."""
+        chosen: list[str] = []
+        for _ in range(count):
+            room = self.find(need, avoid)
+            if room is None:
+                for worker in chosen:
+                    self.give_back(worker, need)
+                return None
+            self.take(room.worker, need)
+            chosen.append(room.worker)
+        return chosen
--- /dev/null
+++ b/src/firhook/decide/_rounds.py
@@ -0,0 +1,471 @@
+"""One round of a zone's lead: what to stop, place, mark and close."""
+
+from collections.abc import Mapping
+
+import attrs
+
+from firhook.decide._orders import LeadTerm, WorkerView
+from firhook.decide._place import Need, Room, Rooms
+from firhook.decide._preempt import (
+    PreemptBudget,
+    broken_gangs,
+    choose_victims,
+    leaving,
+    over_limit,
+)
+from firhook.decide._repair import Ledger, outcome_of, pending
+from firhook.decide._turns import (
+    GANG_AGE_S,
+    Plan,
+    Reservation,
+    Want,
+    dominant_share,
+    plan_turns,
+)
+from firhook.model import (
+    Assignment,
+    Ending,
+    JobEnd,
+    JobNote,
+    Report,
+    WorkerMarked,
+)
+from firhook.state import CellState, ConfigState, JobEntry, Ref, ZoneState
+
+QUARANTINED = "quarantined"
+
+#: Attempts of ended jobs stay on show for so long, ...
+CLOSE_AFTER_S = 300.0
+#: ... unless there are more of them than this, about 1 MB.
+MAX_SHOWN_TASKS = 4000
+
+
+@attrs.frozen(slots=True)
+class _Reserved:
+    """What the log has placed on a worker, and each team's part of the zone."""
+
+    cpus: float
+    memory_mb: int
+    accelerators: int
+    by_team: Mapping[str, float]
+
+
+_NOTHING = _Reserved(0.0, 0, 0, {})
+
+
+class Scheduler:
+    """Decides for one zone from the states and the lead's view of the workers."""
+
+    def __init__(self, zone: ZoneState, cell: CellState, config: ConfigState) -> None:
+        self._zone = zone
+        self._cell = cell
+        self._config = config
+        self._ledger = Ledger()
+        self._budget = PreemptBudget()
+        self._reserved: dict[str, _Reserved] = {}
+        self._used: dict[str, float] = {}
+        self._total = Need(0.0, 0, 0)
+        self._waiting_since: dict[str, float] = {}
+        self._progressed: dict[Ref, tuple[float, float]] = {}
+        self._ended_at: dict[str, float] = {}
+        self._told: dict[str, str] = {}
+        self._fresh = False
+
+    def start_over(self) -> None:
+        """Forget what was derived from a state that has been replaced."""
+        self._fresh = False
+
+    # -- what is there -------------------------------------------------------
+
+    def _refresh(self, term: LeadTerm) -> None:
+        """Bring what is derived up to the log's state, by what changed."""
+        endpoints = [v.endpoint for v in term.workers.values() if v.endpoint]
+        total = Need(
+            sum(e.cpus for e in endpoints),
+            sum(e.memory_mb for e in endpoints),
+            sum(e.accelerators for e in endpoints),
+        )
+        if total != self._total or not self._fresh:
+            self._total = total
+            self._reserved.clear()
+            self._used.clear()
+            self._zone.touched |= self._zone.live.keys()
+            self._fresh = True
+        for worker in self._zone.touched:
+            self._replace(worker)
+        self._zone.touched.clear()
+
+    def _replace(self, worker: str) -> None:
+        for team, share in self._reserved.pop(worker, _NOTHING).by_team.items():
+            self._used[team] -= share
+        refs = self._zone.live.get(worker)
+        if not refs:
+            return
+        cpus, memory_mb, accelerators = 0.0, 0, 0
+        by_team: dict[str, float] = {}
+        for ref in refs:
+            entry = self._cell.jobs.get(ref[0])
+            if entry is None:
+                continue
+            job = entry.job
+            cpus += job.cpus
+            memory_mb += job.memory_mb
+            accelerators += job.accelerators
+            share = dominant_share(Need.of(job), self._total)
+            by_team[job.team] = by_team.get(job.team, 0.0) + share
+        self._reserved[worker] = _Reserved(cpus, memory_mb, accelerators, by_team)
+        for team, share in by_team.items():
+            self._used[team] = self._used.get(team, 0.0) + share
+
+    def _rooms(self, term: LeadTerm, now: float) -> list[Room]:
+        rooms = []
+        for view in term.workers.values():
+            if self._usable(view, now):
+                rooms.append(self._room(view))
+        return rooms
+
+    def _usable(self, view: WorkerView, now: float) -> bool:
+        """Return whether a worker may be given tasks.
+
+        One that has not answered may be gone; one that runs what the log has
+        as ended has less room than the log says.
+        """
+        if view.endpoint is None or view.endpoint.leaving or view.report is None:
+            return False
+        if view.name in self._zone.marks:
+            live = self._zone.live.get(view.name)
+            return not live and self._ledger.may_probe(view.name, now)
+        return not self._strays(view.name, view.report)
+
+    def _strays(self, worker: str, report: Report) -> bool:
+        live = self._zone.live.get(worker, {})
+        return any(
+            t.state == "running" and (t.job_id, t.index, t.attempt) not in live
+            for t in report.tasks
+        )
+
+    def _room(self, view: WorkerView) -> Room:
+        e = view.endpoint
+        assert e is not None
+        used = self._reserved.get(view.name, _NOTHING)
+        return Room(
+            view.name,
+            e.rack,
+            e.cpus - used.cpus,
+            e.memory_mb - used.memory_mb,
+            e.accelerators - used.accelerators,
+        )
+
+    # -- what waits ------------------------------------------------------------
+
+    def _wants(self, now: float, wall: float) -> list[Want]:
+        def may_retry(job_id: str, index: int, failures: int) -> bool:
+            return self._ledger.may_retry(job_id, index, failures, now)
+
+        wants = []
+        for entry in self._cell.jobs_of(self._zone.zone):
+            key = entry.job.key
+            if self._zone.live_tasks.get(key, 0) >= entry.job.tasks:
+                self._waiting_since.pop(key, None)
+                continue
+            indexes = pending(entry, self._zone, may_retry)
+            if indexes:
+                wants.append(self._want(entry, indexes, now, wall))
+            else:
+                self._waiting_since.pop(key, None)
+        return wants
+
+    def _want(
+        self, entry: JobEntry, indexes: tuple[int, ...], now: float, wall: float
+    ) -> Want:
+        job = entry.job
+        since = self._waiting_since.setdefault(job.key, now)
+        left = float("inf")
+        if job.deadline_s is not None:
+            left = entry.accepted_at + job.deadline_s - wall
+        return Want(
+            job,
+            indexes,
+            waited_s=now - since,
+            time_left_s=left,
+            avoid=self._ledger.avoid(job.key, now),
+            racks=self._racks(job.key) if job.priority == "service" else {},
+        )
+
+    def _racks(self, job_id: str) -> dict[str, int]:
+        racks: dict[str, int] = {}
+        for task in self._zone.tasks.get(job_id, {}).values():
+            rack = self._rack_of.get(task.worker) if task.live else None
+            if rack is not None:
+                racks[rack] = racks.get(rack, 0) + 1
+        return racks
+
+    _rack_of: Mapping[str, str] = {}
+
+    # -- the round ---------------------------------------------------------------
+
+    def plan(
+        self, term: LeadTerm, left: Mapping[str, int], now: float, wall: float
+    ) -> tuple[tuple[Assignment, ...], tuple[JobNote, ...]]:
+        """Return the assignments of this round, and why other jobs wait.
+
+        :param left: how many more tasks each team may start under its limit.
+        :param wall: wall-clock time, for deadlines.
+        """
+        self._refresh(term)
+        self._note_progress(term, now)
+        self._rack_of = {
+            v.name: v.endpoint.rack for v in term.workers.values() if v.endpoint
+        }
+        wants = self._wants(now, wall)
+        if not wants:
+            return (), ()
+        rooms = self._rooms(term, now)
+        reservation = self._reserve(wants, rooms, now)
+        shares = {w.job.team: self._share(w.job.team) for w in wants}
+        plan = plan_turns(
+            wants, Rooms(rooms), self._used, shares, left, self._total, reservation
+        )
+        self._preempt(term, wants, plan, left, now)
+        plan.placements = self._one_probe_each(plan)
+        items = tuple(
+            Assignment(p.job_id, p.index, self._attempt(p.job_id, p.index), p.worker)
+            for p in plan.placements
+        )
+        return items, self._held_notes(plan, reservation, term)
+
+    def _one_probe_each(self, plan: Plan) -> list:
+        probed: set[str] = set()
+        kept = []
+        for placement in plan.placements:
+            if placement.worker in self._zone.marks:
+                job = self._cell.jobs[placement.job_id].job
+                if placement.worker in probed or job.gang or job.priority != "batch":
+                    continue
+                probed.add(placement.worker)
+            kept.append(placement)
+        return kept
+
+    def _attempt(self, job_id: str, index: int) -> int:
+        last = self._zone.tasks.get(job_id, {}).get(index)
+        return last.attempt + 1 if last else 1
+
+    def _share(self, team: str) -> float:
+        plan = self._config.plan_of(team)
+        return plan.share if plan else 1.0
+
+    def _note_progress(self, term: LeadTerm, now: float) -> None:
+        for view in term.workers.values():
+            for ref, progress in view.seen.items():
+                last = self._progressed.get(ref)
+                if last is None or progress > last[0]:
+                    self._progressed[ref] = (progress, now)
+        if len(self._progressed) > 2 * sum(self._zone.running.values()) + 100:
+            live = self._zone.is_live
+            self._progressed = {r: p for r, p in self._progressed.items() if live(r)}
+
+    def _lost_s(self, ref: Ref, now: float) -> float:
+        """Return the processor-seconds a task has done since its checkpoint."""
+        last = self._progressed.get(ref)
+        entry = self._cell.jobs[ref[0]]
+        return (now - last[1]) * entry.job.cpus if last else 0.0
+
+    def _remaining_s(self, ref: Ref, now: float) -> float:
+        job = self._cell.jobs[ref[0]].job
+        progress, at = self._progressed.get(ref, (0.0, now))
+        return max(job.run_s * (1 - progress) - (now - at), 0.0)
+
+    def _reserve(
+        self, wants: list[Want], rooms: list[Room], now: float
+    ) -> Reservation | None:
+        """Set workers aside for the gang that has waited longest, if it is due.
+
+        One gang at a time: two that each held half of what they need would
+        wait for each other for good.
+        """
+        due = [w for w in wants if w.job.gang and w.waited_s >= GANG_AGE_S]
+        if not due:
+            return None
+        want = max(due, key=lambda w: (w.waited_s, w.job.key))
+        need = Need.of(want.job)
+        ranked = []
+        for room in rooms:
+            drained = attrs.evolve(room)
+            free_in_s = 0.0
+            for ref in self._zone.live.get(room.worker, {}):
+                entry = self._cell.jobs.get(ref[0])
+                if entry is None or entry.job.priority == "service":
+                    continue
+                drained.give_back(Need.of(entry.job))
+                free_in_s = max(free_in_s, self._remaining_s(ref, now))
+            slots = drained.slots(need)
+            if slots:
+                ranked.append((free_in_s / slots, free_in_s, slots, room.worker))
+        ranked.sort()
+        chosen, found, free_in_s = set(), 0, 0.0
+        for _, ends_s, slots, worker in ranked:
+            if found >= len(want.indexes):
+                break
+            found += slots
+            free_in_s = max(free_in_s, ends_s)
+            chosen.add(worker)
+        if found < len(want.indexes):
+            return None
+        return Reservation(want.job.key, frozenset(chosen), free_in_s)
+
+    def _preempt(
+        self,
+        term: LeadTerm,
+        wants: list[Want],
+        plan: Plan,
+        left: Mapping[str, int],
+        now: float,
+    ) -> None:
+        """Have batch tasks give way to urgent ones that found no room."""
+        placed = {(p.job_id, p.index) for p in plan.placements}
+        urgent = []
+        for want in wants:
+            if want.job.priority != "urgent":
+                continue
+            if plan.held.get(want.job.key) != "no worker has room for it now":
+                continue
+            rest = tuple(i for i in want.indexes if (want.job.key, i) not in placed)
+            room = max(left.get(want.job.team, 0), 0)
+            if rest and (not want.job.gang or room >= len(rest)):
+                urgent.append(attrs.evolve(want, indexes=rest[:room]))
+        if not urgent:
+            return
+        rooms = {r.worker: r for r in self._rooms(term, now)}
+        for p in plan.placements:
+            rooms[p.worker].take(Need.of(self._cell.jobs[p.job_id].job))
+        for worker, ref, _ in self._zone.attempts():
+            if ref in term.stopping and worker in rooms:
+                rooms[worker].give_back(Need.of(self._cell.jobs[ref[0]].job))
+        chosen = choose_victims(
+            urgent,
+            Rooms(rooms.values()),
+            self._zone,
+            self._cell,
+            self._over_share(),
+            lambda ref: self._lost_s(ref, now),
+            term.stopping.keys(),
+            self._budget.left(now),
+        )
+        self._budget.spend(len(chosen))
+        term.stopping.update(chosen)
+
+    def _over_share(self) -> set[str]:
+        """Return the teams that run more than their share of what is used."""
+        shares = {team: self._share(team) for team in self._used}
+        whole = sum(shares.values()) or 1.0
+        used = sum(self._used.values())
+        return {t for t, u in self._used.items() if u > used * shares[t] / whole}
+
+    def _held_notes(
+        self, plan: Plan, reservation: Reservation | None, term: LeadTerm
+    ) -> tuple[JobNote, ...]:
+        """Return why jobs wait, each reason told once until it changes."""
+        notes = []
+        placed = {p.job_id for p in plan.placements}
+        for key, reason in plan.held.items():
+            entry = self._cell.jobs[key]
+            text = self._impossible(entry, term) or reason
+            if reservation is not None and reservation.job_id == key:
+                text = f"waits for {len(reservation.workers)} workers set aside for it"
+            if self._told.get(key) != text:
+                self._told[key] = text
+                notes.append(JobNote(key, f"held: {text}"))
+        for key in placed - plan.held.keys():
+            self._told.pop(key, None)
+        return tuple(notes)
+
+    def _impossible(self, entry: JobEntry, term: LeadTerm) -> str:
+        need = Need.of(entry.job)
+        slots = 0
+        for view in term.workers.values():
+            e = view.endpoint
+            if e is not None:
+                room = Room(e.name, "", e.cpus, e.memory_mb, e.accelerators)
+                slots += room.slots(need)
+        if not slots:
+            return "each task is larger than any worker of the zone"
+        if entry.job.gang and slots < entry.job.tasks:
+            return f"the zone has room for {slots} of its {entry.job.tasks} tasks"
+        return ""
+
+    def mark_stops(self, term: LeadTerm, parts: Mapping[str, int], now: float) -> None:
+        """Note on the term which attempts are to be checkpointed and stopped."""
+        gone = {
+            v.name for v in term.workers.values() if v.endpoint and v.endpoint.leaving
+        }
+        seen = {ref for view in term.workers.values() for ref in view.seen}
+        for chosen in (
+            broken_gangs(self._zone, self._cell),
+            leaving(self._zone, self._cell, gone, seen) if gone else {},
+            over_limit(self._zone, self._cell, parts),
+        ):
+            for ref, reason in chosen.items():
+                term.stopping.setdefault(ref, reason)
+
+    # -- ends ----------------------------------------------------------------------
+
+    def note_ended(self, endings: tuple[Ending, ...], now: float) -> None:
+        """Note ends that the log holds by now."""
+        for ending in endings:
+            task = self._zone.tasks.get(ending.job_id, {}).get(ending.index)
+            if task is not None:
+                self._ledger.note(ending, task.worker, now)
+
+    def marks(self, endings: tuple[Ending, ...], now: float) -> list[WorkerMarked]:
+        """Return the workers to quarantine and to take back."""
+        marks = [
+            WorkerMarked(worker, QUARANTINED, reason)
+            for worker, reason in self._ledger.sick(self._zone, now)
+        ]
+        for ending in endings:
+            task = self._zone.tasks.get(ending.job_id, {}).get(ending.index)
+            if task is None or ending.outcome != "done":
+                continue
+            if task.worker in self._zone.marks:
+                self._ledger.recovered(task.worker)
+                marks.append(WorkerMarked(task.worker, "", "a task ended well on it"))
+        return marks
+
+    def ended_jobs(self) -> tuple[JobEnd, ...]:
+        """Return the jobs that have ended and are not yet recorded so."""
+        ended = []
+        for entry in self._cell.jobs_of(self._zone.zone):
+            key = entry.job.key
+            if self._zone.live_tasks.get(key):
+                continue
+            if key not in self._zone.tasks and not entry.cancelled:
+                continue
+            outcome = outcome_of(entry, self._zone)
+            if outcome:
+                ended.append(JobEnd(key, outcome))
+        return tuple(ended)
+
+    def closable(self, now: float) -> tuple[str, ...]:
+        """Return the jobs whose attempts need no longer be remembered."""
+        over = []
+        for key in self._zone.tasks:
+            entry = self._cell.jobs.get(key)
+            here = entry is not None and entry.zone == self._zone.zone
+            if here and entry is not None and not entry.ended:
+                continue
+            if not self._zone.live_tasks.get(key):
+                over.append(key)
+        for key in over:
+            self._ended_at.setdefault(key, now)
+        shown = sum(len(self._zone.tasks[key]) for key in over)
+        closed = []
+        for key in sorted(over, key=lambda k: self._ended_at[k]):
+            if shown <= MAX_SHOWN_TASKS and now < self._ended_at[key] + CLOSE_AFTER_S:
+                break
+            shown -= len(self._zone.tasks[key])
+            closed.append(key)
+        for key in closed:
+            del self._ended_at[key]
+            self._ledger.forget_job(key)
+            self._told.pop(key, None)
+        return tuple(closed)
--- a/src/firhook/decide/lease.py
+++ b/src/firhook/decide/lease.py
@@ -1,5 +1,5 @@
-"""What leases mean to their holders and to others."""
+"""Leases and clocks."""
 
-from firhook.decide._lease import DRIFT, HeldLease, SeenLease, not_after
+from firhook.decide._lease import DRIFT, HeldLease, SeenLease, latest, not_after
 
-__all__ = ["DRIFT", "HeldLease", "SeenLease", "not_after"]
+__all__ = ["DRIFT", "HeldLease", "SeenLease", "latest", "not_after"]
--- /dev/null
+++ b/src/firhook/decide/orders.py
@@ -0,0 +1,11 @@
+"""What a zone's lead orders of its workers, and which attempts have ended."""
+
+from firhook.decide._orders import (
+    ORDER_TTL_S,
+    LeadTerm,
+    Standing,
+    Timing,
+    WorkerView,
+)
+
+__all__ = ["ORDER_TTL_S", "LeadTerm", "Standing", "Timing", "WorkerView"]
--- a/src/firhook/decide/place.py
+++ b/src/firhook/decide/place.py
@@ -1,5 +1,5 @@
 """Which worker gets a task."""
 
-from firhook.decide._place import Need, Room, place, place_gang
+from firhook.decide._place import Need, Room, Rooms
 
-__all__ = ["Need", "Room", "place", "place_gang"]
+__all__ = ["Need", "Room", "Rooms"]
--- a/src/firhook/events.py
+++ b/src/firhook/events.py
@@ -129,12 +129,14 @@
 
     :param held: whether this instance holds it for certain at this moment.
     :param hold_left_s: how long the holder may go on renewing tasks.
+    :param lease_left_s: how long this instance holds it at least.
     """
 
     epoch: int
     instance: str
     held: bool
     hold_left_s: float
+    lease_left_s: float = 0.0
 
 
 @attrs.frozen(slots=True)
--- a/src/firhook/platform/__init__.py
+++ b/src/firhook/platform/__init__.py
@@ -1,5 +1,6 @@
 """What the platform gives, as interfaces, and their HTTP adapters."""
 
+from firhook._orders import Order, Report, StartOrder, StopOrder, TaskReport
 from firhook.platform._base import (
     Endpoint,
     EndpointClient,
@@ -8,12 +9,7 @@
     LogEntry,
     LogPage,
     LogService,
-    Order,
     Platform,
-    Report,
-    StartOrder,
-    StopOrder,
-    TaskReport,
     WorkerClient,
 )
 
--- a/src/firhook/roles/_members.py
+++ b/src/firhook/roles/_members.py
@@ -218,7 +218,11 @@
         now = self.kernel.clock()
         lead = self._lead_state()
         return Lead(
-            lead.epoch, lead.instance, self._held.held(now), self._hold.until - now
+            lead.epoch,
+            lead.instance,
+            self._held.held(now),
+            self._hold.until - now,
+            self._held.until - now,
         )
 
     def _on_record(self, event: RecordApplied) -> None:
--- a/src/firhook/state/__init__.py
+++ b/src/firhook/state/__init__.py
@@ -1,23 +1,26 @@
 """What instances know from the log: pure state, the same for every reader."""
 
 from firhook.state._base import StreamState
-from firhook.state._cell import CellState, LeadState
+from firhook.state._cell import CellState, JobEntry, LeadState, job_digest
 from firhook.state._config import ConfigState, KeyEntry
 from firhook.state._lanes import Lanes
 from firhook.state._once import OnceEntry, OnceState
 from firhook.state._states import States
-from firhook.state._zone import TaskState, ZoneState
+from firhook.state._zone import Ref, TaskState, ZoneState
 
 __all__ = [
     "CellState",
     "ConfigState",
+    "JobEntry",
     "KeyEntry",
     "Lanes",
     "LeadState",
     "OnceEntry",
     "OnceState",
+    "Ref",
     "States",
     "StreamState",
     "TaskState",
     "ZoneState",
+    "job_digest",
 ]
--- a/src/firhook/state/_cell.py
+++ b/src/firhook/state/_cell.py
@@ -1,5 +1,6 @@
 """Zone leads, limit transfers and jobs, as the log has them."""
 
+import hashlib
 from typing import Any
 
 import attrs
@@ -9,6 +10,7 @@
     JobAccepted,
     JobCancelled,
     JobsAdopted,
+    JobsEnded,
     JobSpec,
     LeadClaimed,
     LeadReleased,
@@ -19,6 +21,19 @@
 )
 from firhook.state._base import StreamState
 
+#: Ended jobs that are still listed in full.  4,900 jobs a day make this half
+#: a day, in about 2 MB.
+MAX_ENDED = 2000
+#: Ended jobs whose ids are still known, so that a repeated submission starts
+#: nothing.  Four days at 4,900 a day, in about 3 MB.
+MAX_KNOWN = 20_000
+
+
+def job_digest(job: JobSpec) -> str:
+    """Return a short digest of a job as declared, the same at every reader."""
+    data = msgspec.json.encode(job)
+    return hashlib.blake2b(data, digest_size=8).hexdigest()
+
 
 @attrs.frozen(slots=True)
 class LeadState:
@@ -37,12 +52,18 @@
 
 @attrs.frozen(slots=True)
 class JobEntry:
-    """A job and the zone that places it."""
+    """A job and the zone that places it.
+
+    :param accepted_at: wall-clock time of its acceptance, in seconds.
+    :param ended: how it ended, ``done`` or ``cancelled``; empty before.
+    """
 
     job: JobSpec
     zone: str
     offset: int
     cancelled: bool = False
+    accepted_at: float = 0.0
+    ended: str = ""
 
 
 class CellState(StreamState):
@@ -57,6 +78,9 @@
         self.leads: dict[str, LeadState] = {z: LeadState() for z in self.zones}
         self.moved: dict[str, dict[str, int]] = {}
         self.jobs: dict[str, JobEntry] = {}
+        self.known: dict[str, str] = {}
+        self._open: dict[str, dict[str, JobEntry]] = {}
+        self._ended: dict[str, bool] = {}
 
     def apply_body(self, offset: int, lane: str, body: Any) -> Verdict:
         """Apply a claim of lead, a transfer or a job."""
@@ -70,6 +94,8 @@
             return self._apply_job(offset, body)
         if isinstance(body, JobCancelled):
             return self._apply_cancel(body)
+        if isinstance(body, JobsEnded):
+            return self._apply_ends(body)
         if isinstance(body, JobsAdopted):
             return self._apply_adoption(body)
         return Verdict.IGNORED
@@ -103,17 +129,58 @@
         if key in self.jobs:
             same = self.jobs[key].job == accepted.job
             return Verdict.REPEATED if same else Verdict.CONFLICT
+        if key in self.known:
+            same = self.known[key] == job_digest(accepted.job)
+            return Verdict.REPEATED if same else Verdict.CONFLICT
         if accepted.zone not in self.leads:
             return Verdict.IGNORED
-        self.jobs[key] = JobEntry(accepted.job, accepted.zone, offset)
+        entry = JobEntry(
+            accepted.job, accepted.zone, offset, accepted_at=accepted.accepted_at
+        )
+        self._put(key, entry)
         return Verdict.APPLIED
 
+    def _put(self, key: str, entry: JobEntry) -> None:
+        """Put a job in place and keep the index of open jobs in step."""
+        last = self.jobs.get(key)
+        if last is not None and (last.zone != entry.zone or entry.ended):
+            self._open.get(last.zone, {}).pop(key, None)
+        self.jobs[key] = entry
+        if entry.ended:
+            self._ended[key] = True
+        else:
+            self._open.setdefault(entry.zone, {})[key] = entry
+
     def _apply_cancel(self, cancel: JobCancelled) -> Verdict:
+        applied = False
         for key in cancel.job_ids:
-            if key in self.jobs:
-                self.jobs[key] = attrs.evolve(self.jobs[key], cancelled=True)
+            entry = self.jobs.get(key)
+            if entry is not None and not entry.cancelled and not entry.ended:
+                self._put(key, attrs.evolve(entry, cancelled=True))
+                applied = True
+        return Verdict.APPLIED if applied else Verdict.REPEATED
+
+    def _apply_ends(self, body: JobsEnded) -> Verdict:
+        lead = self.leads.get(body.zone)
+        if lead is None or lead.epoch != body.epoch:
+            return Verdict.CONFLICT
+        for item in body.items:
+            entry = self.jobs.get(item.job_id)
+            if entry is None or entry.ended or entry.zone != body.zone:
+                continue
+            self._put(item.job_id, attrs.evolve(entry, ended=item.outcome))
+        self._prune()
         return Verdict.APPLIED
 
+    def _prune(self) -> None:
+        """Drop what ended longest ago, by records alone and so alike everywhere."""
+        while len(self._ended) > MAX_ENDED:
+            oldest = next(iter(self._ended))
+            del self._ended[oldest]
+            self.known[oldest] = job_digest(self.jobs.pop(oldest).job)
+        while len(self.known) > MAX_KNOWN:
+            del self.known[next(iter(self.known))]
+
     def _apply_adoption(self, adoption: JobsAdopted) -> Verdict:
         giver = self.leads.get(adoption.giver)
         receiver = self.leads.get(adoption.receiver)
@@ -121,23 +188,32 @@
             return Verdict.CONFLICT
         if giver.offset != adoption.seen:
             return Verdict.CONFLICT
-        for key, entry in self.jobs.items():
-            if entry.zone == adoption.giver:
-                self.jobs[key] = attrs.evolve(entry, zone=adoption.receiver)
+        for entry in self.jobs_of(adoption.giver):
+            self._put(entry.job.key, attrs.evolve(entry, zone=adoption.receiver))
         return Verdict.APPLIED
 
     def jobs_of(self, zone: str) -> list[JobEntry]:
-        """Return the jobs that a zone's lead places, in order of acceptance."""
-        return [entry for entry in self.jobs.values() if entry.zone == zone]
+        """Return the jobs that a zone's lead places and that have not ended."""
+        return list(self._open.get(zone, {}).values())
 
     def dump(self) -> Any:
         """Return the state as plain data."""
         return to_builtins(
-            {"leads": self.leads, "moved": self.moved, "jobs": self.jobs}
+            {
+                "leads": self.leads,
+                "moved": self.moved,
+                "jobs": self.jobs,
+                "ended": list(self._ended),
+                "known": self.known,
+            }
         )
 
     def load(self, data: Any) -> None:
         """Replace the state by dumped plain data."""
         self.leads = msgspec.convert(data["leads"], dict[str, LeadState])
         self.moved = data["moved"]
-        self.jobs = msgspec.convert(data["jobs"], dict[str, JobEntry])
+        self.jobs, self._open = {}, {}
+        self._ended = dict.fromkeys(data["ended"], True)
+        self.known = dict(data["known"])
+        for key, entry in msgspec.convert(data["jobs"], dict[str, JobEntry]).items():
+            self._put(key, entry)
--- a/src/firhook/state/_zone.py
+++ b/src/firhook/state/_zone.py
@@ -1,5 +1,6 @@
 """Attempts of tasks in one zone, as the log has them."""
 
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 import attrs
@@ -7,16 +8,29 @@
 
 from firhook.model import (
     Assigned,
+    Assignment,
+    CarriedTask,
     Ended,
+    Ending,
+    JobNote,
     JobNoted,
+    JobsClosed,
+    JobsNoted,
+    TasksCarried,
     Verdict,
     WorkerMarked,
+    ZoneFenced,
     to_builtins,
 )
 from firhook.state._base import StreamState
 
 #: Explained steps kept for each job; the oldest go first.
-MAX_NOTES = 50
+MAX_NOTES = 20
+#: Jobs that have ended and whose steps are still told.  4,900 jobs a day over
+#: seven zones are 700 a day for each, so this is most of a day, in about 1 MB.
+MAX_CLOSED = 500
+
+Ref = tuple[str, int, int]
 
 
 @attrs.frozen(slots=True)
@@ -28,6 +42,8 @@
     :param outcome: empty while it may be running, else how it ended.
     :param progress: checkpointed share of the work, 0 to 1.
     :param failures: attempts that ended by the job's own failure.
+    :param epoch: of the lead that assigned the attempt.
+    :param preempted: attempts that gave way to urgent work.
     """
 
     attempt: int
@@ -36,6 +52,8 @@
     reason: str = ""
     progress: float = 0.0
     failures: int = 0
+    epoch: int = 0
+    preempted: int = 0
 
     @property
     def live(self) -> bool:
@@ -44,7 +62,14 @@
 
 
 class ZoneState(StreamState):
-    """Attempts by job and task index, worker marks and explained steps."""
+    """Attempts by job and task index, worker marks and explained steps.
+
+    :ivar live: attempts that may be running, by worker; derived.
+    :ivar running: how many of these each team has; derived.
+    :ivar live_tasks: how many of these each job has; derived.
+    :ivar touched: workers whose attempts changed, for a reader to clear.
+    :ivar closed: jobs whose attempts were dropped, oldest first.
+    """
 
     def __init__(self, zone: str) -> None:
         super().__init__()
@@ -53,71 +78,172 @@
         self.tasks: dict[str, dict[int, TaskState]] = {}
         self.marks: dict[str, tuple[str, str]] = {}
         self.notes: dict[str, list[str]] = {}
+        self.closed: dict[str, bool] = {}
+        self.live: dict[str, dict[Ref, TaskState]] = {}
+        self.running: dict[str, int] = {}
+        self.live_tasks: dict[str, int] = {}
+        self.touched: set[str] = set()
 
     def apply_body(self, offset: int, lane: str, body: Any) -> Verdict:
         """Apply assignments, endings, marks or notes."""
-        if isinstance(body, (Assigned, Ended)):
+        if isinstance(body, (ZoneFenced, Assigned, Ended, JobsClosed, TasksCarried)):
             if body.epoch < self.epoch:
                 # A lead that lost its epoch while it was paused may still have
                 # had an append on its way; its successor's view stands.
                 return Verdict.CONFLICT
             self.epoch = body.epoch
+        if isinstance(body, ZoneFenced):
+            return Verdict.APPLIED
         if isinstance(body, Assigned):
             return self._apply_assigned(body)
         if isinstance(body, Ended):
             return self._apply_ended(body)
+        if isinstance(body, TasksCarried):
+            return self._apply_carried(body)
+        if isinstance(body, JobsClosed):
+            return self._apply_closed(body)
         if isinstance(body, WorkerMarked):
-            self.marks[body.worker] = (body.mark, body.reason)
-            return Verdict.APPLIED
+            return self._apply_mark(body)
         if isinstance(body, JobNoted):
-            self.note(body.job_id, body.note)
+            self._note(body.job_id, body.note)
+            return Verdict.APPLIED
+        if isinstance(body, JobsNoted):
+            self._note_all(body.notes)
             return Verdict.APPLIED
         return Verdict.IGNORED
 
-    def note(self, job_key: str, text: str) -> None:
-        """Remember an explained step of a job."""
-        notes = self.notes.setdefault(job_key, [])
+    def attempts(self) -> Iterator[tuple[str, Ref, TaskState]]:
+        """Return every attempt that may be running, with its worker."""
+        for worker, refs in self.live.items():
+            for ref, task in refs.items():
+                yield worker, ref, task
+
+    def is_live(self, ref: Ref) -> bool:
+        """Return whether an attempt may be running."""
+        task = self.tasks.get(ref[0], {}).get(ref[1])
+        return task is not None and task.attempt == ref[2] and task.live
+
+    def _set(self, job_id: str, index: int, task: TaskState) -> None:
+        """Put a task's state in place and keep the derived indexes in step."""
+        tasks = self.tasks.setdefault(job_id, {})
+        self._unlist(job_id, index, tasks.get(index))
+        tasks[index] = task
+        if task.live:
+            ref = (job_id, index, task.attempt)
+            self.live.setdefault(task.worker, {})[ref] = task
+            self._count(job_id, 1)
+            self.touched.add(task.worker)
+
+    def _unlist(self, job_id: str, index: int, task: TaskState | None) -> None:
+        if task is None or not task.live:
+            return
+        refs = self.live[task.worker]
+        del refs[(job_id, index, task.attempt)]
+        if not refs:
+            del self.live[task.worker]
+        self._count(job_id, -1)
+        self.touched.add(task.worker)
+
+    def _count(self, job_id: str, amount: int) -> None:
+        team = job_id.partition("/")[0]
+        for counts, key in ((self.running, team), (self.live_tasks, job_id)):
+            counts[key] = counts.get(key, 0) + amount
+            if not counts[key]:
+                del counts[key]
+
+    def _note(self, job_id: str, text: str) -> None:
+        notes = self.notes.setdefault(job_id, [])
         notes.append(text)
         del notes[:-MAX_NOTES]
 
+    def _note_all(self, notes: Sequence[JobNote]) -> None:
+        for note in notes:
+            self._note(note.job_id, note.text)
+
     def _apply_assigned(self, batch: Assigned) -> Verdict:
-        applied = False
+        taken = []
         for item in batch.items:
-            tasks = self.tasks.setdefault(item.job_id, {})
-            last = tasks.get(item.index)
+            last = self.tasks.get(item.job_id, {}).get(item.index)
             expected = last.attempt + 1 if last else 1
             if item.attempt != expected or (last and last.live):
                 continue
-            applied = True
-            tasks[item.index] = TaskState(
+            if item.job_id in self.closed:
+                continue
+            task = TaskState(
                 item.attempt,
                 item.worker,
                 progress=last.progress if last else 0.0,
                 failures=last.failures if last else 0,
+                epoch=batch.epoch,
+                preempted=last.preempted if last else 0,
             )
-        return Verdict.APPLIED if applied else Verdict.CONFLICT
+            self._set(item.job_id, item.index, task)
+            taken.append(item)
+        for job_id, text in _assigned_notes(taken):
+            self._note(job_id, text)
+        self._note_all(batch.notes)
+        return Verdict.APPLIED if taken else Verdict.CONFLICT
 
     def _apply_ended(self, batch: Ended) -> Verdict:
-        applied = False
+        taken = []
         for item in batch.items:
-            last = self.tasks.get(item.job_id, {}).get(item.index)
-            if last is None or last.attempt != item.attempt or not last.live:
+            if not self.is_live((item.job_id, item.index, item.attempt)):
                 continue
-            applied = True
-            failed = item.outcome == "failed"
-            self.tasks[item.job_id][item.index] = attrs.evolve(
+            last = self.tasks[item.job_id][item.index]
+            task = attrs.evolve(
                 last,
                 outcome=item.outcome,
                 reason=item.reason,
                 progress=max(last.progress, item.progress),
-                failures=last.failures + failed,
+                failures=last.failures + (item.outcome == "failed"),
+                preempted=last.preempted + (item.outcome == "preempted"),
             )
+            self._set(item.job_id, item.index, task)
+            taken.append((item, task.worker))
+        for job_id, text in _ended_notes(taken):
+            self._note(job_id, text)
+        return Verdict.APPLIED if taken else Verdict.CONFLICT
+
+    def _apply_carried(self, batch: TasksCarried) -> Verdict:
+        """Take over the attempts of a lost zone, all of them ended.
+
+        A job can come back to a zone that had it before; what that zone still
+        remembers is older then, and gives way unless it may be running.
+        """
+        jobs: dict[str, int] = {}
+        for item in batch.items:
+            last = self.tasks.get(item.job_id, {}).get(item.index)
+            if last is not None and (last.live or last.attempt >= item.attempt):
+                continue
+            self.closed.pop(item.job_id, None)
+            self._set(item.job_id, item.index, _carried(item))
+            jobs[item.job_id] = jobs.get(item.job_id, 0) + 1
+        for job_id, count in jobs.items():
+            self._note(job_id, f"{count} tasks taken over from zone {batch.giver}")
+        return Verdict.APPLIED if jobs else Verdict.CONFLICT
+
+    def _apply_closed(self, batch: JobsClosed) -> Verdict:
+        applied = False
+        for job_id in batch.job_ids:
+            tasks = self.tasks.get(job_id, {})
+            if any(task.live for task in tasks.values()):
+                continue
+            applied = True
+            self.tasks.pop(job_id, None)
+            self.closed.pop(job_id, None)
+            self.closed[job_id] = True
+        while len(self.closed) > MAX_CLOSED:
+            oldest = next(iter(self.closed))
+            del self.closed[oldest]
+            self.notes.pop(oldest, None)
         return Verdict.APPLIED if applied else Verdict.CONFLICT
 
-    def forget(self, job_key: str) -> None:
-        """Drop a job that has ended and whose end was told."""
-        self.tasks.pop(job_key, None)
-        self.notes.pop(job_key, None)
+    def _apply_mark(self, body: WorkerMarked) -> Verdict:
+        if body.mark:
+            self.marks[body.worker] = (body.mark, body.reason)
+        else:
+            self.marks.pop(body.worker, None)
+        return Verdict.APPLIED
 
     def dump(self) -> Any:
         """Return the state as plain data."""
@@ -130,15 +256,73 @@
                 },
                 "marks": self.marks,
                 "notes": self.notes,
+                "closed": list(self.closed),
             }
         )
 
     def load(self, data: Any) -> None:
         """Replace the state by dumped plain data."""
         self.epoch = data["epoch"]
-        tasks = msgspec.convert(
+        self.marks = {w: (m[0], m[1]) for w, m in data["marks"].items()}
+        self.notes = {job: list(notes) for job, notes in data["notes"].items()}
+        self.closed = dict.fromkeys(data["closed"], True)
+        self.touched |= self.live.keys()
+        self.tasks, self.live, self.running, self.live_tasks = {}, {}, {}, {}
+        loaded = msgspec.convert(
             data["tasks"], dict[str, dict[int, TaskState]], strict=False
         )
-        self.tasks = tasks
-        self.marks = {w: (m[0], m[1]) for w, m in data["marks"].items()}
-        self.notes = data["notes"]
+        for job_id, tasks in loaded.items():
+            for index, task in tasks.items():
+                self._set(job_id, index, task)
+
+
+def _carried(item: CarriedTask) -> TaskState:
+    return TaskState(
+        item.attempt,
+        "",
+        outcome=item.outcome,
+        reason="its zone was lost" if item.outcome == "lost" else "",
+        progress=item.progress,
+        failures=item.failures,
+    )
+
+
+def _names(indexes: Sequence[int]) -> str:
+    """Return task numbers in words, folded where they are many."""
+    if len(indexes) == 1:
+        return f"task {indexes[0]}"
+    if len(indexes) <= 4:
+        return "tasks " + ", ".join(map(str, sorted(indexes)))
+    return f"{len(indexes)} tasks ({min(indexes)} to {max(indexes)})"
+
+
+def _assigned_notes(items: Sequence[Assignment]) -> list[tuple[str, str]]:
+    """Return one step for each job, attempt and worker of a batch, folded."""
+    groups: dict[tuple[str, int], list[Assignment]] = {}
+    for item in items:
+        groups.setdefault((item.job_id, item.attempt), []).append(item)
+    notes = []
+    for (job_id, attempt), group in groups.items():
+        workers = sorted({item.worker for item in group})
+        where = ", ".join(workers[:4])
+        if len(workers) > 4:
+            where += f" and {len(workers) - 4} more"
+        names = _names([item.index for item in group])
+        notes.append((job_id, f"{names}: attempt {attempt} placed on {where}"))
+    return notes
+
+
+def _ended_notes(items: Sequence[tuple[Ending, str]]) -> list[tuple[str, str]]:
+    """Return one step for each job, outcome and reason of a batch, folded."""
+    groups: dict[tuple[str, str, str], list[tuple[Ending, str]]] = {}
+    for item, worker in items:
+        groups.setdefault((item.job_id, item.outcome, item.reason), []).append(
+            (item, worker)
+        )
+    notes = []
+    for (job_id, outcome, reason), group in groups.items():
+        names = _names([item.index for item, _ in group])
+        where = f" on {group[0][1]}" if len({w for _, w in group}) == 1 else ""
+        why = f": {reason}" if reason else ""
+        notes.append((job_id, f"{names}: {outcome}{where}{why}"))
+    return notes
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -81,6 +81,8 @@
         """Carry out an order."""
         order = await req.json()
         now = time.monotonic()
+        if order.get("boot") not in (None, "", self.boot):
+            return web.json_response({"why": "order for another run"}, status=409)
         if order["epoch"] < self.epoch:
             return web.json_response({"why": "older epoch"}, status=409)
         if now > order["not_after"]:
