--- a/src/firhook/roles/_zone_lead.py
+++ b/src/firhook/roles/_zone_lead.py
@@ -40,6 +40,7 @@
     Verdict,
     ZoneFenced,
 )
+from firhook.roles._adopter import Adopter
 
 #: Records of a round are split into batches of about so many tasks, so that
 #: one lost answer leaves little in doubt.
@@ -59,6 +60,13 @@
         self.cfg = kernel.cfg
         self._states = kernel.states
         self._listed: tuple[Endpoint, ...] = ()
+        self._timing = Timing(
+            kernel.cfg.task_lease_s,
+            kernel.cfg.hold_s,
+            kernel.cfg.margin_s,
+            kernel.cfg.sync_s,
+        )
+        self._adopter = Adopter(kernel)
         self._term: LeadTerm | None = None
         self._scheduler = self._new_scheduler()
         self._round_due = asyncio.Event()
@@ -137,11 +145,9 @@
         if lead.instance != self.kernel.lane:
             self._term = None
         elif self._term is None or self._term.epoch != lead.epoch:
-            cfg = self.cfg
-            timing = Timing(cfg.task_lease_s, cfg.hold_s, cfg.margin_s, cfg.sync_s)
             states = self._states
             self._term = LeadTerm(
-                lead.epoch, states.zone, states.cell, timing, self._before
+                lead.epoch, states.zone, states.cell, self._timing, self._before
             )
             self._scheduler = self._new_scheduler()
         if self._term is not None:
@@ -194,6 +200,7 @@
         if notes:
             await self._append(term, JobsNoted(notes))
         await self._log_closed(term)
+        await self._adopter.step(term.epoch, self._timing)
         self.kernel.grants.tasks = dict(self._states.zone.running)
 
     def _attempts(self) -> Iterable[Any]:
--- a/src/firhook/state/_zone.py
+++ b/src/firhook/state/_zone.py
@@ -167,8 +167,7 @@
             expected = last.attempt + 1 if last else 1
             if item.attempt != expected or (last and last.live):
                 continue
-            if item.job_id in self.closed:
-                continue
+            self.closed.pop(item.job_id, None)
             task = TaskState(
                 item.attempt,
                 item.worker,
--- /dev/null
+++ b/tests/decide/test_adopt.py
@@ -0,0 +1,132 @@
+"""Lost zones: when their jobs are adopted, by whom, and with what."""
+
+import asyncio
+
+from firhook.decide.adopt import SIGHT_S, Sight, adopter, carried
+from firhook.decide.lease import latest
+from firhook.decide.orders import Timing
+from firhook.errors import LogTrimmedError
+from firhook.model import (
+    Assigned,
+    Assignment,
+    Ended,
+    Ending,
+    Envelope,
+    SnapshotChunk,
+    TasksCarried,
+    encode_envelope,
+)
+from firhook.platform import LogEntry, LogPage, LogService
+from firhook.roles._adopter import read_zone
+from firhook.state import ZoneState
+
+TIMING = Timing(lease_s=15.0, hold_s=45.0, margin_s=1.0, sync_s=2.0)
+
+
+def watch(sight, until, heard_until, start=0, blind=()):
+    for now in range(start, until):
+        out = any(a <= now < b for a, b in blind)
+        sight.note_age(SIGHT_S + 1 if out else 0.5, float(now))
+        if now <= heard_until and not out:
+            sight.note_lead("lekki", float(now))
+
+
+def test_a_zone_is_lost_only_after_hold_and_lease_without_a_renewal():
+    """A zone is cut off from the log while its lead goes on renewing tasks.
+
+    Were its jobs adopted before that lead's hold and its tasks' last lease
+    are over, a plan would run in two zones at once.
+    """
+    sight = Sight()
+    watch(sight, 200, heard_until=10)
+    end = 10 + latest(0.0, TIMING.hold_s + TIMING.lease_s) + TIMING.margin_s
+    assert not sight.lost("lekki", TIMING, end)
+    assert sight.lost("lekki", TIMING, end + 0.01)
+
+
+def test_after_an_outage_of_the_log_zones_get_time_to_renew():
+    """The log is out for everybody for ten minutes, then back.
+
+    All zones were silent for ten minutes.  Adopting them at once would move
+    every job of the cell for nothing.
+    """
+    sight = Sight()
+    watch(sight, 700, heard_until=50, blind=((50, 650),))
+    assert not sight.lost("lekki", TIMING, 700.0)
+
+
+def test_a_stalled_instance_starts_counting_anew():
+    sight = Sight()
+    watch(sight, 200, heard_until=10)
+    sight.lose()
+    assert not sight.lost("lekki", TIMING, 200.0)
+
+
+def test_lost_zones_fall_to_the_next_that_is_alive():
+    zones = ("apapa", "ikeja", "lekki", "yaba")
+    alive = {"apapa": True, "yaba": True}
+    assert adopter(zones, "lekki", alive) == "yaba"
+    assert adopter(zones, "yaba", alive) == "apapa"
+    assert adopter(zones, "lekki", {}) == ""
+
+
+def giver_records():
+    items = (Assignment("t/a", 0, 1, "w0"), Assignment("t/a", 1, 1, "w1"))
+    return [
+        Assigned(4, items),
+        Ended(4, (Ending("t/a", 0, 1, "preempted", "", 0.6),)),
+        Assigned(4, (Assignment("t/a", 0, 2, "w1"),)),
+    ]
+
+
+class FakeLog(LogService):
+    """A stream whose first records may have expired."""
+
+    def __init__(self, envelopes, first=0):
+        self.envelopes, self.first = envelopes, first
+
+    async def append(self, stream, payloads):
+        raise AssertionError("only read")
+
+    async def read(self, stream, offset, wait_s):
+        if offset < self.first:
+            raise LogTrimmedError("trimmed", first=self.first)
+        entries = [
+            LogEntry(i, encode_envelope(e))
+            for i, e in enumerate(self.envelopes)
+            if i >= offset
+        ]
+        return LogPage(tuple(entries[:2]), len(self.envelopes))
+
+
+def test_adopted_tasks_go_on_from_their_checkpoint_with_the_next_attempt():
+    """A zone goes in the night with a plan six tenths done.
+
+    At dawn the crew finds it finished elsewhere, not begun anew.
+    """
+    envelopes = [Envelope("i", n, b) for n, b in enumerate(giver_records(), 1)]
+    giver = asyncio.run(read_zone(FakeLog(envelopes), "lekki"))
+    own = ZoneState("yaba")
+    items = tuple(carried(giver, ["t/a"]))
+    own.apply(0, Envelope("k", 1, TasksCarried(7, "lekki", items)))
+    own.apply(1, Envelope("k", 2, Assigned(7, (Assignment("t/a", 0, 3, "y0"),))))
+    assert own.tasks["t/a"][0].progress == 0.6
+    assert own.is_live(("t/a", 0, 3))
+    assert own.notes["t/a"][0] == "2 tasks taken over from zone lekki"
+
+
+def test_a_trimmed_stream_is_read_from_its_snapshot():
+    source = ZoneState("lekki")
+    records = [Envelope("i", n, b) for n, b in enumerate(giver_records(), 1)]
+    for offset, envelope in enumerate(records[:2]):
+        source.apply(offset, envelope)
+    text = source.to_text()
+    half = len(text) // 2
+    chunks = [
+        Envelope("i", 10 + n, SnapshotChunk(2, n, 2, part))
+        for n, part in enumerate((text[:half], text[half:]))
+    ]
+    service = FakeLog([*records, *chunks], first=2)
+    giver = asyncio.run(read_zone(service, "lekki"))
+    assert giver.tasks["t/a"][0].attempt == 2
+    assert giver.tasks["t/a"][0].progress == 0.6
