--- a/src/firhook/_leadership.py
+++ b/src/firhook/_leadership.py
@@ -91,8 +91,15 @@
     def view(self, now: float) -> Lead:
         """Return the lead for other roles."""
         lead = self.state
-        left = self._hold.until - now if self.mine else float("-inf")
-        return Lead(lead.epoch, lead.instance, self.is_held(now), left)
+        if not self.mine:
+            return Lead(lead.epoch, lead.instance, False, float("-inf"), float("-inf"))
+        return Lead(
+            lead.epoch,
+            lead.instance,
+            self.is_held(now),
+            self._hold.until - now,
+            self._held.until - now,
+        )
 
     def promised(self, holder: str, stamp: float) -> None:
         """Note a promise that a holder gave after this lead made a stamp."""
