--- /dev/null
+++ b/bench/_fakes.py
@@ -0,0 +1,154 @@
+"""Small fakes of the platform in this process, for measuring one daemon alone."""
+
+import asyncio
+import contextlib
+import hashlib
+import time
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import zmq
+
+from firhook.model import Endpoint
+from firhook.platform import (
+    EndpointClient,
+    Exchange,
+    InstanceList,
+    LogEntry,
+    LogPage,
+    LogService,
+    Order,
+    Platform,
+    Report,
+    TaskReport,
+    WorkerClient,
+)
+from firhook.settings import Settings, parse_settings
+
+OPERATOR_KEY = "fk_operator_of_the_bench"
+
+
+class FakeLog(LogService):
+    """A log in memory that counts what is appended."""
+
+    def __init__(self) -> None:
+        self.streams: dict[str, list[bytes]] = defaultdict(list)
+        self.appends = 0
+        self.bytes = 0
+        self._grown = asyncio.Condition()
+
+    async def append(self, stream: str, payloads: Sequence[bytes]) -> int:
+        """Append records; see :class:`LogService`."""
+        async with self._grown:
+            first = len(self.streams[stream])
+            self.streams[stream] += payloads
+            self.appends += 1
+            self.bytes += sum(map(len, payloads))
+            self._grown.notify_all()
+        return first
+
+    async def read(self, stream: str, offset: int, wait_s: float) -> LogPage:
+        """Read records; see :class:`LogService`."""
+        records = self.streams[stream]
+        async with self._grown:
+            if offset >= len(records):
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self._grown.wait(), wait_s)
+        part = records[offset : offset + 1000]
+        entries = tuple(LogEntry(offset + i, data) for i, data in enumerate(part))
+        return LogPage(entries, len(records))
+
+
+class FakeInstances(InstanceList):
+    """A list that is up to date."""
+
+    def __init__(self, endpoints: Sequence[Endpoint]) -> None:
+        self.endpoints = tuple(endpoints)
+
+    async def list(self) -> tuple[Endpoint, ...]:
+        """Return the list; see :class:`InstanceList`."""
+        return self.endpoints
+
+
+class FakeWorkers(WorkerClient):
+    """Workers that run whatever they are told and answer at once."""
+
+    def __init__(self) -> None:
+        self.tasks: dict[str, dict[tuple[str, int, int], str]] = defaultdict(dict)
+        self.syncs = 0
+
+    @property
+    def running(self) -> int:
+        """Attempts running at all workers."""
+        return sum(len(t) for t in self.tasks.values())
+
+    async def look(self, worker: Endpoint) -> Report:
+        """Return the inventory; see :class:`WorkerClient`."""
+        tasks = tuple(
+            TaskReport(*ref, state) for ref, state in self.tasks[worker.name].items()
+        )
+        return Report(worker.name, time.monotonic(), 1, "boot", tasks)
+
+    async def sync(self, worker: Endpoint, order: Order) -> Report:
+        """Give an order; see :class:`WorkerClient`."""
+        self.syncs += 1
+        tasks = self.tasks[worker.name]
+        for start in order.start:
+            tasks[start.job_id, start.index, start.attempt] = "running"
+        for ref in order.forget:
+            tasks.pop(ref, None)
+        return await self.look(worker)
+
+
+class FakeEndpoints(EndpointClient):
+    """Runners that answer at once."""
+
+    async def send(
+        self,
+        endpoint: Endpoint,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> Exchange:
+        """Send a request; see :class:`EndpointClient`."""
+        return Exchange(200, (("Content-Type", "text/plain"),), b"ok")
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+
+def fake_platform(endpoints: Sequence[Endpoint]) -> Platform:
+    """Return a whole platform of fakes."""
+    return Platform(FakeLog(), FakeInstances(endpoints), FakeWorkers(), FakeEndpoints())
+
+
+def bench_settings(name: str = "entry-1", **options: Any) -> Settings:
+    """Return settings of one instance in one zone on loopback."""
+    public, secret = zmq.curve_keypair()
+    digest = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
+    cell = "\n".join(f"{option} = {value}" for option, value in options.items())
+    return parse_settings(
+        f"""
+[instance]
+name = {name}
+zone = porto
+zones = porto
+instances_expected = 1
+[listen]
+gateway = 127.0.0.1:0
+ops = 127.0.0.1:0
+peers = 127.0.0.1:0
+[platform]
+log_url = http://127.0.0.1:9
+[mesh]
+curve_public = {public.decode()}
+curve_secret = {secret.decode()}
+[keys]
+operator_digest = {digest}
+[cell]
+{cell}
+"""
+    )
--- a/src/firhook/_daemon.py
+++ b/src/firhook/_daemon.py
@@ -59,7 +59,7 @@
 
 
 async def _serve(kernel: Kernel) -> int:
-    told = asyncio.Event()
+    told = kernel.stop_asked
     loop = asyncio.get_running_loop()
     for sig in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(sig, told.set)
--- a/src/firhook/_kernel.py
+++ b/src/firhook/_kernel.py
@@ -1,5 +1,6 @@
 """The service tree, and the registry by which roles join it."""
 
+import asyncio
 import importlib
 import time
 from abc import ABC, abstractmethod
@@ -15,7 +16,7 @@
 from firhook.decide.grants import GrantBook
 from firhook.decide.limits import Account
 from firhook.logs import log
-from firhook.platform import Platform
+from firhook.platform import CountedLog, Platform
 from firhook.state import States
 from firhook.stats import Stats
 
@@ -91,6 +92,9 @@
     :param platform: the platform's services.
     :param incarnation: unique for each run of the process.
     :param clock: monotonic clock in seconds; tests pass their own.
+    :ivar stop_asked: set by an operator's drain; the daemon then stops as it
+        would on SIGTERM.
+    :ivar mesh_traffic: bytes sent to and received from peers, for the metrics.
     """
 
     def __init__(
@@ -102,7 +106,9 @@
     ) -> None:
         super().__init__()
         self.cfg = cfg
-        self.platform = platform
+        self.stats = Stats(clock)
+        counted = CountedLog(platform.log, self.stats.counters)
+        self.platform = attrs.evolve(platform, log=counted)
         self.clock = clock
         self.lane = f"{cfg.name}#{incarnation}"
         self.bus = Bus()
@@ -110,10 +116,11 @@
         self.account = Account()
         self.grants = GrantBook(cfg.grant_ttl_s, cfg.default_deadline_s)
         self.load = Load()
-        self.stats = Stats()
         self.routes: dict[str, list[web.RouteDef]] = {"api": [], "ops": []}
         self.ready = False
         self.stopping = False
+        self.stop_asked = asyncio.Event()
+        self.mesh_traffic: Callable[[], tuple[int, int]] = lambda: (0, 0)
         self.ports: dict[str, str] = {}
         self.roles: dict[str, Role] = {
             name: cls(self) for name, cls in load_roles().items()
--- a/src/firhook/_lists.py
+++ b/src/firhook/_lists.py
@@ -33,8 +33,9 @@
     :param share: weight of each of its teams when the fleet is full.
     :param limit: most requests and tasks that a team may have running.
     :param urgent: whether its teams may submit urgent jobs.
-    :param slo_ms: waiting time in ms that the service level promises for
-        interactive requests.
+    :param slo_ms: waiting time in ms that the service level promises.
+    :param slo_standard_ms: the same for standard requests, if it differs.
+    :param slo_bulk_ms: the same for bulk requests, if it differs.
     :param slo_target: share of requests that must meet it, 0 to 1.
     """
 
@@ -44,6 +45,13 @@
     urgent: bool = False
     slo_ms: float = 1000.0
     slo_target: float = 0.99
+    slo_standard_ms: float | None = None
+    slo_bulk_ms: float | None = None
+
+    def objective_ms(self, klass: str) -> float:
+        """Return the waiting time in ms promised to a class of requests."""
+        own = {"standard": self.slo_standard_ms, "bulk": self.slo_bulk_ms}.get(klass)
+        return self.slo_ms if own is None else own
 
 
 @attrs.frozen(slots=True)
@@ -54,6 +62,9 @@
     plan: str
 
 
+_CLASS_OPTIONS = ("slo_standard_ms", "slo_bulk_ms")
+
+
 def _number(
     row: Row, option: str, default: str | None, low: float, high: float
 ) -> tuple[float, list[str]]:
@@ -77,7 +88,7 @@
     """
     problems: list[str] = []
     check_name("plan", row.name, problems)
-    known = {"share", "limit", "urgent", "slo_ms", "slo_target"}
+    known = {"share", "limit", "urgent", "slo_ms", "slo_target", *_CLASS_OPTIONS}
     for option in sorted(set(row.values or {}) - known):
         problems.append(f"[{row.name}] {option} is unknown: use {sorted(known)}")
     share, bad = _number(row, "share", None, 0.001, 1e6)
@@ -90,12 +101,17 @@
     problems += bad
     target, bad = _number(row, "slo_target", "0.99", 0.5, 0.99999)
     problems += bad
+    by_class: list[float | None] = []
+    for option in _CLASS_OPTIONS:
+        value, bad = _number(row, option, "1000", 1, 1e7)
+        by_class.append(value if option in (row.values or {}) else None)
+        problems += bad
     urgent = (row.values or {}).get("urgent", "no")
     if urgent not in ("yes", "no"):
         problems.append(f"[{row.name}] urgent = {urgent!r}: give yes or no")
     if problems:
         raise ListInvalidError("; ".join(problems))
-    return Plan(row.name, share, int(limit), urgent == "yes", slo_ms, target)
+    return Plan(row.name, share, int(limit), urgent == "yes", slo_ms, target, *by_class)
 
 
 def check_team(row: Row, plans: Mapping[str, Plan]) -> Team:
--- a/src/firhook/_stats.py
+++ b/src/firhook/_stats.py
@@ -1,50 +1,204 @@
-"""Waiting times by team and class, and what was refused."""
+"""Waiting times, objectives kept and missed, and refusals of one instance."""
 
+import time
+from array import array
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
+import attrs
 from hdrh.histogram import HdrHistogram
 
-#: 1 microsecond to one hour, to two significant digits: about 20 KB each, so
-#: that 120 teams of three classes stay within the memory of an instance.
-_LOW_US, _HIGH_US, _DIGITS = 1, 3_600_000_000, 2
+#: 0.1 ms to ten minutes, to two significant digits: about 10 KB each, so that
+#: two for each of 120 teams of three classes take 7 MB.  Finer than 0.1 ms is
+#: below what a caller over the network can notice.
+_LOW_US, _HIGH_US, _DIGITS, _WORD_BYTES = 100, 600_000_000, 2, 4
 
+#: Histograms are changed this often; a report merges the last two.
+_HISTOGRAM_S = 1800
 
-def _new() -> HdrHistogram:
-    return HdrHistogram(_LOW_US, _HIGH_US, _DIGITS)
+#: Counts are kept by the minute for the longest window.
+_SLOT_S = 60
+WINDOWS_S = {"5m": 300, "30m": 1800, "1h": 3600, "6h": 21600}
+_SLOTS = max(WINDOWS_S.values()) // _SLOT_S
 
+#: Refusals with these codes are the caller's own doing, so that they burn no
+#: error budget; every other refusal is a request that the service missed.
+_CALLERS_FAULTS = ("key.", "request.", "once.", "job.", "list.", "config.")
+
+ANSWERED, SLOW, REFUSED = range(3)
+
+Key = tuple[str, str]
+
+
+def burns_budget(code: str) -> bool:
+    """Return whether a refusal with the code counts as a miss."""
+    return not code.startswith(_CALLERS_FAULTS)
 
-class Stats:
-    """What one instance has seen since it started."""
+
+def new_histogram() -> HdrHistogram:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(_LOW_US, _HIGH_US, _DIGITS, word_size=_WORD_BYTES)
+
+
+class MinuteCounts:
+    """A ring of answered, slow and refused requests by the minute.
+
+    An array of machine integers, since 120 teams of three classes in maps of
+    Python integers would take most of an instance's memory.
+    """
 
     def __init__(self) -> None:
-        self.waits: dict[tuple[str, str], HdrHistogram] = {}
+        self._counts = array("I", bytes(4 * 3 * _SLOTS))
+        self._latest = 0
+
+    def add(self, minute: int, kind: int) -> None:
+        """Count one request in a minute."""
+        self._advance(minute)
+        self._counts[3 * (minute % _SLOTS) + kind] += 1
+
+    def _advance(self, minute: int) -> None:
+        """Empty the slots of the minutes that went by since the last one."""
+        for passed in range(max(self._latest + 1, minute - _SLOTS + 1), minute + 1):
+            at = 3 * (passed % _SLOTS)
+            self._counts[at : at + 3] = array("I", (0, 0, 0))
+        self._latest = max(self._latest, minute)
+
+    def last(self, minute: int, window_s: int) -> list[int]:
+        """Return answered, slow and refused over a window that ends now."""
+        self._advance(minute)
+        sums = [0, 0, 0]
+        for at in range(minute - window_s // _SLOT_S + 1, minute + 1):
+            if at >= 0:
+                for kind in range(3):
+                    sums[kind] += self._counts[3 * (at % _SLOTS) + kind]
+        return sums
+
+
+@attrs.define(slots=True, eq=False)
+class _Recent:
+    """The histogram in use and the one before it."""
+
+    age: int
+    now: HdrHistogram = attrs.field(factory=new_histogram)
+    before: HdrHistogram | None = None
+
+    def turn(self, age: int) -> None:
+        """Change histograms if their time is over."""
+        if age == self.age:
+            return
+        self.before = self.now if age == self.age + 1 else None
+        self.now, self.age = new_histogram(), age
+
+
+@attrs.define(slots=True)
+class ClassStats:
+    """What a report needs of one team and class.
+
+    :ivar waits: waiting times in microseconds over the last half-hour to hour.
+    :ivar windows: answered, slow and refused by window.
+    """
+
+    waits: HdrHistogram = attrs.field(factory=new_histogram)
+    windows: dict[str, list[int]] = attrs.field(
+        factory=lambda: {name: [0, 0, 0] for name in WINDOWS_S}
+    )
+
+
+@attrs.define(slots=True)
+class FleetStats:
+    """The sum of what several instances dumped."""
+
+    classes: dict[Key, ClassStats] = attrs.field(factory=dict)
+    refusals: Counter[str] = attrs.field(factory=Counter)
+
+    def merge(self, data: dict[str, Any]) -> None:
+        """Add what an instance dumped."""
+        for team, klass, text, windows in data["classes"]:
+            stats = self.classes.setdefault((team, klass), ClassStats())
+            stats.waits.decode_and_add(text.encode())
+            for name, counts in windows.items():
+                sums = stats.windows.setdefault(name, [0, 0, 0])
+                for kind, count in enumerate(counts):
+                    sums[kind] += count
+        self.refusals.update(data["refusals"])
+
+
+class Stats:
+    """What one instance has seen.
+
+    A request is held against the objective that is in force when it is
+    answered, so that a later change of the plan does not rewrite the past.
+    Counts are exact at the objective; the histograms only show how waits are
+    spread.  They start small and appear when a team first sends something.
+
+    :param clock: monotonic clock in seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self.objective_ms: Callable[[str, str], float] = lambda team, klass: 1000.0
+        self.counters: Counter[str] = Counter()
         self.refusals: Counter[str] = Counter()
+        self.answers: Counter[Key] = Counter()
+        self.wait_sums_s: Counter[Key] = Counter()
+        self._recent: dict[Key, _Recent] = {}
+        self._counts: dict[Key, MinuteCounts] = {}
 
     def answered(self, team: str, klass: str, wait_s: float, took_s: float) -> None:
         """Count a request that got a runner's answer."""
-        hist = self.waits.get((team, klass))
-        if hist is None:
-            hist = self.waits[team, klass] = _new()
-        hist.record_value(max(1, int(wait_s * 1e6)))
+        key = (team, klass)
+        age = int(self._clock() // _HISTOGRAM_S)
+        recent = self._recent.get(key)
+        if recent is None:
+            recent = self._recent[key] = _Recent(age)
+        recent.turn(age)
+        recent.now.record_value(min(max(_LOW_US, int(wait_s * 1e6)), _HIGH_US))
+        self.answers[key] += 1
+        self.wait_sums_s[key] += wait_s
+        slow = wait_s * 1000 > self.objective_ms(team, klass)
+        self._count(key, SLOW if slow else ANSWERED)
+
+    def refused(self, code: str, team: str = "", klass: str = "standard") -> None:
+        """Count a request that was refused.
 
-    def refused(self, code: str) -> None:
-        """Count a request that was refused."""
+        :param team: empty if the request came without a valid key.
+        """
         self.refusals[code] += 1
+        if team and burns_budget(code):
+            self._count((team, klass), REFUSED)
+
+    def _count(self, key: Key, kind: int) -> None:
+        counts = self._counts.get(key)
+        if counts is None:
+            counts = self._counts[key] = MinuteCounts()
+        counts.add(int(self._clock() // _SLOT_S), kind)
+
+    def count(self, name: str, amount: float = 1) -> None:
+        """Add to a counter that the metrics show as ``firhook_NAME_total``."""
+        self.counters[name] += amount
 
     def dump(self) -> dict[str, Any]:
-        """Return everything as plain data."""
+        """Return everything as plain data for :meth:`FleetStats.merge`."""
+        minute = int(self._clock() // _SLOT_S)
         return {
-            "waits": [
-                [team, klass, hist.encode().decode()]
-                for (team, klass), hist in self.waits.items()
+            "classes": [
+                [
+                    *key,
+                    self._merged_waits(key).encode().decode(),
+                    {n: counts.last(minute, s) for n, s in WINDOWS_S.items()},
+                ]
+                for key, counts in self._counts.items()
             ],
             "refusals": dict(self.refusals),
         }
 
-    def merge(self, data: dict[str, Any]) -> None:
-        """Add what another instance dumped."""
-        for team, klass, text in data["waits"]:
-            hist = self.waits.setdefault((team, klass), _new())
-            hist.decode_and_add(text.encode())
-        self.refusals.update(data["refusals"])
+    def _merged_waits(self, key: Key) -> HdrHistogram:
+        merged = new_histogram()
+        recent = self._recent.get(key)
+        if recent is not None:
+            recent.turn(int(self._clock() // _HISTOGRAM_S))
+            merged.add(recent.now)
+            if recent.before is not None:
+                merged.add(recent.before)
+        return merged
--- /dev/null
+++ b/src/firhook/ops/_reports.py
@@ -0,0 +1,73 @@
+"""The report on service-level burn, gathered from the whole fleet."""
+
+import asyncio
+
+import msgspec
+from aiohttp import web
+
+from firhook._report import BurnReport, burn_report
+from firhook._web import json_response, require_operator
+from firhook.errors import PeerUnreachableError
+from firhook.events import AskPeer, Members, ServePeer
+from firhook.logs import log
+from firhook.model import StatsAnswer, StatsAsk, to_builtins
+from firhook.ops._routes import Routes
+from firhook.stats import FleetStats
+
+
+class ReportRoutes(Routes):
+    """Asks every instance for its figures and merges them."""
+
+    def api(self) -> list[web.RouteDef]:
+        """Return the route; it wants an operator's key."""
+        return [web.get("/v1/report", self._get_report)]
+
+    def ops(self) -> list[web.RouteDef]:
+        """Return no routes."""
+        return []
+
+    def start(self) -> None:
+        """Answer peers that gather a report, and judge by the plans in force."""
+        self.bus.publish(ServePeer(StatsAsk, self._on_stats_ask))
+        self.kernel.stats.objective_ms = self._objective_ms
+
+    def _objective_ms(self, team: str, klass: str) -> float:
+        plan = self.states.config.plan_of(team)
+        return plan.objective_ms(klass) if plan else float("inf")
+
+    async def _on_stats_ask(self, ask: StatsAsk) -> StatsAnswer:
+        return StatsAnswer(msgspec.json.encode(self.kernel.stats.dump()).decode())
+
+    async def _gather(self) -> BurnReport:
+        """Return the fleet's report.
+
+        An instance that is cut off or paused cannot be waited for; the report
+        names it instead, so that nobody takes a part for the whole.
+        """
+        fleet = FleetStats()
+        fleet.merge(self.kernel.stats.dump())
+        members = await self.bus.ask(Members())
+        answers = await asyncio.gather(
+            *(self.bus.ask(AskPeer(m.name, StatsAsk())) for m in members),
+            return_exceptions=True,
+        )
+        told, missing = [self.cfg.name], []
+        for member, answer in zip(members, answers, strict=True):
+            if isinstance(answer, PeerUnreachableError):
+                log("report.peer_missing", level="warning", peer=member.name)
+                missing.append(member.name)
+                continue
+            if isinstance(answer, BaseException):
+                raise answer
+            fleet.merge(msgspec.json.decode(answer.data))
+            told.append(member.name)
+        config = self.states.config
+        plans = {team: config.plans[t.plan] for team, t in config.teams.items()}
+        return burn_report(fleet, plans, told, missing)
+
+    async def _get_report(self, req: web.Request) -> web.Response:
+        await require_operator(self.bus, req)
+        data = to_builtins(await self._gather())
+        for row in data["rows"]:
+            row["class"] = row.pop("klass")
+        return json_response(data)
--- a/src/firhook/platform/__init__.py
+++ b/src/firhook/platform/__init__.py
@@ -16,8 +16,10 @@
     TaskReport,
     WorkerClient,
 )
+from firhook.platform._counted import CountedLog
 
 __all__ = [
+    "CountedLog",
     "Endpoint",
     "EndpointClient",
     "Exchange",
--- /dev/null
+++ b/src/firhook/platform/_counted.py
@@ -0,0 +1,40 @@
+"""Counts what goes to and comes from the platform's log."""
+
+from collections import Counter
+from collections.abc import Sequence
+
+from firhook.errors import FirhookError
+from firhook.platform._base import LogPage, LogService
+
+
+class CountedLog(LogService):
+    """A log service that counts its traffic, for the metrics.
+
+    Whatever role appends, and however it batches, the log sees what is counted
+    here; its several hundred appends a second are for all instances together.
+
+    :param inner: the log service that does the work.
+    :param counters: where to count.
+    """
+
+    def __init__(self, inner: LogService, counters: Counter[str]) -> None:
+        self._inner = inner
+        self._counters = counters
+
+    async def append(self, stream: str, payloads: Sequence[bytes]) -> int:
+        """Append records; see :class:`LogService`."""
+        self._counters["log_appends"] += 1
+        self._counters["log_appended_records"] += len(payloads)
+        self._counters["log_appended_bytes"] += sum(map(len, payloads))
+        try:
+            return await self._inner.append(stream, payloads)
+        except FirhookError:
+            self._counters["log_append_failures"] += 1
+            raise
+
+    async def read(self, stream: str, offset: int, wait_s: float) -> LogPage:
+        """Read records; see :class:`LogService`."""
+        page = await self._inner.read(stream, offset, wait_s)
+        self._counters["log_read_records"] += len(page.entries)
+        self._counters["log_read_bytes"] += sum(len(e.payload) for e in page.entries)
+        return page
--- a/src/firhook/roles/_members.py
+++ b/src/firhook/roles/_members.py
@@ -92,6 +92,8 @@
         self._mesh = Mesh(cfg.curve_public, cfg.curve_secret, self._serve)
         bound = self._mesh.bind(cfg.peers)
         self.kernel.ports["peers"] = str(bound)
+        mesh = self._mesh
+        self.kernel.mesh_traffic = lambda: (mesh.sent_bytes, mesh.received_bytes)
         for seed in cfg.seeds:
             self._mesh.connect(str(seed))
 
--- a/src/firhook/stats.py
+++ b/src/firhook/stats.py
@@ -1,5 +1,5 @@
 """Counters and histograms of one instance, mergeable over the fleet."""
 
-from firhook._stats import Stats
+from firhook._stats import WINDOWS_S, ClassStats, FleetStats, MinuteCounts, Stats
 
-__all__ = ["Stats"]
+__all__ = ["WINDOWS_S", "ClassStats", "FleetStats", "MinuteCounts", "Stats"]
