--- a/bench/capacity_process.py
+++ b/bench/capacity_process.py
@@ -171,8 +171,8 @@
 SYNC_TASKS = 10
 
 
-def _sync_order(epoch: int, stamp: float) -> Order:
-    refs = tuple((f"team-1/job-{i}", 0, 1) for i in range(SYNC_TASKS))
+def _sync_order(epoch: int, stamp: float, tasks: int = SYNC_TASKS) -> Order:
+    refs = tuple((f"team-1/job-{i}", 0, 1) for i in range(tasks))
     return Order(epoch=epoch, not_after=stamp + 60.0, lease_s=60.0, renew=refs)
 
 
@@ -182,7 +182,8 @@
         proc = await cluster.add_worker("worker-1", "porto", "rack-1")
         address = proc.ports["http"]
         endpoint = Endpoint("worker-1", "worker", "porto", address)
-        workers = http_platform(session, cluster.platform_url, 2.0, 2.0).workers
+        platform = http_platform(session, cluster.platform_url, 2.0, 2.0)
+        workers = platform.workers
         stamp = (await workers.look(endpoint)).stamp
         starts = tuple(
             StartOrder(f"team-1/job-{i}", 0, 1, 1.0, 256, 0, 3600.0, True)
@@ -196,6 +197,7 @@
             for _ in range(count):
                 await workers.sync(endpoint, _sync_order(1, stamp))
             spent.append(time.process_time() - before)
+        await platform.endpoints.close()
         return spent
 
 
@@ -204,14 +206,17 @@
     """One order over HTTP that renews ten tasks at a worker, and its report."""
     values = [s * 1e6 for s in asyncio.run(_syncs())]
     yield points("cell", "order to a worker", "us of processor time", SYNCS, values)
-    order = len(msgspec.json.encode(_sync_order(1, 0.0)))
-    reports = [
-        TaskReport(f"team-1/job-{i}", 0, 1, "running") for i in range(SYNC_TASKS)
-    ]
+    held = (5, 10, 20)
+    sizes = [_exchange_bytes(count) for count in held]
+    yield points("cell", "order to a worker, per task", "bytes", held, sizes)
+
+
+def _exchange_bytes(tasks: int) -> int:
+    """Return the bytes of an order that renews tasks, and of its report."""
+    reports = [TaskReport(f"team-1/job-{i}", 0, 1, "running") for i in range(tasks)]
     report = Report("worker-1", 1.0, 1, "boot", tuple(reports))
-    both = order + len(msgspec.json.encode(report))
-    sizes = (1, 2, 3)
-    yield points("cell", "order to a worker", "bytes", sizes, [both * n for n in sizes])
+    order = _sync_order(1, 0.0, tasks)
+    return len(msgspec.json.encode(order)) + len(msgspec.json.encode(report))
 
 
 LISTED = (60, 300, 1900)
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Scripts for developers: the demonstration, proofs and rendered pages."""
