The tool by groups of commands, with exit codes, rows, waits and a page of burn

Cause: the tool had one file and few commands, showed tracebacks for files that could not be read, and an old copy of a list undid other operators' changes.

--- a/bench/capacity_lead.py
+++ b/bench/capacity_lead.py
@@ -5,12 +5,12 @@
 from collections.abc import Iterable
 from typing import Any
 
-from bench._fakes import FakeLog, FakeWorkers, bench_settings, fake_platform
 from bench._registry import measure
 from bench._slope import points
 from firhook.events import Append
 from firhook.kernel import Kernel
 from firhook.model import Endpoint, JobAccepted, JobSpec, Row, RowsChanged
+from standins.fakes import FakeLog, FakeWorkers, fake_platform, small_settings
 
 WORKERS = (24, 72, 144)
 TASKS_PER_WORKER = 10
@@ -63,7 +63,7 @@
     log, workers = platform.log, platform.workers
     assert isinstance(log, FakeLog)
     assert isinstance(workers, FakeWorkers)
-    kernel = Kernel(bench_settings(), platform, "bench")
+    kernel = Kernel(small_settings(), platform, "bench")
     await kernel.start()
     tasks = count * TASKS_PER_WORKER
     try:
--- a/src/firhook/cli/_client.py
+++ b/src/firhook/cli/_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -9,9 +10,11 @@
 
 from firhook.errors import FirhookError
 
+_TIMEOUT_S = 30
+
 
 class RefusedError(FirhookError):
-    """An instance refused what was asked of it.
+    """An instance refused what was asked of it, or could not be asked.
 
     :param problem: the problem document.
     """
@@ -21,6 +24,13 @@
         self.problem = problem
 
 
+def local_problem(code: str, title: str, detail: str, remedy: str) -> RefusedError:
+    """Return an error of the tool itself, in the form of an instance's."""
+    return RefusedError(
+        {"code": code, "title": title, "detail": detail, "remedy": remedy}
+    )
+
+
 def call(url: str, key: str, method: str, path: str, body: Any = None) -> Any:
     """Call an instance and return the decoded answer.
 
@@ -30,28 +40,68 @@
     return asyncio.run(_call(url, key, method, path, body))
 
 
+def stream(url: str, key: str, path: str, each: Callable[[Any], None]) -> None:
+    """Call an instance and hand over each JSON line of its answer as it comes.
+
+    :raises RefusedError: with the instance's problem document.
+    """
+    asyncio.run(_stream(url, key, path, each))
+
+
+def _unreachable(url: str, exc: Exception) -> RefusedError:
+    return local_problem(
+        "cell.unreachable",
+        "The cell cannot be reached",
+        f"{url}: {str(exc) or type(exc).__name__}",
+        "Check --url, or FIRHOOK_URL, and the network.",
+    )
+
+
+def _checked(status: int, text: bytes) -> Any:
+    """Return the decoded answer of an instance, or raise its refusal."""
+    answer = msgspec.json.decode(text or b"null")
+    if status < 400:
+        return answer
+    if not isinstance(answer, dict) or "code" not in answer:
+        answer = {
+            "code": "cell.not_firhook",
+            "title": "The answer is not one of firhook",
+            "detail": f"status {status}",
+            "remedy": "Check that --url, or FIRHOOK_URL, names an instance's port.",
+        }
+    raise RefusedError(answer)
+
+
+def _headers(key: str) -> dict[str, str]:
+    return {"Authorization": f"Bearer {key}"} if key else {}
+
+
 async def _call(url: str, key: str, method: str, path: str, body: Any) -> Any:
-    headers = {"Authorization": f"Bearer {key}"}
     data = None if body is None else msgspec.json.encode(body)
-    timeout = aiohttp.ClientTimeout(total=30)
+    timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout, headers=_headers(key)) as session,
+            session.request(method, url + path, data=data) as resp,
+        ):
+            return _checked(resp.status, await resp.read())
+    except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+        raise _unreachable(url, exc) from exc
+
+
+async def _stream(url: str, key: str, path: str, each: Callable[[Any], None]) -> None:
+    timeout = aiohttp.ClientTimeout(total=None, sock_connect=_TIMEOUT_S)
     try:
         async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
-            session.request(method, url + path, headers=headers, data=data) as resp,
+            aiohttp.ClientSession(timeout=timeout, headers=_headers(key)) as session,
+            session.get(url + path) as resp,
         ):
-            answer = msgspec.json.decode(await resp.read() or b"null")
-    except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as exc:
-        raise RefusedError(
-            {
-                "code": "cell.unreachable",
-                "title": "The cell cannot be reached",
-                "detail": f"{url}: {exc!r}",
-                "remedy": "Check --url, or FIRHOOK_URL, and the network.",
-            }
-        ) from exc
-    if resp.status >= 400:
-        raise RefusedError(answer)
-    return answer
+            if resp.status >= 400:
+                _checked(resp.status, await resp.read())
+            async for line in resp.content:
+                each(msgspec.json.decode(line))
+    except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+        raise _unreachable(url, exc) from exc
 
 
 def default_url() -> str:
--- a/bench/_fakes.py
+++ b/standins/fakes.py
@@ -1,4 +1,4 @@
-"""Small fakes of the platform in this process, for measuring one daemon alone."""
+"""Small fakes of the platform in this process, for one daemon alone."""
 
 import asyncio
 import contextlib
@@ -26,7 +26,7 @@
 )
 from firhook.settings import Settings, parse_settings
 
-OPERATOR_KEY = "fk_operator_of_the_bench"
+OPERATOR_KEY = "fk_operator_of_the_fakes"
 
 
 class FakeLog(LogService):
@@ -125,7 +125,7 @@
     return Platform(FakeLog(), FakeInstances(endpoints), FakeWorkers(), FakeEndpoints())
 
 
-def bench_settings(name: str = "entry-1", **options: Any) -> Settings:
+def small_settings(name: str = "entry-1", **options: Any) -> Settings:
     """Return settings of one instance in one zone on loopback."""
     public, secret = zmq.curve_keypair()
     digest = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
--- /dev/null
+++ b/tests/cli/test_tool.py
@@ -0,0 +1,173 @@
+"""The tool against a whole daemon over small fakes, as an operator uses it."""
+
+import asyncio
+import contextlib
+import json
+import threading
+import time
+import urllib.request
+from collections.abc import Iterator
+from pathlib import Path
+
+import attrs
+import pytest
+
+from firhook.cli import main
+from firhook.kernel import Kernel
+from firhook.model import Endpoint
+from standins.fakes import OPERATOR_KEY, fake_platform, small_settings
+
+
+@attrs.define
+class Cell:
+    """A daemon in a thread of its own, as the tool's requests block."""
+
+    kernel: Kernel
+    capsys: pytest.CaptureFixture[str]
+    monkeypatch: pytest.MonkeyPatch
+    key: str = OPERATOR_KEY
+
+    def run(self, *args: object) -> tuple[int, str, str]:
+        """Run the tool; return its exit code, output and errors."""
+        argv = ["firhook", *map(str, args)]
+        self.monkeypatch.setattr("sys.argv", argv)
+        self.monkeypatch.setenv("FIRHOOK_KEY", self.key)
+        gateway = self.kernel.ports["gateway"]
+        self.monkeypatch.setenv("FIRHOOK_URL", f"http://{gateway}")
+        with pytest.raises(SystemExit) as ended:
+            main()
+        out, err = self.capsys.readouterr()
+        return ended.value.code or 0, out, err
+
+    def done(self, *args: object) -> str:
+        """Run the tool, expect success and return its output."""
+        code, out, err = self.run(*args)
+        assert code == 0, err
+        return out
+
+    def get(self, path: str) -> str:
+        """Return what the operators' port answers."""
+        url = f"http://{self.kernel.ports['ops']}{path}"
+        with urllib.request.urlopen(url, timeout=10) as answer:
+            return answer.read().decode()
+
+
+async def _serve(box: list[Kernel], stop: threading.Event) -> None:
+    runner = Endpoint("runner-1", "runner", "porto", "127.0.0.1:9", service="logbook")
+    kernel = Kernel(small_settings(), fake_platform([runner]), "test")
+    await kernel.start()
+    while not kernel.ready:
+        await asyncio.sleep(0.01)
+    box.append(kernel)
+    while not stop.is_set():
+        await asyncio.sleep(0.01)
+    await kernel.stop()
+
+
+@contextlib.contextmanager
+def running_cell(capsys, monkeypatch) -> Iterator[Cell]:
+    """Run one daemon for the length of a test."""
+    box: list[Kernel] = []
+    stop = threading.Event()
+    thread = threading.Thread(target=lambda: asyncio.run(_serve(box, stop)))
+    thread.start()
+    try:
+        give_up = time.monotonic() + 30
+        while not box and thread.is_alive() and time.monotonic() < give_up:
+            time.sleep(0.01)
+        capsys.readouterr()
+        yield Cell(box[0], capsys, monkeypatch)
+    finally:
+        stop.set()
+        thread.join()
+
+
+def apply_lists(cell: Cell, folder: Path) -> None:
+    """Put a plan and a team in force."""
+    (folder / "plans.ini").write_text("[small]\nshare = 1\nlimit = 10\nslo_ms = 50\n")
+    (folder / "teams.ini").write_text("[lisboa]\nplan = small\n")
+    files = ("--plans", folder / "plans.ini", "--teams", folder / "teams.ini")
+    assert "version 1 is accepted" in cell.done("config", "apply", *files)
+
+
+def test_operator_who_edits_an_old_copy_is_told_what_changed(
+    tmp_path, capsys, monkeypatch
+):
+    """Two operators save the lists and edit their copies at the same time.
+
+    The second one's file would silently undo the first one's change.  The tool
+    must refuse it and name the row that the first one changed.
+    """
+    with running_cell(capsys, monkeypatch) as cell:
+        apply_lists(cell, tmp_path)
+        cell.done("config", "show", "--save", tmp_path)
+        cell.done("config", "set-plan", "small", "--limit", "12", "--urgent")
+        plans = (tmp_path / "plans.ini").read_text().replace("share = 1", "share = 3")
+        (tmp_path / "plans.ini").write_text(plans)
+        code, _, err = cell.run("config", "apply", "--plans", tmp_path / "plans.ini")
+        assert code == 3
+        assert "[config.conflict]" in err
+        assert "changed by others: plans/small" in err
+        shown = json.loads(cell.done("config", "show", "--json"))
+        assert shown["version"] == 2
+        assert "limit = 12" in shown["plans"]
+        assert "share = 1" in shown["plans"]
+        assert "slo_ms = 50" in shown["plans"]
+
+
+def test_rows_are_added_and_removed_one_by_one(tmp_path, capsys, monkeypatch):
+    with running_cell(capsys, monkeypatch) as cell:
+        apply_lists(cell, tmp_path)
+        cell.done("config", "set-team", "porto", "--plan", "small")
+        assert "porto" in cell.done("team", "list")
+        cell.done("config", "remove-team", "porto")
+        code, _, err = cell.run("team", "show", "porto")
+        assert (code, "firhook team list" in err) == (1, True)
+        code, _, err = cell.run("config", "remove-plan", "small")
+        assert (code, "[list.invalid]" in err) == (1, True)
+        assert "3 is in force at 1" in cell.done("config", "wait", "3")
+        code, _, err = cell.run("config", "wait", "4", "--timeout", "0")
+        assert (code, "entry-1 at 3" in err) == (6, True)
+
+
+def test_each_kind_of_failure_has_its_exit_code_and_remedy(
+    tmp_path, capsys, monkeypatch
+):
+    with running_cell(capsys, monkeypatch) as cell:
+        (tmp_path / "job.json").write_text('{"job_id": ')
+        code, _, err = cell.run("job", "submit", tmp_path / "job.json")
+        assert (code, "[file.not_json]" in err) == (2, True)
+        code, _, err = cell.run("config", "apply", "--plans", tmp_path)
+        assert (code, "[file.unreadable]" in err) == (2, True)
+        assert cell.run("config", "apply")[0] == 2
+        assert cell.run("config", "wait", "soon")[0] == 2
+        code, _, err = cell.run("status", "--url", "http://127.0.0.1:9", "--json")
+        assert (code, json.loads(err)["code"]) == (4, "cell.unreachable")
+        cell.key = "fk_guessed"
+        code, _, err = cell.run("status")
+        assert (code, "[key.refused]" in err) == (5, True)
+
+
+def test_operator_sees_traffic_steps_and_burn_and_drains(tmp_path, capsys, monkeypatch):
+    with running_cell(capsys, monkeypatch) as cell:
+        apply_lists(cell, tmp_path)
+        stats = cell.kernel.stats
+        for wait_s in (0.01, 0.02, 0.03):
+            stats.answered("lisboa", "interactive", wait_s, 0.1)
+        stats.refused("queue.overloaded", "lisboa", "interactive")
+        stats.refused("key.refused", "lisboa", "interactive")
+        [row] = json.loads(cell.done("report", "--json"))["rows"]
+        assert (row["requests"], row["refused"]) == (4, 1)
+        assert row["burn_rates"]["5m"] == pytest.approx(25.0)
+        assert row["alert"] == "page"
+        page = tmp_path / "burn.html"
+        cell.done("report", "--html", page)
+        assert page.read_text().count("<rect") == 4
+        metrics = cell.get("/metrics")
+        assert 'firhook_refusals_total{code="queue.overloaded"} 1.0' in metrics
+        assert "firhook_log_appends_total" in metrics
+        assert "firhook_config_version 1.0" in metrics
+        assert "runner-1" in cell.done("endpoints", "--kind", "runner")
+        assert "leads epoch 1" in cell.done("events", "--wait", "20")
+        cell.done("drain", cell.kernel.ports["ops"])
+        assert cell.kernel.stop_asked.is_set()
