--- a/standins/fakes.py
+++ b/standins/fakes.py
@@ -125,8 +125,13 @@
     return Platform(FakeLog(), FakeInstances(endpoints), FakeWorkers(), FakeEndpoints())
 
 
-def small_settings(name: str = "entry-1", **options: Any) -> Settings:
-    """Return settings of one instance in one zone on loopback."""
+def small_settings(
+    name: str = "entry-1", *, log_poll_s: float = 5.0, **options: Any
+) -> Settings:
+    """Return settings of one instance in one zone on loopback.
+
+    :param options: of the section ``[cell]``.
+    """
     public, secret = zmq.curve_keypair()
     digest = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
     cell = "\n".join(f"{option} = {value}" for option, value in options.items())
@@ -143,6 +148,7 @@
 peers = 127.0.0.1:0
 [platform]
 log_url = http://127.0.0.1:9
+log_poll_s = {log_poll_s}
 [mesh]
 curve_public = {public.decode()}
 curve_secret = {secret.decode()}
--- a/tests/cli/test_tool.py
+++ b/tests/cli/test_tool.py
@@ -54,7 +54,8 @@
 
 async def _serve(box: list[Kernel], stop: threading.Event) -> None:
     runner = Endpoint("runner-1", "runner", "porto", "127.0.0.1:9", service="logbook")
-    kernel = Kernel(small_settings(), fake_platform([runner]), "test")
+    cfg = small_settings(log_poll_s=0.2, lead_lease_s=0.5, margin_s=0.1)
+    kernel = Kernel(cfg, fake_platform([runner]), "test")
     await kernel.start()
     while not kernel.ready:
         await asyncio.sleep(0.01)
@@ -168,6 +169,7 @@
         assert "firhook_log_appends_total" in metrics
         assert "firhook_config_version 1.0" in metrics
         assert "runner-1" in cell.done("endpoints", "--kind", "runner")
-        assert "leads epoch 1" in cell.done("events", "--wait", "20")
+        while "leads epoch 1" not in cell.done("events", "--wait", "0.2"):
+            continue
         cell.done("drain", cell.kernel.ports["ops"])
         assert cell.kernel.stop_asked.is_set()
