--- a/src/firhook/_settings.py
+++ b/src/firhook/_settings.py
@@ -23,11 +23,8 @@
         return f"{self.host}:{self.port}"
 
 
-def _text(value: str) -> str:
-    return value.strip()
-
-
 def _name(value: str) -> str:
+    """A name."""
     problems: list[str] = []
     check_name("it", value.strip(), problems)
     if problems:
@@ -36,10 +33,12 @@
 
 
 def _names(value: str) -> tuple[str, ...]:
+    """Names with commas between."""
     return tuple(_name(part) for part in value.split(",") if part.strip())
 
 
 def _address(value: str) -> Address:
+    """IP:port."""
     host, _, port = value.strip().rpartition(":")
     octets = host.split(".")
     if len(octets) != 4 or not all(o.isdigit() and int(o) < 256 for o in octets):
@@ -50,10 +49,12 @@
 
 
 def _addresses(value: str) -> tuple[Address, ...]:
+    """IP:port with commas between."""
     return tuple(_address(part) for part in value.split(",") if part.strip())
 
 
 def _url(value: str) -> str:
+    """An http or https address."""
     url = value.strip().rstrip("/")
     if not url.startswith("http://") and not url.startswith("https://"):
         raise ValueError("give an address such as http://10.0.0.1:9000")
@@ -61,15 +62,19 @@
 
 
 def _curve(value: str) -> str:
+    """40 characters."""
     if len(value.strip()) != 40:
         raise ValueError("give the 40 characters that 'firhook config curve' prints")
     return value.strip()
 
 
 def _digest(value: str) -> str:
+    """64 hexadecimal digits."""
     digest = value.strip().lower()
     if len(digest) != 64 or any(c not in "0123456789abcdef" for c in digest):
-        raise ValueError("give the 64 hexadecimal digits of the key's SHA-256")
+        raise ValueError(
+            "give the 64 hexadecimal digits that 'firhook key digest' prints"
+        )
     return digest
 
 
@@ -83,6 +88,7 @@
             raise ValueError(f"give a number from {low:g} to {high:g}")
         return number
 
+    convert.__doc__ = f"{low:.10g} to {high:.10g}"
     return convert
 
 
@@ -92,6 +98,7 @@
             raise ValueError(f"give one of {', '.join(choices)}")
         return value
 
+    convert.__doc__ = " or ".join(choices)
     return convert
 
 
@@ -180,6 +187,42 @@
     return problems
 
 
+@attrs.frozen(slots=True)
+class Option:
+    """What the operators' page must say of an option.
+
+    :param default: as one would write it; ``None`` if it must be given.
+    :param takes: the values it takes, such as its range.
+    """
+
+    section: str
+    name: str
+    default: str | None
+    takes: str
+
+
+def describe_options() -> tuple[Option, ...]:
+    """Return all options in their order."""
+    return tuple(
+        Option(
+            field.metadata["section"],
+            field.name,
+            _written(field.default),
+            (field.metadata["check"].__doc__ or "").rstrip("."),
+        )
+        for field in attrs.fields(Settings)
+    )
+
+
+def _written(default: Any) -> str | None:
+    """Return a default as one would write it."""
+    if default is attrs.NOTHING:
+        return None
+    if isinstance(default, (int, float)):
+        return f"{default:.10g}"
+    return ", ".join(map(str, default)) if isinstance(default, tuple) else default
+
+
 def parse_settings(text: str) -> Settings:
     """Parse and check settings.
 
--- a/src/firhook/_stats.py
+++ b/src/firhook/_stats.py
@@ -24,7 +24,15 @@
 
 #: Refusals with these codes are the caller's own doing, so that they burn no
 #: error budget; every other refusal is a request that the service missed.
-_CALLERS_FAULTS = ("key.", "request.", "once.", "job.", "list.", "config.")
+_CALLERS_FAULTS = (
+    "key.",
+    "request.",
+    "once.in_progress",
+    "once.mismatch",
+    "job.",
+    "list.",
+    "config.",
+)
 
 ANSWERED, SLOW, REFUSED = range(3)
 
--- a/src/firhook/settings.py
+++ b/src/firhook/settings.py
@@ -1,5 +1,19 @@
 """The settings of a daemon, read from INI and checked."""
 
-from firhook._settings import Address, Settings, load_settings, parse_settings
+from firhook._settings import (
+    Address,
+    Option,
+    Settings,
+    describe_options,
+    load_settings,
+    parse_settings,
+)
 
-__all__ = ["Address", "Settings", "load_settings", "parse_settings"]
+__all__ = [
+    "Address",
+    "Option",
+    "Settings",
+    "describe_options",
+    "load_settings",
+    "parse_settings",
+]
