--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,7 @@
-"""``python -m bench [NAME ...]`` runs the measures, all if none is named."""
+"""``python -m bench [NAME ...]`` runs the measures, all if none is named.
+
+``python -m bench --list`` prints their names.
+"""
 
 import importlib
 import json
@@ -14,6 +17,9 @@
     for module in pkgutil.iter_modules(bench.__path__):
         if not module.name.startswith("_"):
             importlib.import_module(f"bench.{module.name}")
+    if names == ["--list"]:
+        print("\n".join(sorted(MEASURES)))
+        return 0
     unknown = sorted(set(names) - set(MEASURES))
     if unknown:
         print(f"unknown measures {unknown}: use {sorted(MEASURES)}", file=sys.stderr)
