--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import json
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -72,7 +74,7 @@
 
 def show(text: str) -> None:
     """Print the tool's output, indented."""
-    for line in text.strip().splitlines():
+    for line in text.strip("\n").splitlines():
         print(f"     {line}", flush=True)
 
 
@@ -98,13 +100,8 @@
     (tmp / "teams.ini").write_text(TEAMS)
     plans, teams = str(tmp / "plans.ini"), str(tmp / "teams.ini")
     show(await tool(entries[0], "config", "apply", "--plans", plans, "--teams", teams))
-
-    async def in_force(proc: Proc) -> bool:
-        return (await cluster.call(proc, "GET", "/v1/config"))[1]["version"] == 1
-
-    for entry in entries:
-        await cluster.until(entry, in_force)
-    print("   ok  version 1 is in force at all four instances", flush=True)
+    show(await tool(entries[0], "config", "wait", "1"))
+    show(await tool(entries[3], "team", "list"))
     out = await tool(entries[1], "key", "give", "ibadan-growers")
     key = out.split()[-1]
 
@@ -157,7 +154,7 @@
     say("a batch job, a gang job and a service")
     for body in JOBS:
         path = tmp / f"{body['job_id']}.json"
-        path.write_text(repr(body).replace("'", '"').replace("True", "true"))
+        path.write_text(json.dumps(body))
         show(await tool(entries[0], "job", "submit", str(path), key=key))
 
     async def settled(proc: Proc) -> bool:
@@ -175,6 +172,7 @@
     print("   ok  batch and gang are done, the service is up", flush=True)
     show(await tool(entries[0], "job", "list", key=key))
     show(await tool(entries[0], "explain", "soil-model", key=key))
+    show(await tool(entries[0], "events"))
 
 
 async def withdraw(cluster: Cluster, entries: list[Proc], key: str) -> None:
@@ -193,16 +191,25 @@
     print("   ok  all four instances refuse it", flush=True)
 
 
+async def burn(entries: list[Proc], tmp: Path) -> None:
+    """Print the report on service-level burn, and draw it."""
+    say("the report on service-level burn")
+    page = tmp / "burn.html"
+    show(await tool(entries[0], "report", "--html", str(page)))
+    expect("its page has a plot", "<svg" in page.read_text(), page)
+
+
 async def stop(cluster: Cluster, entries: list[Proc]) -> None:
-    """Stop everything gracefully."""
+    """Stop everything gracefully: one instance by the tool, the rest by signal."""
     say("everything stops gracefully")
-    for entry in entries:
-        entry.kill(15)
+    show(await tool(entries[0], "drain", entries[0].ports["ops"]))
+    for entry in entries[1:]:
+        entry.kill(signal.SIGTERM)
     codes = [await entry.wait() for entry in entries]
     expect("every instance ended with 0", codes == [0] * len(codes), codes)
     others = [p for p in cluster.procs.values() if p not in entries]
     for proc in others:
-        proc.kill(15)
+        proc.kill(signal.SIGTERM)
     codes = [await proc.wait() for proc in others]
     expect("every stand-in ended with 0", codes == [0] * len(codes), codes)
 
@@ -215,12 +222,12 @@
             say("starting a platform, 4 runners, 4 workers and 4 instances")
             entries = await build(cluster)
             show(await tool(entries[0], "status"))
+            show(await tool(entries[0], "endpoints"))
             key = await lists_and_keys(cluster, entries, tmp)
             await requests(cluster, entries, key)
             await jobs(cluster, entries, key, tmp)
             await withdraw(cluster, entries, key)
-            say("the report on service-level burn")
-            show(await tool(entries[0], "report"))
+            await burn(entries, tmp)
             await stop(cluster, entries)
     say("done")
 
--- a/src/firhook/cli/_cell.py
+++ b/src/firhook/cli/_cell.py
@@ -10,7 +10,7 @@
 
 team = App(name="team", help="Teams, their plans and what they use.")
 
-_TEAM_HEADERS = ["TEAM", "PLAN", "SHARE", "LIMIT", "RUNNING", "WAITING"]
+_TEAM_HEADERS = ["TEAM", "PLAN", "SHARE", "LIMIT", "REQUESTS", "WAITING"]
 
 
 def _team_row(row: dict[str, Any]) -> list[Any]:
--- a/src/firhook/cli/_main.py
+++ b/src/firhook/cli/_main.py
@@ -57,7 +57,7 @@
 def main() -> None:
     """Run the tool; a refusal is printed with its remedy and sets the exit code."""
     try:
-        app()
+        app(sys.argv[1:])
     except RefusedError as exc:
         as_json = "--json" in sys.argv
         text = encode(exc.problem) if as_json else describe(exc.problem)
