--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -328,10 +328,15 @@
     ]
 
 
+def figure(value: float) -> str:
+    """Return a value with three figures, never in powers of ten."""
+    return f"{value:,.0f}" if abs(value) >= 100 else f"{value:.3g}"
+
+
 def _total(items: Sequence[Cost], field: str) -> tuple[float, str]:
     """Return the sum and the three largest parts of it, as text."""
     ranked = sorted(items, key=lambda c: -getattr(c, field))
-    top = ", ".join(f"{c.what} {getattr(c, field):.2g}" for c in ranked[:3])
+    top = ", ".join(f"{c.what} {figure(getattr(c, field))}" for c in ranked[:3])
     return sum(getattr(c, field) for c in items), top
 
 
@@ -350,7 +355,7 @@
             rows.append(
                 [
                     f"{name} of {who}",
-                    f"{total:.3g} {unit}",
+                    f"{figure(total)} {unit}",
                     f"{allowed:g} {unit}",
                     "met" if total <= allowed else "**not met**",
                     top,
@@ -388,10 +393,10 @@
         [
             c.role,
             c.what + (" (lead only)" if c.lead_only else ""),
-            f"{c.core_pct:.2g}",
-            f"{c.kb_per_s:.2g}",
-            f"{c.memory_mb:.2g}",
-            f"{c.appends_per_s:.2g}",
+            figure(c.core_pct),
+            figure(c.kb_per_s),
+            figure(c.memory_mb),
+            figure(c.appends_per_s),
             c.how,
         ]
         for c in costs(m, size)
