--- a/src/firhook/roles/_ops.py
+++ b/src/firhook/roles/_ops.py
@@ -5,7 +5,7 @@
 from mode import Service
 
 from firhook._web import serve
-from firhook.events import LogAge
+from firhook.events import StreamReady
 from firhook.kernel import Role, register_role
 from firhook.ops import (
     ConfigRoutes,
@@ -15,8 +15,6 @@
     ReportRoutes,
 )
 
-#: The lists have been read once the end of their stream was seen this lately.
-_READY_AGE_S = 15.0
 #: Operators send lists and small orders only.
 _MAX_BODY_BYTES = 1 << 20
 
@@ -57,6 +55,5 @@
     async def _ready_loop(self) -> None:
         while not self.should_stop:
             if not self.kernel.ready:
-                age = await self.bus.ask(LogAge("config"))
-                self.kernel.ready = age < _READY_AGE_S
+                self.kernel.ready = await self.bus.ask(StreamReady("config"))
             await self.sleep(0.05)
