A refusal burns the budget of the team it was given to

Cause: the gateway counted refusals by code only, so that a team whose every request was refused had no row in the report.

Before: tests/roles/test_ops.py::test_refused_request_shows_in_its_teams_burn failed, the report had no rows. After: it passes.

Change: the gateway passes team and class.

--- a/src/firhook/roles/_gateway.py
+++ b/src/firhook/roles/_gateway.py
@@ -121,6 +121,7 @@
 
     async def _handle(self, req: web.Request) -> web.StreamResponse:
         self._callers += 1
+        call: Call | None = None
         try:
             call = await read_call(
                 self.bus, req, self.kernel.clock(), self.cfg.default_deadline_s
@@ -128,7 +129,10 @@
             answer = await self._answer(call)
             return whole_response(answer, self.kernel.stopping)
         except FirhookError as exc:
-            self.stats.refused(exc.code)
+            if call is None:
+                self.stats.refused(exc.code)
+            else:
+                self.stats.refused(exc.code, call.team, call.klass)
             log("request.refused", code=exc.code, request_id=req["request_id"])
             resp = problem_response(exc, req["request_id"])
             if self.kernel.stopping:
--- a/tests/roles/test_ops.py
+++ b/tests/roles/test_ops.py
@@ -47,3 +47,20 @@
         assert ask(kernel, "/readyz", port="ops")[0] == 200
         kernel.stopping = True
         assert ask(kernel, "/readyz", port="ops")[0] == 503
+
+
+def test_refused_request_shows_in_its_teams_burn():
+    """A service's only runner is dead, and each of a team's requests is refused.
+
+    The team's budget burns although no request was slow, and operators must see
+    whose it is.
+    """
+    lists = {"base": 0, "plans": "[p]\nshare=1\nlimit=5\n", "teams": "[t]\nplan=p\n"}
+    with running_kernel() as kernel:
+        assert ask(kernel, "/v1/config", json.dumps(lists).encode())[0] == 200
+        key = json.loads(ask(kernel, "/v1/keys", b'{"team": "t"}')[1])["key"]
+        status, answer = ask(kernel, "/r/nowhere/check", key=key)
+        assert (status, json.loads(answer)["code"]) == (503, "endpoint.none")
+        [row] = json.loads(ask(kernel, "/v1/report")[1])["rows"]
+        assert (row["team"], row["class"], row["refused"]) == ("t", "standard", 1)
+        assert row["alert"] == "page"
