--- a/src/firhook/platform/__init__.py
+++ b/src/firhook/platform/__init__.py
@@ -12,8 +12,10 @@
     Platform,
     WorkerClient,
 )
+from firhook.platform._counted import CountedLog
 
 __all__ = [
+    "CountedLog",
     "Endpoint",
     "EndpointClient",
     "Exchange",
