--- a/src/firhook/roles/_journal.py
+++ b/src/firhook/roles/_journal.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 import time
 from typing import Any
 
@@ -39,6 +40,10 @@
 _CHUNKS_AT_ONCE = 4
 _CHUNK_DEADLINE_S = 30.0
 _TICK_S = 1.0
+_PEER_TICK_S = 0.5
+#: Peers asked for a whole state at once.  All of them would send megabytes to
+#: an instance that needs one; what a further peer has comes by gossip's offset.
+PEERS_AT_ONCE = 3
 
 
 @register_role("journal")
@@ -159,7 +164,7 @@
     @Service.task
     async def _peer_loop(self) -> None:
         while not self.should_stop:
-            await self.sleep(_TICK_S)
+            await self.sleep(_PEER_TICK_S)
             for stream in PEER_STREAMS:
                 try:
                     await self._catch_up(self.lanes[stream])
@@ -198,4 +203,6 @@
             ]
             return {m.name for m in ahead[:1]}
         names = self._listed | {m.name for m in members}
-        return (names | {str(seed) for seed in self.cfg.seeds}) - {self.cfg.name}
+        names |= {str(seed) for seed in self.cfg.seeds}
+        names.discard(self.cfg.name)
+        return set(random.sample(sorted(names), min(len(names), PEERS_AT_ONCE)))
