--- a/tests/decide/cell_world.py
+++ b/tests/decide/cell_world.py
@@ -190,11 +190,15 @@
         lead = self.cell.leads[ZONE]
         self.waiting.pop("cell", None)
         if lead.instance == self.lane:
-            self.append("cell", LeadRenewed(ZONE, lead.epoch, self.lane))
+            self.append(
+                "cell", LeadRenewed(ZONE, lead.epoch, self.lane, (self.lane,), 1)
+            )
         elif lead.epoch == 0 or self.seen.lapsed(
             self.now(), LEAD_LEASE_S, TIMING.margin_s
         ):
-            self.append("cell", LeadClaimed(ZONE, lead.epoch + 1, self.lane))
+            self.append(
+                "cell", LeadClaimed(ZONE, lead.epoch + 1, self.lane, lead.offset)
+            )
 
     def give_up_append(self):
         """Stop waiting for the zone's append, whose outcome is unknown."""
--- a/tests/decide/shop.py
+++ b/tests/decide/shop.py
@@ -75,7 +75,7 @@
         self.appends, self.bytes, self.starts = 0, 0, 0
         self._seq = 0
         self._set_lists(teams)
-        self.apply(self.cell, LeadClaimed(ZONE, 1, "lead"))
+        self.apply(self.cell, LeadClaimed(ZONE, 1, "lead", -1))
         self.term = LeadTerm(1, self.zone, self.cell, TIMING, float("-inf"))
         self.scheduler = Scheduler(self.zone, self.cell, self.config)
         self.apply(self.zone, ZoneFenced(1, "lead"))
--- a/tests/state/test_zone.py
+++ b/tests/state/test_zone.py
@@ -130,7 +130,7 @@
 
 def ended_cell(count):
     state = CellState(("z",))
-    bodies = [LeadClaimed("z", 1, "i")]
+    bodies = [LeadClaimed("z", 1, "i", -1)]
     for i in range(count):
         bodies.append(JobAccepted(JobSpec(f"j{i}", "t"), "z"))
         bodies.append(JobsEnded("z", 1, (JobEnd(f"t/j{i}", "done"),)))
@@ -160,9 +160,9 @@
     verdicts = apply_all(
         state,
         [
-            LeadClaimed("z", 1, "i"),
+            LeadClaimed("z", 1, "i", -1),
             JobAccepted(JobSpec("a", "t"), "z"),
-            LeadClaimed("z", 2, "k"),
+            LeadClaimed("z", 2, "k", 0),
             JobsEnded("z", 1, (JobEnd("t/a", "done"),)),
         ],
     )
