Golden files of whole sessions

Events have a logger of their own, since mode logged each service's start under the modules' names. Ruled out: real sockets, whose order differs from run to run.

--- a/src/firhook/logs.py
+++ b/src/firhook/logs.py
@@ -5,7 +5,9 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-_LOGGER = logging.getLogger("firhook")
+#: Events alone.  mode logs under the names of its services' modules, that each
+#: starts and stops, which says nothing that the events do not say.
+_LOGGER = logging.getLogger("firhook.events")
 
 
 def setup_logs(zone: str, instance: str, level: str = "info") -> None:
@@ -26,10 +28,7 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(logging.WARNING)
-    # mode announces each service that starts and stops; that says nothing
-    # which the events of the kernel do not say.
-    for noisy in ("firhook.roles", "firhook._kernel"):
-        logging.getLogger(noisy).setLevel(logging.WARNING)
+    logging.getLogger("firhook").setLevel(logging.WARNING)
     _LOGGER.setLevel(level.upper())
 
 
--- /dev/null
+++ b/tests/golden/sessions.py
@@ -0,0 +1,554 @@
+"""Whole sessions of a small cell in one process, in virtual time.
+
+The kernels and their roles are the real ones.  Small fakes stand in for the
+log, the instance list, the runners, the sockets between instances and those
+towards callers; the workers are the stand-in's.  The event loop jumps to its
+next timer, so a session takes as long as its events and is the same each time.
+What goes in and out at the interfaces is written down, in order.
+"""
+
+import asyncio
+import contextlib
+import hashlib
+import itertools
+import json
+import logging
+import random
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+from unittest import mock
+
+import attrs
+import msgspec
+from aiohttp import web
+from aiohttp.streams import StreamReader
+from aiohttp.test_utils import make_mocked_request
+
+from firhook._web import problems
+from firhook.errors import (
+    LogUnavailableError,
+    NoEndpointError,
+    PeerUnreachableError,
+    PlatformUnavailableError,
+    WorkerFencedError,
+    WorkerUnreachableError,
+)
+from firhook.kernel import Kernel
+from firhook.logs import _LOGGER
+from firhook.model import Endpoint, decode_envelope, to_builtins
+from firhook.platform import (
+    EndpointClient,
+    Exchange,
+    InstanceList,
+    LogEntry,
+    LogPage,
+    LogService,
+    Platform,
+    Report,
+    WorkerClient,
+)
+from firhook.settings import Address, parse_settings
+from standins.cluster import OPERATOR_KEY, render_ini
+from standins.worker import Worker
+
+NET_S = 0.001
+#: Renewals and gossip go on all the time and would hide everything else.
+ROUTINE = {"Gossip", "LeadRenewed", "GrantAsk", "GrantAnswer", "HoldingsAsk"}
+#: Fields of log lines that are about the process and not about the session.
+_OWN_FIELDS = set(vars(logging.makeLogRecord({}))) | {"message", "taskName"}
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time is that of its next timer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._now = 1000.0
+        self._selector.select = self._skip  # type: ignore[attr-defined]
+
+    def _skip(self, timeout: float | None = None) -> list[Any]:
+        self._now += timeout or 0.0
+        return []
+
+    def time(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._now
+
+
+class Session:
+    """A cell and the transcript of what goes in and out of it."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.loop = loop
+        self.lines: list[tuple[float, str]] = []
+        self.quiet = True
+        self.streams: dict[str, list[bytes]] = {}
+        self.grown: dict[str, asyncio.Event] = {}
+        self.endpoints: dict[str, Endpoint] = {}
+        self.workers: dict[str, Worker] = {}
+        self.kernels: dict[str, Kernel] = {}
+        self.meshes: dict[str, FakeMesh] = {}
+        self.runs: dict[str, int] = {}
+        self.parted: set[str] = set()
+        self.gone: set[str] = set()
+        self.ports = itertools.count(7001)
+
+    def write(self, text: str) -> None:
+        """Write a line of the transcript."""
+        if not self.quiet:
+            self.lines.append((round(self.loop.time() - 1000.0, 3), text))
+
+    def transcript(self) -> str:
+        """Return the transcript, lines of one moment in order of their text.
+
+        Which of two instances does its part first within a moment is of no
+        account and may differ between runs.
+        """
+        return "\n".join(text for _, text in sorted(self.lines))
+
+    def joined(self, a: str, b: str) -> bool:
+        """Return whether two places reach each other."""
+        return a == b or not ({a, b} & self.parted)
+
+    async def add(self, name: str, zone: str) -> Kernel:
+        """Start an entry instance."""
+        address = f"127.0.0.1:{next(self.ports)}"
+        self.endpoints[name] = Endpoint(name, "entry", zone, address)
+        zones = ", ".join(sorted({"lisboa", "porto"}))
+        cfg = parse_settings(
+            render_ini(
+                {
+                    "instance": {"name": name, "zone": zone, "zones": zones},
+                    "listen": {
+                        "gateway": "127.0.0.1:0",
+                        "ops": "127.0.0.1:0",
+                        "peers": address,
+                    },
+                    "platform": {"log_url": "http://127.0.0.1:9", "log_poll_s": 1},
+                    "mesh": {"curve_public": "p" * 40, "curve_secret": "s" * 40},
+                    "keys": {
+                        "operator_digest": OPERATOR_DIGEST,
+                        "key_stale_s": 3,
+                        "key_stale_max_s": 20,
+                    },
+                    "gateway": {"drain_lag_s": 0.5, "default_deadline_s": 5},
+                    "cell": {
+                        "lead_lease_s": 2,
+                        "hold_s": 6,
+                        "task_lease_s": 3,
+                        "sync_s": 0.5,
+                        "margin_s": 0.3,
+                    },
+                }
+            )
+        )
+        platform = Platform(
+            FakeLog(self, zone),
+            FakeList(self, zone),
+            FakeWorkers(self, zone),
+            FakeRunners(self, zone),
+        )
+        kernel = Kernel(cfg, platform, f"run{len(self.kernels)}", self.loop.time)
+        self.kernels[name] = kernel
+        await kernel.start()
+        return kernel
+
+    def add_worker(self, name: str, zone: str) -> None:
+        """Add a worker."""
+        self.workers[name] = Worker(name)
+        self.endpoints[name] = Endpoint(
+            name, "worker", zone, "127.0.0.1:1", rack="r1", cpus=8.0, memory_mb=32768
+        )
+
+    def add_runner(self, name: str, zone: str) -> None:
+        """Add a runner of the service ``logbook``."""
+        self.endpoints[name] = Endpoint(
+            name, "runner", zone, f"127.0.0.1:{next(self.ports)}", service="logbook"
+        )
+
+    async def kill(self, name: str) -> None:
+        """End an instance at once, as if its machine had gone."""
+        self.write(f"{name} is killed")
+        self.gone.add(name)
+        del self.endpoints[name]
+        kernel = self.kernels.pop(name)
+        with contextlib.suppress(Exception):
+            await kernel.stop()
+
+    async def stop(self, name: str) -> None:
+        """Stop an instance gracefully."""
+        self.write(f"{name} is told to stop")
+        kernel = self.kernels[name]
+        await kernel.drain()
+        await kernel.stop()
+        del self.kernels[name], self.endpoints[name]
+        self.write(f"{name} has stopped")
+
+    async def call(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        key: str = OPERATOR_KEY,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, Any]:
+        """Call an instance as a caller or an operator."""
+        raw = body.encode() if isinstance(body, str) else json.dumps(body).encode()
+        raw = b"" if body is None else raw
+        sent = {"Authorization": f"Bearer {key}", "X-Request-Id": "rid"}
+        sent.update(headers or {}, **{"Content-Length": str(len(raw))})
+        self.write(f"caller -> {name}: {method} {path} {raw.decode()} {headers or ''}")
+        await asyncio.sleep(NET_S)
+        resp = await self._handle(name, method, path, sent, raw)
+        await asyncio.sleep(NET_S)
+        data = json.loads(resp.body) if resp.body else None
+        after = resp.headers.get("Retry-After")
+        told = f" Retry-After {after}" if after else ""
+        self.write(f"{name} -> caller: {resp.status}{told} {json.dumps(data)}")
+        return resp.status, data
+
+    async def _handle(
+        self, name: str, method: str, path: str, headers: dict[str, str], raw: bytes
+    ) -> Any:
+        payload = StreamReader(mock.Mock(), 2**16, loop=self.loop)
+        payload.feed_data(raw)
+        payload.feed_eof()
+        app = web.Application()
+        app.add_routes(self.kernels[name].routes["api"])
+        req = make_mocked_request(
+            method, path, headers, app=app, payload=payload, transport=open_transport()
+        )
+        match = await app.router.resolve(req)
+        req._match_info = match
+        return await problems(req, match.handler)
+
+    async def until(self, check: Callable[[], bool], limit_s: float = 60.0) -> None:
+        """Wait until a check holds, in virtual time."""
+        end = self.loop.time() + limit_s
+        while not check():
+            if self.loop.time() > end:
+                raise TimeoutError("the session did not get there")
+            await asyncio.sleep(0.05)
+
+
+class Transport(mock.Mock):
+    """A caller's connection that stays open."""
+
+
+def open_transport() -> Any:
+    """Return the transport of a caller that waits for its answer."""
+    transport = Transport()
+    transport.is_closing.return_value = False
+    transport.get_extra_info.return_value = None
+    return transport
+
+
+OPERATOR_DIGEST = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
+
+
+class FakeLog(LogService):
+    """The platform's log as one zone reaches it."""
+
+    def __init__(self, session: Session, zone: str) -> None:
+        self._session = session
+        self._zone = zone
+
+    def _check(self) -> None:
+        if self._zone in self._session.parted:
+            raise LogUnavailableError("the log is cut off", retry_after_s=2.0)
+
+    async def append(self, stream: str, payloads: Sequence[bytes]) -> int:
+        """Append records; see :class:`LogService`."""
+        await asyncio.sleep(NET_S)
+        self._check()
+        records = self._session.streams.setdefault(stream, [])
+        first = len(records)
+        for payload in payloads:
+            envelope = decode_envelope(payload)
+            kind = type(envelope.body).__name__
+            if kind not in ROUTINE:
+                text = json.dumps(to_builtins(envelope.body))
+                self._session.write(f"log {stream} <- {envelope.lane}: {kind} {text}")
+        records += payloads
+        self._session.grown.setdefault(stream, asyncio.Event()).set()
+        self._session.grown[stream] = asyncio.Event()
+        return first
+
+    async def read(self, stream: str, offset: int, wait_s: float) -> LogPage:
+        """Read records; see :class:`LogService`."""
+        await asyncio.sleep(NET_S)
+        self._check()
+        records = self._session.streams.setdefault(stream, [])
+        if offset >= len(records):
+            grown = self._session.grown.setdefault(stream, asyncio.Event())
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(grown.wait(), wait_s)
+        self._check()
+        part = records[offset : offset + 1000]
+        entries = tuple(LogEntry(offset + i, data) for i, data in enumerate(part))
+        return LogPage(entries, len(records))
+
+
+class FakeList(InstanceList):
+    """The instance list."""
+
+    def __init__(self, session: Session, zone: str) -> None:
+        self._session = session
+        self._zone = zone
+
+    async def list(self) -> tuple[Endpoint, ...]:
+        """Return the list; see :class:`InstanceList`."""
+        if self._zone in self._session.parted:
+            raise PlatformUnavailableError("cut off")
+        return tuple(self._session.endpoints.values())
+
+
+class FakeWorkers(WorkerClient):
+    """The stand-in's workers, without sockets."""
+
+    def __init__(self, session: Session, zone: str) -> None:
+        self._session = session
+        self._zone = zone
+
+    async def look(self, worker: Endpoint) -> Any:
+        """Return the inventory; see :class:`WorkerClient`."""
+        return await self._call(worker, None)
+
+    async def sync(self, worker: Endpoint, order: Any) -> Any:
+        """Give an order; see :class:`WorkerClient`."""
+        for start in order.start:
+            ref = f"{start.job_id}[{start.index}]"
+            self._session.write(
+                f"order -> {worker.name}: start {ref} attempt {start.attempt}"
+                f" at epoch {order.epoch}"
+            )
+        for stop in order.stop:
+            ref = f"{stop.job_id}[{stop.index}]"
+            self._session.write(f"order -> {worker.name}: stop {ref} {stop.reason}")
+        return await self._call(worker, to_builtins(order))
+
+    async def _call(self, worker: Endpoint, order: Any) -> Any:
+        await asyncio.sleep(NET_S)
+        if not self._session.joined(self._zone, worker.zone):
+            raise WorkerUnreachableError(worker.name)
+        target = self._session.workers[worker.name]
+        if order is None:
+            resp = await target.look(mock.Mock())
+        else:
+            req = mock.Mock()
+            req.json = mock.AsyncMock(return_value=order)
+            resp = await target.sync(req)
+        if resp.status == 409:
+            raise WorkerFencedError(f"{worker.name}: {resp.text}")
+        return msgspec.convert(json.loads(resp.text), Report)
+
+
+class FakeRunners(EndpointClient):
+    """Runners that take a tenth of a second."""
+
+    def __init__(self, session: Session, zone: str) -> None:
+        self._session = session
+        self._zone = zone
+
+    async def send(
+        self,
+        endpoint: Endpoint,
+        method: str,
+        path: str,
+        headers: Any,
+        body: bytes,
+        timeout_s: float,
+    ) -> Exchange:
+        """Send a request; see :class:`EndpointClient`."""
+        if not self._session.joined(self._zone, endpoint.zone):
+            await asyncio.sleep(min(1.0, timeout_s))
+            raise NoEndpointError(f"{endpoint.name}: not reached")
+        self._session.write(
+            f"request -> {endpoint.name}: {method} {path} {body.decode()}"
+        )
+        if method == "POST":
+            runs = self._session.runs
+            runs[body.decode()] = runs.get(body.decode(), 0) + 1
+        await asyncio.sleep(0.1)
+        answer = json.dumps({"path": path, "echo": body.decode()}).encode()
+        return Exchange(200, (("Content-Type", "application/json"),), answer)
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+
+@attrs.define(eq=False)
+class FakeMesh:
+    """Messages between instances, without sockets."""
+
+    session: Session
+    serve: Callable[[Any], Awaitable[Any]]
+    address: str = ""
+    connected: set[str] = attrs.field(factory=set)
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+    def bind(self, address: Address) -> Address:
+        """Take an address."""
+        self.address = str(address)
+        self.session.meshes[self.address] = self
+        return address
+
+    def connect(self, address: str) -> None:
+        """Note a peer."""
+        self.connected.add(address)
+
+    def disconnect(self, address: str) -> None:
+        """Forget a peer."""
+        self.connected.discard(address)
+
+    @property
+    def addresses(self) -> set[str]:
+        """The peers connected to."""
+        return set(self.connected)
+
+    def _name(self, address: str) -> str:
+        for name, endpoint in self.session.endpoints.items():
+            if endpoint.address == address:
+                return name
+        return "nobody"
+
+    def _zone(self, address: str) -> str:
+        endpoint = self.session.endpoints.get(self._name(address))
+        return endpoint.zone if endpoint else ""
+
+    def _write(self, address: str, msg: Any, arrow: str) -> None:
+        kind = type(msg).__name__
+        if kind in ROUTINE or kind.startswith(("Grant", "Holdings")):
+            return
+        own, other = self._name(self.address), self._name(address)
+        text = json.dumps(to_builtins(msg))
+        self.session.write(f"peer {own} {arrow} {other}: {kind} {text}")
+
+    def _reaches(self, address: str) -> "FakeMesh | None":
+        here, there = self._zone(self.address), self._zone(address)
+        if not there or not self.session.joined(here, there):
+            return None
+        return self.session.meshes.get(address)
+
+    async def tell(self, address: str, msg: Any) -> None:
+        """Send a one-way message."""
+        self._write(address, msg, "->")
+        peer = self._reaches(address)
+        if peer is not None:
+            self.session.loop.call_later(
+                NET_S, lambda: asyncio.ensure_future(peer.serve(msg))
+            )
+
+    async def ask(self, address: str, msg: Any, timeout_s: float) -> Any:
+        """Send a message and return the answer."""
+        self._write(address, msg, "->")
+        peer = self._reaches(address)
+        if peer is None:
+            await asyncio.sleep(timeout_s)
+            raise PeerUnreachableError(f"{self._name(address)}: no answer")
+        await asyncio.sleep(NET_S)
+        try:
+            answer = await asyncio.wait_for(peer.serve(msg), timeout_s)
+        except TimeoutError as exc:
+            raise PeerUnreachableError("no answer") from exc
+        self._write(address, answer, "<-")
+        return answer
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        await asyncio.Event().wait()
+
+    def close(self) -> None:
+        """Be reached no more."""
+        self.session.meshes.pop(self.address, None)
+
+
+class _Listener:
+    """Stands for a listening socket."""
+
+    addresses = (("127.0.0.1", 0),)
+
+    async def stop(self) -> None:
+        """Stop listening."""
+
+    async def cleanup(self) -> None:
+        """Close what is left."""
+
+
+async def _serve(*args: Any, **kwargs: Any) -> tuple[_Listener, _Listener]:
+    return _Listener(), _Listener()
+
+
+class _Recorder(logging.Handler):
+    """Writes log lines into the transcript."""
+
+    def __init__(self, session: Session) -> None:
+        super().__init__()
+        self._session = session
+
+    def emit(self, line: logging.LogRecord) -> None:
+        """Write one line."""
+        fields = {k: v for k, v in vars(line).items() if k not in _OWN_FIELDS}
+        level = line.levelname.lower()
+        text = json.dumps(fields, default=str, sort_keys=True)
+        self._session.write(f"logged {level} {line.getMessage()} {text}")
+
+
+class _Secrets:
+    """Keys that are the same in each session."""
+
+    def __init__(self) -> None:
+        self._count = itertools.count(1)
+
+    def token_urlsafe(self, size: int) -> str:
+        """Return the next key."""
+        return f"key-{next(self._count)}"
+
+    def token_hex(self, size: int) -> str:
+        """Return the next key id."""
+        return f"id-{next(self._count)}"
+
+    @staticmethod
+    def compare_digest(a: str, b: str) -> bool:
+        """Compare plainly."""
+        return a == b
+
+
+Script = Callable[[Session], Awaitable[None]]
+
+
+def play(script: Script) -> str:
+    """Play a session and return its transcript."""
+    loop = VirtualLoop()
+    session = Session(loop)
+    recorder = _Recorder(session)
+    random.seed(0)
+    with contextlib.ExitStack() as stack:
+        patch = lambda target, new: stack.enter_context(mock.patch(target, new))  # noqa: E731
+        patch("time.monotonic", loop.time)
+        patch("time.time", lambda: 1_800_000_000 + loop.time())
+        patch("firhook.roles._config.secrets", _Secrets())
+        patch("firhook.roles._gateway.serve", _serve)
+        patch("firhook.roles._ops.serve", _serve)
+        patch(
+            "firhook.roles._members.Mesh",
+            lambda public, secret, serve: FakeMesh(session, serve),
+        )
+        _LOGGER.addHandler(recorder)
+        level = _LOGGER.level
+        _LOGGER.setLevel(logging.INFO)
+        stack.callback(_LOGGER.setLevel, level)
+        stack.callback(_LOGGER.removeHandler, recorder)
+        asyncio.set_event_loop(loop)
+        try:
+            loop.run_until_complete(script(session))
+        finally:
+            left = asyncio.all_tasks(loop)
+            for task in left:
+                task.cancel()
+            loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
+            asyncio.set_event_loop(None)
+            loop.close()
+    return session.transcript()
