Records are checked for encoding before others queue behind them

Before: a record that msgspec cannot encode raised in the append loop, which ends the daemon (test fails without the check: the second append never lands). After: its asker gets record.malformed and the next record is applied.

--- a/src/firhook/_lane.py
+++ b/src/firhook/_lane.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Sequence
+from typing import Any
 
 from mode import Service
 
@@ -88,6 +89,7 @@
         """Append a record and wait until it was read back.
 
         :raises NotReadyError: if the state is not whole; nothing was sent.
+        :raises RecordMalformedError: if it cannot be encoded; nothing was sent.
         :raises LogUnavailableError: if the record certainly was not recorded
             and never will be.
         :raises LogOutcomeUnknownError: if it may be recorded, now or later.
@@ -96,8 +98,8 @@
             raise NotReadyError(
                 f"{self.stream} has not been read whole", retry_after_s=_RETRY_AFTER_S
             )
+        size = self._size(query.body)
         fut: asyncio.Future[Applied] = asyncio.get_running_loop().create_future()
-        size = len(getattr(query.body, "data", ""))
         item = self._outbox.add(query.body, query.urgent, fut, size)
         self._wake.set()
         try:
@@ -108,6 +110,17 @@
             self._outbox.give_up(item)
             raise
 
+    def _size(self, body: Any) -> int:
+        """Return a record's length, and so check it before others depend on it.
+
+        One that cannot be encoded would hold up every record behind it.
+        """
+        try:
+            return len(encode_envelope(Envelope(self._lane, 0, body)))
+        except Exception as exc:
+            kind = type(body).__name__
+            raise RecordMalformedError(f"{kind} cannot be encoded: {exc!r}") from exc
+
     def _give_up(self, item: Outgoing) -> FirhookError:
         if self._outbox.give_up(item):
             return LogOutcomeUnknownError(
@@ -129,10 +142,10 @@
                     await self._send(batch)
 
     async def _send(self, batch: Sequence[Envelope]) -> None:
-        payloads = [encode_envelope(envelope) for envelope in batch]
         self.appends += 1
-        self.sent_bytes += sum(map(len, payloads))
         try:
+            payloads = [encode_envelope(envelope) for envelope in batch]
+            self.sent_bytes += sum(map(len, payloads))
             await self._service.append(self.stream, payloads)
         except LogUnavailableError:
             self._outbox.note_refused()
@@ -154,7 +167,7 @@
                 await self._follow_once()
             except LogTrimmedError as exc:
                 self._on_trimmed(exc)
-                await self.sleep(0.01)
+                await self.sleep(_BACKOFF_S)
             except LogUnavailableError as exc:
                 log(
                     "log.unavailable", level="warning", stream=self.stream, why=str(exc)
--- a/src/firhook/decide/_commit.py
+++ b/src/firhook/decide/_commit.py
@@ -11,14 +11,14 @@
 #: Records that go into one append; more would make one lost answer cost much.
 MAX_BATCH = 256
 #: Size of what goes into one append; chunks of snapshots are the large ones.
-MAX_BATCH_CHARS = 512_000
+MAX_BATCH_BYTES = 512_000
 
 
 @attrs.define(slots=True, eq=False)
 class Outgoing:
     """A record on its way to the log and back.
 
-    :ivar size: characters of its largest part.
+    :ivar size: its length as it is sent, in bytes.
     :ivar seq: its place in the lane; 0 until it is first sent.
     :ivar given_up: whether whoever asked for it has stopped waiting.
     :ivar token: whatever the owner needs to answer whoever asked.
@@ -122,7 +122,7 @@
     def _form_batch(self) -> None:
         size = 0
         for queue in (self._urgent, self._queue):
-            while queue and len(self._batch) < MAX_BATCH and size < MAX_BATCH_CHARS:
+            while queue and len(self._batch) < MAX_BATCH and size < MAX_BATCH_BYTES:
                 item = queue.popleft()
                 size += item.size
                 self._seq += 1
--- a/tests/state/test_snapshots.py
+++ b/tests/state/test_snapshots.py
@@ -1,10 +1,13 @@
 """Snapshots in chunks are put together from whole sets only."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from firhook.model import SnapshotChunk
-from firhook.state import Rebuild, _snapshots, split_snapshot
+from firhook.errors import RecordMalformedError
+from firhook.model import Row, RowsChanged, SnapshotChunk
+from firhook.state import ConfigState, Rebuild, _snapshots, split_snapshot
+from tests.state.test_config import SMALL, feed
 
 TEXT = "x" * (_snapshots.CHUNK_CHARS + 1)
 
@@ -40,3 +43,18 @@
     rebuild = Rebuild(10)
     assert rebuild.add("a#1", SnapshotChunk(9, 0, 1, "{}")) is None
     assert rebuild.add("a#1", SnapshotChunk(10, 0, 1, "{}")).upto == 10
+
+
+@pytest.mark.parametrize("offset", [1, 9])
+def test_older_lists_are_never_loaded(offset):
+    """A snapshot that a peer or a writer gives is older than what is in force.
+
+    Whether its offset says so, or only the version in it, no list goes back.
+    """
+    state = ConfigState()
+    feed(state, RowsChanged(0, (SMALL,)))
+    old = state.to_text()
+    feed(state, RowsChanged(1, (Row("plans", "large", dict(SMALL.values)),)))
+    with pytest.raises(RecordMalformedError):
+        state.from_text(offset, old)
+    assert (state.version, sorted(state.plans)) == (2, ["large", "small"])
--- a/tests/test_lane.py
+++ b/tests/test_lane.py
@@ -12,6 +12,7 @@
     LogOutcomeUnknownError,
     LogUnavailableError,
     NotReadyError,
+    RecordMalformedError,
 )
 from firhook.events import Append, StreamRebuilt
 from firhook.model import (
@@ -135,6 +136,20 @@
     asyncio.run(scenario())
 
 
+def test_record_that_cannot_be_encoded_holds_up_no_other():
+    """Somebody managed to send a name that is no valid text."""
+
+    async def scenario():
+        log = FakeLog()
+        async with lane_on(log) as lane:
+            with pytest.raises(RecordMalformedError):
+                await lane.append(Append("config", KeyWithdrawn("\ud800")))
+            applied = await lane.append(Append("config", KEY))
+            assert applied.verdict is Verdict.APPLIED
+
+    asyncio.run(scenario())
+
+
 def grown_log(upto: int) -> tuple[FakeLog, ConfigState]:
     """Return a log of another instance, and the state that it gives."""
     log, state = FakeLog(), ConfigState()
