The loss of the log is logged once, and a view is no fresher than its answer

Change: log.lost and log.back on the change alone; the age counts from the latest moment at which the answer can have been made.

--- a/src/firhook/_lane.py
+++ b/src/firhook/_lane.py
@@ -32,6 +32,8 @@
 from firhook.state import Rebuild, Snapshot, StreamState
 
 _BACKOFF_S = 0.3
+#: An answer is on its way back for no longer than this, or counts as old.
+_ANSWER_S = 1.0
 _RETRY_AFTER_S = 2.0
 
 
@@ -73,6 +75,7 @@
         self._poll_s = poll_s
         self._outbox = Outbox(lane)
         self._rebuild: Rebuild | None = None
+        self._reached = True
         self._wake = asyncio.Event()
         self.appends = 0
         self.sent_bytes = 0
@@ -152,20 +155,34 @@
         while not self.should_stop:
             try:
                 await self._follow_once()
+                self._note_reached(None)
             except LogTrimmedError as exc:
                 self._on_trimmed(exc)
                 await self.sleep(0.01)
             except LogUnavailableError as exc:
-                log(
-                    "log.unavailable", level="warning", stream=self.stream, why=str(exc)
-                )
+                self._note_reached(exc)
                 await self.sleep(_BACKOFF_S)
             except Exception as exc:
                 log("log.failed", level="error", stream=self.stream, error=repr(exc))
                 await self.sleep(_BACKOFF_S)
 
+    def _note_reached(self, exc: LogUnavailableError | None) -> None:
+        """Log that the log went away or came back, and not each try between.
+
+        Outages last for long stretches; a line for each of three tries a
+        second would bury what else happens meanwhile.
+        """
+        if (exc is None) == self._reached:
+            return
+        self._reached = exc is None
+        if exc is None:
+            log("log.back", stream=self.stream)
+        else:
+            log("log.lost", level="warning", stream=self.stream, why=exc.detail)
+
     async def _follow_once(self) -> None:
         source = self._rebuild or self.stream_state
+        asked_at = time.monotonic()
         page = await self._service.read(self.stream, source.next_offset, self._poll_s)
         if source is not (self._rebuild or self.stream_state):
             # A peer's snapshot came meanwhile; the page is of no use any more.
@@ -182,7 +199,11 @@
         for entry in page.entries:
             self._apply(entry)
         if self.stream_state.next_offset >= page.end:
-            self.seen_end_at = time.monotonic()
+            # The answer may have lain unread while this process was paused.
+            # It was made at the latest when the wait that was asked for ended,
+            # so it counts as no fresher than that.
+            latest = asked_at + self._poll_s + _ANSWER_S
+            self.seen_end_at = min(time.monotonic(), latest)
             self.ready = True
 
     def _apply(self, entry: LogEntry) -> None:
