--- a/bench/_virtual.py
+++ b/bench/_virtual.py
@@ -246,7 +246,7 @@
         else:
             expected_s = dispatcher.times.expect(kind)
             dispatcher.router.answered(placed.view, took_s, expected_s, now)
-            dispatcher.times.learn(kind, took_s)
+            dispatcher.times.learn(kind, took_s, now)
             req.done_at = now
         dispatcher.end(placed, now)
         self._pump()
--- a/src/firhook/decide/_admit.py
+++ b/src/firhook/decide/_admit.py
@@ -191,10 +191,10 @@
                 f"{self._limits.team_waiting} requests of the team wait",
                 retry_after_s=back_s,
             )
-        need_s = _WAIT_MARGIN * wait_s + _SERVICE_MARGIN * item.expected_s
+        need_s = _WAIT_MARGIN * wait_s + _SERVICE_MARGIN * item.needs_s
         if now + need_s > item.deadline:
             raise DeadlineUnmeetableError(
-                f"it would wait {wait_s:.2f} s and run {item.expected_s:.2f} s",
+                f"it would wait {wait_s:.2f} s and run {item.needs_s:.2f} s",
                 retry_after_s=back_s,
             )
         self.queue.push(item)
@@ -257,6 +257,10 @@
     def _put_back(self, item: Waiting) -> None:
         self.queue.put_back(item, self.weights)
 
+    def has_untried(self, tried: Collection[str]) -> bool:
+        """Return whether a runner is left that did not fail a request yet."""
+        return any(key not in tried for key in self.router.slots())
+
     def roomless(self) -> list[str]:
         """Return the teams that wait for room under their limit."""
         return list(self._roomless_since)
@@ -336,9 +340,9 @@
                 f"the team had no room under its limit for {ROOM_WAIT_S:g} s",
                 retry_after_s=max(back_s, ROOM_WAIT_S),
             )
-        if not self.router.slots():
-            return NoEndpointError("every runner has gone", retry_after_s=back_s)
-        service_s = _SERVICE_MARGIN * item.expected_s
+        if not self.has_untried(item.tried):
+            return NoEndpointError("no runner is left", retry_after_s=back_s)
+        service_s = _SERVICE_MARGIN * item.needs_s
         end = now + ahead_s / self._rate(item.team) + service_s
         slack = _GIVE_UP_SLACK * (item.deadline - item.arrived)
         if now + service_s <= item.deadline and end <= item.deadline + slack:
@@ -368,4 +372,5 @@
     long = expected_s > max(_LONG_RATIO * times.mean_s, _LONG_LEAST_S)
     # Bulk work of a kind not seen yet is likelier long than not.
     long = long or (klass == "bulk" and not times.knows(kind))
-    return Waiting(team, klass, now, deadline, token, expected_s, long)
+    needs_s = times.at_least(kind, now)
+    return Waiting(team, klass, now, deadline, token, expected_s, needs_s, long)
--- a/src/firhook/decide/_queue.py
+++ b/src/firhook/decide/_queue.py
@@ -22,6 +22,7 @@
     :param deadline: when its caller stops waiting, in seconds.
     :param token: whatever the caller of the queue needs to go on with it.
     :param expected_s: how long it is expected to hold a slot.
+    :param needs_s: the least time it needs, for all that is known for certain.
     :param long: whether it would hold a slot long enough for short requests
         to feel it.
     :param tried: keys of runners that failed it already.
@@ -33,6 +34,7 @@
     deadline: float
     token: Any = None
     expected_s: float = 0.05
+    needs_s: float = 0.0
     long: bool = False
     tried: list[str] = attrs.field(factory=list)
     queued: bool = False
--- a/src/firhook/roles/_gateway.py
+++ b/src/firhook/roles/_gateway.py
@@ -168,7 +168,7 @@
                 may_have_run = may_have_run or exc.ran != "no"
                 cut = isinstance(exc, _SEND_ERRORS) and len(tried) > 0
                 again = cut and may_resend(call.idempotent, exc.ran, len(tried))
-                if again and service.budget.take():
+                if again and service.has_untried(tried) and service.budget.take():
                     continue
                 if may_have_run:
                     exc.ran = "unknown"
@@ -265,7 +265,7 @@
             self.kernel.load.leaving.add(view.key)
         expected_s = service.times.expect(call.kind)
         service.router.answered(view, took_s, expected_s, now)
-        service.times.learn(call.kind, took_s)
+        service.times.learn(call.kind, took_s, now)
         service.budget.answered()
         self.stats.answered(
             call.team, call.klass, placed.started - call.arrived, took_s
--- a/tests/decide/test_requests.py
+++ b/tests/decide/test_requests.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 import attrs
+import pytest
 
 from bench._virtual import Fleet, Req, Stream, make_all, percentile
 from firhook.decide.admit import Dispatcher, QueueLimits, expected_item
@@ -207,13 +208,10 @@
         admit(disp, expected_s=2.0, team="a")
     while disp.take(0.0) is not None:
         pass
-    try:
+    with pytest.raises(DeadlineUnmeetableError) as caught:
         admit(disp, deadline=1.0)
-    except DeadlineUnmeetableError as exc:
-        assert exc.ran == "no"
-        assert 2.0 < exc.retry_after_s < 16.0
-    else:
-        raise AssertionError("it was queued")
+    assert caught.value.ran == "no"
+    assert 2.0 < caught.value.retry_after_s < 16.0
 
 
 def test_team_without_room_is_told_well_before_its_deadline():
@@ -241,3 +239,18 @@
     later = [attrs.evolve(r, at=r.at + 6, instance=r.instance + 2) for r in reqs]
     fleet.run([*reqs, *later], 14.0)
     assert fleet.most_load <= 10
+
+
+def test_kind_that_was_slow_once_is_not_refused_for_good():
+    """A slow minute of a service made its requests take longer than callers
+    wait, and all are refused.  Refused requests teach nothing, so without doubt
+    in what was learnt the service would never be called again.
+    """
+    disp = dispatcher(runner("r"))
+    for _ in range(20):
+        disp.times.learn(("a",), 5.0, 1.0)
+    with pytest.raises(DeadlineUnmeetableError):
+        admit(disp, now=1.0, deadline=2.0)
+    assert admit(disp, now=20.0, deadline=21.0).queued
+    assert disp.take(20.0) is not None
+    assert admit(disp, now=20.0, deadline=20.01, team="b").queued
