--- a/src/firhook/_calls.py
+++ b/src/firhook/_calls.py
@@ -13,6 +13,7 @@
 from firhook.decide.retry import IDEMPOTENT
 from firhook.errors import NotPermittedError, RequestMalformedError
 from firhook.platform import Exchange
+from firhook.queries import CheckFresh
 
 PREFIX = "/r/"
 #: Headers that are for firhook only.  The key above all must not reach a
@@ -76,10 +77,12 @@
 
     :param longest_s: the longest deadline that a request may have, in seconds.
     :raises RequestMalformedError: naming the part that is wrong.
+    :raises ZoneStaleError: if the key may have been withdrawn unnoticed.
     """
     who = await principal(bus, req)
     if who.operator:
         raise NotPermittedError("an operator's key runs no requests")
+    await bus.ask(CheckFresh(req.method in IDEMPOTENT))
     service, path = split_target(req.raw_path)
     klass = _single(req, "X-Class") or "standard"
     if klass not in CLASSES:
--- a/src/firhook/roles/_gateway.py
+++ b/src/firhook/roles/_gateway.py
@@ -33,7 +33,13 @@
 from firhook.logs import log
 from firhook.model import Endpoint, Gossip
 from firhook.platform import Exchange
-from firhook.queries import OnceBegin, OnceFinish, OnceGiveBack, OnceSending
+from firhook.queries import (
+    OnceBegin,
+    OnceFinish,
+    OnceGiveBack,
+    OnceLost,
+    OnceSending,
+)
 
 #: How often waiting requests are looked through for those to give up.
 _TICK_S = 0.05
@@ -146,9 +152,11 @@
             return known
         try:
             answer = await self._run(call, key)
-        except FirhookError as exc:
-            if exc.ran == "no":
+        except BaseException as exc:
+            if isinstance(exc, FirhookError) and exc.ran == "no":
                 await self.bus.ask(OnceGiveBack(key))
+            else:
+                self.bus.publish(OnceLost(key))
             raise
         await self.bus.ask(OnceFinish(key, answer))
         return answer
