--- /dev/null
+++ b/bench/placing.py
@@ -0,0 +1,363 @@
+"""Measures of the cell: placing, packing, waiting, share, gangs, preemption.
+
+One zone with a lead that is well, no sockets: the states and decisions are
+the real ones, the workers small fakes.
+"""
+
+import random
+import statistics
+import time
+from collections.abc import Iterator
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from bench._registry import measure
+from firhook.decide.place import Need, Room, Rooms
+from firhook.decide.turns import Want, plan_turns
+from firhook.model import Assignment, JobSpec
+from tests.decide.shop import TIMING, WELL, Shop, fleet
+
+SIZES = (24, 100, 910)
+RUNNING = 9100
+
+
+def _quantile(values: list[float], q: float) -> float:
+    ordered = sorted(values)
+    return ordered[min(int(len(ordered) * q), len(ordered) - 1)]
+
+
+def _mixed_job(rng: random.Random, i: int, team: str, **fields: object) -> JobSpec:
+    cpus = rng.choice([0.5, 1.0, 1.0, 2.0, 3.0, 4.0, 6.0, 8.0])
+    memory_mb = int(cpus * rng.choice([512, 1024, 2048, 3072, 4096]))
+    return JobSpec(f"j{i}", team, 1, cpus, memory_mb, run_s=600.0, **fields)
+
+
+@measure("placing_time")
+def placing_time() -> Iterator[dict]:
+    """Time of a whole round with one new task, and tasks placed a second."""
+    for size in SIZES:
+        rng = random.Random(size)
+        teams = {f"t{i}": {} for i in range(120)}
+        shop = Shop(fleet(size), teams)
+        # Ten tasks for each worker stand for 9,100 on 910.
+        for i in range(size):
+            shop.submit(f"base{i}", f"t{i % 120}", tasks=10, cpus=1.0, run_s=1e6)
+        shop.round()
+        times = []
+        for i in range(200):
+            job = _mixed_job(rng, i, f"t{i % 120}")
+            shop.submit(job.job_id, job.team, cpus=job.cpus, memory_mb=job.memory_mb)
+            begun = time.perf_counter()
+            items, _ = shop.scheduler.plan(shop.term, shop.left(), 0.0, 0.0)
+            times.append(time.perf_counter() - begun)
+            assert len(items) == 1
+            shop.round()
+        yield {
+            "what": "one round that places one task",
+            "workers": size,
+            "running": size * 10,
+            "p50_ms": round(_quantile(times, 0.5) * 1e3, 3),
+            "p99_ms": round(_quantile(times, 0.99) * 1e3, 3),
+            "target_p99_ms": 5.0,
+        }
+        yield from _rate(size)
+
+
+def _rate(size: int) -> Iterator[dict]:
+    """Time of each placement within one large round over mixed tasks."""
+    rng = random.Random(size + 1)
+    rooms = [
+        Room(e.worker, e.rack, e.cpus, e.memory_mb, 0)
+        for e in (Room(f"w{i}", f"r{i // 6}", 22.0, 55296, 0) for i in range(size))
+    ]
+    count = min(size * 4, 3000)
+    teams = [f"t{i}" for i in range(120)]
+    wants = [Want(_mixed_job(rng, i, teams[i % 120]), (0,)) for i in range(count)]
+    left = dict.fromkeys(teams, 10**6)
+    total = Need(32.0 * size, 65536 * size, 0)
+    begun = time.perf_counter()
+    plan = plan_turns(wants, Rooms(rooms), {}, {}, left, total)
+    spent = time.perf_counter() - begun
+    yield {
+        "what": "tasks placed a second on one core, in turns over 120 teams",
+        "workers": size,
+        "placed": len(plan.placements),
+        "asked": count,
+        "per_s": round(len(plan.placements) / spent),
+        "target_per_s": 2000,
+    }
+
+
+@measure("placing_packing")
+def placing_packing() -> Iterator[dict]:
+    """Used share of the binding resource when work is refused for space."""
+    for size in SIZES:
+        ours, first = [], []
+        for seed in range(5):
+            ours.append(_packed(size, seed, _best_fit))
+            first.append(_packed(size, seed, _first_fit))
+        yield {
+            "what": "used share of the binding resource at the first refusals",
+            "workers": size,
+            "share_of_bound": round(statistics.mean(ours), 4),
+            "worst_of_5": round(min(ours), 4),
+            "first_fit": round(statistics.mean(first), 4),
+            "target": 0.95,
+        }
+
+
+def _best_fit(rooms: Rooms, need: Need) -> str | None:
+    room = rooms.find(need)
+    return room.worker if room else None
+
+
+def _first_fit(rooms: Rooms, need: Need) -> str | None:
+    for room in rooms.by_name.values():
+        if room.fits(need):
+            return room.worker
+    return None
+
+
+def _packed(size: int, seed: int, choose: object) -> float:
+    """Fill a zone until twenty tasks in a row found no room.
+
+    The bound takes the zone as one large worker: the binding resource whole.
+    """
+    rng = random.Random(seed)
+    workers = fleet(size)
+    rooms = Rooms(Room(e.name, e.rack, e.cpus, e.memory_mb, 0) for e in workers)
+    cpus = memory = refused = 0.0
+    i = 0
+    while refused < 20:
+        job = _mixed_job(rng, i, "t")
+        need = Need.of(job)
+        i += 1
+        worker = choose(rooms, need)  # type: ignore[operator]
+        if worker is None:
+            refused += 1
+            continue
+        refused = 0
+        rooms.take(worker, need)
+        cpus += need.cpus
+        memory += need.memory_mb
+    return max(
+        cpus / sum(e.cpus for e in workers),
+        memory / sum(e.memory_mb for e in workers),
+    )
+
+
+def _day(rng: random.Random, fifo: bool) -> Shop:
+    """Run a full zone: services, bulk batch, small teams, urgent, gangs."""
+    teams = {f"s{i}": {} for i in range(5)} | {"large": {}}
+    shop = Shop(fleet(24), teams)
+    if fifo:
+        _make_fifo(shop)
+    shop.submit("portal", "large", tasks=40, cpus=2.0, priority="service")
+    for second in range(600):
+        if second % 60 == 0:
+            shop.submit(
+                f"bulk{second}",
+                "large",
+                tasks=300,
+                cpus=2.0,
+                memory_mb=3000,
+                run_s=50.0,
+            )
+        if second % 5 == 0:
+            team = f"s{rng.randrange(5)}"
+            shop.submit(f"small{second}", team, tasks=2, cpus=2.0, run_s=10.0)
+        if second % 7 == 0:
+            shop.submit(f"urgent{second}", "s0", cpus=2.0, run_s=2.0, priority="urgent")
+        if second % 100 == 50:
+            shop.submit(
+                f"gang{second}", "s1", tasks=6, cpus=24.0, run_s=20.0, gang=True
+            )
+        shop.round()
+        shop.check()
+        shop.now += 1.0
+    return shop
+
+
+def _make_fifo(shop: Shop) -> None:
+    """Replace turns, preemption and reservations by order of arrival, first fit."""
+
+    def plan(term, left, now, wall):  # type: ignore[no-untyped-def]
+        shop.scheduler._refresh(term)
+        rooms = shop.scheduler._rooms(term, now)
+        items = []
+        for entry in shop.cell.jobs_of(shop.zone.zone):
+            tasks = shop.zone.tasks.get(entry.job.key, {})
+            need = Need.of(entry.job)
+            slots = sum(r.slots(need) for r in rooms)
+            if entry.job.gang and not tasks and slots < entry.job.tasks:
+                break
+            for index in range(entry.job.tasks):
+                if index in tasks:
+                    continue
+                room = next((r for r in rooms if r.fits(need)), None)
+                if room is None:
+                    return tuple(items), ()
+                room.take(need)
+                items.append(Assignment(entry.job.key, index, 1, room.worker))
+        return tuple(items), ()
+
+    shop.scheduler.plan = plan  # type: ignore[method-assign]
+
+
+@measure("placing_waiting")
+def placing_waiting() -> Iterator[dict]:
+    """Waiting time by class against first come, first served."""
+    ours = _waits(_day(random.Random(1), fifo=False))
+    fifo = _waits(_day(random.Random(1), fifo=True))
+    for kind in ("urgent", "small", "gang", "bulk"):
+        yield {
+            "what": f"wait until started, {kind}, s",
+            "p50_s": round(_quantile(ours[kind], 0.5), 1),
+            "p99_s": round(_quantile(ours[kind], 0.99), 1),
+            "fifo_p50_s": round(_quantile(fifo[kind], 0.5), 1),
+            "fifo_p99_s": round(_quantile(fifo[kind], 0.99), 1),
+            "tasks": len(ours[kind]),
+        }
+
+
+def _waits(shop: Shop) -> dict[str, list[float]]:
+    """Return each task's wait; one that never started waited until the end."""
+    waits: dict[str, list[float]] = {}
+    for key, entry in shop.cell.jobs.items():
+        kind = key.partition("/")[2].rstrip("0123456789")
+        for index in range(entry.job.tasks):
+            at = shop.started_at.get((key, index), shop.now)
+            waits.setdefault(kind, []).append(at - entry.accepted_at)
+    return waits
+
+
+@measure("placing_share")
+def placing_share() -> Iterator[dict]:
+    """Closeness to share on a full zone: max over teams of |got - due| / due."""
+    rng = random.Random(7)
+    shares = {f"t{i}": rng.choice([1, 1, 2, 5, 10]) for i in range(12)}
+    shop = Shop(fleet(100), {t: {"share": str(s)} for t, s in shares.items()})
+    for team in shares:
+        for n in range(4):
+            shop.submit(
+                f"b{n}",
+                team,
+                tasks=2000,
+                cpus=rng.choice([1.0, 2.0]),
+                memory_mb=1024,
+                run_s=rng.choice([5.0, 11.0]),
+            )
+    got: dict[str, float] = dict.fromkeys(shares, 0.0)
+    while shop.now < 60:
+        shop.round()
+        if shop.now >= 20:
+            for team, used in shop.scheduler._used.items():
+                got[team] += used
+        shop.now += 1.0
+    whole = sum(got.values())
+    weights = sum(shares.values())
+    errors = [
+        abs(got[t] / whole - s / weights) / (s / weights) for t, s in shares.items()
+    ]
+    yield {
+        "what": "share error over 12 teams, 100 workers, saturated",
+        "max_error": round(max(errors), 4),
+        "target": 0.05,
+    }
+
+
+@measure("placing_urgent")
+def placing_urgent() -> Iterator[dict]:
+    """Urgent work at 62 starts a second on a full zone of 910 workers.
+
+    A round and its orders are taken as 0.1 s; the log's and the network's
+    time come on top.
+    """
+    shop = Shop(fleet(910), {"bulk": {}, "charges": {}})
+    for i in range(10):
+        shop.submit(f"b{i}", "bulk", tasks=2000, cpus=2.0, run_s=1e5)
+    shop.round()
+    waits = HdrHistogram(1, 60_000, 3)
+    rounds = []
+    for tick in range(100):
+        # Six in each tenth of a second make 62 a second; a third is urgent.
+        for n in range(6):
+            urgent = n < 2
+            shop.submit(
+                f"c{tick}-{n}",
+                "charges",
+                cpus=2.0,
+                run_s=3.0,
+                priority="urgent" if urgent else "batch",
+            )
+        begun = time.perf_counter()
+        shop.scheduler.plan(shop.term, {}, shop.now, shop.now)
+        rounds.append(time.perf_counter() - begun)
+        shop.round()
+        shop.now += 0.1
+    for _ in range(100):
+        shop.round()
+        shop.now += 0.1
+    unstarted = 0
+    for key, entry in shop.cell.jobs.items():
+        if entry.job.priority == "urgent":
+            at = shop.started_at.get((key, 0))
+            unstarted += at is None
+            wait = (at if at is not None else shop.now) - entry.accepted_at
+            waits.record_value(max(int(wait * 1000), 1))
+    yield {
+        "what": "urgent wait from acceptance to start order, rounds of 0.1 s",
+        "p50_ms": waits.get_value_at_percentile(50),
+        "p99_ms": waits.get_value_at_percentile(99),
+        "max_ms": waits.get_max_value(),
+        "unstarted": unstarted,
+        "round_p99_ms": round(_quantile(rounds, 0.99) * 1e3, 1),
+        "target_p99_ms": 5600,
+    }
+
+
+@measure("placing_cost")
+def placing_cost() -> Iterator[dict]:
+    """Log records and bytes per task started, work lost to preemption."""
+    shop = _day(random.Random(2), fifo=False)
+    preempted = [e for e in shop.ended if e.outcome == "preempted"]
+    yield {
+        "what": "log records and bytes per task started, mixed day",
+        "starts": shop.starts,
+        "records_per_start": round(shop.appends / shop.starts, 3),
+        "bytes_per_start": round(shop.bytes / shop.starts),
+        "preempted": len(preempted),
+        "preempted_per_start": round(len(preempted) / shop.starts, 4),
+    }
+    yield from _sync_cost()
+
+
+def _sync_cost() -> Iterator[dict]:
+    """Processor time and bytes of one lead's regular orders to 130 workers."""
+    shop = Shop(fleet(130), {"t": {}})
+    shop.submit("base", "t", tasks=1300, cpus=1.0, run_s=1e6)
+    shop.round()
+    shop.round()
+    order_bytes = report_bytes = 0
+    begun = time.perf_counter()
+    for worker in shop.workers:
+        order = shop.term.order(worker, WELL, shop.now)
+        text = msgspec.json.encode(order)
+        order_bytes += len(text)
+        view = shop.term.workers[worker]
+        report = msgspec.json.encode(view.report)
+        report_bytes += len(report)
+        shop.term.note_report(
+            worker, msgspec.json.decode(report, type=type(view.report)), shop.now
+        )
+    spent = time.perf_counter() - begun
+    yield {
+        "what": "orders to and reports from 130 workers with 1,300 tasks, a second",
+        "sync_s": TIMING.sync_s,
+        "order_bytes_per_s": round(order_bytes / TIMING.sync_s),
+        "report_bytes_per_s": round(report_bytes / TIMING.sync_s),
+        "target_bytes_per_s": 14_000,
+        "core_share_without_http": round(spent / TIMING.sync_s, 4),
+        "target_core_share": 0.047,
+    }
--- a/src/firhook/platform/_http.py
+++ b/src/firhook/platform/_http.py
@@ -182,7 +182,7 @@
                         f"{worker.name} answered {resp.status}"
                     )
                 return msgspec.json.decode(text, type=Report)
-        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as exc:
+        except _UNREADABLE as exc:
             raise WorkerUnreachableError(f"{worker.name}: {exc!r}") from exc
 
 
--- a/src/firhook/state/_cell.py
+++ b/src/firhook/state/_cell.py
@@ -1,14 +1,17 @@
 """Zone leads, limit transfers and jobs, as the log has them."""
 
+import hashlib
 from typing import Any
 
 import attrs
 import msgspec
 
+from firhook.decide.limits import Span, move_tokens
 from firhook.model import (
     JobAccepted,
     JobCancelled,
     JobsAdopted,
+    JobsEnded,
     JobSpec,
     LeadClaimed,
     LeadReleased,
@@ -19,6 +22,19 @@
 )
 from firhook.state._base import StreamState
 
+#: Ended jobs that are still listed in full.  4,900 jobs a day make this half
+#: a day, in about 2 MB.
+MAX_ENDED = 2000
+#: Ended jobs whose ids are still known, so that a repeated submission starts
+#: nothing.  Four days at 4,900 a day, in about 3 MB.
+MAX_KNOWN = 20_000
+
+
+def job_digest(job: JobSpec) -> str:
+    """Return a short digest of a job as declared, the same at every reader."""
+    data = msgspec.json.encode(job)
+    return hashlib.blake2b(data, digest_size=8).hexdigest()
+
 
 @attrs.frozen(slots=True)
 class LeadState:
@@ -27,22 +43,33 @@
     :param epoch: rises by one with each claim; 0 before the first.
     :param offset: of the last claim or renewal.
     :param released: whether the holder has handed it back.
+    :param roster: the instances that may hold room lent by it or its
+        predecessors.
+    :param holders: the number of holders by which that room is capped.
     """
 
     epoch: int = 0
     instance: str = ""
     offset: int = -1
     released: bool = True
+    roster: tuple[str, ...] = ()
+    holders: int = 1
 
 
 @attrs.frozen(slots=True)
 class JobEntry:
-    """A job and the zone that places it."""
+    """A job and the zone that places it.
+
+    :param accepted_at: wall-clock time of its acceptance, in seconds.
+    :param ended: how it ended, ``done`` or ``cancelled``; empty before.
+    """
 
     job: JobSpec
     zone: str
     offset: int
     cancelled: bool = False
+    accepted_at: float = 0.0
+    ended: str = ""
 
 
 class CellState(StreamState):
@@ -55,8 +82,11 @@
         super().__init__()
         self.zones = tuple(sorted(zones))
         self.leads: dict[str, LeadState] = {z: LeadState() for z in self.zones}
-        self.moved: dict[str, dict[str, int]] = {}
+        self.moved: dict[str, tuple[Span, ...]] = {}
         self.jobs: dict[str, JobEntry] = {}
+        self.known: dict[str, str] = {}
+        self._open: dict[str, dict[str, JobEntry]] = {}
+        self._ended: dict[str, bool] = {}
 
     def apply_body(self, offset: int, lane: str, body: Any) -> Verdict:
         """Apply a claim of lead, a transfer or a job."""
@@ -70,6 +100,8 @@
             return self._apply_job(offset, body)
         if isinstance(body, JobCancelled):
             return self._apply_cancel(body)
+        if isinstance(body, JobsEnded):
+            return self._apply_ends(body)
         if isinstance(body, JobsAdopted):
             return self._apply_adoption(body)
         return Verdict.IGNORED
@@ -78,7 +110,12 @@
         lead = self.leads.get(claim.zone)
         if lead is None or claim.epoch != lead.epoch + 1:
             return Verdict.CONFLICT
-        self.leads[claim.zone] = LeadState(claim.epoch, claim.instance, offset, False)
+        if claim.seen != lead.offset:
+            return Verdict.CONFLICT
+        roster = tuple(sorted({*lead.roster, claim.instance}))
+        self.leads[claim.zone] = LeadState(
+            claim.epoch, claim.instance, offset, False, roster, lead.holders
+        )
         return Verdict.APPLIED
 
     def _apply_renewal(self, offset: int, body: LeadRenewed | LeadReleased) -> Verdict:
@@ -86,16 +123,33 @@
         if lead is None or (lead.epoch, lead.instance) != (body.epoch, body.instance):
             return Verdict.CONFLICT
         released = isinstance(body, LeadReleased)
-        self.leads[body.zone] = attrs.evolve(lead, offset=offset, released=released)
+        if lead.released and not released:
+            return Verdict.CONFLICT
+        holders = lead.holders if isinstance(body, LeadReleased) else body.holders
+        self.leads[body.zone] = attrs.evolve(
+            lead,
+            offset=offset,
+            released=released,
+            roster=body.roster,
+            holders=holders,
+        )
         return Verdict.APPLIED
 
     def _apply_move(self, move: LimitMoved) -> Verdict:
         lead = self.leads.get(move.giver)
-        if lead is None or lead.epoch != move.epoch or move.receiver not in self.leads:
+        if lead is None or lead.epoch != move.epoch or lead.released:
             return Verdict.CONFLICT
-        by_zone = self.moved.setdefault(move.team, {})
-        by_zone[move.giver] = by_zone.get(move.giver, 0) - move.amount
-        by_zone[move.receiver] = by_zone.get(move.receiver, 0) + move.amount
+        moved = move_tokens(
+            self.moved.get(move.team, ()),
+            self.zones,
+            move.limit,
+            move.giver,
+            move.receiver,
+            move.amount,
+        )
+        if moved is None:
+            return Verdict.CONFLICT
+        self.moved[move.team] = moved
         return Verdict.APPLIED
 
     def _apply_job(self, offset: int, accepted: JobAccepted) -> Verdict:
@@ -103,17 +157,58 @@
         if key in self.jobs:
             same = self.jobs[key].job == accepted.job
             return Verdict.REPEATED if same else Verdict.CONFLICT
+        if key in self.known:
+            same = self.known[key] == job_digest(accepted.job)
+            return Verdict.REPEATED if same else Verdict.CONFLICT
         if accepted.zone not in self.leads:
             return Verdict.IGNORED
-        self.jobs[key] = JobEntry(accepted.job, accepted.zone, offset)
+        entry = JobEntry(
+            accepted.job, accepted.zone, offset, accepted_at=accepted.accepted_at
+        )
+        self._put(key, entry)
         return Verdict.APPLIED
 
+    def _put(self, key: str, entry: JobEntry) -> None:
+        """Put a job in place and keep the index of open jobs in step."""
+        last = self.jobs.get(key)
+        if last is not None and (last.zone != entry.zone or entry.ended):
+            self._open.get(last.zone, {}).pop(key, None)
+        self.jobs[key] = entry
+        if entry.ended:
+            self._ended[key] = True
+        else:
+            self._open.setdefault(entry.zone, {})[key] = entry
+
     def _apply_cancel(self, cancel: JobCancelled) -> Verdict:
+        applied = False
         for key in cancel.job_ids:
-            if key in self.jobs:
-                self.jobs[key] = attrs.evolve(self.jobs[key], cancelled=True)
+            entry = self.jobs.get(key)
+            if entry is not None and not entry.cancelled and not entry.ended:
+                self._put(key, attrs.evolve(entry, cancelled=True))
+                applied = True
+        return Verdict.APPLIED if applied else Verdict.REPEATED
+
+    def _apply_ends(self, body: JobsEnded) -> Verdict:
+        lead = self.leads.get(body.zone)
+        if lead is None or lead.epoch != body.epoch:
+            return Verdict.CONFLICT
+        for item in body.items:
+            entry = self.jobs.get(item.job_id)
+            if entry is None or entry.ended or entry.zone != body.zone:
+                continue
+            self._put(item.job_id, attrs.evolve(entry, ended=item.outcome))
+        self._prune()
         return Verdict.APPLIED
 
+    def _prune(self) -> None:
+        """Drop what ended longest ago, by records alone and so alike everywhere."""
+        while len(self._ended) > MAX_ENDED:
+            oldest = next(iter(self._ended))
+            del self._ended[oldest]
+            self.known[oldest] = job_digest(self.jobs.pop(oldest).job)
+        while len(self.known) > MAX_KNOWN:
+            del self.known[next(iter(self.known))]
+
     def _apply_adoption(self, adoption: JobsAdopted) -> Verdict:
         giver = self.leads.get(adoption.giver)
         receiver = self.leads.get(adoption.receiver)
@@ -121,29 +216,40 @@
             return Verdict.CONFLICT
         if giver.offset != adoption.seen:
             return Verdict.CONFLICT
-        for key, entry in self.jobs.items():
-            if entry.zone == adoption.giver:
-                self.jobs[key] = attrs.evolve(entry, zone=adoption.receiver)
+        for entry in self.jobs_of(adoption.giver):
+            self._put(entry.job.key, attrs.evolve(entry, zone=adoption.receiver))
         return Verdict.APPLIED
 
     def jobs_of(self, zone: str) -> list[JobEntry]:
-        """Return the jobs that a zone's lead places, in order of acceptance."""
-        return [entry for entry in self.jobs.values() if entry.zone == zone]
+        """Return the jobs that a zone's lead places and that have not ended."""
+        return list(self._open.get(zone, {}).values())
 
     def dump(self) -> Any:
         """Return the state as plain data."""
         return to_builtins(
-            {"leads": self.leads, "moved": self.moved, "jobs": self.jobs}
+            {
+                "leads": self.leads,
+                "moved": self.moved,
+                "jobs": self.jobs,
+                "ended": list(self._ended),
+                "known": self.known,
+            }
         )
 
     def load(self, data: Any) -> None:
         """Replace the state by dumped plain data, all of it or nothing."""
         leads = msgspec.convert(data["leads"], dict[str, LeadState])
-        moved = msgspec.convert(data["moved"], dict[str, dict[str, int]])
+        moved = msgspec.convert(data["moved"], dict[str, tuple[Span, ...]])
         jobs = msgspec.convert(data["jobs"], dict[str, JobEntry])
+        ended = msgspec.convert(data["ended"], list[str])
+        known = msgspec.convert(data["known"], dict[str, str])
         # Zones that were added since the snapshot have had no lead yet.
         self.leads = {z: leads.get(z, LeadState()) for z in self.zones}
-        self.moved, self.jobs = moved, jobs
+        self.moved, self.known = moved, known
+        self.jobs, self._open = {}, {}
+        self._ended = dict.fromkeys(ended, True)
+        for key, entry in jobs.items():
+            self._put(key, entry)
 
     def holds(self, lane: str, body: Any) -> bool:
         """Return whether a claim of lead or a job is in force."""
