--- /dev/null
+++ b/bench/_load.py
@@ -0,0 +1,88 @@
+"""An open-loop load tool: requests at a steady rate, latencies in a histogram.
+
+``python -m bench._load URL --rate 200 --seconds 5 [--key KEY]``
+
+Requests start at their times whether or not earlier ones have been answered,
+and each is timed from when it was due: a server that stalls is charged for all
+that came due meanwhile, as its callers would be.
+"""
+
+import argparse
+import asyncio
+import json
+import time
+from collections import Counter
+from typing import Any
+
+import aiohttp
+import attrs
+from hdrh.histogram import HdrHistogram
+
+_HIGHEST_US = 60_000_000
+
+
+@attrs.define
+class Result:
+    """What a run of load met.
+
+    :ivar outcomes: how many got which status; ``cut`` if none.
+    """
+
+    hist: HdrHistogram
+    outcomes: Counter[str]
+
+    def ms(self, percentile: float) -> float:
+        """Return a percentile of the latency in ms."""
+        return self.hist.get_value_at_percentile(percentile) / 1000
+
+
+async def offer(
+    url: str, rate: float, seconds: float, headers: dict[str, str] | None = None
+) -> Result:
+    """Offer load and return what it met.
+
+    :param rate: requests a second.
+    """
+    result = Result(HdrHistogram(1, _HIGHEST_US, 3), Counter())
+    connector = aiohttp.TCPConnector(limit=0)
+    async with (
+        aiohttp.ClientSession(connector=connector, headers=headers) as http,
+        asyncio.TaskGroup() as group,
+    ):
+        began = time.perf_counter()
+        for i in range(int(rate * seconds)):
+            due = began + i / rate
+            await asyncio.sleep(max(due - time.perf_counter(), 0))
+            group.create_task(_one(http, url, due, result))
+    return result
+
+
+async def _one(
+    http: aiohttp.ClientSession, url: str, due: float, result: Result
+) -> None:
+    try:
+        async with http.get(url) as resp:
+            await resp.read()
+            result.outcomes[str(resp.status)] += 1
+    except (aiohttp.ClientError, TimeoutError):
+        result.outcomes["cut"] += 1
+    took_us = (time.perf_counter() - due) * 1e6
+    result.hist.record_value(min(max(int(took_us), 1), _HIGHEST_US))
+
+
+def main() -> None:
+    """Run the tool from the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("url")
+    parser.add_argument("--rate", type=float, default=100.0)
+    parser.add_argument("--seconds", type=float, default=5.0)
+    parser.add_argument("--key", default="")
+    args = parser.parse_args()
+    headers = {"Authorization": f"Bearer {args.key}"} if args.key else None
+    result = asyncio.run(offer(args.url, args.rate, args.seconds, headers))
+    line: dict[str, Any] = {f"p{p}_ms": result.ms(p) for p in (50, 90, 99)}
+    print(json.dumps({**line, "outcomes": result.outcomes}))
+
+
+if __name__ == "__main__":
+    main()
