--- a/src/firhook/_leadership.py
+++ b/src/firhook/_leadership.py
@@ -49,7 +49,8 @@
         self.before_holders = 1
         self._promises: dict[str, float] = {}
         self._fenced = 0
-        self.answered_at = float("-inf")
+        self.promised_at = float("-inf")
+        self.promising = True
         self.joining: set[str] = set()
         self.leaving: set[str] = set()
         self.wake = asyncio.Event()
@@ -155,8 +156,12 @@
             return
         age = await self._kernel.bus.ask(LogAge("cell"))
         lapsed = self._seen.lapsed(now, self.times.lease_s, self.times.margin_s)
-        sight = Sight(lead.released, lapsed, age, self.answered_at)
-        if not may_claim(sight, self.times, now, self._cfg.log_poll_s + _POLL_SLACK_S):
+        max_age_s = self._cfg.log_poll_s + _POLL_SLACK_S
+        # A lead that the log has lost, but this instance has not, must be
+        # replaced although it still answers, or nobody places the zone's tasks.
+        self.promising = not (lapsed and age <= max_age_s)
+        sight = Sight(lead.released, lapsed, age, self.promised_at)
+        if not may_claim(sight, self.times, now, max_age_s):
             return
         await asyncio.sleep(random.uniform(0, _CLAIM_SPREAD_S))
         # The claim is for the lead as judged before the wait.  Had anyone
--- a/src/firhook/_mesh.py
+++ b/src/firhook/_mesh.py
@@ -7,15 +7,22 @@
 
 import asyncio
 import contextlib
+import zlib
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import attrs
 import zmq
 import zmq.asyncio
 from zmq.auth.asyncio import AsyncioAuthenticator
 
 from firhook._settings import Address
-from firhook.errors import FirhookError, FrameMalformedError, PeerUnreachableError
+from firhook.errors import (
+    FirhookError,
+    FrameMalformedError,
+    OverloadedError,
+    PeerUnreachableError,
+)
 from firhook.logs import log
 from firhook.model import PeerError, decode_message, encode_message
 
@@ -23,7 +30,76 @@
 MAX_FRAME_BYTES = 4 << 20
 #: Messages that wait for a peer that is away; older gossip is of no use.
 QUEUED_MESSAGES = 64
+#: Messages that are being answered at once.  A peer that sends without end is
+#: refused beyond them, or the answers in progress would fill the memory.
+MAX_SERVING = 1000
 ONE_WAY = b""
+_TAG_BYTES = 8
+#: Shorter frames gain nothing by compression.
+COMPRESS_FROM_BYTES = 300
+#: First byte of what zlib writes; no encoded message begins with it.
+_ZLIB = 0x78
+
+
+def pack_frame(msg: Any) -> bytes:
+    """Encode a message, compressed if that makes it shorter.
+
+    Messages of many teams repeat the names of their fields and of the teams;
+    at the two-year size they would cost a node several times its budget.
+
+    :raises FrameMalformedError: if it is over :data:`MAX_FRAME_BYTES`.
+    """
+    frame = encode_message(msg)
+    if len(frame) > MAX_FRAME_BYTES:
+        # The peer would cut the connection, and what else is on its way there
+        # would be lost with it.
+        raise FrameMalformedError(
+            f"a message of {len(frame)} bytes; {MAX_FRAME_BYTES} are allowed"
+        )
+    if len(frame) < COMPRESS_FROM_BYTES:
+        return frame
+    return min(zlib.compress(frame, 1), frame, key=len)
+
+
+def unpack_frame(frame: bytes) -> Any:
+    """Decode what :func:`pack_frame` encoded.
+
+    :raises FrameMalformedError: if it is no message, or would unpack to more
+        than :data:`MAX_FRAME_BYTES`, which a few kilobytes could otherwise fill
+        the memory with.
+    """
+    if not frame or frame[0] != _ZLIB:
+        return decode_message(frame)
+    unpacker = zlib.decompressobj()
+    try:
+        plain = unpacker.decompress(frame, MAX_FRAME_BYTES)
+    except zlib.error as exc:
+        raise FrameMalformedError(f"compressed frame: {exc}") from exc
+    if not unpacker.eof:
+        raise FrameMalformedError(
+            f"compressed frame: cut short, or over {MAX_FRAME_BYTES} bytes"
+        )
+    return decode_message(plain)
+
+
+@attrs.define(slots=True)
+class MeshCounts:
+    """What went through the mesh since the start.
+
+    :ivar malformed: messages that could not be understood.
+    :ivar refused: messages answered with an error of ours.
+    :ivar failed: messages whose handler crashed.
+    :ivar overrun: messages refused because too many were being served.
+    """
+
+    sent: int = 0
+    received: int = 0
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    malformed: int = 0
+    refused: int = 0
+    failed: int = 0
+    overrun: int = 0
 
 
 class _Allowed:
@@ -37,6 +113,10 @@
         return key == self._public
 
 
+def _error(exc: FirhookError) -> PeerError:
+    return PeerError(exc.code, exc.detail)
+
+
 class Mesh:
     """Sockets to and from all peers.
 
@@ -59,8 +139,7 @@
         self._asked: dict[bytes, asyncio.Future[Any]] = {}
         self._serving: set[asyncio.Task[None]] = set()
         self._count = 0
-        self.sent_bytes = 0
-        self.received_bytes = 0
+        self.counts = MeshCounts()
 
     def bind(self, address: Address) -> Address:
         """Bind the server socket and return the address it got."""
@@ -103,6 +182,16 @@
             self._readers.pop(address).cancel()
             dealer.close()
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of the messages sent, without what the transport adds."""
+        return self.counts.sent_bytes
+
+    @property
+    def received_bytes(self) -> int:
+        """Bytes of the messages received, without what the transport adds."""
+        return self.counts.received_bytes
+
     @property
     def addresses(self) -> set[str]:
         """The peers connected to."""
@@ -110,7 +199,14 @@
 
     async def tell(self, address: str, msg: Any) -> None:
         """Send a one-way message; it is dropped if the peer is away."""
-        await self._send(address, ONE_WAY, encode_message(msg))
+        await self._send(address, ONE_WAY, pack_frame(msg))
+
+    async def tell_all(self, msg: Any) -> int:
+        """Send a one-way message to every peer and return its size in bytes."""
+        frame = pack_frame(msg)
+        for address in list(self._dealers):
+            await self._send(address, ONE_WAY, frame)
+        return len(frame)
 
     async def ask(self, address: str, msg: Any, timeout_s: float) -> Any:
         """Send a message and return the answer.
@@ -122,7 +218,7 @@
         fut = asyncio.get_running_loop().create_future()
         self._asked[tag] = fut
         try:
-            if not await self._send(address, tag, encode_message(msg)):
+            if not await self._send(address, tag, pack_frame(msg)):
                 raise PeerUnreachableError(f"{address}: not connected", ran="no")
             answer = await asyncio.wait_for(fut, timeout_s)
         except TimeoutError as exc:
@@ -143,23 +239,27 @@
             await dealer.send_multipart([tag, frame], flags=zmq.NOBLOCK)
         except zmq.ZMQError:
             return False
-        self.sent_bytes += len(frame)
+        self.counts.sent_bytes += len(frame)
+        self.counts.sent += 1
         return True
 
     async def _read_answers(self, dealer: zmq.asyncio.Socket) -> None:
         while True:
             frames = await dealer.recv_multipart()
             if len(frames) != 2:
+                self.counts.malformed += 1
                 continue
-            self.received_bytes += len(frames[1])
+            self.counts.received_bytes += len(frames[1])
+            self.counts.received += 1
             fut = self._asked.get(frames[0])
             if fut is None or fut.done():
                 # The asker gave up; the tag keeps this late answer from
                 # reaching whoever asks next.
                 continue
             try:
-                fut.set_result(decode_message(frames[1]))
+                fut.set_result(unpack_frame(frames[1]))
             except FrameMalformedError as exc:
+                self.counts.malformed += 1
                 fut.set_exception(exc)
 
     async def run(self) -> None:
@@ -167,29 +267,59 @@
         assert self._router is not None
         while True:
             frames = await self._router.recv_multipart()
-            if len(frames) != 3:
-                log("peer.malformed", level="warning", frames=len(frames))
+            if len(frames) != 3 or len(frames[1]) not in (0, _TAG_BYTES):
+                await self._refuse_frames(frames)
+                continue
+            self.counts.received_bytes += len(frames[2])
+            self.counts.received += 1
+            if len(self._serving) >= MAX_SERVING:
+                self.counts.overrun += 1
+                exc = OverloadedError("too many messages are being served")
+                await self._answer(frames[0], frames[1], _error(exc))
                 continue
-            self.received_bytes += len(frames[2])
             task = asyncio.create_task(self._serve_one(*frames))
             self._serving.add(task)
             task.add_done_callback(self._serving.discard)
 
+    async def _refuse_frames(self, frames: list[bytes]) -> None:
+        self.counts.malformed += 1
+        log("peer.malformed", level="warning", frames=len(frames))
+        if len(frames) >= 2 and 0 < len(frames[1]) <= _TAG_BYTES:
+            exc = FrameMalformedError(f"{len(frames) - 1} frames; give a tag and one")
+            await self._answer(frames[0], frames[1], _error(exc))
+
     async def _serve_one(self, identity: bytes, tag: bytes, frame: bytes) -> None:
+        await self._answer(identity, tag, await self._handled(frame))
+
+    async def _handled(self, frame: bytes) -> Any:
         try:
-            answer = await self._serve(decode_message(frame))
+            msg = unpack_frame(frame)
+        except FrameMalformedError as exc:
+            self.counts.malformed += 1
+            log("peer.malformed", level="warning", code=exc.code, detail=exc.detail)
+            return _error(exc)
+        try:
+            return await self._serve(msg)
         except FirhookError as exc:
-            log("peer.refused", level="warning", code=exc.code, detail=exc.detail)
-            answer = PeerError(exc.code, exc.detail)
+            self.counts.refused += 1
+            log("peer.refused", level="debug", code=exc.code, detail=exc.detail)
+            return _error(exc)
         except Exception as exc:
+            self.counts.failed += 1
             log("peer.failed", level="error", error=repr(exc))
-            answer = PeerError("internal", repr(exc))
+            return PeerError("internal", repr(exc))
+
+    async def _answer(self, identity: bytes, tag: bytes, answer: Any) -> None:
         if tag == ONE_WAY or answer is None or self._router is None:
             return
-        reply = encode_message(answer)
-        self.sent_bytes += len(reply)
+        try:
+            reply = pack_frame(answer)
+        except FrameMalformedError as exc:
+            reply = pack_frame(_error(exc))
         with contextlib.suppress(zmq.ZMQError):
-            await self._router.send_multipart([identity, tag, reply])
+            await self._router.send_multipart([identity, tag, reply], flags=zmq.NOBLOCK)
+            self.counts.sent_bytes += len(reply)
+            self.counts.sent += 1
 
     def close(self) -> None:
         """Close all sockets."""
--- a/src/firhook/_room.py
+++ b/src/firhook/_room.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
 
+import attrs
+
 from firhook._leadership import Leadership
 from firhook.decide.grants import Demand
 from firhook.errors import FirhookError, NotLeadError
@@ -19,6 +21,15 @@
 _HALF_LIFE_S = 2.0
 
 
+@attrs.frozen(slots=True)
+class _Stamp:
+    """The stamp of a lead's last answer, and when it was read here."""
+
+    epoch: int
+    stamp: float
+    read_at: float
+
+
 def name_of(lane: str) -> str:
     """Return the instance's name of a lane."""
     return lane.partition("#")[0]
@@ -47,7 +58,7 @@
         self._quiet_until: dict[str, float] = {}
         self._wake = asyncio.Event()
         self._seq = 0
-        self._echo: tuple[int, float] = (0, -1.0)
+        self._stamp = _Stamp(0, -1.0, float("-inf"))
         self._lead: tuple[int, str] = (0, "")
         self._left = False
 
@@ -150,7 +161,7 @@
         if not lead:
             return False
         self._seq += 1
-        echo = self._echo[1] if self._echo[0] == epoch else -1.0
+        echo = self._promise(epoch)
         sent_at = self._kernel.clock()
         rooms = self.holdings(teams)
         ask = GrantAsk(self._kernel.lane, self._seq, epoch, echo, rooms, leaving)
@@ -161,14 +172,20 @@
         self._apply(ask, answer, sent_at)
         return True
 
+    def _promise(self, epoch: int) -> float:
+        """Return the stamp to send back, by which this ask is a promise."""
+        if self._stamp.epoch != epoch or not self._leadership.promising:
+            return -1.0
+        self._leadership.promised_at = self._stamp.read_at
+        return self._stamp.stamp
+
     def _apply(self, ask: GrantAsk, answer: GrantAnswer, sent_at: float) -> None:
         if answer.epoch != ask.epoch or answer.epoch < self._known_lead()[0]:
             # A newer lead has been told what is held here; it does not know
             # of this grant.
             return
         now = self._kernel.clock()
-        self._echo = (answer.epoch, answer.stamp)
-        self._leadership.answered_at = now
+        self._stamp = _Stamp(answer.epoch, answer.stamp, now)
         account = self._kernel.account
         wanted = {room.team: room.wanted for room in ask.teams}
         for grant in answer.teams:
--- a/src/firhook/decide/_lead.py
+++ b/src/firhook/decide/_lead.py
@@ -40,13 +40,14 @@
     :param released: whether the lead was handed back.
     :param lapsed: whether its lease by the log has certainly ended.
     :param log_age_s: since the end of the log was last seen.
-    :param answered_at: when the lead last answered this instance.
+    :param promised_at: when the stamp was read that was last sent back as a
+        promise not to claim.
     """
 
     released: bool
     lapsed: bool
     log_age_s: float
-    answered_at: float
+    promised_at: float
 
 
 def may_claim(sight: Sight, times: LeadTimes, now: float, max_age_s: float) -> bool:
@@ -63,7 +64,7 @@
         return False
     if sight.released:
         return True
-    promised_until = sight.answered_at + times.ttl_s * (1 + DRIFT)
+    promised_until = sight.promised_at + times.ttl_s * (1 + DRIFT)
     return sight.lapsed and now > promised_until
 
 
--- a/src/firhook/roles/_members.py
+++ b/src/firhook/roles/_members.py
@@ -44,7 +44,6 @@
     RunnerLoad,
     TeamUse,
     Verdict,
-    encode_message,
 )
 
 #: The loop is looked at this often for having stood still.
@@ -158,12 +157,9 @@
 
     async def _gossip_once(self) -> None:
         assert self._mesh is not None
-        msg = await self._word()
-        size = len(encode_message(msg)) + TRANSPORT_BYTES
+        size = await self._mesh.tell_all(await self._word()) + TRANSPORT_BYTES
         peers = len(self._mesh.addresses)
         self._every_s = gossip_every(size, peers, self.cfg.gossip_s, GOSSIP_BYTES_PER_S)
-        for address in self._mesh.addresses:
-            await self._mesh.tell(address, msg)
 
     async def _word(self) -> Gossip:
         config = self.states.config
--- /dev/null
+++ b/tests/test_mesh.py
@@ -0,0 +1,178 @@
+"""Peers talk over CURVE; rubbish gets a typed error and ends no loop."""
+
+import asyncio
+import zlib
+
+import pytest
+import zmq
+
+from firhook._mesh import MAX_FRAME_BYTES, Mesh, pack_frame, unpack_frame
+from firhook._settings import Address
+from firhook.errors import (
+    FrameMalformedError,
+    NotLeadError,
+    PeerUnreachableError,
+)
+from firhook.model import Ack, PeerError, SnapshotAnswer, SnapshotAsk, decode_message
+
+ANY = Address("127.0.0.1", 0)
+
+
+def keys():
+    public, secret = zmq.curve_keypair()
+    return public.decode(), secret.decode()
+
+
+class Pair:
+    """Two meshes, of which the second serves."""
+
+    def __init__(self, serve, other_keys=None):
+        self.keys = keys()
+        self.a = Mesh(*(other_keys or self.keys), self.nobody)
+        self.b = Mesh(*self.keys, serve)
+
+    async def nobody(self, msg):
+        raise AssertionError("nobody asks the first mesh")
+
+    async def __aenter__(self):
+        self.a.bind(ANY)
+        self.address = str(self.b.bind(ANY))
+        self.serving = asyncio.create_task(self.b.run())
+        self.a.connect(self.address)
+        return self
+
+    async def __aexit__(self, *exc):
+        self.serving.cancel()
+        self.a.close()
+        self.b.close()
+
+    async def ask(self, msg=None, timeout_s=5.0):
+        return await self.a.ask(self.address, msg or Ack(), timeout_s)
+
+
+async def echo(msg):
+    return msg
+
+
+def test_answer_reaches_its_asker():
+    async def scenario():
+        async with Pair(echo) as pair:
+            asks = [pair.ask(SnapshotAsk(str(i))) for i in range(50)]
+            answers = await asyncio.gather(*asks)
+            assert [a.stream for a in answers] == [str(i) for i in range(50)]
+
+    asyncio.run(scenario())
+
+
+def test_peer_with_another_key_is_refused():
+    """A process that does not belong to the cell connects to an instance.
+
+    It must get no answer, and above all nothing that it sends may be served.
+    """
+
+    async def scenario():
+        served = []
+
+        async def serve(msg):
+            served.append(msg)
+
+        async with Pair(serve, keys()) as pair:
+            # It knows the cell's public key but not the secret one.
+            pair.a._public = pair.keys[0].encode()
+            pair.a.disconnect(pair.address)
+            pair.a.connect(pair.address)
+            with pytest.raises(PeerUnreachableError):
+                await pair.ask(timeout_s=0.5)
+            assert served == []
+
+    asyncio.run(scenario())
+
+
+def raw_dealer(pair):
+    """Return a socket that holds the key but sends what it likes."""
+    dealer = pair.a._ctx.socket(zmq.DEALER)
+    pair.a._configure(dealer)
+    dealer.curve_serverkey = pair.a._public
+    dealer.connect(f"tcp://{pair.address}")
+    return dealer
+
+
+@pytest.mark.parametrize(
+    "frames",
+    [
+        [b"12345678", b"rubbish"],
+        [b"12345678", b"\x92\xa4Nope\x90"],
+        [b"12345678"],
+        [b"12345678", b"one", b"two"],
+        [b"tag", b"of another length"],
+    ],
+)
+def test_rubbish_is_answered_with_a_typed_error_and_served_no_less(frames):
+    """A peer of another version, or a broken one, sends frames of its own."""
+
+    async def scenario():
+        async with Pair(echo) as pair:
+            dealer = raw_dealer(pair)
+            await dealer.send_multipart(frames)
+            answer = await asyncio.wait_for(dealer.recv_multipart(), 5)
+            error = decode_message(answer[-1])
+            assert isinstance(error, PeerError)
+            assert error.code == FrameMalformedError.code
+            assert pair.b.counts.malformed == 1
+            assert await pair.ask() == Ack()
+            dealer.close()
+
+    asyncio.run(scenario())
+
+
+def test_frame_over_the_limit_is_refused_before_it_is_sent():
+    async def scenario():
+        async with Pair(echo) as pair:
+            huge = SnapshotAnswer("cell", 0, "x" * MAX_FRAME_BYTES)
+            with pytest.raises(FrameMalformedError):
+                await pair.ask(huge)
+            assert await pair.ask() == Ack()
+
+    asyncio.run(scenario())
+
+
+def test_handler_that_fails_answers_and_goes_on():
+    async def scenario():
+        async def serve(msg):
+            if isinstance(msg, SnapshotAsk):
+                raise RuntimeError("broken")
+            raise NotLeadError("not here")
+
+        async with Pair(serve) as pair:
+            with pytest.raises(PeerUnreachableError, match="internal"):
+                await pair.ask(SnapshotAsk("cell"))
+            with pytest.raises(PeerUnreachableError, match="lead"):
+                await pair.ask()
+            assert (pair.b.counts.failed, pair.b.counts.refused) == (1, 1)
+
+    asyncio.run(scenario())
+
+
+def test_peer_that_is_away_is_reported_and_nothing_is_kept():
+    async def scenario():
+        async with Pair(echo) as pair:
+            with pytest.raises(PeerUnreachableError):
+                await pair.a.ask("127.0.0.1:1", Ack(), 0.1)
+            pair.a.connect("127.0.0.1:1")
+            with pytest.raises(PeerUnreachableError):
+                await pair.a.ask("127.0.0.1:1", Ack(), 0.1)
+            assert not pair.a._asked
+
+    asyncio.run(scenario())
+
+
+def test_compressed_frame_that_would_fill_the_memory_is_refused():
+    """A few kilobytes from a broken peer unpack to gigabytes."""
+    bomb = zlib.compress(b"\0" * (MAX_FRAME_BYTES + 1))
+    with pytest.raises(FrameMalformedError):
+        unpack_frame(bomb)
+    with pytest.raises(FrameMalformedError):
+        unpack_frame(bomb[:50])
+    long = SnapshotAnswer("cell", 0, "x" * 5000)
+    assert len(pack_frame(long)) < 500
+    assert unpack_frame(pack_frame(long)) == long
