--- a/src/firhook/_jobs.py
+++ b/src/firhook/_jobs.py
@@ -98,6 +98,8 @@
     _check_number("run_s", spec.run_s, 0, MAX_RUN_S, problems)
     if spec.deadline_s is not None:
         _check_number("deadline_s", spec.deadline_s, 1, MAX_RUN_S, problems)
+        if spec.priority == "service":
+            problems.append("deadline_s: a service never ends; leave it out")
     if spec.priority not in PRIORITIES:
         problems.append(f"priority = {spec.priority!r}: give one of {PRIORITIES}")
     if len(spec.command) > 4096:
--- a/src/firhook/decide/_orders.py
+++ b/src/firhook/decide/_orders.py
@@ -113,6 +113,7 @@
         before it sent that record.
     :ivar settled: whether the lead's first record has been read back and no
         later append has an unknown outcome; nothing is placed before.
+    :ivar fleet: changes whenever a worker is listed otherwise than before.
     :ivar stopping: attempts to checkpoint and stop, and why.
     """
 
@@ -126,6 +127,7 @@
     ) -> None:
         self.epoch = epoch
         self.settled = False
+        self.fleet = 0
         self.workers: dict[str, WorkerView] = {}
         self.stopping: dict[Ref, str] = {}
         self._zone = zone
@@ -146,11 +148,16 @@
         for name in by_name.keys() | self._zone.live.keys():
             if name not in self.workers:
                 self.workers[name] = WorkerView(name)
+                self.fleet += 1
         for name, view in list(self.workers.items()):
-            view.endpoint = by_name.get(name, view.endpoint)
+            endpoint = by_name.get(name, view.endpoint)
+            if endpoint != view.endpoint:
+                view.endpoint = endpoint
+                self.fleet += 1
             gone = name not in by_name and name not in self._zone.live
             if gone and not view.sent:
                 del self.workers[name]
+                self.fleet += 1
 
     def note_report(self, name: str, report: Report, now: float) -> None:
         """Note what a worker answered."""
--- a/src/firhook/decide/_place.py
+++ b/src/firhook/decide/_place.py
@@ -10,7 +10,7 @@
 #: Fitting workers that are compared for each task.  The search goes from the
 #: fullest up, so that the first few are the tightest; looking at all 910 for
 #: each of 62 starts a second would cost a core more than control may take.
-COMPARED = 6
+COMPARED = 12
 
 _SLACK = 1e-9
 
@@ -85,15 +85,38 @@
         which processors and memory are compared.
     """
 
-    def __init__(self, rooms: Iterable[Room]) -> None:
+    def __init__(self, rooms: Iterable[Room], mb_per_cpu: float = 0.0) -> None:
         self.by_name = {room.worker: room for room in rooms}
-        cpus = sum(max(r.cpus, 0.0) for r in self.by_name.values())
-        memory = sum(max(r.memory_mb, 0) for r in self.by_name.values())
-        self.mb_per_cpu = memory / cpus if cpus > 0 and memory > 0 else 2048.0
+        self.mb_per_cpu = mb_per_cpu or self._ratio()
         self._plain: list[tuple[float, str]] = []
         self._accelerated: list[tuple[float, str]] = []
         for room in self.by_name.values():
-            insort(self._order_of(room), self._entry(room))
+            self._order_of(room).append(self._entry(room))
+        self._plain.sort()
+        self._accelerated.sort()
+
+    def _ratio(self) -> float:
+        cpus = sum(max(r.cpus, 0.0) for r in self.by_name.values())
+        memory = sum(max(r.memory_mb, 0) for r in self.by_name.values())
+        return memory / cpus if cpus > 0 and memory > 0 else 2048.0
+
+    def copy(self) -> "Rooms":
+        """Return rooms of their own that stand as these do."""
+        copies = [attrs.evolve(room) for room in self.by_name.values()]
+        return Rooms(copies, self.mb_per_cpu)
+
+    def put(self, room: Room) -> None:
+        """Add a worker, or replace what it has left."""
+        self.drop(room.worker)
+        self.by_name[room.worker] = room
+        insort(self._order_of(room), self._entry(room))
+
+    def drop(self, worker: str) -> None:
+        """Take a worker out, if it is there."""
+        room = self.by_name.get(worker)
+        if room is not None:
+            self._remove(room)
+            del self.by_name[worker]
 
     def _size(self, cpus: float, memory_mb: float) -> float:
         return max(cpus, memory_mb / self.mb_per_cpu)
@@ -150,7 +173,7 @@
                 continue
             cpus = room.cpus - need_cpus
             memory = room.memory_mb / ratio - need_memory
-            score = max(cpus, memory) + abs(cpus - memory)
+            score = abs(cpus - memory)
             if score < best_score:
                 best, best_score = room, score
             seen += 1
--- a/src/firhook/decide/_preempt.py
+++ b/src/firhook/decide/_preempt.py
@@ -13,6 +13,9 @@
 #: submits nothing but urgent work can cost the others.
 PREEMPT_PER_S = 5.0
 PREEMPT_BURST = 60.0
+#: Workers that are searched in one round for what costs least: all of a zone
+#: at the two-year size.  In a larger zone each round searches the next ones.
+SEARCHED = 130
 #: A task that gave way so often is left to finish.
 MAX_PREEMPTED = 3
 
@@ -61,6 +64,7 @@
     lost_s: Callable[[Ref], float],
     spared: Set[Ref],
     budget: int,
+    turn: int = 0,
 ) -> dict[Ref, str]:
     """Return the tasks that give way to urgent work, and why.
 
@@ -71,8 +75,10 @@
     :param lost_s: worker-seconds that a task would lose: what it has done
         since its last checkpoint.
     :param spared: tasks that are being stopped already.
+    :param turn: rises with each round, and moves the search on.
     """
-    victims = _victims(zone, cell, over_share, lost_s, spared)
+    workers = _searched(sorted(rooms.by_name), turn)
+    victims = _victims(workers, zone, cell, over_share, lost_s, spared)
     chosen: dict[Ref, str] = {}
     for want in wants:
         need = Need.of(want.job)
@@ -100,7 +106,16 @@
     return chosen
 
 
+def _searched(workers: list[str], turn: int) -> list[str]:
+    """Return the workers to search in a round."""
+    if len(workers) <= SEARCHED:
+        return workers
+    start = turn * SEARCHED % len(workers)
+    return (workers + workers)[start : start + SEARCHED]
+
+
 def _victims(
+    workers: Sequence[str],
     zone: ZoneState,
     cell: CellState,
     over_share: Set[str],
@@ -108,16 +123,17 @@
     spared: Set[Ref],
 ) -> dict[str, list[_Victim]]:
     found: dict[str, list[_Victim]] = {}
-    for worker, ref, task in zone.attempts():
-        entry = cell.jobs.get(ref[0])
-        if entry is None or ref in spared or not _may_preempt(entry, task):
-            continue
-        # A gang starts all at once, so that stopping one task stops all.
-        size = entry.job.tasks if entry.job.gang else 1
-        cost = lost_s(ref) * size
-        over = entry.job.team in over_share
-        victim = _Victim(ref, Need.of(entry.job), over, cost)
-        found.setdefault(worker, []).append(victim)
+    for worker in workers:
+        for ref, task in zone.live.get(worker, {}).items():
+            entry = cell.jobs.get(ref[0])
+            if entry is None or ref in spared or not _may_preempt(entry, task):
+                continue
+            # A gang starts all at once, so that stopping one task stops all.
+            size = entry.job.tasks if entry.job.gang else 1
+            cost = lost_s(ref) * size
+            over = entry.job.team in over_share
+            victim = _Victim(ref, Need.of(entry.job), over, cost)
+            found.setdefault(worker, []).append(victim)
     for group in found.values():
         group.sort(key=lambda v: v.order)
     return found
--- a/src/firhook/decide/_rounds.py
+++ b/src/firhook/decide/_rounds.py
@@ -69,6 +69,13 @@
         self._progressed: dict[Ref, tuple[float, float]] = {}
         self._ended_at: dict[str, float] = {}
         self._told: dict[str, str] = {}
+        self._slots: dict[Need, int] = {}
+        self._noted_at: dict[str, float] = {}
+        self._looked_at: dict[str, Report | None] = {}
+        self._rooms = Rooms(())
+        self._rack_of: dict[str, str] = {}
+        self._fleet = (0, -1)
+        self._turn = 0
         self._fresh = False
 
     def start_over(self) -> None:
@@ -79,23 +86,33 @@
 
     def _refresh(self, term: LeadTerm) -> None:
         """Bring what is derived up to the log's state, by what changed."""
+        if self._fleet != (term.epoch, term.fleet) or not self._fresh:
+            self._fleet = (term.epoch, term.fleet)
+            self._measure(term)
+        for worker in self._zone.touched:
+            self._replace(worker)
+        self._zone.touched.clear()
+
+    def _measure(self, term: LeadTerm) -> None:
+        """Start anew with what the fleet has in all."""
         endpoints = [v.endpoint for v in term.workers.values() if v.endpoint]
-        total = Need(
+        self._total = Need(
             sum(e.cpus for e in endpoints),
             sum(e.memory_mb for e in endpoints),
             sum(e.accelerators for e in endpoints),
         )
-        if total != self._total or not self._fresh:
-            self._total = total
-            self._reserved.clear()
-            self._used.clear()
-            self._zone.touched |= self._zone.live.keys()
-            self._fresh = True
-        for worker in self._zone.touched:
-            self._replace(worker)
-        self._zone.touched.clear()
+        cpus, memory_mb = self._total.cpus, self._total.memory_mb
+        self._rooms = Rooms((), memory_mb / cpus if cpus and memory_mb else 2048.0)
+        self._rack_of = {e.name: e.rack for e in endpoints}
+        self._looked_at.clear()
+        self._reserved.clear()
+        self._used.clear()
+        self._slots.clear()
+        self._zone.touched |= self._zone.live.keys()
+        self._fresh = True
 
     def _replace(self, worker: str) -> None:
+        self._looked_at.pop(worker, None)
         for team, share in self._reserved.pop(worker, _NOTHING).by_team.items():
             self._used[team] -= share
         refs = self._zone.live.get(worker)
@@ -117,12 +134,22 @@
         for team, share in by_team.items():
             self._used[team] = self._used.get(team, 0.0) + share
 
-    def _rooms(self, term: LeadTerm, now: float) -> list[Room]:
-        rooms = []
-        for view in term.workers.values():
+    def _refresh_rooms(self, term: LeadTerm, now: float) -> None:
+        """Bring the rooms up to the log and the workers' last reports.
+
+        Only what changed is looked at again: at 910 workers a round that
+        began from nothing would take longer than its placements.
+        """
+        marks = self._zone.marks
+        for name, view in term.workers.items():
+            known = view.report is not None and name not in marks
+            if known and self._looked_at.get(name) is view.report:
+                continue
+            self._looked_at[name] = view.report
             if self._usable(view, now):
-                rooms.append(self._room(view))
-        return rooms
+                self._rooms.put(self._room(view))
+            else:
+                self._rooms.drop(name)
 
     def _usable(self, view: WorkerView, now: float) -> bool:
         """Return whether a worker may be given tasks.
@@ -200,8 +227,6 @@
                 racks[rack] = racks.get(rack, 0) + 1
         return racks
 
-    _rack_of: Mapping[str, str] = {}
-
     # -- the round ---------------------------------------------------------------
 
     def plan(
@@ -214,18 +239,18 @@
         """
         self._refresh(term)
         self._note_progress(term, now)
-        self._rack_of = {
-            v.name: v.endpoint.rack for v in term.workers.values() if v.endpoint
-        }
         wants = self._wants(now, wall)
         if not wants:
             return (), ()
-        rooms = self._rooms(term, now)
-        reservation = self._reserve(wants, rooms, now)
+        self._refresh_rooms(term, now)
+        reservation = self._reserve(wants, now)
         shares = {w.job.team: self._share(w.job.team) for w in wants}
         plan = plan_turns(
-            wants, Rooms(rooms), self._used, shares, left, self._total, reservation
+            wants, self._rooms, self._used, shares, left, self._total, reservation
         )
+        for placement in plan.placements:
+            # The log may yet refuse it, so the room is worked out again.
+            self._looked_at.pop(placement.worker, None)
         self._preempt(term, wants, plan, left, now)
         plan.placements = self._one_probe_each(plan)
         items = tuple(
@@ -256,6 +281,9 @@
 
     def _note_progress(self, term: LeadTerm, now: float) -> None:
         for view in term.workers.values():
+            if self._noted_at.get(view.name) == view.read_at:
+                continue
+            self._noted_at[view.name] = view.read_at
             for ref, progress in view.seen.items():
                 last = self._progressed.get(ref)
                 if last is None or progress > last[0]:
@@ -275,9 +303,7 @@
         progress, at = self._progressed.get(ref, (0.0, now))
         return max(job.run_s * (1 - progress) - (now - at), 0.0)
 
-    def _reserve(
-        self, wants: list[Want], rooms: list[Room], now: float
-    ) -> Reservation | None:
+    def _reserve(self, wants: list[Want], now: float) -> Reservation | None:
         """Set workers aside for the gang that has waited longest, if it is due.
 
         One gang at a time: two that each held half of what they need would
@@ -289,7 +315,7 @@
         want = max(due, key=lambda w: (w.waited_s, w.job.key))
         need = Need.of(want.job)
         ranked = []
-        for room in rooms:
+        for room in self._rooms.by_name.values():
             drained = attrs.evolve(room)
             free_in_s = 0.0
             for ref in self._zone.live.get(room.worker, {}):
@@ -335,22 +361,24 @@
                 urgent.append(attrs.evolve(want, indexes=rest[:room]))
         if not urgent:
             return
-        rooms = {r.worker: r for r in self._rooms(term, now)}
-        for p in plan.placements:
-            rooms[p.worker].take(Need.of(self._cell.jobs[p.job_id].job))
-        for worker, ref, _ in self._zone.attempts():
-            if ref in term.stopping and worker in rooms:
-                rooms[worker].give_back(Need.of(self._cell.jobs[ref[0]].job))
+        rooms = self._rooms.copy()
+        for ref in term.stopping:
+            if self._zone.is_live(ref):
+                worker = self._zone.tasks[ref[0]][ref[1]].worker
+                if worker in rooms.by_name:
+                    rooms.give_back(worker, Need.of(self._cell.jobs[ref[0]].job))
         chosen = choose_victims(
             urgent,
-            Rooms(rooms.values()),
+            rooms,
             self._zone,
             self._cell,
             self._over_share(),
             lambda ref: self._lost_s(ref, now),
             term.stopping.keys(),
             self._budget.left(now),
+            self._turn,
         )
+        self._turn += 1
         self._budget.spend(len(chosen))
         term.stopping.update(chosen)
 
@@ -381,12 +409,13 @@
 
     def _impossible(self, entry: JobEntry, term: LeadTerm) -> str:
         need = Need.of(entry.job)
-        slots = 0
-        for view in term.workers.values():
-            e = view.endpoint
-            if e is not None:
-                room = Room(e.name, "", e.cpus, e.memory_mb, e.accelerators)
-                slots += room.slots(need)
+        if need not in self._slots:
+            endpoints = [v.endpoint for v in term.workers.values() if v.endpoint]
+            self._slots[need] = sum(
+                Room(e.name, "", e.cpus, e.memory_mb, e.accelerators).slots(need)
+                for e in endpoints
+            )
+        slots = self._slots[need]
         if not slots:
             return "each task is larger than any worker of the zone"
         if entry.job.gang and slots < entry.job.tasks:
--- a/tests/decide/shop.py
+++ b/tests/decide/shop.py
@@ -245,6 +245,14 @@
                 by_team[job.team] = by_team.get(job.team, 0) + 1
         return by_team
 
+    def cpus_by_team(self):
+        """Return the processors that each team's running tasks have."""
+        used = {}
+        for _, ref, _ in self.zone.attempts():
+            job = self.cell.jobs[ref[0]].job
+            used[job.team] = used.get(job.team, 0.0) + job.cpus
+        return used
+
     def running(self, key):
         """Return where a job's tasks run."""
         return {
