--- a/src/firhook/roles/_gateway.py
+++ b/src/firhook/roles/_gateway.py
@@ -1,7 +1,6 @@
 """The gateway: callers' requests to the runners of services."""
 
 import asyncio
-import contextlib
 import random
 from typing import Any
 
@@ -11,7 +10,13 @@
 
 from firhook._calls import Call, read_call, whole_response
 from firhook._web import problem_response, serve
-from firhook.decide.admit import Dispatcher, Placed, QueueLimits, expected_item
+from firhook.decide.admit import (
+    REBALANCE_S,
+    Dispatcher,
+    Placed,
+    QueueLimits,
+    expected_item,
+)
 from firhook.decide.parts import FleetUse
 from firhook.decide.retry import may_resend
 from firhook.errors import (
@@ -64,6 +69,7 @@
         self._heard: dict[str, _Heard] = {}
         self._callers = 0
         self._late: set[asyncio.Task[Any]] = set()
+        self._late_keys: set[str] = set()
         self._served_s: dict[str, float] = {}
         self._ticked = self.kernel.clock()
         self._balanced = -1e9
@@ -153,7 +159,7 @@
         except BaseException as exc:
             if isinstance(exc, FirhookError) and exc.ran == "no":
                 await self.bus.ask(OnceGiveBack(key))
-            else:
+            elif key not in self._late_keys:
                 self.bus.publish(OnceLost(key))
             raise
         await self.bus.ask(OnceFinish(key, answer))
@@ -174,7 +180,7 @@
                 may_have_run = may_have_run or exc.ran != "no"
                 cut = isinstance(exc, _SEND_ERRORS) and len(tried) > 0
                 again = cut and may_resend(call.idempotent, exc.ran, len(tried))
-                if again and service.budget.take():
+                if again and service.has_untried(tried) and service.budget.take():
                     continue
                 if may_have_run:
                     exc.ran = "unknown"
@@ -219,6 +225,7 @@
         done, _ = await asyncio.wait({exchange}, timeout=left_s)
         if done:
             return exchange.result()
+        self._late_keys.add(once_key)
         late = asyncio.create_task(self._finish_late(exchange, once_key))
         self._late.add(late)
         late.add_done_callback(self._late.discard)
@@ -230,10 +237,21 @@
     async def _finish_late(
         self, exchange: "asyncio.Task[Exchange]", once_key: str
     ) -> None:
-        with contextlib.suppress(FirhookError):
+        """Wait for the end of an exchange whose caller was told "unknown".
+
+        A repeat of a keyed request is told "in progress" until then, and
+        gets the outcome after it.
+        """
+        try:
             answer = await exchange
+        except FirhookError:
+            if once_key:
+                self.bus.publish(OnceLost(once_key))
+        else:
             if once_key:
                 await self.bus.ask(OnceFinish(once_key, answer))
+        finally:
+            self._late_keys.discard(once_key)
 
     async def _exchange(
         self, service: Dispatcher, call: Call, placed: Placed, once_key: str
@@ -271,7 +289,7 @@
             self.kernel.load.leaving.add(view.key)
         expected_s = service.times.expect(call.kind)
         service.router.answered(view, took_s, expected_s, now)
-        service.times.learn(call.kind, took_s)
+        service.times.learn(call.kind, took_s, now)
         service.budget.answered()
         self.stats.answered(
             call.team, call.klass, placed.started - call.arrived, took_s
@@ -310,7 +328,7 @@
             for given_up in service.sweep(now, random.random()):
                 _refuse(given_up.item.token.fut, given_up.exc)
         self._note_load(now)
-        if now - self._balanced >= self.cfg.gossip_s:
+        if now - self._balanced >= REBALANCE_S:
             self._rebalance(now)
         self._pump()
 
