--- a/tests/roles/mini.py
+++ b/tests/roles/mini.py
@@ -107,8 +107,9 @@
 
     def lead(self, log: FakeLog) -> None:
         """Have this instance hold its zone's lead by record."""
-        epoch = self.states.cell.leads[self.cfg.zone].epoch + 1
-        claim = LeadClaimed(self.cfg.zone, epoch, self.lane)
+        lead = self.states.cell.leads[self.cfg.zone]
+        epoch = lead.epoch + 1
+        claim = LeadClaimed(self.cfg.zone, epoch, self.lane, lead.offset)
         log.write("cell", f"{self.lane}-lead", epoch, claim)
 
 
