--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -19,6 +19,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT / "src"), str(ROOT)]
 
+from firhook.decide.gossip import gossip_every  # noqa: E402
+from firhook.roles._members import GOSSIP_BYTES_PER_S, TRANSPORT_BYTES  # noqa: E402
 from firhook.settings import Settings  # noqa: E402
 from firhook.state import States  # noqa: E402
 from scripts._pages import fill, table  # noqa: E402
@@ -163,36 +165,52 @@
     ]
 
 
-def _members(m: Lines, size: Size) -> list[Cost]:
-    peers = size.entries - 1
-    rounds = peers / _default("gossip_s")
-    runners = size.runners / size.zones
-    bytes_each = size.teams * m.per("gossip, per team", "bytes") + runners * m.per(
-        "gossip, per runner", "bytes"
+def _word_bytes(m: Lines, teams: float, runners: float) -> float:
+    """Return the bytes of one word of gossip, with what the transport adds."""
+    return (
+        m.base("gossip, per team", "bytes")
+        + teams * m.per("gossip, per team", "bytes")
+        + runners * m.per("gossip, per runner", "bytes")
+        + TRANSPORT_BYTES
     )
-    us_each = sum(
-        size.teams * m.per("gossip, per team", unit)
+
+
+def _gossip_every(m: Lines, size: Size, teams: float, runners: float) -> float:
+    """Return the seconds between two words of an instance to its peers."""
+    word = int(_word_bytes(m, teams, runners))
+    least_s = _default("gossip_s")
+    return gossip_every(word, size.entries - 1, least_s, GOSSIP_BYTES_PER_S)
+
+
+def _gossip(m: Lines, size: Size, teams: float, runners: float) -> tuple[float, float]:
+    """Return the % of a core and the KB/s of gossip in both directions."""
+    peers = size.entries - 1
+    rounds = 1 / _gossip_every(m, size, teams, runners)
+    # The slope over whole processes is for a word in each direction, with
+    # nothing in use, each gossip_s; what a word holds comes on top.
+    plain = m.per(IDLE, "% of a core") * _default("gossip_s")
+    encode_us, decode_us = (
+        teams * m.per("gossip, per team", unit)
         + runners * m.per("gossip, per runner", unit)
         for unit in ("us to encode", "us to decode")
     )
-    plain_bytes = peers * m.per(IDLE, "bytes sent to peers a second")
+    core = rounds * (peers * plain + (encode_us + peers * decode_us) * US)
+    return core, 2 * rounds * peers * _word_bytes(m, teams, runners) / 1000
+
+
+def _members(m: Lines, size: Size) -> list[Cost]:
+    peers = size.entries - 1
+    core, kb = _gossip(m, size, size.teams, size.runners / size.zones)
     listed = size.workers + size.runners + size.entries
     poll_s = _default("list_poll_s")
     return [
-        Cost(
-            role="members",
-            what="gossip with each peer, nothing in use",
-            how="a message to each peer each gossip_s; slope over 2 to 8 instances",
-            core_pct=peers * m.per(IDLE, "% of a core"),
-            kb_per_s=2 * plain_bytes / 1000,
-            memory_mb=peers * m.per(IDLE, "MB resident, largest"),
-        ),
         Cost(
             role="members",
             what="gossip of all teams and the zone's runners in use",
-            how="only teams and runners in use are told",
-            core_pct=rounds * us_each * US,
-            kb_per_s=2 * rounds * bytes_each / 1000,
+            how="rounds grow rarer so that sending keeps to its part of the budget",
+            core_pct=core,
+            kb_per_s=kb,
+            memory_mb=peers * m.per(IDLE, "MB resident, largest"),
         ),
         Cost(
             role="members",
@@ -208,6 +226,19 @@
     ]
 
 
+def gossip_text(m: Lines, size: Size) -> str:
+    """Return how often an instance tells its peers of itself."""
+    quiet = _gossip_every(m, size, 0, 0)
+    some = _gossip_every(m, size, size.teams / 10, size.runners / size.zones / 10)
+    busy = _gossip_every(m, size, size.teams, size.runners / size.zones)
+    return (
+        f"Among {size.entries} instances a word comes each {figure(quiet)} s with "
+        f"nothing in use, each {figure(some)} s with a tenth of the teams and "
+        f"runners in use at the instance, and each {figure(busy)} s with all of "
+        "them."
+    )
+
+
 def _config(m: Lines, size: Size) -> list[Cost]:
     memory = size.teams * m.per("team", MEMORY) + size.keys * m.per("key", MEMORY)
     changes = size.changes_per_day / DAY_S
@@ -505,6 +536,7 @@
         "roles": cost_table(m, size),
         "gateway": gateway_text(m),
         "report": report_text(m, size),
+        "gossip": gossip_text(m, size),
         "slopes": slope_table(m),
         "bent": bent_text(m),
     }
