The request id has a typed key, and test cells start side by side

Cause: aiohttp warns of plain keys on requests; each failure test started its dozen interpreters one after the other. Change: web.RequestKey; the cells of the failure tests start together.

--- a/src/firhook/_calls.py
+++ b/src/firhook/_calls.py
@@ -8,7 +8,7 @@
 from multidict import CIMultiDict
 
 from firhook._bus import Bus
-from firhook._web import principal
+from firhook._web import REQUEST_KEY, principal
 from firhook.decide.queue import CLASSES
 from firhook.decide.retry import IDEMPOTENT
 from firhook.errors import NotPermittedError, RequestMalformedError
@@ -95,7 +95,7 @@
         (k, v) for k, v in req.headers.items() if k.lower() not in _OWN_HEADERS
     )
     return Call(
-        rid=req["request_id"],
+        rid=req[REQUEST_KEY],
         team=who.team,
         service=service,
         method=req.method,
--- a/src/firhook/_web.py
+++ b/src/firhook/_web.py
@@ -21,6 +21,8 @@
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 REQUEST_ID = "X-Request-Id"
+#: Where a request keeps its id.
+REQUEST_KEY = web.RequestKey("request_id", str)
 
 
 def request_id(req: web.Request) -> str:
@@ -59,7 +61,7 @@
     rid = "-"
     try:
         rid = request_id(req)
-        req["request_id"] = rid
+        req[REQUEST_KEY] = rid
         resp = await handler(req)
         if not resp.prepared:
             resp.headers[REQUEST_ID] = rid
--- a/src/firhook/ops/_events.py
+++ b/src/firhook/ops/_events.py
@@ -10,7 +10,7 @@
 import msgspec
 from aiohttp import web
 
-from firhook._web import require_operator
+from firhook._web import REQUEST_ID, REQUEST_KEY, require_operator
 from firhook.errors import RequestMalformedError
 from firhook.events import RecordApplied
 from firhook.kernel import Kernel
@@ -116,7 +116,7 @@
         if self._listeners >= MAX_LISTENERS:
             raise RequestMalformedError(f"{MAX_LISTENERS} listeners are connected")
         resp = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
-        resp.headers["X-Request-Id"] = req["request_id"]
+        resp.headers[REQUEST_ID] = req[REQUEST_KEY]
         await resp.prepare(req)
         self._listeners += 1
         try:
--- a/src/firhook/roles/_gateway.py
+++ b/src/firhook/roles/_gateway.py
@@ -9,7 +9,7 @@
 from mode import Service
 
 from firhook._calls import Call, read_call, whole_response
-from firhook._web import problem_response, serve
+from firhook._web import REQUEST_KEY, problem_response, serve
 from firhook.decide.admit import (
     REBALANCE_S,
     Dispatcher,
@@ -139,8 +139,8 @@
                 self.stats.refused(exc.code)
             else:
                 self.stats.refused(exc.code, call.team, call.klass)
-            log("request.refused", code=exc.code, request_id=req["request_id"])
-            resp = problem_response(exc, req["request_id"])
+            log("request.refused", code=exc.code, request_id=req[REQUEST_KEY])
+            resp = problem_response(exc, req[REQUEST_KEY])
             if self.kernel.stopping:
                 resp.force_close()
             return resp
--- a/tests/failures/cells.py
+++ b/tests/failures/cells.py
@@ -52,15 +52,32 @@
     settings = {s: {**SHORT.get(s, {}), **overrides.get(s, {})} for s in SHORT}
     async with Cluster(zones, settings, links=links) as cluster:
         made = Cell(cluster)
-        for zone in zones:
-            for i in range(runners):
-                name = f"{zone}-runner-{i}"
-                made.runners.append(await cluster.add_runner(name, zone, "logbook"))
-            for i in range(workers):
-                name = f"{zone}-worker-{i}"
-                made.workers.append(await cluster.add_worker(name, zone, f"rack-{i}"))
-            for i in range(entries):
-                made.entries.append(await cluster.add_entry(f"{zone}-entry-{i}", zone))
+        # They start side by side: a dozen interpreters one after the other
+        # would take longer than what is tested.
+        of_zone = [(zone, i) for zone in zones for i in range(64)]
+        made.runners, made.workers, made.entries = await asyncio.gather(
+            asyncio.gather(
+                *(
+                    cluster.add_runner(f"{zone}-runner-{i}", zone, "logbook")
+                    for zone, i in of_zone
+                    if i < runners
+                )
+            ),
+            asyncio.gather(
+                *(
+                    cluster.add_worker(f"{zone}-worker-{i}", zone, f"rack-{i}")
+                    for zone, i in of_zone
+                    if i < workers
+                )
+            ),
+            asyncio.gather(
+                *(
+                    cluster.add_entry(f"{zone}-entry-{i}", zone)
+                    for zone, i in of_zone
+                    if i < entries
+                )
+            ),
+        )
         await cluster.wait_ready(*made.entries)
         made.key = await made.set_up(limit)
         yield made
