--- a/tests/failures/test_keys_and_lists.py
+++ b/tests/failures/test_keys_and_lists.py
@@ -147,7 +147,10 @@
     """
 
     async def scenario():
-        async with cell(entries=2, runners=1) as c:
+        # Long enough that the rule for zones which can hear of no withdrawal,
+        # which has tests of its own, does not end the service here.
+        stale = {"key_stale_s": 60, "key_stale_max_s": 900}
+        async with cell(entries=2, runners=1, keys=stale) as c:
             await c.log_fault(log="down")
             fresh = await c.cluster.add_entry("porto-entry-9", "porto")
             await c.until_status(fresh, "GET", "/r/logbook/quote", c.key, 200)
