Peers are told only what an instance has beyond its part of a runner

Cause: a word of gossip named every runner with requests, 24 entries today and hundreds at the two-year size, on each of two rounds a second to every peer, against 14 KB/s for all control. Gossip has since become rarer as words grow, which would have made the instances' picture of the fleet old. Change: only what is beyond the own part is told, and heeded by whoever gained a slot there in the last 2 s; peers whose words are rare are not taken for silent; 'firhook endpoints' shows what this instance has in flight, and finds a leaving runner by name and address.

--- a/bench/_virtual.py
+++ b/bench/_virtual.py
@@ -146,7 +146,7 @@
         )
         self.told: dict[str, float] = {}
         self.told_served: dict[str, float] = {}
-        self.told_in_flight: Counter[str] = Counter()
+        self.told_beyond: Counter[str] = Counter()
         self._served: Counter[str] = Counter()
         self._rng = random.Random(index)
 
@@ -164,7 +164,7 @@
         running = self.account.running
         self.told = {t: float(n + running.get(t, 0)) for t, n in waiting.items()}
         self.told_served = dict(self._served)
-        self.told_in_flight = self.dispatcher.router.in_flight()
+        self.told_beyond = self.dispatcher.router.beyond_parts()
         clock.at(clock.now + GOSSIP_S, self._gossip)
 
     def _rebalance(self) -> None:
@@ -174,7 +174,7 @@
         elsewhere: Counter[str] = Counter()
         for inst in fleet.instances:
             if inst is not self:
-                elsewhere.update(inst.told_in_flight)
+                elsewhere.update(inst.told_beyond)
         self.dispatcher.router.set_elsewhere(elsewhere)
         self._pump()
         fleet.clock.at(now + REBALANCE_S, self._rebalance)
--- a/src/firhook/_kernel.py
+++ b/src/firhook/_kernel.py
@@ -49,13 +49,16 @@
 
     :ivar waiting: requests waiting, by team.
     :ivar served_s: seconds of slot time that each team used lately, decayed.
-    :ivar in_flight: requests in flight, by runner and address.
+    :ivar in_flight: requests in flight beyond this instance's part of a runner's
+        slots, by runner and address.
+    :ivar here: requests in flight, likewise; for operators, not for peers.
     :ivar leaving: runners that said they take no new work, likewise.
     """
 
     waiting: dict[str, int] = attrs.field(factory=dict)
     served_s: dict[str, float] = attrs.field(factory=dict)
     in_flight: dict[str, int] = attrs.field(factory=dict)
+    here: dict[str, int] = attrs.field(factory=dict)
     leaving: set[str] = attrs.field(factory=set)
 
 
--- a/src/firhook/decide/_admit.py
+++ b/src/firhook/decide/_admit.py
@@ -160,7 +160,7 @@
         if not self._parts or len(use.demand) == 1:
             self._parts = [mine] * _PARTS_AGREE
         self._parts = [*self._parts[1 - _PARTS_AGREE :], mine]
-        self.router.set_parts(usable_parts(self._parts), len(use.demand))
+        self.router.set_parts(usable_parts(self._parts), len(use.demand), now)
         self.weights = local_weights(self._name, use, shares)
         self._capacity = self.router.capacity(now)
 
--- a/src/firhook/decide/_route.py
+++ b/src/firhook/decide/_route.py
@@ -24,6 +24,9 @@
 _EJECT_PART = 1 / 3
 _EJECT_S = 1.0
 _EJECT_MAX_S = 30.0
+#: A slot that moved here is doubtful for so long: by then its old holder has
+#: said by gossip if it still uses it.
+_SETTLE_S = 2.0
 #: Requests at once that a new or returned runner gets at first; each answer
 #: adds one.  A cold runner given its full part at once would time out.
 _SLOW_START = 2
@@ -33,8 +36,9 @@
 class RunnerView:
     """What this instance knows of a runner at one address.
 
+    :ivar settled: slots of the part that no peer can still be using.
     :ivar in_flight: requests this instance has there.
-    :ivar elsewhere: requests its peers say they have there.
+    :ivar elsewhere: requests its peers say they have there beyond their parts.
     :ivar key: name and address; one that comes back elsewhere is a new runner.
     :ivar part: slots of it that this instance may use.
     :ivar slowness: moving ratio of the time its answers took to the time that
@@ -45,6 +49,8 @@
 
     endpoint: Endpoint
     part: int = 0
+    settled: int = 0
+    gained_at: float = 0.0
     in_flight: int = 0
     elsewhere: int = 0
     slowness: float = 1.0
@@ -65,13 +71,23 @@
         """Return how many more requests it may get from here."""
         if self.leaving or now < self.ejected_until:
             return 0
-        own = min(self.part, self.ramp) - self.in_flight
-        free = self.endpoint.slots - self.elsewhere - self.in_flight
-        return max(min(own, free), 0)
+        # A slot that moved here lately may still be in use by its old holder.
+        doubtful = min(self.elsewhere, self.part - self.settled)
+        return max(min(self.part - doubtful, self.ramp) - self.in_flight, 0)
+
+    def set_part(self, part: int, now: float) -> None:
+        """Take over this instance's part."""
+        if part > self.part:
+            self.gained_at = now
+        self.part = part
+        if part < self.settled or (
+            self.elsewhere == 0 and now - self.gained_at > _SETTLE_S
+        ):
+            self.settled = part
 
     def cost(self, zone: str) -> float:
         """Return the expected wait there, in units of a usual request."""
-        load = (self.in_flight + self.elsewhere) / self.endpoint.slots
+        load = self.in_flight / max(self.part, 1)
         away = 1.0 if self.endpoint.zone == zone else _OTHER_ZONE
         return self.slowness * (1.0 + load) * away
 
@@ -112,14 +128,16 @@
         """Return whether a runner takes new work that is not among those tried."""
         return any(not v.leaving and k not in tried for k, v in self.views.items())
 
-    def set_parts(self, parts: Mapping[str, int], connection_part: int) -> None:
+    def set_parts(
+        self, parts: Mapping[str, int], connection_part: int, now: float
+    ) -> None:
         """Take over this instance's part of each runner's slots.
 
         :param connection_part: how many instances share a runner's connections.
         """
         for key, view in self.views.items():
             conns = max(view.endpoint.connections // max(connection_part, 1), 1)
-            view.part = min(parts.get(key, 0), conns)
+            view.set_part(min(parts.get(key, 0), conns), now)
 
     def capacity(self, now: float) -> int:
         """Return how many slots this instance may use in all."""
@@ -202,7 +220,7 @@
         view.failures = 0
 
     def set_elsewhere(self, counts: Mapping[str, int]) -> None:
-        """Take over what the peers have in flight at each runner."""
+        """Take over what the peers have at each runner beyond their parts."""
         for key, view in self.views.items():
             view.elsewhere = counts.get(key, 0)
 
@@ -212,6 +230,21 @@
             if key in self.views:
                 self.views[key].leaving = True
 
-    def in_flight(self) -> Counter[str]:
+    def beyond_parts(self) -> Counter[str]:
+        """Return what this instance has in flight beyond its part, by runner.
+
+        Peers work out its parts by themselves, and what is within them takes
+        nothing from theirs.  Telling the rest alone keeps gossip small however
+        many runners there are.
+        """
+        return Counter(
+            {
+                key: view.in_flight - view.part
+                for key, view in self.views.items()
+                if view.in_flight > view.part
+            }
+        )
+
+    def in_flight(self) -> dict[str, int]:
         """Return what this instance has in flight at each runner."""
-        return Counter({k: v.in_flight for k, v in self.views.items() if v.in_flight})
+        return {k: v.in_flight for k, v in self.views.items() if v.in_flight}
--- a/src/firhook/ops/_health.py
+++ b/src/firhook/ops/_health.py
@@ -105,19 +105,18 @@
 
     async def _get_endpoints(self, req: web.Request) -> web.Response:
         await require_operator(self.bus, req)
-        in_flight = dict(self.kernel.load.in_flight)
         leaving = set(self.kernel.load.leaving)
         for member in await self.bus.ask(Members()):
-            for load in member.gossip.runners:
-                in_flight[load.runner] = in_flight.get(load.runner, 0) + load.in_flight
-                if load.leaving:
-                    leaving.add(load.runner)
+            leaving |= {r.runner for r in member.gossip.runners if r.leaving}
         marks = self.states.zone.marks
         rows = []
         for endpoint in sorted(self._listed, key=lambda e: (e.kind, e.zone, e.name)):
             row = to_builtins(endpoint)
-            row["leaving"] = endpoint.leaving or endpoint.name in leaving
-            row["in_flight"] = in_flight.get(endpoint.name, 0)
+            key = f"{endpoint.name}@{endpoint.address}"
+            row["leaving"] = endpoint.leaving or key in leaving
+            # Peers do not say what they have within their parts, so this is
+            # what this instance alone has there.
+            row["in_flight"] = self.kernel.load.here.get(key, 0)
             row["mark"] = marks.get(endpoint.name, ("", ""))[0]
             rows.append(row)
         return json_response({"endpoints": rows})
--- a/src/firhook/roles/_gateway.py
+++ b/src/firhook/roles/_gateway.py
@@ -346,8 +346,10 @@
         load.served_s = dict(self._served_s)
         load.waiting = {}
         load.in_flight = {}
+        load.here = {}
         for service in self._services.values():
-            load.in_flight.update(service.router.in_flight())
+            load.in_flight.update(service.router.beyond_parts())
+            load.here.update(service.router.in_flight())
             for team in service.queue.teams():
                 n = service.queue.waiting(team)
                 load.waiting[team] = load.waiting.get(team, 0) + n
@@ -384,8 +386,13 @@
         return FleetUse(demand, served)
 
     def _live_peers(self, now: float) -> dict[str, Gossip]:
-        old = now - self.cfg.member_timeout_s
-        return {n: h.gossip for n, h in self._heard.items() if h.at >= old}
+        return {
+            name: heard.gossip
+            for name, heard in self._heard.items()
+            # Words get rarer as the fleet grows; three missed make a peer silent.
+            if now - heard.at
+            <= max(self.cfg.member_timeout_s, 3 * heard.gossip.every_s)
+        }
 
     def _on_instances(self, event: InstancesListed) -> None:
         now = self.kernel.clock()
