--- a/bench/members.py
+++ b/bench/members.py
@@ -157,6 +157,6 @@
 @measure("members_traffic")
 def traffic() -> Iterable[dict[str, Any]]:
     """Bytes sent and received by an instance, transport included, by size."""
-    for count, zones in ((3, 1), (9, 4), (21, 7), (63, 7)):
+    for count, zones in ((3, 1), (9, 1), (9, 4), (21, 7)):
         for teams in (0, TEAMS):
             yield asyncio.run(_run(count, zones, teams))
--- a/src/firhook/_lender.py
+++ b/src/firhook/_lender.py
@@ -9,21 +9,29 @@
 from firhook.decide.limits import zone_parts
 from firhook.decide.moves import TeamView, choose_move
 from firhook.errors import FirhookError, LogUnavailableError, NotLeadError
-from firhook.events import Append, AskPeer, Members, RecordApplied
+from firhook.events import Append, AskPeer, RecordApplied
 from firhook.kernel import Kernel
 from firhook.logs import log
 from firhook.model import (
+    Ack,
     GrantAnswer,
     GrantAsk,
     Holdings,
     HoldingsAsk,
     LimitMoved,
     TeamGrant,
+    TeamRoom,
+    TeamShort,
     Verdict,
+    ZoneShort,
 )
 
 #: How long a new lead waits for what an instance holds, in seconds.
 _HOLDINGS_S = 0.5
+#: What another zone said that it is short of is acted on for so long.
+_SHORT_LASTS_S = 2.5
+#: How long to wait until another lead has heard it, in seconds.
+_SHORT_WAIT_S = 0.5
 #: How long the outcome of a transfer is waited for, in seconds.
 _MOVE_S = 2.0
 
@@ -49,6 +57,7 @@
         self._epoch = 0
         self._unsettled: list[_Unsettled] = []
         self._given_at: dict[str, float] = {}
+        self._shorts: dict[str, tuple[float, ZoneShort]] = {}
         self.keeper: RoomKeeper | None = None
 
     def part(self, team: str) -> int:
@@ -164,14 +173,14 @@
         if not lead.may_lend(now):
             # The stamp alone goes back, so that the asker can promise anew;
             # an error would leave every promise lapsed until the log returns.
-            return self._answer(ask.epoch, now, ())
+            return GrantAnswer(ask.epoch, now, self._book.ttl_s, False)
         if self._book.is_late(ask.instance, ask.seq, now):
             raise NotLeadError(f"ask {ask.seq} came after a later one")
         if ask.leaving:
             self._book.left(ask.instance)
             lead.leaving.add(ask.instance)
             lead.wake.set()
-            return self._answer(ask.epoch, now, ())
+            return GrantAnswer(ask.epoch, now, self._book.ttl_s, False)
         if ask.instance not in lead.state.roster:
             lead.joining.add(ask.instance)
             lead.wake.set()
@@ -180,26 +189,16 @@
         # so that they come to fit it; the larger cap of fewer holders is used
         # only once the log has the smaller roster.
         self._book.holders = max(len(lead.state.roster), len(self._grown()))
-        grants = tuple(
-            TeamGrant(
-                room.team,
-                self._book.ask(
-                    room.team,
-                    ask.instance,
-                    max(room.wanted, 0),
-                    max(room.held, 0),
-                    self.part(room.team),
-                    now,
-                ),
-            )
-            for room in ask.teams
-        )
-        return self._answer(ask.epoch, now, grants)
+        grants = (self._grant(ask.instance, room, now) for room in ask.teams)
+        changed = tuple(grant for grant in grants if grant is not None)
+        return GrantAnswer(ask.epoch, now, self._book.ttl_s, True, changed)
 
-    def _answer(
-        self, epoch: int, now: float, grants: tuple[TeamGrant, ...]
-    ) -> GrantAnswer:
-        return GrantAnswer(epoch, now, self._book.ttl_s, grants)
+    def _grant(self, holder: str, room: TeamRoom, now: float) -> TeamGrant | None:
+        """Lend what a holder wants; return the grant if it is something else."""
+        wanted, held = max(room.wanted, 0), max(room.held, 0)
+        part = self.part(room.team)
+        granted = self._book.ask(room.team, holder, wanted, held, part, now)
+        return None if granted == room.wanted else TeamGrant(room.team, granted)
 
     # -- transfers between zones -----------------------------------------
 
@@ -240,7 +239,13 @@
         if not self._leadership.is_held(now) or not self._book.opened:
             return
         moves = []
-        for team, short in (await self._short()).items():
+        own = self._book.short(now)
+        if own:
+            await self._tell_short(own)
+        now = self._kernel.clock()
+        if not self._leadership.is_held(now):
+            return
+        for team, short in self._short(own, now).items():
             move = self._choose(team, short, now)
             if move is not None:
                 moves.append(self._move(move))
@@ -271,20 +276,36 @@
         moving[team] = moving.get(team, 0) + amount
         return move
 
-    async def _short(self) -> dict[str, dict[str, int]]:
-        """Return the teams that are short of room, with how much by zone."""
-        assert self.keeper is not None
+    async def on_zone_short(self, word: ZoneShort) -> Ack:
+        """Note what another zone is short of."""
+        if word.zone in self._kernel.cfg.zones:
+            self._shorts[word.zone] = (self._kernel.clock(), word)
+        return Ack()
+
+    def _short(self, own: dict[str, int], now: float) -> dict[str, dict[str, int]]:
+        """Return the teams that other zones are short of, with how much by zone."""
         result: dict[str, dict[str, int]] = {}
-        for member in await self._kernel.bus.ask(Members()):
-            for use in member.gossip.teams:
-                if use.short > 0:
-                    by_zone = result.setdefault(use.team, {})
-                    by_zone[member.zone] = by_zone.get(member.zone, 0) + use.short
-        zone = self._kernel.cfg.zone
+        for zone, (at, word) in self._shorts.items():
+            if now - at > _SHORT_LASTS_S:
+                continue
+            for short in word.teams:
+                result.setdefault(short.team, {})[zone] = short.amount
         for team, by_zone in result.items():
-            by_zone[zone] = by_zone.get(zone, 0) + self.keeper.short(team)
+            by_zone[self._kernel.cfg.zone] = own.get(team, 0)
         return result
 
+    async def _tell_short(self, own: dict[str, int]) -> None:
+        word = ZoneShort(
+            self._kernel.cfg.zone, tuple(TeamShort(t, n) for t, n in own.items())
+        )
+        asks = [
+            self._kernel.bus.ask(AskPeer(name_of(lead.instance), word, _SHORT_WAIT_S))
+            for zone, lead in self._kernel.states.cell.leads.items()
+            if zone != self._kernel.cfg.zone and lead.instance and not lead.released
+        ]
+        # A lead that does not hear of it gives nothing; it is told again.
+        await asyncio.gather(*asks, return_exceptions=True)
+
     async def _move(self, move: LimitMoved) -> None:
         try:
             applied = await self._kernel.bus.ask(
--- a/src/firhook/_messages.py
+++ b/src/firhook/_messages.py
@@ -12,14 +12,12 @@
     :param running: requests and tasks running.
     :param waiting: requests waiting.
     :param served_s: seconds of slot time served lately, decayed.
-    :param short: room wanted and not lent, so that other zones may give some.
     """
 
     team: str
     running: int
     waiting: int
     served_s: float
-    short: int = 0
 
 
 @attrs.frozen(slots=True)
@@ -125,12 +123,37 @@
     """The room lent, for so long from when the asker sent its question.
 
     :param stamp: the lead's clock when it answered.
+    :param lent: whether the lead may lend at all now; if not, what the asker
+        holds is left as it is.
+    :param teams: those that did not get just what they wanted.
     """
 
     epoch: int
     stamp: float
     ttl_s: float
-    teams: tuple[TeamGrant, ...]
+    lent: bool
+    teams: tuple[TeamGrant, ...] = ()
+
+
+@attrs.frozen(slots=True)
+class TeamShort:
+    """Room that a team wants in a zone and that the zone cannot lend."""
+
+    team: str
+    amount: int
+
+
+@message
+@attrs.frozen(slots=True)
+class ZoneShort:
+    """A zone lead tells the other zones' leads what its teams are short of.
+
+    It goes from lead to lead and not with the gossip, which becomes rare in a
+    large cell; a team should get its room within a couple of seconds there too.
+    """
+
+    zone: str
+    teams: tuple[TeamShort, ...]
 
 
 @message
--- a/src/firhook/_room.py
+++ b/src/firhook/_room.py
@@ -76,11 +76,6 @@
         demand = self._demand.teams(self._kernel.clock())
         return sorted({*demand, *account.room, *account.running, *waiting})
 
-    def short(self, team: str) -> int:
-        """Return how much room is wanted and not held."""
-        wanted = self._wanted(team, self._kernel.clock())
-        return max(wanted - self._kernel.account.held(team), 0)
-
     def _wanted(self, team: str, now: float) -> int:
         # Whatever waits wants room for one at least: its want may have been
         # noted long ago, while the lead was away, and nothing would note it
@@ -130,7 +125,9 @@
             if now >= next_full:
                 self._pressed.clear()
                 done = await self._try_ask(self.teams())
-                next_full = now + (ttl_s / 3 if done else _RETRY_S)
+                # One ask that gets no answer in its second still leaves time
+                # for another before the grants lapse.
+                next_full = now + (ttl_s / 2 if done else _RETRY_S)
             elif self._pressed:
                 teams = sorted(self._pressed)
                 self._pressed.clear()
@@ -170,7 +167,7 @@
         else:
             answer = await self._kernel.bus.ask(AskPeer(name_of(lead), ask))
         self._apply(ask, answer, sent_at)
-        return len(answer.teams) == len(ask.teams)
+        return answer.lent
 
     def _promise(self, epoch: int) -> float:
         """Return the stamp to send back, by which this ask is a promise."""
@@ -186,17 +183,27 @@
             return
         now = self._kernel.clock()
         self._stamp = _Stamp(answer.epoch, answer.stamp, now)
+        if not answer.lent:
+            return
         account = self._kernel.account
-        wanted = {room.team: room.wanted for room in ask.teams}
-        for grant in answer.teams:
+        granted = {grant.team: grant.granted for grant in answer.teams}
+        for room in ask.teams:
+            amount = min(granted.get(room.team, room.wanted), room.wanted)
             # The lead counts from when it answered, this instance from before
             # it asked, so the grant ends here before it ends in the book.
-            account.lend(grant.team, grant.granted, sent_at + answer.ttl_s)
-            if grant.granted < wanted.get(grant.team, 0):
-                self._quiet_until[grant.team] = now + _RETRY_S
+            grown = amount > account.room_now(room.team)
+            account.lend(room.team, amount, sent_at + answer.ttl_s)
+            if amount < room.wanted:
+                self._quiet_until[room.team] = now + _RETRY_S
             else:
-                self._quiet_until.pop(grant.team, None)
-            self._kernel.bus.publish(RoomChanged(grant.team))
+                self._quiet_until.pop(room.team, None)
+            if grown:
+                self._kernel.bus.publish(RoomChanged(room.team))
+
+    def stop(self) -> None:
+        """Ask no more."""
+        self._left = True
+        self._wake.set()
 
     async def leave(self) -> bool:
         """Give everything back at a graceful stop; return whether it was free.
@@ -204,8 +211,7 @@
         Work that is still running keeps its room in the lead's book until it
         has certainly ended.
         """
-        self._left = True
-        self._wake.set()
+        self.stop()
         account = self._kernel.account
         account.room.clear()
         account.until.clear()
--- a/src/firhook/decide/_grants.py
+++ b/src/firhook/decide/_grants.py
@@ -47,6 +47,7 @@
         self._loans: dict[str, dict[str, _Loan]] = {}
         self._seqs: dict[str, int] = {}
         self._asked_at: dict[str, float] = {}
+        self._wants: dict[str, dict[str, tuple[int, float]]] = {}
         self._opened = False
         self._silent: set[str] = set()
         self._silent_until = float("inf")
@@ -102,6 +103,7 @@
         """
         self._loans.clear()
         self._seqs.clear()
+        self._wants.clear()
         self._asked_at = dict.fromkeys((*known, *silent), now)
         self._opened = True
         self._holders = holders
@@ -239,9 +241,25 @@
                 holder_cap(part, self._holders),
             )
         granted = max(min(wanted, ceiling), 0)
+        if wanted > granted:
+            self._wants.setdefault(team, {})[holder] = (wanted - granted, now)
+        else:
+            self._wants.get(team, {}).pop(holder, None)
         self._count(team, holder, max(granted, held), now)
         return granted
 
+    def short(self, now: float) -> dict[str, int]:
+        """Return what each team wanted lately and was not lent."""
+        result: dict[str, int] = {}
+        for team, wants in list(self._wants.items()):
+            for holder in [h for h, (_, at) in wants.items() if now - at > self._ttl_s]:
+                del wants[holder]
+            if wants:
+                result[team] = sum(amount for amount, _ in wants.values())
+            else:
+                del self._wants[team]
+        return result
+
     def room_for_tasks(self, team: str, part: int, now: float) -> int:
         """Return how many more tasks a team may start in this zone.
 
@@ -251,9 +269,10 @@
         """
         if not self._opened:
             return 0
+        promised = self._promised.pop(team, 0)
         room = max(self.free(team, part, now), 0)
-        if room:
-            self._promised[team] = self._promised.get(team, 0) + room
+        # Asked again before the next count, it is the same room once more.
+        self._promised[team] = max(room, promised)
         return room
 
     def spare(self, team: str, part: int, now: float) -> int:
--- a/src/firhook/model.py
+++ b/src/firhook/model.py
@@ -40,7 +40,9 @@
     StatsAsk,
     TeamGrant,
     TeamRoom,
+    TeamShort,
     TeamUse,
+    ZoneShort,
     ZoneView,
 )
 from firhook._records import (
@@ -114,9 +116,11 @@
     "Team",
     "TeamGrant",
     "TeamRoom",
+    "TeamShort",
     "TeamUse",
     "Verdict",
     "WorkerMarked",
+    "ZoneShort",
     "ZoneView",
     "check_job",
     "check_plan",
--- a/src/firhook/roles/_members.py
+++ b/src/firhook/roles/_members.py
@@ -44,6 +44,7 @@
     RunnerLoad,
     TeamUse,
     Verdict,
+    ZoneShort,
 )
 
 #: The loop is looked at this often for having stood still.
@@ -59,7 +60,7 @@
 #: Between two rounds of transfers to other zones.
 _MOVE_EVERY_S = 1.0
 #: What gossip may cost an instance in sending, of 14 KB/s for all of control.
-GOSSIP_BYTES_PER_S = 5000.0
+GOSSIP_BYTES_PER_S = 4000.0
 #: Bytes that CURVE, the framing and TCP/IP add to a message.
 TRANSPORT_BYTES = 110
 #: Peers that are remembered; far above any cell, against a flood of names.
@@ -93,6 +94,7 @@
         bus.subscribe(LoopStalled, self._on_stall)
         self._handlers[Gossip] = self._on_gossip
         self._handlers[GrantAsk] = self.lender.on_ask
+        self._handlers[ZoneShort] = self.lender.on_zone_short
         self._handlers[HoldingsAsk] = self.keeper.on_holdings_ask
 
     async def on_start(self) -> None:
@@ -106,6 +108,7 @@
 
     async def on_stop(self) -> None:
         """Close the sockets."""
+        self.keeper.stop()
         if self._mesh is not None:
             self._mesh.close()
 
@@ -184,17 +187,10 @@
 
     def _team_uses(self) -> tuple[TeamUse, ...]:
         running, waiting = self.kernel.account.running, self.kernel.load.waiting
-        uses = (
-            TeamUse(
-                team,
-                running.get(team, 0),
-                waiting.get(team, 0),
-                0.0,
-                self.keeper.short(team),
-            )
-            for team in sorted({*running, *waiting, *self.keeper.teams()})
+        return tuple(
+            TeamUse(team, running.get(team, 0), waiting.get(team, 0), 0.0)
+            for team in sorted({*running, *waiting})
         )
-        return tuple(u for u in uses if u.running or u.waiting or u.short)
 
     async def _serve(self, msg: Any) -> Any:
         handler = self._handlers.get(type(msg))
--- a/tests/decide/test_grants.py
+++ b/tests/decide/test_grants.py
@@ -56,6 +56,7 @@
     """A lead decides to start tasks, and a request comes before the log's word."""
     book = opened()
     assert book.room_for_tasks("t", 10, 0.0) == 10
+    assert book.room_for_tasks("t", 10, 0.0) == 10
     assert book.ask("t", "a", 5, 0, 10, 0.0) == 0
     book.tasks = {"t": 4}
     assert book.ask("t", "a", 10, 0, 10, 0.0) == 6
--- a/tests/roles/fleet.py
+++ b/tests/roles/fleet.py
@@ -28,13 +28,11 @@
     Applied,
     AskPeer,
     LogAge,
-    Member,
-    Members,
     RecordApplied,
     RoomChanged,
     RoomWanted,
 )
-from firhook.model import Envelope, Gossip, GrantAsk, HoldingsAsk, Plan, TeamUse
+from firhook.model import Envelope, GrantAsk, HoldingsAsk, Plan, ZoneShort
 from firhook.state import CellState
 
 ZONES = ("a", "b", "c")
@@ -141,7 +139,6 @@
         self.bus.answer(AskPeer, self._ask_peer)
         self.bus.answer(Append, self._append)
         self.bus.answer(LogAge, self._log_age)
-        self.bus.answer(Members, self._members)
         self.bus.subscribe(RecordApplied, self.lender.on_record)
         self.bus.subscribe(RoomWanted, self.keeper.want)
         self.bus.subscribe(RoomChanged, lambda event: self.serve())
@@ -185,6 +182,7 @@
         kinds = {
             GrantAsk: other.lender.on_ask,
             HoldingsAsk: other.keeper.on_holdings_ask,
+            ZoneShort: other.lender.on_zone_short,
         }
         serve = self.fleet.loop.create_task(
             other.served(kinds[type(query.body)], query)
@@ -233,22 +231,10 @@
     async def _log_age(self, query):
         return self.clock() - self.seen_end_at
 
-    async def _members(self, query):
-        result = []
-        for node in list(self.fleet.nodes.values()):
-            if node is self or not node.reaches(self) or not node.gate.is_set():
-                continue
-            use = TeamUse(TEAM, 0, 0, 0.0, node.keeper.short(TEAM))
-            word = Gossip(
-                node.name, node.cfg.zone, node.lane, 0, 0, 0.0, True, False, (), (use,)
-            )
-            result.append(Member(node.name, node.cfg.zone, node.lane, 0.1, word))
-        return tuple(result)
-
     # -- its loops -------------------------------------------------------
 
     async def _every(self, seconds, step):
-        while True:
+        while self.alive:
             await self.gate.wait()
             with contextlib.suppress(FirhookError):
                 await step()
@@ -315,6 +301,9 @@
     def kill(self):
         """End the process; its requests run on at the runners."""
         self.alive = False
+        # A task that is cancelled just as what it waits for is done goes on
+        # (asyncio.wait_for), so it must also find the gate closed for good.
+        self.gate = asyncio.Event()
         for task in self.tasks:
             task.cancel()
 
@@ -396,8 +385,9 @@
         self.log.down, self.log.delay_s = False, 0.005
         for node in list(self.nodes.values()):
             node.cut = node.log_cut = False
-            node.gate.set()
-            if not node.alive:
+            if node.alive:
+                node.gate.set()
+            else:
                 self.boot(node.name, node.cfg.zone)
 
     def close(self):
--- a/tests/roles/test_members.py
+++ b/tests/roles/test_members.py
@@ -341,6 +341,8 @@
     @rule(name=st.sampled_from(NODES))
     def resume(self, name):
         node = self.fleet.nodes[name]
+        if not node.alive:
+            return
         node.gate.set()
         # The first thing that it does is to dispatch what waits.
         node.serve()
@@ -350,8 +352,9 @@
         node = self.fleet.nodes[name]
         node.gate.clear()
         self.fleet.run(seconds)
-        node.gate.set()
-        node.serve()
+        if node.alive:
+            node.gate.set()
+            node.serve()
 
     @rule(name=st.sampled_from(NODES), cut=st.booleans())
     def cut_from_log(self, name, cut):
