A stranger's key is refused: the test now fails without the check

The first form of the test showed a key pair that did not match, which the handshake refuses by itself. The fleet of the tests: a killed node's tasks cannot go on.

--- a/tests/roles/fleet.py
+++ b/tests/roles/fleet.py
@@ -294,8 +294,8 @@
 
     async def ended(self):
         """Give room back once the answer is read."""
-        await self.gate.wait()
         if self.alive:
+            await self.gate.wait()
             self.account.give_back(TEAM)
 
     def kill(self):
@@ -303,7 +303,7 @@
         self.alive = False
         # A task that is cancelled just as what it waits for is done goes on
         # (asyncio.wait_for), so it must also find the gate closed for good.
-        self.gate = asyncio.Event()
+        self.gate.clear()
         for task in self.tasks:
             task.cancel()
 
@@ -331,7 +331,7 @@
 
     def _failed(self, loop, context):
         exc = context.get("exception")
-        if not isinstance(exc, FirhookError):
+        if exc is not None and not isinstance(exc, FirhookError):
             self.failures.append(repr(context))
 
     def boot(self, name, zone):
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -26,9 +26,9 @@
 class Pair:
     """Two meshes, of which the second serves."""
 
-    def __init__(self, serve, other_keys=None):
+    def __init__(self, serve):
         self.keys = keys()
-        self.a = Mesh(*(other_keys or self.keys), self.nobody)
+        self.a = Mesh(*self.keys, self.nobody)
         self.b = Mesh(*self.keys, serve)
 
     async def nobody(self, msg):
@@ -64,10 +64,12 @@
     asyncio.run(scenario())
 
 
-def test_peer_with_another_key_is_refused():
+@pytest.mark.parametrize("claims_the_cells_key", [False, True])
+def test_peer_with_another_key_is_refused(claims_the_cells_key):
     """A process that does not belong to the cell connects to an instance.
 
-    It must get no answer, and above all nothing that it sends may be served.
+    It knows the instance's public key and shows its own, or the cell's without
+    having the secret one.  Nothing that it sends may be served.
     """
 
     async def scenario():
@@ -75,15 +77,24 @@
 
         async def serve(msg):
             served.append(msg)
+            return Ack()
 
-        async with Pair(serve, keys()) as pair:
-            # It knows the cell's public key but not the secret one.
-            pair.a._public = pair.keys[0].encode()
-            pair.a.disconnect(pair.address)
-            pair.a.connect(pair.address)
-            with pytest.raises(PeerUnreachableError):
-                await pair.ask(timeout_s=0.5)
+        async with Pair(serve) as pair:
+            public, secret = zmq.curve_keypair()
+            dealer = pair.a._ctx.socket(zmq.DEALER)
+            dealer.linger = 0
+            cell = pair.keys[0].encode()
+            dealer.curve_publickey = cell if claims_the_cells_key else public
+            dealer.curve_secretkey, dealer.curve_serverkey = secret, cell
+            dealer.connect(f"tcp://{pair.address}")
+            await dealer.send_multipart([b"12345678", pack_frame(Ack())])
+            try:
+                with pytest.raises(TimeoutError):
+                    await asyncio.wait_for(dealer.recv_multipart(), 0.5)
+            finally:
+                dealer.close()
             assert served == []
+            assert await pair.ask() == Ack()
 
     asyncio.run(scenario())
 
