--- a/src/firhook/decide/_grants.py
+++ b/src/firhook/decide/_grants.py
@@ -263,7 +263,8 @@
     def room_for_tasks(self, team: str, part: int, now: float) -> int:
         """Return how many more tasks a team may start in this zone.
 
-        The answer stays set aside until :attr:`tasks` is next set.  Between
+        The answer stays set aside until :meth:`promise` says how much of it was
+        taken, or :attr:`tasks` is next set.  Between
         the decision to start a task and the log's word that it is assigned,
         the same room would otherwise be lent for requests.
         """
@@ -275,6 +276,14 @@
         self._promised[team] = max(room, promised)
         return room
 
+    def promise(self, counts: Mapping[str, int]) -> None:
+        """Keep aside only the room of the tasks that were chosen, by team.
+
+        Called between :meth:`room_for_tasks` and the append, without a wait in
+        between; room that was not chosen may be lent for requests meanwhile.
+        """
+        self._promised = dict(counts)
+
     def spare(self, team: str, part: int, now: float) -> int:
         """Return how much of a part may be moved to another zone.
 
--- a/src/firhook/platform/__init__.py
+++ b/src/firhook/platform/__init__.py
@@ -1,5 +1,6 @@
 """What the platform gives, as interfaces, and their HTTP adapters."""
 
+from firhook._orders import Order, Report, StartOrder, StopOrder, TaskReport
 from firhook.platform._base import (
     Endpoint,
     EndpointClient,
@@ -8,16 +9,13 @@
     LogEntry,
     LogPage,
     LogService,
-    Order,
     Platform,
-    Report,
-    StartOrder,
-    StopOrder,
-    TaskReport,
     WorkerClient,
 )
+from firhook.platform._counted import CountedLog
 
 __all__ = [
+    "CountedLog",
     "Endpoint",
     "EndpointClient",
     "Exchange",
--- a/src/firhook/roles/_members.py
+++ b/src/firhook/roles/_members.py
@@ -14,7 +14,6 @@
 from firhook.errors import (
     FirhookError,
     FrameMalformedError,
-    PeerUnreachableError,
     PlatformUnavailableError,
 )
 from firhook.events import (
@@ -31,6 +30,7 @@
     RecordApplied,
     RoomWanted,
     ServePeer,
+    StreamRebuilt,
 )
 from firhook.kernel import Role, register_role
 from firhook.logs import log
@@ -89,6 +89,7 @@
         bus.answer(LeadView, self._lead_view)
         bus.subscribe(ServePeer, self._on_serve_peer)
         bus.subscribe(RecordApplied, self._on_record)
+        bus.subscribe(StreamRebuilt, self._on_rebuilt)
         bus.subscribe(InstancesListed, self._on_instances)
         bus.subscribe(RoomWanted, self.keeper.want)
         bus.subscribe(LoopStalled, self._on_stall)
@@ -103,6 +104,8 @@
         self._mesh = Mesh(cfg.curve_public, cfg.curve_secret, self._serve)
         bound = self._mesh.bind(cfg.peers)
         self.kernel.ports["peers"] = str(bound)
+        mesh = self._mesh
+        self.kernel.mesh_traffic = lambda: (mesh.sent_bytes, mesh.received_bytes)
         for seed in cfg.seeds:
             self._mesh.connect(str(seed))
 
@@ -186,11 +189,17 @@
         )
 
     def _team_uses(self) -> tuple[TeamUse, ...]:
-        running, waiting = self.kernel.account.running, self.kernel.load.waiting
-        return tuple(
-            TeamUse(team, running.get(team, 0), waiting.get(team, 0), 0.0)
-            for team in sorted({*running, *waiting})
+        running, load = self.kernel.account.running, self.kernel.load
+        uses = (
+            TeamUse(
+                team,
+                running.get(team, 0),
+                load.waiting.get(team, 0),
+                round(load.served_s.get(team, 0.0), 3),
+            )
+            for team in sorted({*running, *load.waiting, *load.served_s})
         )
+        return tuple(u for u in uses if u.running or u.waiting or u.served_s)
 
     async def _serve(self, msg: Any) -> Any:
         handler = self._handlers.get(type(msg))
@@ -232,9 +241,8 @@
 
     async def _ask_peer(self, query: AskPeer) -> Any:
         assert self._mesh is not None
-        address = self._addresses.get(query.peer)
-        if address is None:
-            raise PeerUnreachableError(f"{query.peer}: no address is known", ran="no")
+        # A seed is known by its address before it is known by its name.
+        address = self._addresses.get(query.peer, query.peer)
         return await self._mesh.ask(address, query.body, query.timeout_s)
 
     @Service.task
@@ -279,6 +287,12 @@
         if event.envelope.lane != self.kernel.lane:
             self.leadership.wake.set()
 
+    def _on_rebuilt(self, event: StreamRebuilt) -> None:
+        # The lead's last renewal is in the snapshot and was not read by
+        # itself; counting it as long ago would depose a lead that is well.
+        if event.stream == "cell":
+            self.leadership.look(self.kernel.clock())
+
     def _on_stall(self, event: LoopStalled) -> None:
         self.leadership.stalled()
         log("loop.stalled", level="warning", stall_s=round(event.stall_s, 3))
