--- a/src/firhook/model.py
+++ b/src/firhook/model.py
@@ -40,7 +40,9 @@
     StatsAsk,
     TeamGrant,
     TeamRoom,
+    TeamShort,
     TeamUse,
+    ZoneShort,
     ZoneView,
 )
 from firhook._orders import Order, Report, StartOrder, StopOrder, TaskReport
@@ -135,10 +137,12 @@
     "Team",
     "TeamGrant",
     "TeamRoom",
+    "TeamShort",
     "TeamUse",
     "Verdict",
     "WorkerMarked",
     "ZoneFenced",
+    "ZoneShort",
     "ZoneView",
     "check_job",
     "check_plan",
--- a/src/firhook/roles/_zone_lead.py
+++ b/src/firhook/roles/_zone_lead.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import time
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from typing import Any
 
@@ -194,6 +195,7 @@
         items, notes = self._scheduler.plan(
             term, self._left(), self.kernel.clock(), time.time()
         )
+        self.kernel.grants.promise(Counter(i.job_id.partition("/")[0] for i in items))
         if term.stopping:
             self._eager |= {w for w, r, _ in self._attempts() if r in term.stopping}
         await self._log_assigned(term, items)
