Room of assignments on their way is counted before it is lent again

Cause: the lead's book of grants learnt of tasks only once their assignment had been read back; meanwhile it could lend the same room to requests. Rounds also made starts wait for records that no start needs.

Change: a round counts what it plans before it appends; ends of jobs, reasons and closings are appended together after the assignments; a job is told why it waits at most every 30 s.

Before (planned tasks not counted): a peer got 8 of a limit of 8 while 5 tasks were on their way; it now gets 3. After: tests/roles/test_zone_lead.py passes.

Conclusion: the limit holds between the decision and its record.

--- a/src/firhook/decide/_rounds.py
+++ b/src/firhook/decide/_rounds.py
@@ -39,6 +39,12 @@
 #: ... unless there are more of them than this, about 1 MB.
 MAX_SHOWN_TASKS = 4000
 
+#: A job is told why it waits at most so often: where the reason changes with
+#: every round, a record for each change would use up the appends of starts.
+TELL_S = 30.0
+#: Reasons in one record, about 20 kB; the rest follow in the next rounds.
+MAX_TOLD = 200
+
 
 @attrs.frozen(slots=True)
 class _Reserved:
@@ -68,7 +74,7 @@
         self._waiting_since: dict[str, float] = {}
         self._progressed: dict[Ref, tuple[float, float]] = {}
         self._ended_at: dict[str, float] = {}
-        self._told: dict[str, str] = {}
+        self._told: dict[str, tuple[str, float]] = {}
         self._slots: dict[Need, int] = {}
         self._noted_at: dict[str, float] = {}
         self._looked_at: dict[str, Report | None] = {}
@@ -257,7 +263,7 @@
             Assignment(p.job_id, p.index, self._attempt(p.job_id, p.index), p.worker)
             for p in plan.placements
         )
-        return items, self._held_notes(plan, reservation, term)
+        return items, self._held_notes(plan, reservation, term, now)
 
     def _one_probe_each(self, plan: Plan) -> list:
         probed: set[str] = set()
@@ -390,21 +396,20 @@
         return {t for t, u in self._used.items() if u > used * shares[t] / whole}
 
     def _held_notes(
-        self, plan: Plan, reservation: Reservation | None, term: LeadTerm
+        self, plan: Plan, reservation: Reservation | None, term: LeadTerm, now: float
     ) -> tuple[JobNote, ...]:
         """Return why jobs wait, each reason told once until it changes."""
         notes = []
-        placed = {p.job_id for p in plan.placements}
         for key, reason in plan.held.items():
             entry = self._cell.jobs[key]
             text = self._impossible(entry, term) or reason
             if reservation is not None and reservation.job_id == key:
                 text = f"waits for {len(reservation.workers)} workers set aside for it"
-            if self._told.get(key) != text:
-                self._told[key] = text
-                notes.append(JobNote(key, f"held: {text}"))
-        for key in placed - plan.held.keys():
-            self._told.pop(key, None)
+            last, at = self._told.get(key, ("", float("-inf")))
+            if last == text or now < at + TELL_S or len(notes) >= MAX_TOLD:
+                continue
+            self._told[key] = (text, now)
+            notes.append(JobNote(key, f"held: {text}"))
         return tuple(notes)
 
     def _impossible(self, entry: JobEntry, term: LeadTerm) -> str:
--- a/src/firhook/roles/_zone_lead.py
+++ b/src/firhook/roles/_zone_lead.py
@@ -30,6 +30,7 @@
     Endpoint,
     JobAccepted,
     JobCancelled,
+    JobNote,
     JobsAdopted,
     JobsClosed,
     JobsEnded,
@@ -72,6 +73,7 @@
         self._round_due = asyncio.Event()
         self._talk_due = asyncio.Event()
         self._eager: set[str] = set()
+        self._planned: dict[str, int] = {}
         self._spoke_at: dict[str, float] = {}
         self._talking: dict[str, asyncio.Task[None]] = {}
         self._lead_read_at: float | None = None
@@ -118,6 +120,7 @@
                 self._wake()
         elif event.stream == self._stream and isinstance(body, (Assigned, Ended)):
             self._eager |= self._states.zone.touched
+            self._count_tasks()
             self._wake()
 
     def _note_lead(self, event: RecordApplied) -> None:
@@ -188,7 +191,8 @@
     async def _round(self, term: LeadTerm) -> None:
         if not term.settled:
             await self._settle(term)
-        self.kernel.grants.tasks = dict(self._states.zone.running)
+        self._planned.clear()
+        self._count_tasks()
         await self._log_endings(term)
         self._scheduler.mark_stops(term, self._parts(), self.kernel.clock())
         items, notes = self._scheduler.plan(
@@ -196,12 +200,22 @@
         )
         if term.stopping:
             self._eager |= {w for w, r, _ in self._attempts() if r in term.stopping}
+            self._talk_due.set()
         await self._log_assigned(term, items)
-        if notes:
-            await self._append(term, JobsNoted(notes))
-        await self._log_closed(term)
+        await self._log_rest(term, notes)
         await self._adopter.step(term.epoch, self._timing)
-        self.kernel.grants.tasks = dict(self._states.zone.running)
+
+    def _count_tasks(self) -> None:
+        """Tell the book of grants what runs, or may once its record lands.
+
+        Between a round's decision and the reading of its record the book goes
+        on lending to requests.  Room that it lent again meanwhile would take
+        the team above its limit.
+        """
+        counts = dict(self._states.zone.running)
+        for team, count in self._planned.items():
+            counts[team] = counts.get(team, 0) + count
+        self.kernel.grants.tasks = counts
 
     def _attempts(self) -> Iterable[Any]:
         return self._states.zone.attempts()
@@ -236,19 +250,32 @@
             for mark in self._scheduler.marks(batch, now):
                 log("worker.marked", worker=mark.worker, mark=mark.mark)
                 await self._append(term, mark)
-        ended = self._scheduler.ended_jobs()
-        if ended:
-            body = JobsEnded(self.cfg.zone, term.epoch, ended)
-            await self.kernel.bus.ask(Append("cell", body))
 
     async def _log_assigned(self, term: LeadTerm, items: Sequence[Assignment]) -> None:
+        for item in items:
+            team = item.job_id.partition("/")[0]
+            self._planned[team] = self._planned.get(team, 0) + 1
+        self._count_tasks()
         for batch in batches(items):
             await self._append(term, Assigned(term.epoch, tuple(batch)))
+        self._planned.clear()
+        self._count_tasks()
 
-    async def _log_closed(self, term: LeadTerm) -> None:
+    async def _log_rest(self, term: LeadTerm, notes: tuple[JobNote, ...]) -> None:
+        """Append what no start waits for, together."""
+        waits = []
+        ended = self._scheduler.ended_jobs()
+        if ended:
+            body = JobsEnded(self.cfg.zone, term.epoch, ended)
+            waits.append(self.kernel.bus.ask(Append("cell", body)))
+        if notes:
+            waits.append(self._append(term, JobsNoted(notes)))
         closed = self._scheduler.closable(self.kernel.clock())
         if closed:
-            await self._append(term, JobsClosed(term.epoch, closed))
+            waits.append(self._append(term, JobsClosed(term.epoch, closed)))
+        for result in await asyncio.gather(*waits, return_exceptions=True):
+            if isinstance(result, BaseException):
+                raise result
 
     def _parts(self) -> dict[str, int]:
         return {team: self._part(team) for team in self._states.zone.running}
--- /dev/null
+++ b/tests/roles/test_zone_lead.py
@@ -0,0 +1,176 @@
+"""The zone's lead with its loops, on a log that answers at once or not at all."""
+
+import asyncio
+import types
+
+from firhook._bus import Bus
+from firhook.decide.grants import GrantBook
+from firhook.errors import LogOutcomeUnknownError, WorkerUnreachableError
+from firhook.events import (
+    Append,
+    Applied,
+    InstancesListed,
+    Lead,
+    LeadView,
+    LogAge,
+    RecordApplied,
+)
+from firhook.model import (
+    Assigned,
+    Envelope,
+    JobAccepted,
+    JobSpec,
+    LeadClaimed,
+    Report,
+    Row,
+    RowsChanged,
+    ZoneFenced,
+)
+from firhook.roles._zone_lead import ZoneLead
+from firhook.state import States
+from tests.decide.shop import ZONE, fleet
+
+STREAM = f"zone.{ZONE}"
+
+
+class Workers:
+    """Workers that answer every look and order, but for those that are cut."""
+
+    def __init__(self, cut=()):
+        self.cut = set(cut)
+        self.orders = []
+
+    async def look(self, endpoint):
+        if endpoint.name in self.cut:
+            await asyncio.sleep(30.0)
+            raise WorkerUnreachableError(endpoint.name)
+        return Report(endpoint.name, 1.0, 1, "boot", ())
+
+    async def sync(self, endpoint, order):
+        self.orders.append((endpoint.name, order))
+        return Report(endpoint.name, 1.0, order.epoch, "boot", ())
+
+
+class Desk:
+    """A kernel's part that the lead needs, with a log that a test can spoil."""
+
+    def __init__(self, workers, limit=8):
+        self.cfg = types.SimpleNamespace(
+            zone=ZONE,
+            zones=(ZONE,),
+            sync_s=0.05,
+            task_lease_s=15.0,
+            hold_s=45.0,
+            margin_s=0.1,
+            lead_lease_s=6.0,
+        )
+        self.bus = Bus()
+        self.states = States((ZONE,), ZONE)
+        self.grants = GrantBook(3.0, 30.0)
+        self.grants.open(0.0, first=True)
+        self.platform = types.SimpleNamespace(workers=workers, log=None)
+        self.lane = "i#1"
+        self.stopping = False
+        self.records = []
+        self.spoil = lambda body: None
+        self.seq = 0
+        self.bus.answer(LeadView, self._lead)
+        self.bus.answer(LogAge, self._age)
+        self.bus.answer(Append, self._append)
+        self.lead = ZoneLead(self)
+        self.put("cell", LeadClaimed(ZONE, 1, self.lane))
+        plan = Row("plans", "p", {"share": "1", "limit": str(limit)})
+        self.put("config", RowsChanged(0, (plan, Row("teams", "a", {"plan": "p"}))))
+        self.bus.publish(InstancesListed(tuple(fleet(2))))
+
+    def clock(self):
+        return asyncio.get_event_loop().time()
+
+    def put(self, stream, body):
+        self.seq += 1
+        state = self.states.by_stream[stream]
+        offset, envelope = state.next_offset, Envelope(self.lane, self.seq, body)
+        verdict = state.apply(offset, envelope)
+        self.records.append(body)
+        self.bus.publish(RecordApplied(stream, offset, envelope, verdict))
+        return Applied(offset, verdict)
+
+    async def _lead(self, query):
+        return Lead(1, self.lane, True, 45.0, 6.0)
+
+    async def _age(self, query):
+        return 0.1
+
+    async def _append(self, query):
+        self.spoil(query.body)
+        return self.put(query.stream, query.body)
+
+    async def run(self, seconds):
+        await self.lead.start()
+        await asyncio.sleep(seconds)
+        await self.lead.stop()
+
+
+def test_room_is_counted_as_used_before_its_assignment_is_on_the_log():
+    """The lead also lends a team's room to requests.
+
+    Were the room of an assignment on its way lent meanwhile, the team would
+    have more running than its limit.
+    """
+
+    async def scenario():
+        desk = Desk(Workers(), limit=8)
+        seen = []
+
+        def spoil(body):
+            if isinstance(body, Assigned):
+                seen.append(desk.grants.ask("a", "peer", 8, 0, 8, desk.clock()))
+
+        desk.spoil = spoil
+        desk.put("cell", JobAccepted(JobSpec("j", "a", 5), ZONE))
+        await desk.run(0.6)
+        assert seen == [3]
+
+    asyncio.run(scenario())
+
+
+def test_after_a_lost_answer_a_fence_comes_before_the_next_assignment():
+    """The log takes an assignment but its answer is lost."""
+
+    async def scenario():
+        desk = Desk(Workers())
+        lost = []
+
+        def spoil(body):
+            if isinstance(body, Assigned) and not lost:
+                lost.append(body)
+                raise LogOutcomeUnknownError("lost")
+
+        desk.spoil = spoil
+        desk.put("cell", JobAccepted(JobSpec("j", "a", 2), ZONE))
+        await desk.run(0.6)
+        kinds = [
+            type(r).__name__
+            for r in desk.records
+            if isinstance(r, (ZoneFenced, Assigned))
+        ]
+        assert kinds == ["ZoneFenced", "ZoneFenced", "Assigned"]
+
+    asyncio.run(scenario())
+
+
+def test_one_worker_that_does_not_answer_holds_up_no_other():
+    """A worker's link swallows everything; the call to it hangs.
+
+    Urgent work for another worker must not wait for that call to end.
+    """
+
+    async def scenario():
+        workers = Workers(cut={"w000"})
+        desk = Desk(workers)
+        desk.put("cell", JobAccepted(JobSpec("j", "a", 2), ZONE))
+        await desk.run(0.6)
+        started = [n for n, order in workers.orders if order.start]
+        assert set(started) == {"w001"}
+
+    asyncio.run(scenario())
