--- a/src/firhook/model.py
+++ b/src/firhook/model.py
@@ -45,7 +45,14 @@
     ZoneShort,
     ZoneView,
 )
-from firhook._orders import Order, Report, StartOrder, StopOrder, TaskReport
+from firhook._orders import (
+    Order,
+    Report,
+    StartOrder,
+    StopOrder,
+    TaskReport,
+    running_digest,
+)
 from firhook._records import (
     Assigned,
     Assignment,
@@ -155,5 +162,6 @@
     "parse_list",
     "record",
     "render_list",
+    "running_digest",
     "to_builtins",
 ]
