--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -23,6 +23,7 @@
 from firhook.roles._members import GOSSIP_BYTES_PER_S, TRANSPORT_BYTES  # noqa: E402
 from firhook.settings import Settings  # noqa: E402
 from firhook.state import States  # noqa: E402
+from firhook.state._cell import MAX_KNOWN  # noqa: E402
 from scripts._pages import fill, table  # noqa: E402
 
 DATA = ROOT / "docs" / "data" / "capacity.jsonl"
@@ -135,7 +136,11 @@
     charges = size.charges_per_day / DAY_S * size.peak_factor
     changes = size.changes_per_day / DAY_S
     starts = size.starts_per_s / size.zones
-    renewals = size.zones * 4 / _default("lead_lease_s")
+    renewals = size.zones * m.at(
+        "idle zone among N instances",
+        "log appends a second",
+        size.entries / size.zones,
+    )
     rates = (
         ("job", jobs),
         ("lead renewal", renewals),
@@ -290,10 +295,11 @@
     return [
         Cost(
             role="cell",
-            what="a day's jobs and the zone's tasks",
-            how="every instance follows its own zone's stream only",
+            what="a day's live jobs, ended ones and the zone's tasks",
+            how="own zone's tasks only; ended jobs shrink to their ids",
             memory_mb=(
                 size.jobs_per_day * m.per("job", MEMORY)
+                + m.at("ended job", MEMORY, MAX_KNOWN)
                 + tasks * m.per("running task", MEMORY)
             )
             / 1e6,
@@ -302,7 +308,8 @@
             role="cell",
             what="leading: deciding for the zone's workers",
             how="one lead for each zone; measured over fakes without sockets",
-            core_pct=m.at("worker held by the lead", "% of a core", workers),
+            # The line's base is the idle process, which is counted already.
+            core_pct=workers * m.per("worker held by the lead", "% of a core"),
             lead_only=True,
         ),
         Cost(
