--- a/src/firhook/_leadership.py
+++ b/src/firhook/_leadership.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+import attrs
+
 from firhook.decide.lead import (
     LeadTimes,
     Sight,
@@ -11,7 +13,7 @@
     may_lend,
     silent_until,
 )
-from firhook.decide.lease import HeldLease, SeenLease
+from firhook.decide.lease import DRIFT, HeldLease, SeenLease
 from firhook.events import Append, Lead, LogAge
 from firhook.kernel import Kernel
 from firhook.logs import log
@@ -49,7 +51,8 @@
         self.before_holders = 1
         self._promises: dict[str, float] = {}
         self._fenced = 0
-        self.answered_at = float("-inf")
+        self.promised_at = float("-inf")
+        self.promising = True
         self.joining: set[str] = set()
         self.leaving: set[str] = set()
         self.wake = asyncio.Event()
@@ -61,6 +64,11 @@
             cfg.lend_outage_s,
         )
 
+    @property
+    def promised_until(self) -> float:
+        """When the last promise not to claim has ended for certain."""
+        return self.promised_at + self.times.ttl_s * (1 + DRIFT)
+
     @property
     def state(self) -> LeadState:
         """The zone's lead as the log has it."""
@@ -138,9 +146,9 @@
             return now + self.times.outage_s
         seen = self._before
         return silent_until(
-            TakeOver(seen.released, seen.roster, seen.me, answered, seen.lead_read_at),
+            attrs.evolve(seen, answered=answered),
             self.times,
-            now,
+            max(now, self.promised_until),
         )
 
     async def step(self, roster: frozenset[str], holders: int) -> None:
@@ -162,8 +170,14 @@
             return
         age = await self._kernel.bus.ask(LogAge("cell"))
         lapsed = self._seen.lapsed(now, self.times.lease_s, self.times.margin_s)
-        sight = Sight(lead.released, lapsed, age, self.answered_at)
-        if not may_claim(sight, self.times, now, self._cfg.log_poll_s + _POLL_SLACK_S):
+        # In an outage of the log for everybody the last sight of it is older
+        # than a lease once the lead's has lapsed, and nobody claims in vain.
+        max_age_s = min(self._cfg.log_poll_s + _POLL_SLACK_S, self.times.lease_s)
+        # A lead that the log has lost, but this instance has not, must be
+        # replaced although it still answers, or nobody places the zone's tasks.
+        self.promising = not (lapsed and age <= max_age_s)
+        sight = Sight(lead.released, lapsed, age, self.promised_at)
+        if not may_claim(sight, self.times, now, max_age_s):
             return
         await asyncio.sleep(random.uniform(0, _CLAIM_SPREAD_S))
         # The claim is for the lead as judged before the wait.  Had anyone
--- a/tests/decide/shop.py
+++ b/tests/decide/shop.py
@@ -75,7 +75,7 @@
         self.appends, self.bytes, self.starts = 0, 0, 0
         self._seq = 0
         self._set_lists(teams)
-        self.apply(self.cell, LeadClaimed(ZONE, 1, "lead"))
+        self.apply(self.cell, LeadClaimed(ZONE, 1, "lead", -1))
         self.term = LeadTerm(1, self.zone, self.cell, TIMING, float("-inf"))
         self.scheduler = Scheduler(self.zone, self.cell, self.config)
         self.apply(self.zone, ZoneFenced(1, "lead"))
@@ -245,6 +245,14 @@
                 by_team[job.team] = by_team.get(job.team, 0) + 1
         return by_team
 
+    def cpus_by_team(self):
+        """Return the processors that each team's running tasks have."""
+        used = {}
+        for _, ref, _ in self.zone.attempts():
+            job = self.cell.jobs[ref[0]].job
+            used[job.team] = used.get(job.team, 0.0) + job.cpus
+        return used
+
     def running(self, key):
         """Return where a job's tasks run."""
         return {
