The page of measures: targets with verdicts, a plot, and the run they came from

Change: scripts/measures.py holds each figure against the target of its name, puts those not met first, and shows a measure that failed instead of leaving it out; both pages say at which commit the run was made.

The lines are kept in docs/data/measures.jsonl.

--- /dev/null
+++ b/scripts/_run.py
@@ -0,0 +1,92 @@
+"""Running measures, and saying which run the lines came from."""
+
+import json
+import os
+import platform
+import subprocess
+import sys
+from collections.abc import Iterable, Sequence
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+RUN = "run"
+#: The longest that one measure may take; a stuck one must not hold the page up.
+TIMEOUT_S = 300.0
+
+
+def _command(*args: str) -> subprocess.CompletedProcess[str]:
+    env = {**os.environ, "PYTHONPATH": os.pathsep.join((str(ROOT / "src"), str(ROOT)))}
+    return subprocess.run(
+        [sys.executable, "-m", "bench", *args],
+        cwd=ROOT,
+        env=env,
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+    )
+
+
+def names() -> list[str]:
+    """Return the names of all measures."""
+    return _command("--list").stdout.split()
+
+
+def run_line() -> dict[str, Any]:
+    """Return what the run that follows is made on."""
+    commit = subprocess.run(
+        ["git", "describe", "--always", "--dirty"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+    ).stdout.strip()
+    return {
+        "measure": RUN,
+        "commit": commit or "unknown",
+        "python": platform.python_version(),
+        "processors": os.cpu_count(),
+    }
+
+
+def run_all(chosen: Sequence[str]) -> list[dict[str, Any]]:
+    """Run measures one after another and return their lines.
+
+    A measure that fails leaves a line that says so, so that the page shows it
+    instead of leaving it out.
+    """
+    lines = [run_line()]
+    for name in chosen:
+        print(name, file=sys.stderr, flush=True)
+        try:
+            done = _command(name)
+        except subprocess.TimeoutExpired:
+            lines.append({"measure": name, "failed": f"no end after {TIMEOUT_S:g} s"})
+            continue
+        lines += [json.loads(text) for text in done.stdout.splitlines()]
+        if done.returncode:
+            last = (done.stderr.strip().splitlines() or ["no message"])[-1]
+            lines.append({"measure": name, "failed": last})
+    return lines
+
+
+def write_lines(file: Path, lines: Iterable[dict[str, Any]]) -> None:
+    """Keep lines in a file."""
+    file.parent.mkdir(parents=True, exist_ok=True)
+    file.write_text("".join(json.dumps(line) + "\n" for line in lines))
+
+
+def read_lines(file: Path) -> list[dict[str, Any]]:
+    """Return the lines that a file keeps."""
+    return [json.loads(line) for line in file.read_text().splitlines() if line]
+
+
+def run_text(lines: Sequence[dict[str, Any]]) -> str:
+    """Return in words which run the lines came from."""
+    for line in lines:
+        if line["measure"] == RUN:
+            return (
+                f"The figures are of one run at commit `{line['commit']}`, Python "
+                f"{line['python']}, on a machine of {line['processors']} processors "
+                "shared with other work."
+            )
+    return "The lines do not say which run they came from."
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -6,9 +6,6 @@
 The text between the generated parts is written by hand.
 """
 
-import json
-import os
-import subprocess
 import sys
 from collections.abc import Iterable, Sequence
 from pathlib import Path
@@ -25,6 +22,14 @@
 from firhook.state import States  # noqa: E402
 from firhook.state._cell import MAX_KNOWN  # noqa: E402
 from scripts._pages import fill, table  # noqa: E402
+from scripts._run import (  # noqa: E402
+    RUN,
+    names,
+    read_lines,
+    run_all,
+    run_text,
+    write_lines,
+)
 
 DATA = ROOT / "docs" / "data" / "capacity.jsonl"
 PAGE = ROOT / "docs" / "CAPACITY.md"
@@ -504,46 +509,25 @@
     )
 
 
-def measure() -> list[dict[str, Any]]:
-    """Run the measures and return their lines."""
-    names = [
-        f"capacity_{name}"
-        for name in (
-            "journal",
-            "config",
-            "members",
-            "list",
-            "once",
-            "gateway",
-            "cell",
-            "lead",
-            "sync",
-            "ops",
-            "process",
-        )
-    ]
-    env = {**os.environ, "PYTHONPATH": os.pathsep.join((str(ROOT / "src"), str(ROOT)))}
-    command = [sys.executable, "-m", "bench", *names]
-    done = subprocess.run(
-        command, cwd=ROOT, env=env, stdout=subprocess.PIPE, check=True, text=True
-    )
-    return [json.loads(line) for line in done.stdout.splitlines()]
-
-
 def main(args: Sequence[str]) -> None:
     """Measure, unless told only to render, and fill the page."""
     if "--render" not in args:
-        lines = measure()
-        DATA.parent.mkdir(parents=True, exist_ok=True)
-        DATA.write_text("".join(json.dumps(line) + "\n" for line in lines))
-    m = Lines(json.loads(line) for line in DATA.read_text().splitlines())
+        chosen = [name for name in names() if name.startswith("capacity_")]
+        lines = run_all(chosen)
+        failed = [line for line in lines if "failed" in line]
+        if failed:
+            raise SystemExit(f"the page was left as it is: {failed}")
+        write_lines(DATA, lines)
+    lines = read_lines(DATA)
+    m = Lines(line for line in lines if line["measure"] != RUN)
     size, budget = Size(), Budget()
     parts = {
+        "run": run_text(lines),
         "budgets": verdicts(m, size, budget),
         "roles": cost_table(m, size),
         "gateway": gateway_text(m),
-        "report": report_text(m, size),
         "gossip": gossip_text(m, size),
+        "report": report_text(m, size),
         "slopes": slope_table(m),
         "bent": bent_text(m),
     }
--- a/scripts/measures.py
+++ b/scripts/measures.py
@@ -1,4 +1,4 @@
-"""Renders docs/MEASURES.md and its plots from the output of ``make bench``.
+"""Renders docs/MEASURES.md and its plot from the output of ``make bench``.
 
 ``python scripts/measures.py`` runs all measures but the capacity ones, keeps
 their lines in docs/data/measures.jsonl and fills the generated part of the
@@ -6,18 +6,25 @@
 from a file, such as one written by ``make bench > FILE``.
 """
 
-import json
-import os
-import subprocess
 import sys
 from collections.abc import Iterable, Sequence
 from pathlib import Path
 from typing import Any
 
+import attrs
+
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT / "src"), str(ROOT)]
 
 from scripts._pages import fill, table  # noqa: E402
+from scripts._run import (  # noqa: E402
+    RUN,
+    names,
+    read_lines,
+    run_all,
+    run_text,
+    write_lines,
+)
 
 DATA = ROOT / "docs" / "data" / "measures.jsonl"
 PAGE = ROOT / "docs" / "MEASURES.md"
@@ -25,10 +32,10 @@
 
 #: The measures of the brief, and the prefixes of the names that belong to each.
 CHAPTERS = (
-    ("Requests: waiting time, refusing, routing", "requests_"),
-    ("Placing: packing, waiting time of jobs, share", "placing_"),
-    ("Members: limits, grants, gossip", "members_"),
-    ("Journal: appends, configuration, keys, once", "journal_"),
+    ("Requests: waiting time, refusing, routing", ("requests_",)),
+    ("Placing: packing, waiting time of jobs, share", ("placing_",)),
+    ("Members: limits, grants, gossip", ("members_",)),
+    ("Journal: appends, configuration, keys, once", ("journal", "snapshots")),
 )
 SKIPPED = "capacity_"
 
@@ -50,7 +57,7 @@
     """Return the lines by measure, in the order they came."""
     groups: dict[str, list[dict[str, Any]]] = {}
     for line in lines:
-        if not line["measure"].startswith(SKIPPED):
+        if line["measure"] != RUN and not line["measure"].startswith(SKIPPED):
             groups.setdefault(line["measure"], []).append(line)
     return groups
 
@@ -62,50 +69,89 @@
     return table(fields, rows)
 
 
-def numeric(line: dict[str, Any]) -> dict[str, float]:
-    """Return the fields of a line that a plot can show."""
-    return {
-        k: float(v)
-        for k, v in line.items()
-        if isinstance(v, (int, float)) and not isinstance(v, bool)
-    }
+@attrs.frozen
+class Verdict:
+    """A figure held against its target.
 
+    :param used: how much of the target is used; above 1 it is not met.
+    """
 
-def label_of(line: dict[str, Any]) -> str:
-    """Return what tells a line apart from others of its measure."""
-    texts = [str(v) for k, v in line.items() if isinstance(v, str) and k not in _SAME]
-    return " ".join(texts)[:48] or line["measure"]
+    name: str
+    field: str
+    value: float
+    target: float
+    used: float
+
+
+#: Fields of which more is better; of all others less is.
+_MORE = ("share_of_bound", "per_s", "ratio")
+#: What a bare ``target`` is for, the first of these that a line has.
+_TARGETED = ("share_of_bound", "ratio", "worst", "max_error", "value")
+
+
+def verdicts(lines: Iterable[dict[str, Any]]) -> list[Verdict]:
+    """Return each figure that has a target: ``target`` or ``target_FIELD``."""
+    found = []
+    for line in lines:
+        for key, target in line.items():
+            if not key.startswith("target") or not isinstance(target, (int, float)):
+                continue
+            fields = (key.removeprefix("target_"),) if key != "target" else _TARGETED
+            field = next((f for f in fields if f in line), None)
+            if field is None or not isinstance(line[field], (int, float)):
+                continue
+            value = float(line[field])
+            more = field in _MORE
+            used = target / value if more and value else abs(value) / target
+            name = f"{line['measure']}: {label_of(line)}"
+            found.append(Verdict(name, field, value, float(target), used))
+    return found
+
+
+def verdict_table(found: Sequence[Verdict]) -> str:
+    """Return the table of targets, those not met first."""
+    rows = [
+        [
+            v.name,
+            v.field,
+            plain(v.value),
+            plain(v.target),
+            "met" if v.used <= 1 else "**not met**",
+        ]
+        for v in sorted(found, key=lambda v: -v.used)
+    ]
+    return table(["Measure", "Figure", "Measured", "Target", "Verdict"], rows)
 
 
-_SAME = ("measure", "unit", "target", "command", "baseline", "note")
+def label_of(line: dict[str, Any]) -> str:
+    """Return what tells a line apart from others of its measure."""
+    text = str(line.get("what", ""))
+    size = line.get("workers")
+    return f"{text}, {size} workers" if size else text
 
 
-def plot(name: str, lines: Sequence[dict[str, Any]]) -> Path | None:
-    """Draw a measure's ``value`` or ``ratio`` against its baseline and target."""
-    field = next((f for f in ("ratio", "value") if f in numeric(lines[0])), None)
-    if field is None or len(lines) < 2:
-        return None
+def plot(found: Sequence[Verdict]) -> Path:
+    """Draw how much of each target is used, on a logarithmic scale."""
     import matplotlib as mpl
 
     mpl.use("Agg")
-    mpl.rcParams["svg.hashsalt"] = name
+    mpl.rcParams["svg.hashsalt"] = "targets"
     from matplotlib import pyplot
 
-    drawn = [line for line in lines if field in numeric(line)]
-    labels = [label_of(line) for line in drawn]
-    height = 0.4 * len(drawn) + 1.2
-    figure, axes = pyplot.subplots(figsize=(8, height), layout="constrained")
-    axes.barh(range(len(drawn)), [line[field] for line in drawn], color="#2980b9")
-    for at, line in enumerate(drawn):
-        target = line.get("target")
-        if isinstance(target, (int, float)) and not isinstance(target, bool):
-            axes.plot([target, target], [at - 0.4, at + 0.4], color="#c0392b")
-    axes.set_yticks(range(len(drawn)), labels, fontsize=8)
+    ranked = sorted(found, key=lambda v: -v.used)
+    colours = ["#c0392b" if v.used > 1 else "#2980b9" for v in ranked]
+    size = (9, 0.32 * len(ranked) + 1)
+    figure, axes = pyplot.subplots(figsize=size, layout="constrained")
+    axes.barh(range(len(ranked)), [max(v.used, 0.01) for v in ranked], color=colours)
+    axes.set_yticks(
+        range(len(ranked)), [f"{v.name[:70]} ({v.field})" for v in ranked], fontsize=6
+    )
     axes.invert_yaxis()
-    axes.set_xlabel(f"{field} {lines[0].get('unit', '')}".strip())
-    axes.set_title(name)
+    axes.set_xscale("log")
+    axes.axvline(1.0, color="#222222")
+    axes.set_xlabel("share of the target that is used; above 1 it is not met")
     PLOTS.mkdir(parents=True, exist_ok=True)
-    file = PLOTS / f"{name}.svg"
+    file = PLOTS / "targets.svg"
     figure.savefig(file, metadata={"Date": None})
     pyplot.close(figure)
     return file
@@ -113,11 +159,17 @@
 
 def render(lines: Iterable[dict[str, Any]]) -> str:
     """Return the generated part of the page."""
-    groups = group(lines)
+    kept = list(lines)
+    groups = group(kept)
     parts = []
+    found = verdicts(line for part in groups.values() for line in part)
+    if found:
+        file = plot(found)
+        parts.append(f"## Against the targets\n\n{verdict_table(found)}\n")
+        parts.append(f"![targets](plots/{file.name})\n")
     rest = set(groups)
-    for title, prefix in (*CHAPTERS, ("Others", "")):
-        names = sorted(n for n in rest if n.startswith(prefix))
+    for title, prefixes in (*CHAPTERS, ("Others", ("",))):
+        names = sorted(n for n in rest if n.startswith(prefixes))
         rest -= set(names)
         if not names:
             continue
@@ -125,43 +177,18 @@
         for name in names:
             parts.append(f"### {name}\n\n`python -m bench {name}`\n")
             parts.append(measure_table(groups[name]) + "\n")
-            file = plot(name, groups[name])
-            if file is not None:
-                parts.append(f"![{name}](plots/{file.name})\n")
     return "\n".join(parts)
 
 
-def run() -> list[dict[str, Any]]:
-    """Run every measure that belongs on the page; a failed one is named."""
-    env = {**os.environ, "PYTHONPATH": os.pathsep.join((str(ROOT / "src"), str(ROOT)))}
-    command = [sys.executable, "-m", "bench"]
-    listing = subprocess.run(
-        [*command, "--list"], cwd=ROOT, env=env, capture_output=True, text=True
-    )
-    lines = []
-    for name in listing.stdout.split():
-        if name.startswith(SKIPPED):
-            continue
-        done = subprocess.run(
-            [*command, name], cwd=ROOT, env=env, capture_output=True, text=True
-        )
-        lines += [json.loads(line) for line in done.stdout.splitlines()]
-        if done.returncode:
-            last = (done.stderr.strip().splitlines() or ["no message"])[-1]
-            lines.append({"measure": name, "failed": last})
-    return lines
-
-
 def main(args: Sequence[str]) -> None:
     """Gather the lines and fill the page."""
     if "--from" in args:
-        DATA.write_text(Path(args[args.index("--from") + 1]).read_text())
+        write_lines(DATA, read_lines(Path(args[args.index("--from") + 1])))
     elif "--render" not in args:
-        lines = run()
-        DATA.parent.mkdir(parents=True, exist_ok=True)
-        DATA.write_text("".join(json.dumps(line) + "\n" for line in lines))
-    kept = [json.loads(line) for line in DATA.read_text().splitlines() if line]
-    fill(PAGE, {"measures": render(kept)})
+        chosen = [name for name in names() if not name.startswith(SKIPPED)]
+        write_lines(DATA, run_all(chosen))
+    lines = read_lines(DATA)
+    fill(PAGE, {"run": run_text(lines), "measures": render(lines)})
 
 
 if __name__ == "__main__":
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,4 +1,4 @@
-"""The arithmetic behind the capacity page."""
+"""The arithmetic behind the pages of capacity and of measures."""
 
 import pytest
 from hypothesis import given
@@ -7,6 +7,7 @@
 from bench._slope import bend, slope
 from scripts._pages import fill
 from scripts.capacity import Budget, Cost, Size
+from scripts.measures import verdicts
 
 
 @given(st.floats(-1e3, 1e3), st.floats(-1e3, 1e3))
@@ -41,3 +42,17 @@
     assert (size.workers, size.tasks, size.teams, size.zones) == (910, 9100, 120, 7)
     assert (budget.core_pct, budget.memory_mb, budget.kb_per_s) == (4.7, 64, 14)
     assert Cost(role="cell", what="x", how="y").core_pct == 0
+
+
+def test_figure_is_held_against_the_target_of_its_name():
+    lines = [
+        {"measure": "a", "share_of_bound": 0.9, "target": 0.95},
+        {"measure": "b", "p99_ms": 4.0, "p50_ms": 9.0, "target_p99_ms": 5},
+        {"measure": "c", "worst": -0.1, "target": 0.05},
+    ]
+    found = {v.name[0]: (v.field, v.used <= 1) for v in verdicts(lines)}
+    assert found == {
+        "a": ("share_of_bound", False),
+        "b": ("p99_ms", True),
+        "c": ("worst", False),
+    }
