--- a/tests/golden/sessions.py
+++ b/tests/golden/sessions.py
@@ -35,7 +35,7 @@
 )
 from firhook.kernel import Kernel
 from firhook.logs import _LOGGER
-from firhook.model import Endpoint, decode_envelope, to_builtins
+from firhook.model import Endpoint, decode_envelope, encode_message, to_builtins
 from firhook.platform import (
     EndpointClient,
     Exchange,
@@ -441,6 +441,12 @@
                 NET_S, lambda: asyncio.ensure_future(peer.serve(msg))
             )
 
+    async def tell_all(self, msg: Any) -> int:
+        """Send a one-way message to every peer and return its size in bytes."""
+        for address in sorted(self.connected):
+            await self.tell(address, msg)
+        return len(encode_message(msg))
+
     async def ask(self, address: str, msg: Any, timeout_s: float) -> Any:
         """Send a message and return the answer."""
         self._write(address, msg, "->")
