--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -6,9 +6,6 @@
 The text between the generated parts is written by hand.
 """
 
-import json
-import os
-import subprocess
 import sys
 from collections.abc import Iterable, Sequence
 from pathlib import Path
@@ -23,7 +20,16 @@
 from firhook.roles._members import GOSSIP_BYTES_PER_S, TRANSPORT_BYTES  # noqa: E402
 from firhook.settings import Settings  # noqa: E402
 from firhook.state import States  # noqa: E402
+from firhook.state._cell import MAX_KNOWN  # noqa: E402
 from scripts._pages import fill, table  # noqa: E402
+from scripts._run import (  # noqa: E402
+    RUN,
+    names,
+    read_lines,
+    run_all,
+    run_text,
+    write_lines,
+)
 
 DATA = ROOT / "docs" / "data" / "capacity.jsonl"
 PAGE = ROOT / "docs" / "CAPACITY.md"
@@ -135,7 +141,11 @@
     charges = size.charges_per_day / DAY_S * size.peak_factor
     changes = size.changes_per_day / DAY_S
     starts = size.starts_per_s / size.zones
-    renewals = size.zones * 4 / _default("lead_lease_s")
+    renewals = size.zones * m.at(
+        "idle zone among N instances",
+        "log appends a second",
+        size.entries / size.zones,
+    )
     rates = (
         ("job", jobs),
         ("lead renewal", renewals),
@@ -290,10 +300,11 @@
     return [
         Cost(
             role="cell",
-            what="a day's jobs and the zone's tasks",
-            how="every instance follows its own zone's stream only",
+            what="a day's live jobs, ended ones and the zone's tasks",
+            how="own zone's tasks only; ended jobs shrink to their ids",
             memory_mb=(
                 size.jobs_per_day * m.per("job", MEMORY)
+                + m.at("ended job", MEMORY, MAX_KNOWN)
                 + tasks * m.per("running task", MEMORY)
             )
             / 1e6,
@@ -302,7 +313,8 @@
             role="cell",
             what="leading: deciding for the zone's workers",
             how="one lead for each zone; measured over fakes without sockets",
-            core_pct=m.at("worker held by the lead", "% of a core", workers),
+            # The line's base is the idle process, which is counted already.
+            core_pct=workers * m.per("worker held by the lead", "% of a core"),
             lead_only=True,
         ),
         Cost(
@@ -497,46 +509,25 @@
     )
 
 
-def measure() -> list[dict[str, Any]]:
-    """Run the measures and return their lines."""
-    names = [
-        f"capacity_{name}"
-        for name in (
-            "journal",
-            "config",
-            "members",
-            "list",
-            "once",
-            "gateway",
-            "cell",
-            "lead",
-            "sync",
-            "ops",
-            "process",
-        )
-    ]
-    env = {**os.environ, "PYTHONPATH": os.pathsep.join((str(ROOT / "src"), str(ROOT)))}
-    command = [sys.executable, "-m", "bench", *names]
-    done = subprocess.run(
-        command, cwd=ROOT, env=env, stdout=subprocess.PIPE, check=True, text=True
-    )
-    return [json.loads(line) for line in done.stdout.splitlines()]
-
-
 def main(args: Sequence[str]) -> None:
     """Measure, unless told only to render, and fill the page."""
     if "--render" not in args:
-        lines = measure()
-        DATA.parent.mkdir(parents=True, exist_ok=True)
-        DATA.write_text("".join(json.dumps(line) + "\n" for line in lines))
-    m = Lines(json.loads(line) for line in DATA.read_text().splitlines())
+        chosen = [name for name in names() if name.startswith("capacity_")]
+        lines = run_all(chosen)
+        failed = [line for line in lines if "failed" in line]
+        if failed:
+            raise SystemExit(f"the page was left as it is: {failed}")
+        write_lines(DATA, lines)
+    lines = read_lines(DATA)
+    m = Lines(line for line in lines if line["measure"] != RUN)
     size, budget = Size(), Budget()
     parts = {
+        "run": run_text(lines),
         "budgets": verdicts(m, size, budget),
         "roles": cost_table(m, size),
         "gateway": gateway_text(m),
-        "report": report_text(m, size),
         "gossip": gossip_text(m, size),
+        "report": report_text(m, size),
         "slopes": slope_table(m),
         "bent": bent_text(m),
     }
