--- a/bench/members.py
+++ b/bench/members.py
@@ -10,6 +10,7 @@
 from bench._registry import measure
 from firhook._kernel import Kernel
 from firhook._settings import parse_settings
+from firhook.errors import NotReadyError
 from firhook.events import Append
 from firhook.model import Endpoint, Row, RowsChanged
 from firhook.platform import InstanceList, LogEntry, LogPage, LogService, Platform
@@ -101,8 +102,13 @@
         )
         rows = [Row("plans", "p", {"share": "1", "limit": "2000"})]
         rows += [Row("teams", f"team{i:03}", {"plan": "p"}) for i in range(TEAMS)]
-        lane = self.kernels[0].roles["journal"].lanes["config"]  # type: ignore[attr-defined]
-        await lane.append(Append("config", RowsChanged(0, tuple(rows))))
+        query = Append("config", RowsChanged(0, tuple(rows)))
+        while True:
+            try:
+                await self.kernels[0].bus.ask(query)
+                return
+            except NotReadyError:
+                await asyncio.sleep(0.1)
 
     async def stop(self) -> None:
         """Stop the roles."""
