--- a/tests/golden/sessions.py
+++ b/tests/golden/sessions.py
@@ -420,7 +420,7 @@
 
     def _write(self, address: str, msg: Any, arrow: str) -> None:
         kind = type(msg).__name__
-        if kind in ROUTINE or kind.startswith(("Grant", "Holdings", "ZoneShort")):
+        if kind in ROUTINE or kind.startswith(("Grant", "Holdings")):
             return
         own, other = self._name(self.address), self._name(address)
         text = json.dumps(to_builtins(msg))
