The test of a leaving runner makes sure that the runner was asked

The code was not at fault. Change: twelve quotes side by side, and the runner must have got some. Conclusion: stricter than before, since it fails when nothing was heard.

--- a/tests/failures/test_endpoints.py
+++ b/tests/failures/test_endpoints.py
@@ -72,10 +72,15 @@
     async def scenario():
         async with cell(runners=2, entries=2) as c:
             await c.fault(c.runners[0], leaving=True)
-            for n in range(30):
-                await c.request(c.entries[0], "GET", f"/r/logbook/quote?n={n}")
+            # Side by side, so that both runners get some and the first says it.
+            quotes = (
+                c.request(c.entries[0], "GET", f"/r/logbook/quote?n={n}&ms=100")
+                for n in range(12)
+            )
+            await asyncio.gather(*quotes)
             await asyncio.sleep(2.0)
             before = len((await c.fetch(c.runners[0], "/admin/runs"))["spans"])
+            assert before > 0
             for n in range(30):
                 entry = c.entries[n % 2]
                 status, _ = await c.request(entry, "GET", f"/r/logbook/quote?n={n}")
