--- a/tests/roles/test_zone_lead.py
+++ b/tests/roles/test_zone_lead.py
@@ -67,7 +67,7 @@
         self.bus = Bus()
         self.states = States((ZONE,), ZONE)
         self.grants = GrantBook(3.0, 30.0)
-        self.grants.open(0.0, first=True)
+        self.grants.open(0.0, {}, (), 0.0, 1, 1)
         self.platform = types.SimpleNamespace(workers=workers, log=None)
         self.lane = "i#1"
         self.stopping = False
@@ -78,7 +78,7 @@
         self.bus.answer(LogAge, self._age)
         self.bus.answer(Append, self._append)
         self.lead = ZoneLead(self)
-        self.put("cell", LeadClaimed(ZONE, 1, self.lane))
+        self.put("cell", LeadClaimed(ZONE, 1, self.lane, -1))
         plan = Row("plans", "p", {"share": "1", "limit": str(limit)})
         self.put("config", RowsChanged(0, (plan, Row("teams", "a", {"plan": "p"}))))
         self.bus.publish(InstancesListed(tuple(fleet(2))))
