--- a/src/firhook/model.py
+++ b/src/firhook/model.py
@@ -40,7 +40,9 @@
     StatsAsk,
     TeamGrant,
     TeamRoom,
+    TeamShort,
     TeamUse,
+    ZoneShort,
     ZoneView,
 )
 from firhook._orders import (
@@ -142,10 +144,12 @@
     "Team",
     "TeamGrant",
     "TeamRoom",
+    "TeamShort",
     "TeamUse",
     "Verdict",
     "WorkerMarked",
     "ZoneFenced",
+    "ZoneShort",
     "ZoneView",
     "check_job",
     "check_plan",
--- a/src/firhook/roles/_gateway.py
+++ b/src/firhook/roles/_gateway.py
@@ -9,7 +9,7 @@
 from mode import Service
 
 from firhook._calls import Call, read_call, whole_response
-from firhook._web import problem_response, serve
+from firhook._web import REQUEST_KEY, problem_response, serve
 from firhook.decide.admit import (
     REBALANCE_S,
     Dispatcher,
@@ -139,8 +139,8 @@
                 self.stats.refused(exc.code)
             else:
                 self.stats.refused(exc.code, call.team, call.klass)
-            log("request.refused", code=exc.code, request_id=req["request_id"])
-            resp = problem_response(exc, req["request_id"])
+            log("request.refused", code=exc.code, request_id=req[REQUEST_KEY])
+            resp = problem_response(exc, req[REQUEST_KEY])
             if self.kernel.stopping:
                 resp.force_close()
             return resp
@@ -346,8 +346,10 @@
         load.served_s = dict(self._served_s)
         load.waiting = {}
         load.in_flight = {}
+        load.here = {}
         for service in self._services.values():
-            load.in_flight.update(service.router.in_flight())
+            load.in_flight.update(service.router.beyond_parts())
+            load.here.update(service.router.in_flight())
             for team in service.queue.teams():
                 n = service.queue.waiting(team)
                 load.waiting[team] = load.waiting.get(team, 0) + n
@@ -384,8 +386,13 @@
         return FleetUse(demand, served)
 
     def _live_peers(self, now: float) -> dict[str, Gossip]:
-        old = now - self.cfg.member_timeout_s
-        return {n: h.gossip for n, h in self._heard.items() if h.at >= old}
+        return {
+            name: heard.gossip
+            for name, heard in self._heard.items()
+            # Words get rarer as the fleet grows; three missed make a peer silent.
+            if now - heard.at
+            <= max(self.cfg.member_timeout_s, 3 * heard.gossip.every_s)
+        }
 
     def _on_instances(self, event: InstancesListed) -> None:
         now = self.kernel.clock()
