Endpoints show what runners said of themselves

Cause: peers tell of a runner by name and address, and the list of endpoints looked it up by its name alone.

Before: test_runner_that_said_it_leaves_is_listed_as_leaving failed with (False, 0). After: it passes.

--- a/src/firhook/ops/_health.py
+++ b/src/firhook/ops/_health.py
@@ -116,8 +116,11 @@
         rows = []
         for endpoint in sorted(self._listed, key=lambda e: (e.kind, e.zone, e.name)):
             row = to_builtins(endpoint)
-            row["leaving"] = endpoint.leaving or endpoint.name in leaving
-            row["in_flight"] = in_flight.get(endpoint.name, 0)
+            # Peers tell of a runner by name and address, since one that comes
+            # back elsewhere under its old name is another one.
+            key = f"{endpoint.name}@{endpoint.address}"
+            row["leaving"] = endpoint.leaving or key in leaving
+            row["in_flight"] = in_flight.get(key, 0)
             row["mark"] = marks.get(endpoint.name, ("", ""))[0]
             rows.append(row)
         return json_response({"endpoints": rows})
--- a/tests/roles/test_ops.py
+++ b/tests/roles/test_ops.py
@@ -49,6 +49,15 @@
         assert ask(kernel, "/readyz", port="ops")[0] == 503
 
 
+def test_runner_that_said_it_leaves_is_listed_as_leaving():
+    """The platform's list lags; operators must see what the runner itself said."""
+    with running_kernel() as kernel:
+        kernel.load.leaving.add("runner-1@127.0.0.1:9")
+        kernel.load.in_flight["runner-1@127.0.0.1:9"] = 2
+        [runner] = json.loads(ask(kernel, "/v1/endpoints")[1])["endpoints"]
+        assert (runner["leaving"], runner["in_flight"]) == (True, 2)
+
+
 def test_refused_request_shows_in_its_teams_burn():
     """A service's only runner is dead, and each of a team's requests is refused.
 
