--- a/src/firhook/ops/_health.py
+++ b/src/firhook/ops/_health.py
@@ -112,6 +112,8 @@
         rows = []
         for endpoint in sorted(self._listed, key=lambda e: (e.kind, e.zone, e.name)):
             row = to_builtins(endpoint)
+            # Peers tell of a runner by name and address, since one that comes
+            # back elsewhere under its old name is another one.
             key = f"{endpoint.name}@{endpoint.address}"
             row["leaving"] = endpoint.leaving or key in leaving
             # Peers do not say what they have within their parts, so this is
