--- a/src/firhook/model.py
+++ b/src/firhook/model.py
@@ -40,10 +40,19 @@
     StatsAsk,
     TeamGrant,
     TeamRoom,
+    TeamShort,
     TeamUse,
+    ZoneShort,
     ZoneView,
 )
-from firhook._orders import Order, Report, StartOrder, StopOrder, TaskReport
+from firhook._orders import (
+    Order,
+    Report,
+    StartOrder,
+    StopOrder,
+    TaskReport,
+    running_digest,
+)
 from firhook._records import (
     Assigned,
     Assignment,
@@ -135,10 +144,12 @@
     "Team",
     "TeamGrant",
     "TeamRoom",
+    "TeamShort",
     "TeamUse",
     "Verdict",
     "WorkerMarked",
     "ZoneFenced",
+    "ZoneShort",
     "ZoneView",
     "check_job",
     "check_plan",
@@ -151,5 +162,6 @@
     "parse_list",
     "record",
     "render_list",
+    "running_digest",
     "to_builtins",
 ]
--- a/tests/roles/fleet.py
+++ b/tests/roles/fleet.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import random
 
 import attrs
 
@@ -28,13 +29,11 @@
     Applied,
     AskPeer,
     LogAge,
-    Member,
-    Members,
     RecordApplied,
     RoomChanged,
     RoomWanted,
 )
-from firhook.model import Envelope, Gossip, GrantAsk, HoldingsAsk, Plan, TeamUse
+from firhook.model import Envelope, GrantAsk, HoldingsAsk, Plan, ZoneShort
 from firhook.state import CellState
 
 ZONES = ("a", "b", "c")
@@ -141,7 +140,6 @@
         self.bus.answer(AskPeer, self._ask_peer)
         self.bus.answer(Append, self._append)
         self.bus.answer(LogAge, self._log_age)
-        self.bus.answer(Members, self._members)
         self.bus.subscribe(RecordApplied, self.lender.on_record)
         self.bus.subscribe(RoomWanted, self.keeper.want)
         self.bus.subscribe(RoomChanged, lambda event: self.serve())
@@ -185,6 +183,7 @@
         kinds = {
             GrantAsk: other.lender.on_ask,
             HoldingsAsk: other.keeper.on_holdings_ask,
+            ZoneShort: other.lender.on_zone_short,
         }
         serve = self.fleet.loop.create_task(
             other.served(kinds[type(query.body)], query)
@@ -233,22 +232,10 @@
     async def _log_age(self, query):
         return self.clock() - self.seen_end_at
 
-    async def _members(self, query):
-        result = []
-        for node in list(self.fleet.nodes.values()):
-            if node is self or not node.reaches(self) or not node.gate.is_set():
-                continue
-            use = TeamUse(TEAM, 0, 0, 0.0, node.keeper.short(TEAM))
-            word = Gossip(
-                node.name, node.cfg.zone, node.lane, 0, 0, 0.0, True, False, (), (use,)
-            )
-            result.append(Member(node.name, node.cfg.zone, node.lane, 0.1, word))
-        return tuple(result)
-
     # -- its loops -------------------------------------------------------
 
     async def _every(self, seconds, step):
-        while True:
+        while self.alive:
             await self.gate.wait()
             with contextlib.suppress(FirhookError):
                 await step()
@@ -268,12 +255,25 @@
             if self.reaches_log:
                 self.read_on()
 
+    def take_state_of_a_peer(self):
+        """Read what a peer has read, as at a boot while the log is out."""
+        for peer in self.fleet.nodes.values():
+            if peer is not self and peer.alive and self.reaches(peer):
+                self.read_to(peer.states.config.version, peer.states.cell.next_offset)
+                return
+
     def read_on(self):
         """Apply what the streams hold beyond what was read."""
         log = self.fleet.log
-        self.states.config.version = len(log.limits) - 1
+        self.read_to(len(log.limits) - 1, len(log.records))
+        self.seen_end_at = self.clock()
+
+    def read_to(self, version, end):
+        """Apply the streams up to a version and an offset."""
+        log = self.fleet.log
+        self.states.config.version = version
         cell = self.states.cell
-        while cell.next_offset < len(log.records):
+        while cell.next_offset < end:
             offset = cell.next_offset
             envelope = log.records[offset]
             verdict = cell.apply(offset, envelope)
@@ -284,7 +284,6 @@
                 fut.set_result(Applied(offset, verdict))
             elif fut is not None:
                 self.pending[envelope.seq] = fut
-        self.seen_end_at = self.clock()
 
     # -- requests --------------------------------------------------------
 
@@ -308,13 +307,16 @@
 
     async def ended(self):
         """Give room back once the answer is read."""
-        await self.gate.wait()
         if self.alive:
+            await self.gate.wait()
             self.account.give_back(TEAM)
 
     def kill(self):
         """End the process; its requests run on at the runners."""
         self.alive = False
+        # A task that is cancelled just as what it waits for is done goes on
+        # (asyncio.wait_for), so it must also find the gate closed for good.
+        self.gate.clear()
         for task in self.tasks:
             task.cancel()
 
@@ -323,6 +325,8 @@
     """Three zones of two instances each."""
 
     def __init__(self, per_zone=2):
+        # Claims are spread at random; the same run each time needs a seed.
+        random.seed(0)
         self.loop = VirtualLoop()
         asyncio.set_event_loop(self.loop)
         self.log = FakeLog(self.loop)
@@ -342,13 +346,15 @@
 
     def _failed(self, loop, context):
         exc = context.get("exception")
-        if not isinstance(exc, FirhookError):
+        if exc is not None and not isinstance(exc, FirhookError):
             self.failures.append(repr(context))
 
     def boot(self, name, zone):
         """Start an instance, afresh if it ran before."""
         self.runs += 1
-        self.nodes[name] = Node(self, name, zone, self.runs)
+        node = self.nodes[name] = Node(self, name, zone, self.runs)
+        if self.log.down:
+            node.take_state_of_a_peer()
 
     def bound(self):
         """Return the most that may run at this moment.
@@ -396,8 +402,9 @@
         self.log.down, self.log.delay_s = False, 0.005
         for node in list(self.nodes.values()):
             node.cut = node.log_cut = False
-            node.gate.set()
-            if not node.alive:
+            if node.alive:
+                node.gate.set()
+            else:
                 self.boot(node.name, node.cfg.zone)
 
     def close(self):
