What follows from ended attempts has a module of its own

Cause: decide/_rounds.py held two jobs in 500 lines: placing, and what ends say of workers and jobs. Change: decide/_endings.py; the behaviour stays, the tests keep their checks. Conclusion: _rounds.py is still long; its rooms could go next.

--- a/src/firhook/decide/_rounds.py
+++ b/src/firhook/decide/_rounds.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from firhook.decide._endings import Endings
 from firhook.decide._orders import LeadTerm, WorkerView
 from firhook.decide._place import Need, Room, Rooms
 from firhook.decide._preempt import (
@@ -13,7 +14,7 @@
     leaving,
     over_limit,
 )
-from firhook.decide._repair import Ledger, outcome_of, pending
+from firhook.decide._repair import Ledger, pending
 from firhook.decide._turns import (
     GANG_AGE_S,
     Plan,
@@ -24,21 +25,11 @@
 )
 from firhook.model import (
     Assignment,
-    Ending,
-    JobEnd,
     JobNote,
     Report,
-    WorkerMarked,
 )
 from firhook.state import CellState, ConfigState, JobEntry, Ref, ZoneState
 
-QUARANTINED = "quarantined"
-
-#: Attempts of ended jobs stay on show for so long, ...
-CLOSE_AFTER_S = 300.0
-#: ... unless there are more of them than this, about 1 MB.
-MAX_SHOWN_TASKS = 4000
-
 #: A job is told why it waits at most so often: where the reason changes with
 #: every round, a record for each change would use up the appends of starts.
 TELL_S = 30.0
@@ -60,20 +51,23 @@
 
 
 class Scheduler:
-    """Decides for one zone from the states and the lead's view of the workers."""
+    """Decides for one zone from the states and the lead's view of the workers.
+
+    :ivar endings: what follows from attempts that have ended.
+    """
 
     def __init__(self, zone: ZoneState, cell: CellState, config: ConfigState) -> None:
         self._zone = zone
         self._cell = cell
         self._config = config
         self._ledger = Ledger()
+        self.endings = Endings(zone, cell, self._ledger)
         self._budget = PreemptBudget()
         self._reserved: dict[str, _Reserved] = {}
         self._used: dict[str, float] = {}
         self._total = Need(0.0, 0, 0)
         self._waiting_since: dict[str, float] = {}
         self._progressed: dict[Ref, tuple[float, float]] = {}
-        self._ended_at: dict[str, float] = {}
         self._told: dict[str, tuple[str, float]] = {}
         self._slots: dict[Need, int] = {}
         self._noted_at: dict[str, float] = {}
@@ -440,66 +434,3 @@
         ):
             for ref, reason in chosen.items():
                 term.stopping.setdefault(ref, reason)
-
-    # -- ends ----------------------------------------------------------------------
-
-    def note_ended(self, endings: tuple[Ending, ...], now: float) -> None:
-        """Note ends that the log holds by now."""
-        for ending in endings:
-            task = self._zone.tasks.get(ending.job_id, {}).get(ending.index)
-            if task is not None:
-                self._ledger.note(ending, task.worker, now)
-
-    def marks(self, endings: tuple[Ending, ...], now: float) -> list[WorkerMarked]:
-        """Return the workers to quarantine and to take back."""
-        marks = [
-            WorkerMarked(worker, QUARANTINED, reason)
-            for worker, reason in self._ledger.sick(self._zone, now)
-        ]
-        for ending in endings:
-            task = self._zone.tasks.get(ending.job_id, {}).get(ending.index)
-            if task is None or ending.outcome != "done":
-                continue
-            if task.worker in self._zone.marks:
-                self._ledger.recovered(task.worker)
-                marks.append(WorkerMarked(task.worker, "", "a task ended well on it"))
-        return marks
-
-    def ended_jobs(self) -> tuple[JobEnd, ...]:
-        """Return the jobs that have ended and are not yet recorded so."""
-        ended = []
-        for entry in self._cell.jobs_of(self._zone.zone):
-            key = entry.job.key
-            if self._zone.live_tasks.get(key):
-                continue
-            if key not in self._zone.tasks and not entry.cancelled:
-                continue
-            outcome = outcome_of(entry, self._zone)
-            if outcome:
-                ended.append(JobEnd(key, outcome))
-        return tuple(ended)
-
-    def closable(self, now: float) -> tuple[str, ...]:
-        """Return the jobs whose attempts need no longer be remembered."""
-        over = []
-        for key in self._zone.tasks:
-            entry = self._cell.jobs.get(key)
-            here = entry is not None and entry.zone == self._zone.zone
-            if here and entry is not None and not entry.ended:
-                continue
-            if not self._zone.live_tasks.get(key):
-                over.append(key)
-        for key in over:
-            self._ended_at.setdefault(key, now)
-        shown = sum(len(self._zone.tasks[key]) for key in over)
-        closed = []
-        for key in sorted(over, key=lambda k: self._ended_at[k]):
-            if shown <= MAX_SHOWN_TASKS and now < self._ended_at[key] + CLOSE_AFTER_S:
-                break
-            shown -= len(self._zone.tasks[key])
-            closed.append(key)
-        for key in closed:
-            del self._ended_at[key]
-            self._ledger.forget_job(key)
-            self._told.pop(key, None)
-        return tuple(closed)
--- a/src/firhook/decide/rounds.py
+++ b/src/firhook/decide/rounds.py
@@ -1,5 +1,6 @@
 """One round of a zone's lead."""
 
-from firhook.decide._rounds import QUARANTINED, Scheduler
+from firhook.decide._endings import QUARANTINED
+from firhook.decide._rounds import Scheduler
 
 __all__ = ["QUARANTINED", "Scheduler"]
--- a/src/firhook/roles/_zone_lead.py
+++ b/src/firhook/roles/_zone_lead.py
@@ -248,8 +248,8 @@
         for i in range(0, len(endings), MAX_BATCH):
             batch = endings[i : i + MAX_BATCH]
             await self._append(term, Ended(term.epoch, batch))
-            self._scheduler.note_ended(batch, now)
-            for mark in self._scheduler.marks(batch, now):
+            self._scheduler.endings.note(batch, now)
+            for mark in self._scheduler.endings.marks(batch, now):
                 log("worker.marked", worker=mark.worker, mark=mark.mark)
                 await self._append(term, mark)
 
@@ -266,13 +266,13 @@
     async def _log_rest(self, term: LeadTerm, notes: tuple[JobNote, ...]) -> None:
         """Append what no start waits for, together."""
         waits = []
-        ended = self._scheduler.ended_jobs()
+        ended = self._scheduler.endings.ended_jobs()
         if ended:
             body = JobsEnded(self.cfg.zone, term.epoch, ended)
             waits.append(self.kernel.bus.ask(Append("cell", body)))
         if notes:
             waits.append(self._append(term, JobsNoted(notes)))
-        closed = self._scheduler.closable(self.kernel.clock())
+        closed = self._scheduler.endings.closable(self.kernel.clock())
         if closed:
             waits.append(self._append(term, JobsClosed(term.epoch, closed)))
         for result in await asyncio.gather(*waits, return_exceptions=True):
--- a/tests/decide/shop.py
+++ b/tests/decide/shop.py
@@ -190,10 +190,10 @@
         if endings:
             self.apply(self.zone, Ended(1, endings))
             self.ended += endings
-            self.scheduler.note_ended(endings, self.now)
-            for mark in self.scheduler.marks(endings, self.now):
+            self.scheduler.endings.note(endings, self.now)
+            for mark in self.scheduler.endings.marks(endings, self.now):
                 self.apply(self.zone, mark)
-        ended = self.scheduler.ended_jobs()
+        ended = self.scheduler.endings.ended_jobs()
         if ended:
             self.apply(self.cell, JobsEnded(ZONE, 1, ended))
         limits = {t: self.config.plan_of(t).limit for t in self.zone.running}
