Messages, queries and values that nothing uses are removed

Change: TaskRef, ZoneView, GatewayStats, JobView, SubmitJob and CancelJob go. Ruled out: keeping them for later, which a newcomer would take for parts.

--- a/src/firhook/_jobs.py
+++ b/src/firhook/_jobs.py
@@ -56,14 +56,6 @@
         return f"{self.team}/{self.job_id}"
 
 
-@attrs.frozen(slots=True)
-class TaskRef:
-    """Names one task of a job."""
-
-    job_id: str
-    index: int
-
-
 def _check_number(
     name: str, value: float, low: float, high: float, problems: list[str]
 ) -> None:
--- a/src/firhook/_messages.py
+++ b/src/firhook/_messages.py
@@ -247,19 +247,6 @@
     data: str
 
 
-@message
-@attrs.frozen(slots=True)
-class ZoneView:
-    """A zone lead's word on its room, so that jobs go where they fit."""
-
-    zone: str
-    epoch: int
-    free_cpus: float
-    free_memory_mb: int
-    free_accelerators: int
-    pending_tasks: int
-
-
 @message
 @attrs.frozen(slots=True)
 class StatsAsk:
--- a/src/firhook/events.py
+++ b/src/firhook/events.py
@@ -169,15 +169,3 @@
     """The room of a team at this instance changed."""
 
     team: str
-
-
-@attrs.frozen(slots=True)
-class GatewayStats(Query[dict[str, Any]]):
-    """Counters and histograms of the gateway, for the reports."""
-
-
-@attrs.frozen(slots=True)
-class JobView(Query[dict[str, Any]]):
-    """A job with its tasks and explained steps, wherever it is placed."""
-
-    job_key: str
--- a/src/firhook/model.py
+++ b/src/firhook/model.py
@@ -11,7 +11,7 @@
     to_builtins,
 )
 from firhook._endpoints import Endpoint
-from firhook._jobs import JobSpec, TaskRef, check_job
+from firhook._jobs import JobSpec, check_job
 from firhook._lists import (
     Plan,
     Row,
@@ -43,7 +43,6 @@
     TeamShort,
     TeamUse,
     ZoneShort,
-    ZoneView,
 )
 from firhook._orders import (
     Order,
@@ -138,7 +137,6 @@
     "StatsAnswer",
     "StatsAsk",
     "StopOrder",
-    "TaskRef",
     "TaskReport",
     "TasksCarried",
     "Team",
@@ -150,7 +148,6 @@
     "WorkerMarked",
     "ZoneFenced",
     "ZoneShort",
-    "ZoneView",
     "check_job",
     "check_plan",
     "check_team",
--- a/src/firhook/queries.py
+++ b/src/firhook/queries.py
@@ -3,7 +3,7 @@
 import attrs
 
 from firhook._bus import Query
-from firhook.model import JobSpec, Row
+from firhook.model import Row
 from firhook.platform import Exchange
 
 
@@ -81,23 +81,6 @@
     key_id: str
 
 
-@attrs.frozen(slots=True)
-class SubmitJob(Query[str]):
-    """Accepts a job; the answer is the zone that places it.
-
-    :raises JobConflictError: if another job has the id.
-    """
-
-    job: JobSpec
-
-
-@attrs.frozen(slots=True)
-class CancelJob(Query[None]):
-    """Cancels a job."""
-
-    job_key: str
-
-
 @attrs.frozen(slots=True)
 class OnceBegin(Query["Exchange | None"]):
     """Claims the single run of a keyed non-idempotent request.
