--- a/tests/failures/test_rolling_restart.py
+++ b/tests/failures/test_rolling_restart.py
@@ -77,7 +77,8 @@
                 clients.entries.append(new)
         clients.stopping = True
         await load
-        assert sum((await c.runs()).values()) == clients.outcomes["whole"]
+        runs = sum((await c.runs()).values())
+        assert runs == clients.outcomes["whole"], clients.outcomes
         return clients.outcomes
 
 
