The capacity of a lead's orders is measured as they are sent

Cause: a quiet round renews by digest now, while the measure still listed each task; headers were left out. Change: the order and the report of a quiet round, over HTTP, with headers.

--- a/bench/capacity_process.py
+++ b/bench/capacity_process.py
@@ -12,8 +12,8 @@
 
 from bench._registry import measure
 from bench._slope import points
-from firhook.model import Endpoint
-from firhook.platform import Order, Report, StartOrder, TaskReport
+from firhook.model import Endpoint, running_digest
+from firhook.platform import Order, Report, StartOrder
 from firhook.platform.http import http_platform
 from standins.cluster import Cluster, Proc
 
@@ -171,9 +171,21 @@
 SYNC_TASKS = 10
 
 
-def _sync_order(epoch: int, stamp: float, tasks: int = SYNC_TASKS) -> Order:
+#: Request line, status line and headers of one exchange with a worker, counted
+#: by hand.
+HTTP_BYTES = 380
+
+
+def _sync_order(epoch: int, stamp: float, boot: str, tasks: int = SYNC_TASKS) -> Order:
+    """Return the order of a quiet round: all that runs is renewed by digest."""
     refs = tuple((f"team-1/job-{i}", 0, 1) for i in range(tasks))
-    return Order(epoch=epoch, not_after=stamp + 60.0, lease_s=60.0, renew=refs)
+    return Order(
+        epoch=epoch,
+        not_after=stamp + 60.0,
+        lease_s=60.0,
+        boot=boot,
+        renew_all=running_digest(refs),
+    )
 
 
 async def _syncs() -> list[float]:
@@ -184,18 +196,26 @@
         endpoint = Endpoint("worker-1", "worker", "porto", address)
         platform = http_platform(session, cluster.platform_url, 2.0, 2.0)
         workers = platform.workers
-        stamp = (await workers.look(endpoint)).stamp
+        looked = await workers.look(endpoint)
+        stamp = looked.stamp
         starts = tuple(
             StartOrder(f"team-1/job-{i}", 0, 1, 1.0, 256, 0, 3600.0, True)
             for i in range(SYNC_TASKS)
         )
-        first = Order(epoch=1, not_after=stamp + 60.0, lease_s=60.0, start=starts)
+        first = Order(
+            epoch=1,
+            not_after=stamp + 60.0,
+            lease_s=60.0,
+            boot=looked.boot,
+            start=starts,
+        )
         await workers.sync(endpoint, first)
         spent = []
         for count in SYNCS:
             before = time.process_time()
             for _ in range(count):
-                await workers.sync(endpoint, _sync_order(1, stamp))
+                order = _sync_order(1, stamp, looked.boot)
+                assert (await workers.sync(endpoint, order)).same
             spent.append(time.process_time() - before)
         await platform.endpoints.close()
         return spent
@@ -203,7 +223,7 @@
 
 @measure("capacity_sync")
 def capacity_sync() -> Iterable[dict[str, Any]]:
-    """One order over HTTP that renews ten tasks at a worker, and its report."""
+    """One order over HTTP that renews a worker's tasks by digest, and its report."""
     values = [s * 1e6 for s in asyncio.run(_syncs())]
     yield points("cell", "order to a worker", "us of processor time", SYNCS, values)
     held = (5, 10, 20)
@@ -212,11 +232,12 @@
 
 
 def _exchange_bytes(tasks: int) -> int:
-    """Return the bytes of an order that renews tasks, and of its report."""
-    reports = [TaskReport(f"team-1/job-{i}", 0, 1, "running") for i in range(tasks)]
-    report = Report("worker-1", 1.0, 1, "boot", tuple(reports))
-    order = _sync_order(1, 0.0, tasks)
-    return len(msgspec.json.encode(order)) + len(msgspec.json.encode(report))
+    """Return the bytes of a quiet round's order and of its report."""
+    report = Report("worker-1", 1.0, 1, "boot", (), same=True, brief=True)
+    order = _sync_order(1, 0.0, "boot", tasks)
+    return (
+        len(msgspec.json.encode(order)) + len(msgspec.json.encode(report)) + HTTP_BYTES
+    )
 
 
 LISTED = (60, 300, 1900)
