Connections that wait to be accepted are not reset at a stop

Cause: closing a listening socket resets the connections that the kernel has completed and the process has not accepted; their callers saw a request cut that was sent to a live connection. Ruled out: a few more turns of the loop before the close, which leaves as much time for new connections as a turn takes. Change: the socket accepts all that waits in the step that closes it. Conclusion: this cut is gone; a handshake that is under way at the close can still be reset, which the balancer's lag is for.

--- a/src/firhook/_web.py
+++ b/src/firhook/_web.py
@@ -1,6 +1,8 @@
 """What all HTTP routes share: problem documents, request ids, bodies, keys."""
 
+import asyncio
 import math
+import socket
 import uuid
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -21,6 +23,9 @@
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 REQUEST_ID = "X-Request-Id"
+#: Connections that may wait to be accepted; a burst beyond it is retried by
+#: the callers' kernels after a second.
+BACKLOG = 512
 #: Where a request keeps its id.
 REQUEST_KEY = web.RequestKey("request_id", str)
 
@@ -118,6 +123,46 @@
     return who
 
 
+class DrainedSite(web.SockSite):
+    """A listening socket that closes without cutting who has connected.
+
+    The kernel completes connections before the process accepts them.  Those
+    that still wait when a listening socket is closed are reset, and their
+    callers see a request cut that was sent to a live connection.  So everything
+    that waits is accepted in the same step in which the socket is closed.
+
+    :param runner: serves what is accepted.
+    :param sock: the listening socket, not blocking.
+    """
+
+    def __init__(self, runner: web.AppRunner, sock: socket.socket) -> None:
+        super().__init__(runner, sock, backlog=BACKLOG)
+        self._app_runner = runner
+        self._listening = sock
+        self._accepted: set[asyncio.Task[Any]] = set()
+
+    async def stop(self) -> None:
+        """Accept what waits, and close."""
+        self._accept_waiting()
+        await super().stop()
+
+    def _accept_waiting(self) -> None:
+        loop = asyncio.get_running_loop()
+        assert self._app_runner.server is not None
+        while True:
+            try:
+                conn, _ = self._listening.accept()
+            except OSError:
+                # Nothing waits any more, or the socket is closed already.
+                return
+            conn.setblocking(False)
+            task = loop.create_task(
+                loop.connect_accepted_socket(self._app_runner.server, conn)
+            )
+            self._accepted.add(task)
+            task.add_done_callback(self._accepted.discard)
+
+
 async def serve(routes: list[web.RouteDef], host: str, port: int, max_body: int) -> Any:
     """Start serving routes; return the runner and the port it got."""
     app = web.Application(middlewares=[problems], client_max_size=max_body)
@@ -129,6 +174,10 @@
         app, access_log=None, shutdown_timeout=1.0, auto_decompress=False
     )
     await runner.setup()
-    site = web.TCPSite(runner, host, port)
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setblocking(False)
+    sock.bind((host, port))
+    site = DrainedSite(runner, sock)
     await site.start()
     return runner, site
