--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -26,11 +26,11 @@
 
 
 def pytest_collection_modifyitems(config, items):
-    """Pass over the tests that KNOWN-RED.txt lists, and over no others."""
+    """Pass in CI over the tests that KNOWN-RED.txt lists, and over no others."""
     lines = known_red()
     if len(lines) > 3:
         raise pytest.UsageError("KNOWN-RED.txt lists more than three tests")
-    red = {line.split()[0] for line in lines}
+    red = {line.split()[0] for line in lines} if os.environ.get("CI") else set()
     for item in items:
         if item.nodeid in red:
             item.add_marker(pytest.mark.skip(reason="listed in KNOWN-RED.txt"))
