--- a/src/firhook/_daemon.py
+++ b/src/firhook/_daemon.py
@@ -12,6 +12,7 @@
 from cyclopts import App, Parameter
 
 from firhook import __version__
+from firhook._instance_daemon import run_instance
 from firhook._settings import Settings, load_settings
 from firhook.errors import SettingsInvalidError
 from firhook.kernel import Kernel
@@ -27,12 +28,17 @@
 @app.default
 def run(
     *,
-    config: Annotated[Path, Parameter(help="The settings file, in INI.")],
+    config: Annotated[
+        Path | None,
+        Parameter(help="The settings file, in INI; none on the users' platform."),
+    ] = None,
     check: Annotated[
         bool, Parameter(negative="", help="Check the settings and exit.")
     ] = False,
 ) -> int:
     """Run the daemon until it is told to stop by SIGTERM or SIGINT."""
+    if config is None:
+        return run_instance(check)
     try:
         cfg = load_settings(config)
     except SettingsInvalidError as exc:
--- a/src/firhook/_errors.py
+++ b/src/firhook/_errors.py
@@ -162,6 +162,56 @@
     "The records asked for have expired",
     "Rebuild from the latest snapshot; the journal does this by itself.",
 )
+LogFencedError = _kind(
+    "LogFencedError",
+    "log.fenced",
+    409,
+    "A newer epoch has written to the log",
+    "Another instance leads the cell now; this one steps down by itself.",
+)
+LogSequenceError = _kind(
+    "LogSequenceError",
+    "log.sequence",
+    409,
+    "The log expects another sequence number",
+    "The lead steps down and takes over anew with a higher epoch by itself.",
+)
+LogMovedError = _kind(
+    "LogMovedError",
+    "log.moved",
+    412,
+    "The partition does not end where the append expected",
+    "Read on to the end and decide anew; nothing was recorded.",
+)
+LogFullError = _kind(
+    "LogFullError",
+    "log.full",
+    507,
+    "The platform's log has no space left",
+    "Have ended jobs dropped sooner, or the platform's space enlarged.",
+)
+QueueUnknownError = _kind(
+    "QueueUnknownError",
+    "queue.unknown",
+    404,
+    "No queue has this host and path",
+    "Check the host and the path against the configuration in force.",
+)
+JobGoneError = _kind(
+    "JobGoneError",
+    "job.gone",
+    410,
+    "No such job is kept in this queue",
+    "Check the id; ended jobs are kept for a limited time only.",
+)
+SubmissionUnknownError = _kind(
+    "SubmissionUnknownError",
+    "job.submission_unknown",
+    504,
+    "The log did not say in time whether it took the job",
+    "Submit the same id again; it remains one job.",
+    "unknown",
+)
 PlatformUnavailableError = _kind(
     "PlatformUnavailableError",
     "platform.unavailable",
--- /dev/null
+++ b/src/firhook/_instance_daemon.py
@@ -0,0 +1,96 @@
+"""Start and graceful stop of an instance on the users' platform."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+from pathlib import Path
+
+from firhook.errors import SettingsInvalidError
+from firhook.instance import Instance
+from firhook.logs import log, setup_logs
+from firhook.platform.instance import (
+    SETTINGS_VARIABLE,
+    InstanceSettings,
+    load_instance_settings,
+    new_session,
+)
+
+EXIT_SETTINGS = 2
+EXIT_CRASHED = 1
+#: The settings file may change without a signal; it is compared so often.
+_WATCH_S = 1.0
+
+
+def run_instance(check: bool) -> int:
+    """Run an instance with the settings that the platform lays down.
+
+    :param check: only check the settings.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        print(f"give --config, or set {SETTINGS_VARIABLE}", file=sys.stderr)
+        return EXIT_SETTINGS
+    try:
+        settings = load_instance_settings(Path(path))
+    except SettingsInvalidError as exc:
+        print(f"{exc.detail}\n{exc.remedy}", file=sys.stderr)
+        return EXIT_SETTINGS
+    if check:
+        print(f"{path}: settings are valid")
+        return 0
+    return asyncio.run(_run(settings, Path(path)))
+
+
+async def _run(settings: InstanceSettings, path: Path) -> int:
+    setup_logs(settings.zone, settings.name, stream=sys.stdout)
+    told = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for sig in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sig, told.set)
+    changed = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, changed.set)
+    async with new_session() as session:
+        instance = Instance(settings, session)
+        log("instance.starting", incarnation=instance.incarnation)
+        await instance.start()
+        log("instance.started", incarnation=instance.incarnation)
+        watching = asyncio.create_task(_watch(path, settings, changed))
+        crashed = asyncio.create_task(instance.wait_until_stopped())
+        waiting = asyncio.create_task(told.wait())
+        await asyncio.wait({crashed, waiting}, return_when=asyncio.FIRST_COMPLETED)
+        watching.cancel()
+        if not told.is_set():
+            error = repr(instance.crash_reason)
+            log("instance.crashed", level="error", error=error)
+            return EXIT_CRASHED
+        await instance.drain()
+        await instance.stop()
+        crashed.cancel()
+        log("instance.stopped")
+    return 0
+
+
+async def _watch(
+    path: Path, settings: InstanceSettings, changed: asyncio.Event
+) -> None:
+    """Say when the settings file changes, and whether it can still be read.
+
+    What an instance goes by while it runs, its addresses and bounds, is fixed
+    at its start; a change takes effect at the next one.
+    """
+    known = settings
+    while True:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(changed.wait(), _WATCH_S)
+        signalled = changed.is_set()
+        changed.clear()
+        try:
+            now = load_instance_settings(path)
+        except SettingsInvalidError as exc:
+            log("settings.invalid", level="error", detail=exc.detail)
+            continue
+        if signalled or now != known:
+            log("settings.read", changed=now != known, signalled=signalled)
+        known = now
--- /dev/null
+++ b/src/firhook/cell/_replica.py
@@ -0,0 +1,148 @@
+"""What every instance keeps of the cell's topic."""
+
+from collections.abc import Iterator
+
+import attrs
+
+from firhook.cell._records import (
+    CANCEL_PREFIX,
+    JOB_PREFIX,
+    LEAD_KEY,
+    MESH_KEY,
+    PEER_PREFIX,
+    STATE_PREFIX,
+    AcceptedJob,
+    JobState,
+    JobStatus,
+    LeadRecord,
+    MeshKeys,
+    PeerRecord,
+    decode_record,
+)
+from firhook.errors import RecordMalformedError
+from firhook.logs import log
+
+
+@attrs.define(slots=True, eq=False)
+class JobView:
+    """A job as an instance sees it.
+
+    :ivar accepted: ``None`` as long as only its cancelling is known.
+    :ivar state: what the lead wrote last; ``None`` before it wrote anything.
+    """
+
+    accepted: AcceptedJob | None = None
+    cancelled: bool = False
+    state: JobState | None = None
+
+    @property
+    def status(self) -> JobStatus:
+        """Where the job stands.
+
+        What the lead wrote goes first: a job that ended before its cancelling
+        arrived stays as it ended.
+        """
+        status = JobStatus(self.state.status) if self.state else JobStatus.QUEUED
+        if self.cancelled and not status.ended:
+            return JobStatus.CANCELLED
+        return status
+
+
+class Replica:
+    """The newest value of each key, and what follows from them.
+
+    Records may be applied in any order, since of two with one key the one with
+    the higher offset holds.  A replica can thus be rebuilt from pages that
+    were read while others wrote, which are no snapshot, and then read on.
+
+    :ivar next_offset: all records before it were applied.
+    :ivar jobs: jobs by id.
+    """
+
+    def __init__(self) -> None:
+        self.next_offset = 0
+        self.jobs: dict[str, JobView] = {}
+        self.peers: dict[str, PeerRecord] = {}
+        self.lead: LeadRecord | None = None
+        self.mesh_keys: MeshKeys | None = None
+        self._offsets: dict[str, int] = {}
+
+    def apply(self, offset: int, key: str, value: bytes | None) -> str | None:
+        """Apply a record, and return the id of the job that it changed, if any.
+
+        :param value: ``None`` if the key was dropped.
+        """
+        if offset < self._offsets.get(key, -1):
+            return None
+        try:
+            job_id = self._set(key, value)
+        except RecordMalformedError as exc:
+            # The key keeps its older value.  Every instance reads the same
+            # bytes, so all come to the same.
+            log("record.malformed", level="warning", key=key, detail=exc.detail)
+            return None
+        if value is None:
+            self._offsets.pop(key, None)
+        else:
+            self._offsets[key] = offset
+        return job_id
+
+    def _set(self, key: str, value: bytes | None) -> str | None:
+        prefix, slash, name = key.partition("/")
+        if slash and prefix + slash in (JOB_PREFIX, CANCEL_PREFIX, STATE_PREFIX):
+            self._set_job(prefix + slash, name, value)
+            return name
+        if prefix + slash == PEER_PREFIX:
+            self._set_peer(name, value)
+        elif key == LEAD_KEY:
+            self.lead = decode_record(LeadRecord, value) if value else None
+        elif key == MESH_KEY and value:
+            self.mesh_keys = decode_record(MeshKeys, value)
+        return None
+
+    def _set_job(self, prefix: str, job_id: str, value: bytes | None) -> None:
+        job = self.jobs.get(job_id) or JobView()
+        if prefix == JOB_PREFIX:
+            job.accepted = decode_record(AcceptedJob, value) if value else None
+        elif prefix == STATE_PREFIX:
+            job.state = decode_record(JobState, value) if value else None
+        else:
+            job.cancelled = value is not None
+        if job.accepted is None and job.state is None and not job.cancelled:
+            self.jobs.pop(job_id, None)
+        else:
+            self.jobs[job_id] = job
+
+    def _set_peer(self, name: str, value: bytes | None) -> None:
+        if value is None:
+            self.peers.pop(name, None)
+        else:
+            self.peers[name] = decode_record(PeerRecord, value)
+
+    def find(self, job_id: str) -> JobView | None:
+        """Return an accepted job."""
+        job = self.jobs.get(job_id)
+        return job if job is not None and job.accepted is not None else None
+
+    def unended(self) -> Iterator[tuple[str, JobView]]:
+        """Return the accepted jobs that may still have something to do.
+
+        A job that ended may have runs left that are being stopped.
+        """
+        for job_id, job in self.jobs.items():
+            if job.accepted is None:
+                continue
+            if not job.status.ended or job.state is None or job.state.steps:
+                yield job_id, job
+
+    def pending(self, address: str) -> int:
+        """Return how many jobs of a queue wait for their first task to start.
+
+        :param address: host and path of the queue.
+        """
+        return sum(
+            job.accepted is not None
+            and job.accepted.queue.address == address
+            and job.status == JobStatus.QUEUED
+            for job in self.jobs.values()
+        )
--- /dev/null
+++ b/src/firhook/cell/_resources.py
@@ -0,0 +1,59 @@
+"""Amounts of processor, memory and accelerators."""
+
+import attrs
+
+
+@attrs.frozen(slots=True)
+class Resources:
+    """What a task needs, a worker has, or a team may use.
+
+    :param cpu_m: processors, in thousandths of a core.
+    :param memory_mb: memory, in megabytes.
+    :param accelerators: accelerators.
+    """
+
+    cpu_m: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def plus(self, other: "Resources", times: int = 1) -> "Resources":
+        """Return the sum of this and ``times`` another."""
+        return Resources(
+            self.cpu_m + other.cpu_m * times,
+            self.memory_mb + other.memory_mb * times,
+            self.accelerators + other.accelerators * times,
+        )
+
+    def minus(self, other: "Resources", times: int = 1) -> "Resources":
+        """Return this less ``times`` another."""
+        return self.plus(other, -times)
+
+    def covers(self, other: "Resources") -> bool:
+        """Return whether this is at least another in every amount."""
+        return (
+            self.cpu_m >= other.cpu_m
+            and self.memory_mb >= other.memory_mb
+            and self.accelerators >= other.accelerators
+        )
+
+    def copies(self, need: "Resources", most: int) -> int:
+        """Return how many times a need fits, ``most`` at the most."""
+        count = most
+        if need.cpu_m > 0:
+            count = min(count, self.cpu_m // need.cpu_m)
+        if need.memory_mb > 0:
+            count = min(count, self.memory_mb // need.memory_mb)
+        if need.accelerators > 0:
+            count = min(count, self.accelerators // need.accelerators)
+        return max(count, 0)
+
+    def scaled(self, factor: float) -> "Resources":
+        """Return this times a factor, rounded down."""
+        return Resources(
+            int(self.cpu_m * factor),
+            int(self.memory_mb * factor),
+            int(self.accelerators * factor),
+        )
+
+
+NOTHING = Resources()
--- /dev/null
+++ b/src/firhook/cell/records.py
@@ -0,0 +1,23 @@
+"""The records of a cell's topic: their keys and how they are encoded."""
+
+from firhook.cell._records import (
+    CANCEL_PREFIX,
+    JOB_PREFIX,
+    LEAD_KEY,
+    MESH_KEY,
+    PEER_PREFIX,
+    STATE_PREFIX,
+    decode_record,
+    encode_record,
+)
+
+__all__ = [
+    "CANCEL_PREFIX",
+    "JOB_PREFIX",
+    "LEAD_KEY",
+    "MESH_KEY",
+    "PEER_PREFIX",
+    "STATE_PREFIX",
+    "decode_record",
+    "encode_record",
+]
--- /dev/null
+++ b/src/firhook/clock.py
@@ -0,0 +1,5 @@
+"""The clock that leases are measured with."""
+
+from firhook._clock import boot_time
+
+__all__ = ["boot_time"]
--- a/src/firhook/daemon.py
+++ b/src/firhook/daemon.py
@@ -3,3 +3,6 @@
 from firhook._daemon import main
 
 __all__ = ["main"]
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/firhook/decide/_schedule.py
@@ -0,0 +1,367 @@
+"""Which waiting tasks start now, and where.
+
+A round goes through the steps that wait, the most urgent first, and gives each
+the workers it may use, as far as there is room.
+"""
+
+import heapq
+from collections.abc import Iterable
+
+import attrs
+
+from firhook.cell import Book, Resources, Run, Step, StepSpec, Task
+from firhook.decide.tickets import AdviceWish, TicketBook, wish_for
+
+#: Gangs for which room is kept in a round.  Each keeps other work off some
+#: workers until its room is together; many at once would leave most of the
+#: cell waiting for itself.
+RESERVED_GANGS = 3
+#: Work that ends before a gang's room is together may use the room meanwhile;
+#: estimates are off, so that it must end well before.
+_BACKFILL_FACTOR = 1.25
+
+
+@attrs.define(slots=True, eq=False)
+class WorkerView:
+    """A worker in a round.
+
+    :param usable: whether new work may start on it.
+    :param slow: whether it works slower than others of its pool.
+    :ivar free: what is left on it.
+    :ivar reserved_at: when the room that is kept for gangs is together.
+    :ivar spare: what is left then beside the room kept.
+    """
+
+    name: str
+    life: int
+    pool: str
+    rack: str
+    labels: frozenset[str]
+    free: Resources
+    usable: bool = True
+    slow: bool = False
+    reserved_at: float = 0.0
+    spare: Resources | None = None
+
+    def take(self, need: Resources) -> None:
+        """Use up some of what is left."""
+        self.free = self.free.minus(need)
+        if self.spare is not None:
+            self.spare = self.spare.minus(need)
+
+
+@attrs.frozen(slots=True)
+class Placement:
+    """Tasks of one step that start together, each with worker and life."""
+
+    step: Step
+    tasks: tuple[tuple[Task, str, int], ...]
+
+
+@attrs.define(slots=True)
+class RoundResult:
+    """What a round decided."""
+
+    placements: list[Placement] = attrs.field(factory=list)
+    wishes: list[AdviceWish] = attrs.field(factory=list)
+
+
+def urgency(step: Step, now: float) -> tuple[int, int, float]:
+    """Return the place of a step in the order of a round.
+
+    Load: unlike work at over three quarters of the cell's room, with bursts
+    beyond it.  Harm: first come, first served lets a charge that has ten
+    seconds take the room of a quote that has half a second; strict priority
+    lets a burst of plans starve charges until they miss their own objective.
+
+    Work that can still meet its objective goes before work that cannot; of it
+    the queues that go first by configuration, whose work is short; then what
+    must start soonest.
+    """
+    latest = step.latest_start()
+    hopeless = 1 if latest < now - step.job.queue.target_s else 0
+    first = 0 if step.job.queue.priority == 0 else 1
+    return (hopeless, first, latest)
+
+
+class Round:
+    """One round over the waiting steps.
+
+    :param workers: the workers by name, with what is left on them; the round
+        uses it up as it places.
+    """
+
+    def __init__(
+        self,
+        book: Book,
+        workers: dict[str, WorkerView],
+        tickets: TicketBook,
+        now: float,
+    ) -> None:
+        self._book = book
+        self._workers = workers
+        self._tickets = tickets
+        self._now = now
+        self._reserved = 0
+        self._team_use = dict(book.team_use)
+        self.result = RoundResult()
+
+    def run(self) -> RoundResult:
+        """Place what can start now."""
+        steps = sorted(
+            self._book.open_steps.values(), key=lambda s: urgency(s, self._now)
+        )
+        for step in steps:
+            if step.spec.gang:
+                self._place_gang(step)
+            else:
+                self._place_tasks(step)
+        return self.result
+
+    # What a step may use.
+
+    def _suitable(self, step: Step) -> list[WorkerView]:
+        pool, label = step.job.queue.pool, step.spec.label
+        return [
+            w
+            for w in self._workers.values()
+            if w.usable and w.pool == pool and (not label or label in w.labels)
+        ]
+
+    def _permitted(self, step: Step) -> int:
+        """Return how many more tasks of the step the team may have running."""
+        team = self._book.config.team_by_name.get(step.job.team)
+        idle = len(step.idle)
+        if team is None:
+            return idle
+        used = self._team_use.get(team.name, Resources())
+        if team.permits(used.plus(step.spec.need, idle)):
+            return idle
+        low, high = 0, idle
+        while low < high:
+            middle = (low + high + 1) // 2
+            if team.permits(used.plus(step.spec.need, middle)):
+                low = middle
+            else:
+                high = middle - 1
+        return low
+
+    def _advised(self, step: Step, suitable: list[WorkerView]) -> list[WorkerView]:
+        """Return those that the step may start on now, and note what to ask."""
+        if step.job.queue.advice is None:
+            return suitable
+        advice = self._tickets.of(step)
+        by_room = sorted(suitable, key=lambda w: -w.free.cpu_m)
+        has_room = any(
+            w.name in advice.yes and w.free.covers(step.spec.held) for w in by_room
+        )
+        asked = [(w.name, w.life) for w in by_room]
+        wish = wish_for(step, advice, asked, has_room, self._now)
+        if wish is not None:
+            self.result.wishes.append(wish)
+        return [
+            w for w in suitable if advice.ticket(w.name, w.life, self._now) is not None
+        ]
+
+    def _may_run(self, step: Step, suitable: list[WorkerView]) -> list[WorkerView]:
+        """Return those that the step may run on, with or without a ticket now."""
+        if step.job.queue.advice is None:
+            return suitable
+        yes = self._tickets.of(step).yes
+        return [w for w in suitable if w.name in yes]
+
+    # Single tasks.
+
+    def _place_tasks(self, step: Step) -> None:
+        suitable = self._suitable(step)
+        usable = self._advised(step, suitable)
+        permitted = self._permitted(step)
+        if not usable or not permitted:
+            return
+        on_worker = _count_by_worker(step.runs()) if step.spec.per_worker else {}
+        chosen: list[tuple[Task, str, int]] = []
+        for task in list(step.idle.values())[:permitted]:
+            avoid = {run.worker for run in task.runs}
+            worker = self._best(step, usable, on_worker, avoid)
+            if worker is None:
+                break
+            worker.take(step.spec.held)
+            if step.spec.per_worker:
+                on_worker[worker.name] = on_worker.get(worker.name, 0) + 1
+            chosen.append((task, worker.name, worker.life))
+        self._choose(step, chosen)
+
+    def _best(
+        self,
+        step: Step,
+        workers: Iterable[WorkerView],
+        on_worker: dict[str, int],
+        avoid: set[str],
+    ) -> WorkerView | None:
+        """Return the worker that is left with the least room.
+
+        The fullest that fits is taken, which keeps others whole for gangs;
+        slow ones and those away from the data come last.
+        """
+        spec, urgent = step.spec, step.job.queue.priority == 0
+        best, best_key = None, (True, True, 0)
+        for worker in workers:
+            if worker.name in avoid or not worker.free.covers(spec.held):
+                continue
+            if spec.per_worker and on_worker.get(worker.name, 0) >= spec.per_worker:
+                continue
+            if not urgent and not self._leaves_reserved(worker, spec):
+                continue
+            away = bool(spec.data_rack) and worker.rack != spec.data_rack
+            key = (away, worker.slow, worker.free.cpu_m)
+            if best is None or key < best_key:
+                best, best_key = worker, key
+        return best
+
+    def _leaves_reserved(self, worker: WorkerView, spec: StepSpec) -> bool:
+        if worker.spare is None or worker.spare.covers(spec.held):
+            return True
+        ends_at = self._now + spec.estimate_s * _BACKFILL_FACTOR
+        return not spec.lasting and ends_at <= worker.reserved_at
+
+    def _choose(self, step: Step, chosen: list[tuple[Task, str, int]]) -> None:
+        if not chosen:
+            return
+        team = step.job.team
+        used = self._team_use.get(team, Resources())
+        self._team_use[team] = used.plus(step.spec.need, len(chosen))
+        self.result.placements.append(Placement(step, tuple(chosen)))
+
+    # Gangs.
+
+    def _place_gang(self, step: Step) -> None:
+        suitable = self._suitable(step)
+        usable = self._advised(step, suitable)
+        if self._permitted(step) < step.spec.count:
+            return
+        chosen = self._gang_workers(step, usable)
+        if chosen is not None:
+            tasks = list(step.idle.values())
+            rows = [(t, w.name, w.life) for t, w in zip(tasks, chosen, strict=True)]
+            self._choose(step, rows)
+            return
+        if self._reserved < RESERVED_GANGS:
+            self._reserve(step, self._may_run(step, suitable))
+
+    def _gang_workers(
+        self, step: Step, usable: list[WorkerView]
+    ) -> list[WorkerView] | None:
+        """Return a worker for each member and take its room, or ``None``."""
+        if step.spec.same_rack:
+            by_rack: dict[str, list[WorkerView]] = {}
+            for worker in usable:
+                by_rack.setdefault(worker.rack, []).append(worker)
+            for rack in sorted(by_rack):
+                chosen = self._fill(step, by_rack[rack])
+                if chosen is not None:
+                    return chosen
+        return self._fill(step, usable)
+
+    def _fill(self, step: Step, workers: list[WorkerView]) -> list[WorkerView] | None:
+        spec = step.spec
+        most = spec.per_worker or spec.count
+        fits: list[tuple[bool, bool, int, WorkerView, int]] = []
+        for worker in workers:
+            room = worker.free
+            if worker.spare is not None and not self._in_time(worker, spec):
+                room = _least(room, worker.spare)
+            slots = room.copies(spec.held, most)
+            if slots:
+                left = worker.free.cpu_m - slots * spec.held.cpu_m
+                away = bool(spec.data_rack) and worker.rack != spec.data_rack
+                fits.append((away, worker.slow, left, worker, slots))
+        if sum(fit[4] for fit in fits) < spec.count:
+            return None
+        # A gang is as slow as its slowest member.
+        fits.sort(key=lambda fit: fit[:3])
+        chosen: list[WorkerView] = []
+        for _, _, _, worker, slots in fits:
+            count = min(slots, spec.count - len(chosen))
+            for _ in range(count):
+                worker.take(spec.held)
+                chosen.append(worker)
+            if len(chosen) == spec.count:
+                break
+        return chosen
+
+    def _in_time(self, worker: WorkerView, spec: StepSpec) -> bool:
+        return self._now + spec.estimate_s * _BACKFILL_FACTOR <= worker.reserved_at
+
+    def _reserve(self, step: Step, workers: list[WorkerView]) -> None:
+        """Keep room for a gang that does not fit yet.
+
+        Load: gangs of tens of cores in a cell that is four fifths full.  Harm:
+        whenever a task ends, a smaller one takes its place, so that the gang's
+        room never comes together and it starves until the load falls.
+
+        The moment is worked out at which enough of what runs will have ended,
+        and other work may use that room only if it ends before, or beside it.
+        """
+        spec = step.spec
+        most = spec.per_worker or spec.count
+        room = {w.name: (w.free if w.spare is None else w.spare) for w in workers}
+        slots = {n: room[n].copies(spec.held, most) for n in room}
+        total = sum(slots.values())
+        ends = self._ends_on(workers)
+        at = self._now
+        while total < spec.count and ends:
+            at, _, name, need = heapq.heappop(ends)
+            room[name] = room[name].plus(need)
+            more = room[name].copies(spec.held, most)
+            total += more - slots[name]
+            slots[name] = more
+        if total < spec.count:
+            return
+        self._reserved += 1
+        left = spec.count
+        for worker in sorted(workers, key=lambda w: -slots[w.name]):
+            count = min(slots[worker.name], left)
+            if not count:
+                break
+            left -= count
+            worker.spare = room[worker.name].minus(spec.held, count)
+            worker.reserved_at = max(worker.reserved_at, at)
+
+    def _ends_on(
+        self, workers: list[WorkerView]
+    ) -> list[tuple[float, int, str, Resources]]:
+        ends: list[tuple[float, int, str, Resources]] = []
+        for worker in workers:
+            for run in self._book.worker_runs.get(worker.name, {}).values():
+                spec = run.task.step.spec
+                if spec.lasting:
+                    continue
+                at = self._now + run.left_s(self._now)
+                ends.append((at, len(ends), worker.name, spec.held))
+        heapq.heapify(ends)
+        return ends
+
+
+def _least(one: Resources, other: Resources) -> Resources:
+    return Resources(
+        min(one.cpu_m, other.cpu_m),
+        min(one.memory_mb, other.memory_mb),
+        min(one.accelerators, other.accelerators),
+    )
+
+
+def _count_by_worker(runs: Iterable[Run]) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for run in runs:
+        counts[run.worker] = counts.get(run.worker, 0) + 1
+    return counts
+
+
+def place_round(
+    book: Book, workers: dict[str, WorkerView], tickets: TicketBook, now: float
+) -> RoundResult:
+    """Decide which waiting tasks start now and where.
+
+    :param now: on the boot clock.
+    """
+    return Round(book, workers, tickets, now).run()
--- /dev/null
+++ b/src/firhook/decide/_tickets.py
@@ -0,0 +1,234 @@
+"""What the adviser said of each step, and when to ask it again."""
+
+from collections.abc import Container, Iterable
+
+import attrs
+
+from firhook.cell import Advice, Step
+
+#: A ticket is not used in the last part of its time: the assignment has to be
+#: stored and the start has to arrive before it ends, which takes 15 to 30 ms at
+#: a calm store; a start with a ticket that is out of date is refused and the
+#: work waits for another answer.
+TICKET_MARGIN_S = 0.12
+#: The adviser takes so many workers in one call.
+MAX_ASKED = 100
+#: An answer that costs so little is asked for only when there is room, since
+#: it then comes before anything else could take the room.
+CHEAP_S = 0.1
+
+
+@attrs.frozen(slots=True)
+class Ticket:
+    """Permission to run a step's tasks on one life of a worker."""
+
+    text: str
+    life: int
+    until: float
+
+
+@attrs.define(slots=True, eq=False)
+class StepAdvice:
+    """What is known of one step.
+
+    The adviser's yes or no to a worker never changes; only tickets end.
+
+    :ivar yes: the newest ticket of each worker that may run it.
+    :ivar no: the workers that may not.
+    :ivar asking: whether an answer is on its way.
+    """
+
+    yes: dict[str, Ticket] = attrs.field(factory=dict)
+    no: set[str] = attrs.field(factory=set)
+    asking: bool = False
+
+    def ticket(self, worker: str, life: int, now: float) -> Ticket | None:
+        """Return a ticket that can still be used."""
+        ticket = self.yes.get(worker)
+        if ticket is None or ticket.life != life:
+            return None
+        return ticket if ticket.until - TICKET_MARGIN_S > now else None
+
+    def drop_ticket(self, worker: str) -> None:
+        """Forget a ticket that was refused; the yes stays known."""
+        ticket = self.yes.get(worker)
+        if ticket is not None:
+            self.yes[worker] = attrs.evolve(ticket, until=0.0)
+
+    def known(self, worker: str) -> bool:
+        """Return whether the adviser has answered for a worker."""
+        return worker in self.yes or worker in self.no
+
+    def earliest_end(self) -> float:
+        """Return when the first of the newest tickets ends; 0 if there is none."""
+        return min((t.until for t in self.yes.values()), default=0.0)
+
+    def take(
+        self,
+        asked: Iterable[tuple[str, int]],
+        advice: Advice,
+        answered_at: float,
+    ) -> None:
+        """Take in an answer.
+
+        :param asked: the workers that were asked about, with their lives.
+        """
+        for worker, life in asked:
+            text = advice.tickets.get(worker)
+            if text is None:
+                self.no.add(worker)
+                self.yes.pop(worker, None)
+            else:
+                until = answered_at + advice.valid_s
+                self.yes[worker] = Ticket(text, life, until)
+
+
+class TicketBook:
+    """The advice on all steps that wait."""
+
+    def __init__(self) -> None:
+        self._steps: dict[str, StepAdvice] = {}
+
+    def of(self, step: Step) -> StepAdvice:
+        """Return what is known of a step."""
+        advice = self._steps.get(step.name)
+        if advice is None:
+            advice = self._steps[step.name] = StepAdvice()
+        return advice
+
+    def text(self, step: Step, worker: str) -> str:
+        """Return the newest ticket of a step for a worker, if there is one."""
+        ticket = self.of(step).yes.get(worker)
+        return ticket.text if ticket is not None else ""
+
+    def keep_only(self, jobs: Container[str]) -> None:
+        """Forget the steps of jobs that are over.
+
+        A step that has started may need its advice again, when a run ends
+        otherwise than done.
+        """
+        for name in [n for n in self._steps if n.partition(".")[0] not in jobs]:
+            if not self._steps[name].asking:
+                del self._steps[name]
+
+
+@attrs.frozen(slots=True)
+class AdviceWish:
+    """Workers to ask the adviser about for a step.
+
+    :param cost_s: how long the answer takes.
+    :param before: wishes with a lower value go first.
+    """
+
+    step: Step
+    workers: tuple[tuple[str, int], ...]
+    cost_s: float
+    before: float
+
+
+def wish_for(
+    step: Step,
+    advice: StepAdvice,
+    workers: list[tuple[str, int]],
+    has_room: bool,
+    now: float,
+) -> AdviceWish | None:
+    """Return what to ask the adviser about a step now, if anything.
+
+    Load: every step needs an answer before it starts, and its tickets end
+    while it waits for room.  Harm: with the answer asked for only once there is
+    room, a step of a slow queue (about 1 s an answer) leaves that room empty
+    for a second or loses it to others; asked for all the time, the answers
+    would take the adviser's time from the steps that can start.
+
+    All workers are asked about at first, as each costs a hundredth of the call.
+    Later only those that may run it are, ahead of the end of their tickets if
+    the answer is slow, and once there is room if it is fast.
+
+    :param workers: those that could run it, with their lives; the ones with
+        most room first.
+    :param has_room: whether one of those that may run it has room.
+    """
+    policy = step.job.queue.advice
+    if policy is None or advice.asking:
+        return None
+    unknown = [w for w in workers if not advice.known(w[0])][:MAX_ASKED]
+    if unknown and not advice.yes:
+        return _wish(step, unknown, now)
+    usable = [w for w in workers if w[0] in advice.yes][:MAX_ASKED]
+    if not usable:
+        return _wish(step, unknown, now) if unknown else None
+    ends_at = min(_until(advice, w) for w in usable)
+    cost_s = policy.takes_s(len(usable))
+    if cost_s > CHEAP_S:
+        due = ends_at - TICKET_MARGIN_S - cost_s <= now
+    else:
+        due = has_room and ends_at - TICKET_MARGIN_S <= now
+    return _wish(step, usable, now) if due else None
+
+
+def _until(advice: StepAdvice, worker: tuple[str, int]) -> float:
+    ticket = advice.yes[worker[0]]
+    return ticket.until if ticket.life == worker[1] else 0.0
+
+
+def _wish(step: Step, workers: list[tuple[str, int]], now: float) -> AdviceWish | None:
+    policy = step.job.queue.advice
+    if not workers or policy is None:
+        return None
+    cost_s = policy.takes_s(len(workers))
+    latest = step.latest_start()
+    # What can still be in time goes before what cannot.
+    before = latest if latest > now else latest + 1e6
+    return AdviceWish(step, tuple(workers), cost_s, before)
+
+
+@attrs.define(slots=True, eq=False)
+class AdviserSeat:
+    """An instance through which the adviser can be asked.
+
+    The adviser answers each calling machine's questions one after the other, so
+    that a fast question behind a slow one waits for it.
+
+    :param fast_only: whether slow questions keep away from it.
+    :ivar busy_until: when its last question will be answered.
+    :ivar avoid_until: an instance that did not answer is left alone till then.
+    """
+
+    name: str
+    fast_only: bool = False
+    busy_until: float = 0.0
+    avoid_until: float = 0.0
+    waiting: int = 0
+
+
+#: One instance in so many answers fast questions only.  In the calm a sixth of
+#: the instances would do for these; a burst of three times as many quotes then
+#: still finds an instance that no slow question occupies.
+FAST_SEATS_ONE_IN = 4
+#: Questions that wait at one instance; the adviser refuses beyond 32.
+MAX_FAST_WAITING = 8
+MAX_SLOW_WAITING = 1
+
+
+def reserve_seats(seats: list[AdviserSeat]) -> None:
+    """Choose the instances that slow questions keep away from."""
+    ordered = sorted(seats, key=lambda seat: seat.name)
+    count = len(ordered) // FAST_SEATS_ONE_IN
+    for i, seat in enumerate(ordered):
+        seat.fast_only = i < count
+
+
+def choose_seat(
+    seats: list[AdviserSeat], cost_s: float, now: float
+) -> AdviserSeat | None:
+    """Return the instance that answers a question first; ``None`` if all are full."""
+    slow = cost_s > CHEAP_S
+    most = MAX_SLOW_WAITING if slow else MAX_FAST_WAITING
+    best: AdviserSeat | None = None
+    for seat in seats:
+        if seat.avoid_until > now or seat.waiting >= most or (slow and seat.fast_only):
+            continue
+        if best is None or max(seat.busy_until, now) < max(best.busy_until, now):
+            best = seat
+    return best
--- /dev/null
+++ b/src/firhook/decide/_worker_health.py
@@ -0,0 +1,61 @@
+"""Which workers are left alone because of what became of their runs."""
+
+import attrs
+
+from firhook.cell import End
+
+#: Failures in a row, of different jobs, after which a worker is left alone.  A
+#: job that can never be done fails wherever it runs, so that failures of one
+#: job count once; three jobs of that kind in a row on one worker are rare where
+#: one job in a hundred is hopeless.
+FAILURES_IN_A_ROW = 3
+#: How long a worker is left alone at first, and at most.
+FIRST_REST_S = 2.0
+LONGEST_REST_S = 10.0
+
+
+@attrs.define(slots=True, eq=False)
+class WorkerHealth:
+    """What became of the runs of one worker.
+
+    Load: a worker that fails all it starts ends its runs within milliseconds,
+    so that it always has room and draws most of what waits.  Harm: each task
+    has a few attempts only; within seconds many jobs would have failed for
+    good.  A worker whose runs fail for several jobs in a row is left alone for
+    a while, and then tried with one task until one is done.
+
+    :ivar failed_jobs: jobs whose runs failed since the last one that was done.
+    :ivar rests_until: when it may be tried again.
+    :ivar probation: whether it may have one task at a time only.
+    """
+
+    failed_jobs: set[str] = attrs.field(factory=set)
+    rests_until: float = 0.0
+    rest_s: float = FIRST_REST_S
+    probation: bool = False
+
+    def note(self, job: str, end: End, now: float) -> bool:
+        """Take note of how a run ended; return whether a rest begins."""
+        if end is End.DONE:
+            self.failed_jobs.clear()
+            self.probation = False
+            self.rest_s = FIRST_REST_S
+            return False
+        if end is not End.FAILED:
+            return False
+        self.failed_jobs.add(job)
+        if not self.probation and len(self.failed_jobs) < FAILURES_IN_A_ROW:
+            return False
+        self.rests_until = now + self.rest_s
+        self.rest_s = min(self.rest_s * 2, LONGEST_REST_S)
+        self.probation = True
+        return True
+
+    def accepts(self, running: int, now: float) -> bool:
+        """Return whether new work may start on it.
+
+        :param running: the runs that are on it now.
+        """
+        if now < self.rests_until:
+            return False
+        return not self.probation or running == 0
--- a/src/firhook/logs.py
+++ b/src/firhook/logs.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -10,13 +11,15 @@
 _LOGGER = logging.getLogger("firhook.events")
 
 
-def setup_logs(zone: str, instance: str, level: str = "info") -> None:
-    """Send all logs to standard error as JSON lines.
+def setup_logs(
+    zone: str, instance: str, level: str = "info", stream: TextIO | None = None
+) -> None:
+    """Send all logs to standard error, or to a stream, as JSON lines.
 
     :param zone: availability zone, put on every line.
     :param instance: the instance's name, put on every line.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(
         JsonFormatter(
             "%(levelname)s %(message)s",
--- /dev/null
+++ b/src/firhook/platform/_client.py
@@ -0,0 +1,100 @@
+"""The HTTP client that all calls to the platform and to workers share."""
+
+import asyncio
+import socket
+from typing import Any
+
+import aiohttp
+import attrs
+from yarl import URL
+
+#: A connection on which sent bytes stay without acknowledgement for so long is
+#: dropped.  A peer behind a partition answers nothing, not even a reset, and
+#: the kernel by itself would wait for many minutes.
+UNACKNOWLEDGED_MS = 1500
+#: Probes on an idle connection: after a second, each second, three missed.
+_KEEPALIVE = (
+    (socket.TCP_KEEPIDLE, 1),
+    (socket.TCP_KEEPINTVL, 1),
+    (socket.TCP_KEEPCNT, 3),
+)
+#: An idle connection is kept so long.  New connections to workers are priced,
+#: and each costs a round trip.
+_KEEP_IDLE_S = 30.0
+#: Connections to one worker or to the store.
+_PER_HOST = 32
+_SKIPPED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+class NotSentError(Exception):
+    """Nothing was sent, since no connection could be made."""
+
+
+class NoAnswerError(Exception):
+    """No whole answer came; the call may have been carried out, or may yet be."""
+
+
+@attrs.frozen(slots=True)
+class Answer:
+    """An answer, whole."""
+
+    status: int
+    body: bytes
+
+
+def _make_socket(info: Any) -> socket.socket:
+    family, kind, proto, _, _ = info
+    sock = socket.socket(family=family, type=kind, proto=proto)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    for option, value in _KEEPALIVE:
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    return sock
+
+
+def new_session() -> aiohttp.ClientSession:
+    """Return the session that an instance makes its calls with."""
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        limit_per_host=_PER_HOST,
+        keepalive_timeout=_KEEP_IDLE_S,
+        socket_factory=_make_socket,
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=_SKIPPED_HEADERS,
+        auto_decompress=False,
+    )
+
+
+async def call(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    timeout_s: float,
+    body: bytes | None = None,
+    headers: dict[str, str] | None = None,
+) -> Answer:
+    """Make a call and return the whole answer.
+
+    :raises NotSentError: if certainly nothing was sent.
+    :raises NoAnswerError: if the call may have reached its receiver.
+    """
+    timeout = aiohttp.ClientTimeout(total=timeout_s)
+    target = URL(url, encoded=True)
+    try:
+        async with session.request(
+            method, target, data=body, headers=headers, timeout=timeout
+        ) as resp:
+            return Answer(resp.status, await resp.read())
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+        raise NotSentError(repr(exc)) from exc
+    except (
+        aiohttp.ClientError,
+        TimeoutError,
+        OSError,
+        asyncio.IncompleteReadError,
+    ) as exc:
+        raise NoAnswerError(repr(exc)) from exc
--- /dev/null
+++ b/src/firhook/platform/_store.py
@@ -0,0 +1,346 @@
+"""The platform's store: partitions of records, newest values, and groups."""
+
+import base64
+import struct
+from collections.abc import Sequence
+from typing import Any, NoReturn
+
+import aiohttp
+import attrs
+import msgspec
+
+from firhook.errors import (
+    LogFencedError,
+    LogFullError,
+    LogMovedError,
+    LogOutcomeUnknownError,
+    LogSequenceError,
+    LogTrimmedError,
+    LogUnavailableError,
+)
+from firhook.platform._client import Answer, NoAnswerError, NotSentError, call
+from firhook.platform._fields import FieldError, number, parse_json, rows, whole
+from firhook.settings import Address
+
+#: The cell's own records.  A topic whose name begins so keeps the newest record
+#: of each key for good.
+CELL_TOPIC = "keyed.firhook"
+#: What operators write.
+OPERATOR_TOPIC = "keyed.op"
+#: Where workers register.
+WORKER_TOPIC = "keyed.servers"
+#: What the system says to operators.
+STATUS_TOPIC = "keyed.status"
+#: The group whose members share out the leads of cells, and its topic.
+LEAD_GROUP = "firhook-leads"
+LEAD_TOPIC = "firhook-leads"
+
+#: When a refused call makes sense again, in seconds.
+_RETRY_S = 0.5
+_LENGTH = struct.Struct(">I")
+_BOUNDS = struct.Struct(">QQ")
+#: A read waits so much longer for its answer than it asks the store to wait;
+#: a store that answers 60 times slower than its 4 ms is still heard.
+_READ_SLACK_S = 1.0
+
+
+@attrs.frozen(slots=True)
+class Producer:
+    """Who appends, so that a repeat is recognised and an old lead refused.
+
+    :param epoch: an append with an epoch lower than one seen is refused.
+    :param sequence: numbers the appends of an epoch.
+    """
+
+    name: str
+    epoch: int
+    sequence: int
+
+
+@attrs.frozen(slots=True)
+class Appended:
+    """Where records landed, and the offset that the next one will get."""
+
+    offset: int
+    end: int
+
+
+@attrs.frozen(slots=True)
+class KeyedRecord:
+    """A record of a keyed topic; without a value the key is dropped."""
+
+    key: str
+    value: bytes | None
+
+
+@attrs.frozen(slots=True)
+class StoredRecord:
+    """A record with its offset."""
+
+    offset: int
+    key: str
+    value: bytes | None
+
+
+@attrs.frozen(slots=True)
+class Slice:
+    """Part of a partition, and the offset after its last record.
+
+    :param next_offset: the offset after the last record returned.
+    """
+
+    records: tuple[StoredRecord, ...]
+    next_offset: int
+    end: int
+
+
+@attrs.frozen(slots=True)
+class Newest:
+    """The newest record of each key.
+
+    :param end: where the partition ended before the first page was read: all
+        records before it are accounted for.
+    """
+
+    records: tuple[StoredRecord, ...]
+    end: int
+
+
+@attrs.frozen(slots=True)
+class Membership:
+    """A member's share of a group.
+
+    :param generation: rises with each change of the group.
+    """
+
+    generation: int
+    partitions: frozenset[int]
+
+
+def encode_keyed(record: KeyedRecord) -> bytes:
+    """Return a keyed record's content."""
+    key = record.key.encode()
+    return bytes((len(key),)) + key + (record.value or b"")
+
+
+def _decode_keyed(offset: int, content: bytes) -> StoredRecord | None:
+    if not content:
+        return None
+    end = 1 + content[0]
+    try:
+        key = content[1:end].decode()
+    except UnicodeDecodeError:
+        return None
+    return StoredRecord(offset, key, content[end:] or None)
+
+
+class Store:
+    """Client of the platform's store; the only one.
+
+    Every method raises :class:`LogUnavailableError` if the store certainly did
+    nothing, and :class:`LogOutcomeUnknownError` if no answer came.
+
+    :param timeout_s: how long to wait for an answer.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, address: Address, timeout_s: float = 1.5
+    ) -> None:
+        self._session = session
+        self._url = f"http://{address}/-/log-"
+        self._timeout_s = timeout_s
+        self.calls: dict[str, int] = {}
+
+    def _count(self, name: str, outcome: str) -> None:
+        key = f"{name} {outcome}"
+        self.calls[key] = self.calls.get(key, 0) + 1
+
+    async def _call(
+        self, method: str, name: str, query: str, body: bytes | None, timeout_s: float
+    ) -> Answer:
+        url = f"{self._url}{name}{query}"
+        try:
+            answer = await call(self._session, method, url, timeout_s, body)
+        except NotSentError as exc:
+            self._count(name, "not_sent")
+            raise LogUnavailableError(str(exc), retry_after_s=_RETRY_S) from exc
+        except NoAnswerError as exc:
+            self._count(name, "no_answer")
+            raise LogOutcomeUnknownError(str(exc), retry_after_s=_RETRY_S) from exc
+        self._count(name, str(answer.status))
+        if answer.status in (429, 503):
+            raise LogUnavailableError(
+                f"the store answered {answer.status}", retry_after_s=_RETRY_S
+            )
+        return answer
+
+    async def append(
+        self,
+        topic: str,
+        partition: int,
+        records: Sequence[bytes],
+        producer: Producer | None = None,
+        expected_end: int | None = None,
+        timeout_s: float | None = None,
+    ) -> Appended:
+        """Append records, all or none; without records only set the epoch.
+
+        :param expected_end: append only if the partition ends there.
+        :raises LogFencedError: if a higher epoch has been seen.
+        :raises LogSequenceError: if the sequence number is not the next one.
+        :raises LogMovedError: if the partition ends elsewhere.
+        :raises LogFullError: if there is no space.
+        """
+        query = f"?topic={topic}&part={partition}"
+        if producer is not None:
+            query += f"&producer={producer.name}&epoch={producer.epoch}"
+            query += f"&sequence={producer.sequence}"
+        if expected_end is not None:
+            query += f"&at={expected_end}"
+        body = b"".join(_LENGTH.pack(len(r)) + r for r in records)
+        answer = await self._call(
+            "POST", "append", query, body, timeout_s or self._timeout_s
+        )
+        if answer.status == 200:
+            try:
+                data = parse_json(answer.body)
+                return Appended(whole(data, "offset", 0), whole(data, "end", 0))
+            except FieldError as exc:
+                raise LogOutcomeUnknownError(str(exc)) from exc
+        _raise_append_error(answer)
+        return None
+
+    async def read(
+        self, topic: str, partition: int, offset: int, wait_s: float = 0.0
+    ) -> Slice:
+        """Return the records of a keyed topic from an offset on.
+
+        :param wait_s: how long the store waits if there are none yet.
+        :raises LogTrimmedError: if records from the offset on have expired.
+        """
+        query = f"?topic={topic}&part={partition}&from={offset}"
+        if wait_s > 0:
+            query += f"&wait_ms={int(wait_s * 1000)}"
+        answer = await self._call("GET", "read", query, None, wait_s + _READ_SLACK_S)
+        if answer.status == 410:
+            raise LogTrimmedError(f"{topic} from {offset}")
+        if answer.status != 200 or len(answer.body) < _BOUNDS.size:
+            raise LogOutcomeUnknownError(f"the store answered {answer.status}")
+        return _decode_slice(answer.body, offset)
+
+    async def newest(self, topic: str, partition: int = 0) -> Newest:
+        """Return the newest record of each key of a keyed topic."""
+        records: list[StoredRecord] = []
+        end: int | None = None
+        after = ""
+        while True:
+            query = f"?topic={topic}&part={partition}"
+            if after:
+                query += f"&after={_quoted(after)}"
+            answer = await self._call("GET", "newest", query, None, self._timeout_s)
+            if answer.status != 200:
+                raise LogOutcomeUnknownError(f"the store answered {answer.status}")
+            try:
+                data = parse_json(answer.body)
+                page = [_newest_record(item) for item in rows(data, "items")]
+                # Later pages may show later records; those are read again from
+                # the end that the first page told.
+                end = whole(data, "end", 0) if end is None else end
+                more = data.get("has_more") is True
+            except FieldError as exc:
+                raise LogOutcomeUnknownError(str(exc)) from exc
+            records += [record for record in page if record is not None]
+            if not more or not page or page[-1] is None:
+                return Newest(tuple(records), end)
+            after = page[-1].key
+
+    async def join(
+        self, group: str, member: str, topic: str, ttl_s: float, generation: int
+    ) -> Membership:
+        """Join a group, or stay in it, and return the member's share.
+
+        :param generation: the last one received, 0 at first.  Sending it says
+            that this member holds nothing any more that it was not given in it.
+        """
+        body = msgspec.json.encode(
+            {
+                "group": group,
+                "member_id": member,
+                "topics": [topic],
+                "ttl_ms": int(ttl_s * 1000),
+                "generation": generation,
+            }
+        )
+        answer = await self._call("POST", "join", "", body, self._timeout_s)
+        if answer.status != 200:
+            raise LogUnavailableError(f"the store answered {answer.status}")
+        try:
+            data = parse_json(answer.body)
+            held = frozenset(
+                int(row[1]) for row in rows(data, "parts") if row[0] == topic
+            )
+            return Membership(whole(data, "generation"), held)
+        except (FieldError, TypeError, IndexError, ValueError) as exc:
+            raise LogOutcomeUnknownError(str(exc)) from exc
+
+    async def leave(self, group: str, member: str) -> None:
+        """Leave a group, so that its partitions are given to others at once."""
+        body = msgspec.json.encode({"group": group, "member_id": member})
+        await self._call("POST", "leave", "", body, self._timeout_s)
+
+
+def _newest_record(item: Any) -> StoredRecord | None:
+    if not isinstance(item, dict) or not isinstance(item.get("key"), str):
+        return None
+    try:
+        value = base64.b64decode(item.get("value") or "")
+    except (ValueError, TypeError):
+        value = b""
+    return StoredRecord(int(number(item, "offset", 0)), item["key"], value or None)
+
+
+def _decode_slice(body: bytes, offset: int) -> Slice:
+    end, _ = _BOUNDS.unpack_from(body)
+    records: list[StoredRecord] = []
+    at = _BOUNDS.size
+    while at + _LENGTH.size <= len(body):
+        (length,) = _LENGTH.unpack_from(body, at)
+        at += _LENGTH.size
+        record = _decode_keyed(offset, body[at : at + length])
+        if record is not None:
+            records.append(record)
+        at += length
+        offset += 1
+    return Slice(tuple(records), offset, end)
+
+
+def _raise_append_error(answer: Answer) -> NoReturn:
+    try:
+        data = parse_json(answer.body)
+    except FieldError:
+        data = {}
+    # The field tells why a call was refused.
+    reason = data.get("reason")
+    if answer.status == 409 and reason == "fenced":
+        raise LogFencedError("a higher epoch has been seen")
+    if answer.status == 409 and reason == "seq":
+        raise LogSequenceError("another sequence number is expected", **_extra(data))
+    if answer.status == 412:
+        raise LogMovedError("the partition ends elsewhere", end=data.get("end"))
+    if answer.status == 507:
+        raise LogFullError("the store is full", retry_after_s=_RETRY_S)
+    raise LogOutcomeUnknownError(f"the store answered {answer.status}")
+
+
+def _extra(data: dict[str, Any]) -> dict[str, Any]:
+    return {"expected": data.get("sequence")}
+
+
+def _quoted(key: str) -> str:
+    # Keys are our own or operators'; a slash is the only other sign in ours.
+    return "".join(
+        c
+        if (c.isalnum() and c.isascii()) or c in "-._~/"
+        else "".join(f"%{b:02X}" for b in c.encode())
+        for c in key
+    )
--- /dev/null
+++ b/src/firhook/platform/_workers.py
@@ -0,0 +1,257 @@
+"""Workers: how they register, and the calls to one of them."""
+
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+import attrs
+import msgspec
+
+from firhook.cell import (
+    Advice,
+    End,
+    EndedRow,
+    Look,
+    OrderAnswer,
+    OrderOutcome,
+    RunningRow,
+    StartOrder,
+    WorkerEntry,
+)
+from firhook.errors import WorkerFencedError, WorkerUnreachableError
+from firhook.logs import log
+from firhook.platform._client import Answer, NoAnswerError, NotSentError, call
+from firhook.platform._config import decode_resources
+from firhook.platform._fields import (
+    FieldError,
+    number,
+    parse_json,
+    rows,
+    table,
+    text,
+    texts,
+    whole,
+)
+from firhook.settings import Address
+
+#: A look waits so much longer for its answer than it asks the worker to wait.
+_LOOK_SLACK_S = 1.0
+#: How long to wait for the answer to an order.  Workers answer within
+#: milliseconds; one that is silent for so long is cut off, or answers nothing.
+ORDER_TIMEOUT_S = 0.8
+
+_REASONS = {
+    "fence": OrderOutcome.FENCED,
+    "old": OrderOutcome.OLD,
+    "late": OrderOutcome.LATE,
+    "room": OrderOutcome.NO_ROOM,
+    "ticket": OrderOutcome.NO_TICKET,
+}
+_ENDS = {end.value: end for end in End}
+_STATES = {"ready": False, "draining": True}
+
+
+def decode_worker(name: str, raw: bytes) -> WorkerEntry | None:
+    """Decode what a worker registered; ``None`` if it names no worker to use.
+
+    Entries may come from other writers.
+    """
+    try:
+        data = parse_json(raw)
+        # The labels are the worker's kind and then its rack.
+        labels = texts(data, "labels")
+        return WorkerEntry(
+            name=name,
+            # The moment at which this life of the worker began.
+            life=whole(data, "born", 0),
+            pool=text(data, "service"),
+            address=_host_port(text(data, "address")),
+            zone=text(data, "zone"),
+            capacity=decode_resources(table(data, "capacity")),
+            labels=frozenset(labels),
+            rack=labels[1] if len(labels) > 1 else "",
+            draining=_STATES[text(data, "state")],
+            leaves_in_s=number(data, "drain_remaining_ms", 0) / 1000,
+            version=text(data, "version", ""),
+        )
+    except (FieldError, KeyError) as exc:
+        log("worker.entry_unreadable", level="warning", worker=name, error=str(exc))
+        return None
+
+
+def _host_port(value: str) -> str:
+    host, _, port = value.rpartition(":")
+    if not host or not port.isdigit():
+        raise FieldError(f"address: {value!r} is no IP number and port")
+    return value
+
+
+def _look(data: dict[str, Any]) -> Look:
+    return Look(
+        life=whole(data, "born", 0),
+        clock_s=number(data, "timestamp_ms") / 1000,
+        running=tuple(_running(row) for row in rows(data, "running")),
+        ended=tuple(_ended(row) for row in rows(data, "finished")),
+    )
+
+
+def _running(row: list[Any]) -> RunningRow:
+    load = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
+    return RunningRow(str(row[0]), int(row[1]), str(row[2]), float(row[3]), load)
+
+
+def _ended(row: list[Any]) -> EndedRow:
+    return EndedRow(int(row[0]), str(row[1]), int(row[2]), _ENDS[row[3]], str(row[4]))
+
+
+class Workers:
+    """Calls to workers; the only client of them.
+
+    :param sending: asked right before each order is sent, whether the sender
+        may still give orders; an order is not sent if it may not.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, sending: Callable[[], bool]
+    ) -> None:
+        self._session = session
+        self._sending = sending
+        self.looks = 0
+
+    async def look(
+        self,
+        worker: WorkerEntry,
+        fence: int,
+        ack: int,
+        lease_until_s: float | None,
+        wait_s: float,
+    ) -> Look:
+        """Renew the lease, forget ends, and return what runs and what ended.
+
+        :param ack: all ends up to this number are stored and may be forgotten.
+        :param lease_until_s: on the worker's clock; ``None`` renews nothing.
+        :param wait_s: how long the worker may wait for a run to end.
+        :raises WorkerUnreachableError: if no whole answer came.
+        :raises WorkerFencedError: if a higher fencing token was seen there.
+        """
+        body: dict[str, Any] = {"fencing_token": fence, "ack_cursor": ack}
+        if lease_until_s is not None:
+            body["deadline_ms"] = int(lease_until_s * 1000)
+        if wait_s > 0:
+            body["wait_ms"] = int(wait_s * 1000)
+        self.looks += 1
+        try:
+            answer = await self._post(worker, "hold", body, wait_s + _LOOK_SLACK_S)
+        except (NotSentError, NoAnswerError) as exc:
+            raise WorkerUnreachableError(f"{worker.name}: {exc}") from exc
+        if answer.status == 409:
+            raise WorkerFencedError(worker.name)
+        try:
+            if answer.status != 200:
+                raise FieldError(f"answered {answer.status}")
+            return _look(parse_json(answer.body))
+        except (FieldError, IndexError, KeyError, TypeError, ValueError) as exc:
+            raise WorkerUnreachableError(f"{worker.name}: {exc}") from exc
+
+    async def start(self, worker: WorkerEntry, order: StartOrder) -> OrderAnswer:
+        """Order a run to be started."""
+        body: dict[str, Any] = {
+            "task": order.task,
+            "run": order.run,
+            "specification": order.text,
+            "deadline_ms": int(order.lease_until_s * 1000),
+            "fencing_token": order.fence,
+        }
+        if order.checkpoint:
+            body["last_checkpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return await self._order(worker, "run-start", body)
+
+    async def stop(
+        self, worker: WorkerEntry, task: str, run: int, fence: int
+    ) -> OrderAnswer:
+        """Order a run to be stopped; one that is not there yet never starts."""
+        body = {"task": task, "run": run, "fencing_token": fence}
+        return await self._order(worker, "run-stop", body)
+
+    async def pace(
+        self, worker: WorkerEntry, task: str, run: int, percent: int, fence: int
+    ) -> OrderAnswer:
+        """Let a run work at a share of its full speed."""
+        body = {"task": task, "run": run, "percent": percent, "fencing_token": fence}
+        return await self._order(worker, "pace", body)
+
+    async def _order(
+        self, worker: WorkerEntry, name: str, body: dict[str, Any]
+    ) -> OrderAnswer:
+        if not self._sending():
+            return OrderAnswer(OrderOutcome.NOT_SENT)
+        try:
+            answer = await self._post(worker, name, body, ORDER_TIMEOUT_S)
+        except NotSentError:
+            return OrderAnswer(OrderOutcome.NOT_SENT)
+        except NoAnswerError:
+            return OrderAnswer(OrderOutcome.UNKNOWN)
+        return _order_answer(answer)
+
+    async def _post(
+        self, worker: WorkerEntry, name: str, body: dict[str, Any], timeout_s: float
+    ) -> Answer:
+        url = f"http://{worker.address}/-/{name}"
+        headers = {"Expected-Instance": worker.name, "Content-Type": "application/json"}
+        raw = msgspec.json.encode(body)
+        return await call(self._session, "POST", url, timeout_s, raw, headers)
+
+
+def _order_answer(answer: Answer) -> OrderAnswer:
+    try:
+        data = parse_json(answer.body) if answer.body else {}
+        life = whole(data, "born", 0)
+        clock_s = (
+            number(data, "timestamp_ms") / 1000 if "timestamp_ms" in data else None
+        )
+    except FieldError:
+        data, life, clock_s = {}, 0, None
+    if answer.status == 200:
+        outcome = OrderOutcome.TAKEN
+    elif answer.status == 409:
+        outcome = _REASONS.get(str(data.get("reason")), OrderOutcome.UNKNOWN)
+    elif answer.status == 421:
+        outcome = OrderOutcome.WRONG_LIFE
+    elif answer.status in (429, 503):
+        outcome = OrderOutcome.BUSY
+    elif answer.status == 400:
+        outcome = OrderOutcome.INVALID
+    else:
+        outcome = OrderOutcome.UNKNOWN
+    return OrderAnswer(outcome, life, clock_s)
+
+
+@attrs.define(slots=True)
+class Adviser:
+    """The service that knows which workers may run a step."""
+
+    _session: aiohttp.ClientSession
+    _address: Address
+
+    async def ask(
+        self, step: str, workers: tuple[str, ...], timeout_s: float
+    ) -> Advice | None:
+        """Return the workers that may run a step, with their tickets.
+
+        :return: ``None`` if no usable answer came.
+        """
+        url = f"http://{self._address}/-/advise"
+        body = msgspec.json.encode({"step": step, "workers": workers})
+        headers = {"Content-Type": "application/json"}
+        try:
+            answer = await call(self._session, "POST", url, timeout_s, body, headers)
+            if answer.status != 200:
+                raise FieldError(f"answered {answer.status}")
+            data = parse_json(answer.body)
+            tickets = {str(row[0]): str(row[1]) for row in rows(data, "good")}
+            return Advice(tickets, number(data, "validity_ms", 0) / 1000)
+        except (FieldError, IndexError, TypeError, NotSentError, NoAnswerError) as exc:
+            log("advice.failed", level="warning", step=step, error=str(exc))
+            return None
--- /dev/null
+++ b/src/firhook/platform/bodies.py
@@ -0,0 +1,22 @@
+"""What operators, callers and workers write, decoded into firhook's types."""
+
+from firhook.platform._config import CONFIG_KEY, decode_config
+from firhook.platform._fields import FieldError
+from firhook.platform._jobs import (
+    JOB_ID,
+    decode_job,
+    encode_pending,
+    encode_status,
+)
+from firhook.platform._workers import decode_worker
+
+__all__ = [
+    "CONFIG_KEY",
+    "JOB_ID",
+    "FieldError",
+    "decode_config",
+    "decode_job",
+    "decode_worker",
+    "encode_pending",
+    "encode_status",
+]
--- /dev/null
+++ b/src/firhook/platform/instance.py
@@ -0,0 +1,19 @@
+"""The settings file that the platform lays on each instance."""
+
+from firhook.platform._client import new_session
+from firhook.platform._instance import (
+    SETTINGS_VARIABLE,
+    Bounds,
+    InstanceSettings,
+    StoreLimits,
+    load_instance_settings,
+)
+
+__all__ = [
+    "SETTINGS_VARIABLE",
+    "Bounds",
+    "InstanceSettings",
+    "StoreLimits",
+    "load_instance_settings",
+    "new_session",
+]
--- /dev/null
+++ b/src/firhook/platform/store.py
@@ -0,0 +1,37 @@
+"""The platform's store."""
+
+from firhook.platform._store import (
+    CELL_TOPIC,
+    LEAD_GROUP,
+    LEAD_TOPIC,
+    OPERATOR_TOPIC,
+    STATUS_TOPIC,
+    WORKER_TOPIC,
+    Appended,
+    KeyedRecord,
+    Membership,
+    Newest,
+    Producer,
+    Slice,
+    Store,
+    StoredRecord,
+    encode_keyed,
+)
+
+__all__ = [
+    "CELL_TOPIC",
+    "LEAD_GROUP",
+    "LEAD_TOPIC",
+    "OPERATOR_TOPIC",
+    "STATUS_TOPIC",
+    "WORKER_TOPIC",
+    "Appended",
+    "KeyedRecord",
+    "Membership",
+    "Newest",
+    "Producer",
+    "Slice",
+    "Store",
+    "StoredRecord",
+    "encode_keyed",
+]
--- /dev/null
+++ b/src/firhook/services/_callers.py
@@ -0,0 +1,296 @@
+"""The callers' interface: jobs are submitted, looked up and cancelled."""
+
+import asyncio
+import math
+import socket
+import time
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from firhook.cell import AcceptedJob, CellConfig, JobStatus, JobView, Queue
+from firhook.cell.records import CANCEL_PREFIX, JOB_PREFIX, encode_record
+from firhook.clock import boot_time
+from firhook.errors import (
+    BodyTooLargeError,
+    FirhookError,
+    JobGoneError,
+    KeyMissingError,
+    KeyRefusedError,
+    LogOutcomeUnknownError,
+    NotReadyError,
+    QueueUnknownError,
+    RequestMalformedError,
+    SubmissionUnknownError,
+    ZoneStaleError,
+)
+from firhook.instance import InstanceService, register_service
+from firhook.logs import log
+from firhook.platform.bodies import (
+    JOB_ID,
+    decode_job,
+    encode_pending,
+    encode_status,
+)
+from firhook.platform.store import KeyedRecord
+from firhook.services._events import CatchUp, Following, Record
+from firhook.settings import Address
+
+#: Connections that may wait to be accepted; beyond it a burst's connections
+#: would be tried again by the callers' kernels after seconds.
+_BACKLOG = 512
+#: What a caller's whole request may take if it does not say.
+_DEFAULT_WAIT_S = 3.0
+#: An answer is sent so long before the caller stops waiting for it.
+_ANSWER_MARGIN_S = 0.25
+#: The longest that the log is tried for one request; a store that is away for
+#: longer makes callers wait for nothing.
+_LONGEST_TRY_S = 1.5
+#: When a refused caller should come back, if nothing better is known.
+_RETRY_S = 1.0
+#: Ready only if the configuration was read in this part of the time for which
+#: keys are trusted, so that callers leave before they would be refused.
+_READY_PART = 0.6
+#: After the stop was asked for, callers still come for so long: the platform
+#: asks for readiness once a second and acts on the second miss.
+_LEAVE_ROTATION_S = 2.6
+#: An idle connection is kept so long.
+_KEEP_IDLE_S = 75.0
+
+
+@register_service("callers")
+class Callers(InstanceService):
+    """Serves callers, and tells the platform whether to send more of them."""
+
+    def wire(self) -> None:
+        """Begin without sockets."""
+        self._runners: list[web.ServerRunner] = []
+        self._open = 0
+
+    async def on_started(self) -> None:
+        """Listen."""
+        await self._listen(self._handle, self.settings.callers)
+        await self._listen(self._probe, self.settings.probe)
+
+    async def _listen(self, handler: Any, address: Address) -> None:
+        server = web.Server(
+            handler, access_log=None, keepalive_timeout=_KEEP_IDLE_S, lingering_time=1.0
+        )
+        runner = web.ServerRunner(server)
+        await runner.setup()
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind((address.host, address.port))
+        await web.SockSite(runner, sock, backlog=_BACKLOG).start()
+        self._runners.append(runner)
+
+    async def drain(self) -> None:
+        """Go on serving until the platform has taken this instance out."""
+        await asyncio.sleep(_LEAVE_ROTATION_S)
+        deadline = boot_time() + 1.0
+        while self._open and boot_time() < deadline:
+            await asyncio.sleep(0.02)
+
+    async def on_stop(self) -> None:
+        """Close all sockets."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    # The platform's probe.
+
+    async def _probe(self, req: web.BaseRequest) -> web.Response:
+        ready = await self.ready()
+        return web.Response(status=200 if ready else 503)
+
+    async def ready(self) -> bool:
+        """Return whether callers are served here."""
+        view = self.instance.config
+        if self.instance.stopping or view.config is None:
+            return False
+        if boot_time() - view.read_at > view.revocation_s * _READY_PART:
+            return False
+        return await self.bus.ask(Following())
+
+    # Callers.
+
+    async def _handle(self, req: web.BaseRequest) -> web.Response:
+        self._open += 1
+        began = boot_time()
+        try:
+            resp = await self._answer(req)
+        except FirhookError as exc:
+            self._log_refusal(req, exc, began)
+            resp = _refusal(exc)
+        except Exception as exc:
+            log("request.failed", level="error", path=req.path, error=repr(exc))
+            resp = _refusal(FirhookError(repr(exc), ran="unknown"))
+        finally:
+            self._open -= 1
+        if self.instance.stopping:
+            resp.force_close()
+        self.meters.time("answer", f"{req.method} {resp.status}", boot_time() - began)
+        return resp
+
+    async def _answer(self, req: web.BaseRequest) -> web.Response:
+        config = self._fresh_config()
+        host = req.headers.get("Host", "").partition(":")[0]
+        path = req.path
+        queue = config.queue_for(host, path)
+        if queue is None:
+            raise QueueUnknownError(f"{host}{path[:100]}")
+        team = _team_name(config, queue, req)
+        job_id = path[len(queue.prefix) :]
+        if not job_id and req.method == "GET":
+            return _json(encode_pending(self.replica.pending(queue.address)))
+        if not JOB_ID.fullmatch(job_id):
+            raise QueueUnknownError(f"{path[:100]}: no job id of 16 hex digits")
+        if req.method == "POST":
+            return await self._submit(req, config, queue, team, job_id)
+        if req.method == "GET":
+            job = await self._find(queue, team, job_id)
+            return _json(encode_status(job.status))
+        if req.method == "DELETE":
+            return await self._cancel(req, queue, team, job_id)
+        raise RequestMalformedError(f"{req.method}: use POST, GET or DELETE")
+
+    def _fresh_config(self) -> CellConfig:
+        view = self.instance.config
+        if view.config is None:
+            raise NotReadyError("no configuration was read yet", retry_after_s=_RETRY_S)
+        if not view.fresh(boot_time()):
+            age_s = round(boot_time() - view.read_at, 1)
+            raise ZoneStaleError(f"read {age_s} s ago", retry_after_s=_RETRY_S)
+        return view.config
+
+    async def _submit(
+        self,
+        req: web.BaseRequest,
+        config: CellConfig,
+        queue: Queue,
+        team: str,
+        job_id: str,
+    ) -> web.Response:
+        until = self._until(req)
+        if self._known(queue, team, job_id) is not None:
+            return _json(b"{}")
+        spec = decode_job(await _body(req, config.max_body_bytes))
+        accepted = AcceptedJob(job_id, team, queue, time.time(), spec)
+        value = encode_record(accepted)
+        if len(value) > self.settings.store_limits.record_bytes - 256:
+            raise BodyTooLargeError("the job is too large for a record")
+        began = boot_time()
+        try:
+            offset = await self.bus.ask(
+                Record(KeyedRecord(JOB_PREFIX + job_id, value), until)
+            )
+        except LogOutcomeUnknownError as exc:
+            raise SubmissionUnknownError(exc.detail, retry_after_s=_RETRY_S) from exc
+        log(
+            "job.accepted",
+            job=job_id,
+            queue=queue.name,
+            team=team,
+            offset=offset,
+            config=config.version,
+            stored_ms=round((boot_time() - began) * 1000, 1),
+        )
+        return _json(b"{}")
+
+    def _known(self, queue: Queue, team: str, job_id: str) -> JobView | None:
+        job = self.replica.find(job_id)
+        if job is None or job.accepted is None:
+            return None
+        if job.accepted.queue.address != queue.address:
+            return None
+        if not queue.anonymous and job.accepted.team != team:
+            return None
+        return job
+
+    async def _find(self, queue: Queue, team: str, job_id: str) -> JobView:
+        """Return a job, as of now.
+
+        It may have been accepted by another instance a moment ago; so "no such
+        job" is said only after the log was read to the end that it has now.
+        """
+        job = self._known(queue, team, job_id)
+        if job is None:
+            await self.bus.ask(CatchUp())
+            job = self._known(queue, team, job_id)
+        if job is None:
+            raise JobGoneError(job_id)
+        return job
+
+    async def _cancel(
+        self, req: web.BaseRequest, queue: Queue, team: str, job_id: str
+    ) -> web.Response:
+        job = await self._find(queue, team, job_id)
+        if not job.status.ended:
+            record = KeyedRecord(CANCEL_PREFIX + job_id, b"\x01")
+            offset = await self.bus.ask(Record(record, self._until(req)))
+            log("job.cancelled", job=job_id, offset=offset)
+        return _json(encode_status(JobStatus.CANCELLED))
+
+    def _until(self, req: web.BaseRequest) -> float:
+        """Return until when the log may be tried for a request."""
+        wait_s = _DEFAULT_WAIT_S
+        given = req.headers.get("Deadline-Ms", "")
+        if given.isascii() and given.isdigit():
+            wait_s = int(given[:9]) / 1000
+        return boot_time() + min(max(wait_s - _ANSWER_MARGIN_S, 0.05), _LONGEST_TRY_S)
+
+    def _log_refusal(
+        self, req: web.BaseRequest, exc: FirhookError, began: float
+    ) -> None:
+        self.meters.count("refusals", exc.code)
+        version = self.instance.config.config
+        log(
+            "request.refused",
+            method=req.method,
+            path=req.path[:120],
+            code=exc.code,
+            status=exc.status,
+            detail=exc.detail[:200],
+            config=version.version if version else 0,
+            config_age_s=round(began - self.instance.config.read_at, 2),
+        )
+
+
+async def _body(req: web.BaseRequest, most: int) -> bytes:
+    if (req.content_length or 0) > most:
+        raise BodyTooLargeError(f"{req.content_length} bytes; {most} are allowed")
+    raw = bytearray()
+    async for chunk in req.content.iter_any():
+        raw += chunk
+        if len(raw) > most:
+            raise BodyTooLargeError(f"over {most} bytes")
+    return bytes(raw)
+
+
+def _team_name(config: CellConfig, queue: Queue, req: web.BaseRequest) -> str:
+    scheme, _, key = req.headers.get("Authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not key:
+        if queue.anonymous:
+            return ""
+        raise KeyMissingError("no key")
+    team = config.team_for(key.strip())
+    if team is None:
+        raise KeyRefusedError("unknown key")
+    return team.name
+
+
+def _json(body: bytes) -> web.Response:
+    return web.Response(body=body, content_type="application/json")
+
+
+def _refusal(exc: FirhookError) -> web.Response:
+    headers = {}
+    if exc.retry_after_s is not None:
+        headers["Retry-After"] = str(math.ceil(exc.retry_after_s))
+    return web.Response(
+        status=exc.status,
+        body=msgspec.json.encode(exc.to_problem()),
+        headers=headers,
+        content_type="application/problem+json",
+    )
--- /dev/null
+++ b/src/firhook/services/_events.py
@@ -0,0 +1,77 @@
+"""Events and queries that the services of an instance exchange."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from firhook._bus import Query
+from firhook.cell import CellConfig
+from firhook.platform.store import KeyedRecord
+
+
+@attrs.frozen(slots=True)
+class JobChanged:
+    """A record of a job was applied to the replica."""
+
+    job_id: str
+
+
+@attrs.frozen(slots=True)
+class ConfigApplied:
+    """Another version of the configuration is in force here."""
+
+    config: CellConfig
+
+
+@attrs.frozen(slots=True)
+class LeadingChanged:
+    """This instance began or ceased to lead the cell."""
+
+    leading: bool
+
+
+@attrs.frozen(slots=True)
+class CatchUp(Query[None]):
+    """Read the cell's records up to the end that they have now.
+
+    :raises LogUnavailableError: if the store cannot be read.
+    """
+
+
+@attrs.frozen(slots=True)
+class Record(Query[int]):
+    """Append a keyed record to the cell's topic, and return its offset.
+
+    :param until: on the boot clock, until when to try.
+    :raises LogUnavailableError: if it certainly was not and will not be taken.
+    :raises LogOutcomeUnknownError: if it may have been, or may yet be.
+    """
+
+    record: KeyedRecord
+    until: float
+
+
+@attrs.frozen(slots=True)
+class AskInstance(Query[Any]):
+    """Send a message to a peer, by name, and wait for its answer.
+
+    :raises PeerUnreachableError: if no answer came in time.
+    """
+
+    peer: str
+    body: Any
+    timeout_s: float
+
+
+@attrs.frozen(slots=True)
+class ServeInstance:
+    """Registers the handler of a kind of peer message."""
+
+    kind: type
+    handler: Callable[[Any], Any]
+
+
+@attrs.frozen(slots=True)
+class Following(Query[bool]):
+    """Whether the replica is whole and was read to the end lately."""
--- /dev/null
+++ b/src/firhook/services/_lead.py
@@ -0,0 +1,139 @@
+"""Membership of the group whose member for a cell's partition leads the cell."""
+
+import asyncio
+
+from firhook._peer_messages import AdviceAsk, AdviceReply, WorkerTicket
+from firhook.clock import boot_time
+from firhook.errors import FirhookError
+from firhook.instance import InstanceService, register_service
+from firhook.logs import log
+from firhook.platform.store import LEAD_GROUP, LEAD_TOPIC
+from firhook.platform.workers import Adviser
+from firhook.services._events import (
+    ConfigApplied,
+    JobChanged,
+    LeadingChanged,
+    ServeInstance,
+)
+from firhook.services._term import Term
+
+#: The partition of the group's topic whose holder leads the cell.
+CELL = 0
+#: How often a member says that it lives; a tenth of a call each.  A partition
+#: that moves is taken over at the next join.
+_JOIN_S = 0.2
+#: A member that is silent for so long has left, if the store allows so little.
+_TTL_S = 1.0
+#: The lead gives orders only this part of the time to live after it sent its
+#: last good join: its successor has the partition after the whole of it.
+_ACT_PART = 0.75
+#: Epochs of one term: the group's generation leaves room for this many, so
+#: that a term can be begun anew without a change of the group.
+EPOCHS_A_GENERATION = 1000
+
+
+@register_service("lead")
+class Lead(InstanceService):
+    """Joins the group, and leads the cell while it holds its partition."""
+
+    def wire(self) -> None:
+        """Take in what the lead goes by."""
+        settings = self.settings
+        self._member = f"{settings.name}#{self.instance.incarnation}"
+        self._generation = 0
+        self._ttl_s = max(_TTL_S, settings.store_limits.least_member_ttl_s)
+        self._act_until = float("-inf")
+        self._left = False
+        self.term: Term | None = None
+        self._terms_begun = 0
+        self._retry_after_s = 0.0
+        self.adviser = (
+            Adviser(self.instance.session, settings.adviser)
+            if settings.adviser
+            else None
+        )
+        self.bus.subscribe(JobChanged, self._on_job)
+        self.bus.subscribe(ConfigApplied, self._on_config)
+
+    async def on_started(self) -> None:
+        """Begin to join."""
+        self.bus.publish(ServeInstance(AdviceAsk, self._serve_advice))
+        self.add_future(self._membership())
+
+    def _on_job(self, event: JobChanged) -> None:
+        if self.term is not None:
+            self.term.on_job(event.job_id)
+
+    def _on_config(self, event: ConfigApplied) -> None:
+        if self.term is not None:
+            self.term.on_config(event.config)
+
+    async def _serve_advice(self, msg: AdviceAsk) -> AdviceReply:
+        if self.adviser is None:
+            return AdviceReply(False)
+        advice = await self.adviser.ask(msg.step, msg.workers, msg.timeout_s)
+        if advice is None:
+            return AdviceReply(False)
+        tickets = tuple(WorkerTicket(w, t) for w, t in advice.tickets.items())
+        return AdviceReply(True, tickets, advice.valid_s)
+
+    def may_act(self) -> bool:
+        """Return whether this instance certainly leads at this moment."""
+        return boot_time() < self._act_until
+
+    async def _membership(self) -> None:
+        while not self.should_stop and not self._left:
+            try:
+                await self._join()
+            except FirhookError as exc:
+                log("lead.join_failed", level="debug", error=repr(exc))
+            except Exception as exc:
+                log("lead.failed", level="error", error=repr(exc))
+            await asyncio.sleep(_JOIN_S)
+
+    async def _join(self) -> None:
+        # Nothing is to be led before there is something to lead by.
+        if self.instance.config.config is None:
+            return
+        sent_at = boot_time()
+        share = await self.store.join(
+            LEAD_GROUP, self._member, LEAD_TOPIC, self._ttl_s, self._generation
+        )
+        if self._left:
+            return
+        holds = CELL in share.partitions
+        if holds:
+            self._act_until = sent_at + self._ttl_s * _ACT_PART
+        else:
+            self._act_until = float("-inf")
+        if self.term is not None and (not holds or self.term.lost):
+            # The partition is given to another member only once this one joins
+            # with the new generation; by then the term has ended.
+            await self._end_term("lost" if holds else "moved")
+        self._generation = share.generation
+        if holds and self.term is None:
+            await self._begin_term(share.generation)
+
+    async def _begin_term(self, generation: int) -> None:
+        last = self.replica.lead.epoch if self.replica.lead else 0
+        epoch = max(generation * EPOCHS_A_GENERATION, last + 1)
+        self.term = Term(self, epoch)
+        self.bus.publish(LeadingChanged(True))
+        self.term.begin()
+
+    async def _end_term(self, reason: str) -> None:
+        term, self.term = self.term, None
+        if term is not None:
+            log("lead.ended", epoch=term.fence, reason=reason)
+            await term.end()
+            self.bus.publish(LeadingChanged(False))
+
+    async def drain(self) -> None:
+        """Hand the lead over at once."""
+        self._left = True
+        self._act_until = float("-inf")
+        await self._end_term("stopping")
+        try:
+            await self.store.leave(LEAD_GROUP, self._member)
+        except FirhookError as exc:
+            log("lead.leave_failed", level="warning", error=repr(exc))
--- /dev/null
+++ b/src/firhook/services/_mesh.py
@@ -0,0 +1,133 @@
+"""The instances of the cell, and messages between them."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import zmq
+
+from firhook._mesh import Mesh
+from firhook.cell import MeshKeys, PeerRecord
+from firhook.cell.records import MESH_KEY, PEER_PREFIX, encode_record
+from firhook.clock import boot_time
+from firhook.errors import FirhookError, FrameMalformedError, PeerUnreachableError
+from firhook.instance import InstanceService, register_service
+from firhook.logs import log
+from firhook.platform.store import CELL_TOPIC, KeyedRecord, encode_keyed
+from firhook.services._events import AskInstance, CatchUp, Record, ServeInstance
+from firhook.settings import Address
+
+#: Between tries when the store does not answer.
+_RETRY_S = 0.2
+#: How often the peers in the replica are compared with the connections.
+_REVIEW_S = 0.25
+#: How long one try to register may take.
+_REGISTER_S = 2.0
+
+
+@register_service("mesh")
+class MeshService(InstanceService):
+    """Finds the other instances through the cell's records, and talks to them.
+
+    All instances share one CURVE key pair, which the first of them writes to
+    the cell's topic: only who can read the platform's store can speak to them.
+    """
+
+    def wire(self) -> None:
+        """Offer questions to peers."""
+        self._mesh: Mesh | None = None
+        self._handlers: dict[type, Callable[[Any], Any]] = {}
+        self._connected: dict[str, str] = {}
+        self.bus.answer(AskInstance, self._ask)
+        self.bus.subscribe(ServeInstance, self._on_serve)
+
+    def _on_serve(self, event: ServeInstance) -> None:
+        self._handlers[event.kind] = event.handler
+
+    async def on_started(self) -> None:
+        """Begin to look for peers."""
+        self.add_future(self._run())
+
+    async def _run(self) -> None:
+        keys = await self._keys()
+        mesh = Mesh(keys.public, keys.secret, self._serve)
+        bound = mesh.bind(Address(self.settings.ip, self.settings.peer_port))
+        self._mesh = mesh
+        self.add_future(mesh.run())
+        await self._register(str(bound))
+        while not self.should_stop:
+            self._review()
+            await asyncio.sleep(_REVIEW_S)
+
+    async def _keys(self) -> MeshKeys:
+        """Return the cell's key pair; the first instance makes it."""
+        while True:
+            try:
+                await self.bus.ask(CatchUp())
+                if self.replica.mesh_keys is not None:
+                    return self.replica.mesh_keys
+                public, secret = zmq.curve_keypair()
+                made = MeshKeys(public.decode(), secret.decode())
+                record = KeyedRecord(MESH_KEY, encode_record(made))
+                # Of several instances that start at once, one makes the pair:
+                # the append holds only if nothing was written since the read.
+                await self.store.append(
+                    CELL_TOPIC,
+                    0,
+                    [encode_keyed(record)],
+                    expected_end=self.replica.next_offset,
+                )
+            except FirhookError as exc:
+                log("mesh.keys_retry", level="debug", error=repr(exc))
+                await asyncio.sleep(_RETRY_S)
+
+    async def _register(self, address: str) -> None:
+        mine = PeerRecord(
+            self.settings.name,
+            self.instance.incarnation,
+            address,
+            self.settings.zone,
+            self.settings.strength,
+        )
+        record = KeyedRecord(PEER_PREFIX + mine.name, encode_record(mine))
+        while True:
+            try:
+                await self.bus.ask(Record(record, boot_time() + _REGISTER_S))
+                return
+            except FirhookError as exc:
+                log("mesh.register_retry", level="debug", error=repr(exc))
+                await asyncio.sleep(_RETRY_S)
+
+    def _review(self) -> None:
+        """Connect to the peers that are registered, and to no others."""
+        assert self._mesh is not None
+        wanted = {
+            peer.name: peer.address
+            for peer in self.replica.peers.values()
+            if peer.name != self.settings.name
+        }
+        for name, address in list(self._connected.items()):
+            if wanted.get(name) != address:
+                self._mesh.disconnect(address)
+                del self._connected[name]
+        for name, address in wanted.items():
+            if name not in self._connected:
+                self._mesh.connect(address)
+                self._connected[name] = address
+
+    async def _ask(self, query: AskInstance) -> Any:
+        address = self._connected.get(query.peer)
+        if self._mesh is None or address is None:
+            raise PeerUnreachableError(f"{query.peer}: not connected", ran="no")
+        return await self._mesh.ask(address, query.body, query.timeout_s)
+
+    async def _serve(self, msg: Any) -> Any:
+        handler = self._handlers.get(type(msg))
+        if handler is None:
+            raise FrameMalformedError(f"{type(msg).__name__}: nobody serves it")
+        return await handler(msg)
+
+    async def on_stop(self) -> None:
+        """Close all sockets."""
+        if self._mesh is not None:
+            self._mesh.close()
--- /dev/null
+++ b/src/firhook/services/_metrics.py
@@ -0,0 +1,98 @@
+"""Serves this instance's metrics to operators."""
+
+import socket
+from collections.abc import Iterable
+
+from aiohttp import web
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+    SummaryMetricFamily,
+)
+from prometheus_client.registry import Collector
+
+from firhook.clock import boot_time
+from firhook.instance import Instance, InstanceService, register_service
+
+#: The port that the deploy file names.
+METRICS_PORT = 9464
+_PATH = "/metrics"
+_QUANTILES = (50.0, 90.0, 99.0, 100.0)
+
+
+class _Collector(Collector):
+    """Reads the counters when they are asked for."""
+
+    def __init__(self, instance: Instance) -> None:
+        self._instance = instance
+
+    def collect(self) -> Iterable[Metric]:
+        """Return all metrics."""
+        meters = self._instance.meters
+        for name, counter in sorted(meters.counters.items()):
+            family = CounterMetricFamily(f"firhook_{name}", name, labels=["kind"])
+            for label, count in counter.items():
+                family.add_metric([label], count)
+            yield family
+        for name, times in sorted(meters.times.items()):
+            family = SummaryMetricFamily(
+                f"firhook_{name}_seconds", name, labels=["kind"]
+            )
+            gauge = GaugeMetricFamily(
+                f"firhook_{name}_quantile_seconds", name, labels=["kind", "quantile"]
+            )
+            for label, hist in times.items():
+                total = hist.get_total_count()
+                mean_s = hist.get_mean_value() / 1e6
+                family.add_metric([label], count_value=total, sum_value=mean_s * total)
+                for q in _QUANTILES:
+                    value = hist.get_value_at_percentile(q) / 1e6
+                    gauge.add_metric([label, f"{q / 100:g}"], value)
+            yield family
+            yield gauge
+        calls = CounterMetricFamily(
+            "firhook_store_calls", "Calls to the store.", labels=["call"]
+        )
+        for label, count in self._instance.store.calls.items():
+            calls.add_metric([label], count)
+        yield calls
+        view = self._instance.config
+        gauges = dict(meters.gauges)
+        gauges["config_age_seconds"] = min(boot_time() - view.read_at, 1e9)
+        gauges["config_version"] = view.config.version if view.config else 0
+        gauges["jobs_known"] = len(self._instance.replica.jobs)
+        for name, value in sorted(gauges.items()):
+            yield GaugeMetricFamily(f"firhook_{name}", name, value=value)
+
+
+@register_service("metrics")
+class Metrics(InstanceService):
+    """The metrics' port."""
+
+    def wire(self) -> None:
+        """Begin without a socket."""
+        self._runner: web.ServerRunner | None = None
+
+    async def on_started(self) -> None:
+        """Listen."""
+        self._runner = web.ServerRunner(web.Server(self._serve, access_log=None))
+        await self._runner.setup()
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind((self.settings.ip, METRICS_PORT))
+        await web.SockSite(self._runner, sock).start()
+
+    async def _serve(self, req: web.BaseRequest) -> web.Response:
+        if req.path != _PATH:
+            return web.Response(status=404)
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(_Collector(self.instance))
+        return web.Response(body=generate_latest(registry), content_type="text/plain")
+
+    async def on_stop(self) -> None:
+        """Close the socket."""
+        if self._runner is not None:
+            await self._runner.cleanup()
--- /dev/null
+++ b/src/firhook/services/_operator.py
@@ -0,0 +1,81 @@
+"""Follows what operators write: the configuration and waves of maintenance."""
+
+import asyncio
+
+from firhook.clock import boot_time
+from firhook.errors import FirhookError, LogTrimmedError
+from firhook.instance import InstanceService, register_service
+from firhook.logs import log
+from firhook.platform.bodies import CONFIG_KEY, FieldError, decode_config
+from firhook.platform.store import OPERATOR_TOPIC
+from firhook.services._events import ConfigApplied
+
+#: How long the store may wait with its answer for a change.  A reading counts
+#: from when it was sent, so that keys are known as of two seconds ago at worst.
+_WAIT_S = 1.0
+#: Between tries when the store does not answer.
+_RETRY_S = 0.15
+
+
+@register_service("operator")
+class Operator(InstanceService):
+    """Keeps the configuration up to date."""
+
+    def wire(self) -> None:
+        """Begin with nothing read."""
+        self._next_offset: int | None = None
+
+    async def on_started(self) -> None:
+        """Begin to follow."""
+        self.add_future(self._follow())
+
+    async def _follow(self) -> None:
+        while not self.should_stop:
+            try:
+                await self._read()
+            except LogTrimmedError:
+                # Only the newest record of each key is kept for good.
+                self._next_offset = None
+            except FirhookError as exc:
+                log("config.read_failed", level="debug", error=repr(exc))
+                await asyncio.sleep(_RETRY_S)
+
+    async def _read(self) -> None:
+        sent_at = boot_time()
+        if self._next_offset is None:
+            newest = await self.store.newest(OPERATOR_TOPIC)
+            records, self._next_offset = newest.records, newest.end
+        else:
+            part = await self.store.read(OPERATOR_TOPIC, 0, self._next_offset, _WAIT_S)
+            records, self._next_offset = part.records, part.next_offset
+        for record in records:
+            if record.key == CONFIG_KEY and record.value:
+                self._take(record.value, "store")
+        view = self.instance.config
+        if view.config is not None:
+            view.read_at = max(view.read_at, sent_at)
+
+    def _take(self, raw: bytes, source: str) -> None:
+        """Put a configuration in force, unless it is an older one.
+
+        A version never goes back in one life of the process, from whatever
+        source: a caller who has seen the effect of a version would see it
+        undone.
+        """
+        view = self.instance.config
+        try:
+            config = decode_config(raw)
+        except FieldError as exc:
+            log("config.unreadable", level="error", error=str(exc))
+            return
+        if view.config is not None and config.version <= view.config.version:
+            return
+        view.config, view.raw = config, raw
+        log(
+            "config.applied",
+            version=config.version,
+            queues=len(config.queues),
+            teams=len(config.teams),
+            source=source,
+        )
+        self.bus.publish(ConfigApplied(config))
--- /dev/null
+++ b/src/firhook/services/_term.py
@@ -0,0 +1,599 @@
+"""One term of a lead: from the moment it took the cell until it gives it up."""
+
+import asyncio
+import contextlib
+import time
+from collections.abc import Coroutine
+from typing import TYPE_CHECKING, Any
+
+from firhook._peer_messages import AdviceAsk, AdviceReply
+from firhook.cell import (
+    NOTHING,
+    Advice,
+    Book,
+    CellConfig,
+    End,
+    JobStatus,
+    LeadRecord,
+    Look,
+    OrderAnswer,
+    OrderOutcome,
+    Run,
+    StartOrder,
+    WorkerEntry,
+)
+from firhook.cell.records import LEAD_KEY, STATE_PREFIX, encode_record
+from firhook.clock import boot_time
+from firhook.decide.schedule import WorkerView, place_round
+from firhook.decide.tickets import (
+    AdviceWish,
+    AdviserSeat,
+    TicketBook,
+    choose_seat,
+    reserve_seats,
+)
+from firhook.errors import (
+    FirhookError,
+    LogFencedError,
+    LogOutcomeUnknownError,
+    LogSequenceError,
+    LogUnavailableError,
+    PeerUnreachableError,
+)
+from firhook.logs import log
+from firhook.platform.store import (
+    CELL_TOPIC,
+    KeyedRecord,
+    Producer,
+    encode_keyed,
+)
+from firhook.platform.workers import Workers
+from firhook.services._events import AskInstance, CatchUp
+from firhook.services._worker_link import WorkerLink
+from firhook.services._worker_list import WorkerList
+
+if TYPE_CHECKING:
+    from firhook.services._lead import Lead
+
+#: Changes are gathered for so long before a round, so that ends which come
+#: together are stored together.
+_GATHER_S = 0.004
+#: A round is held at least this often, for tickets that end and times that come.
+_IDLE_S = 0.1
+#: Between tries when the store does not take an append.
+_RETRY_S = 0.05
+#: An order that got no answer is repeated after this.
+_ORDER_RETRY_S = 0.1
+#: A start is repeated for so long; then it is stopped, which any worker that
+#: answers at all confirms.
+_START_TRIES_S = 2.5
+#: The members of a gang must all have started within this part of the time for
+#: which they wait for each other.
+_GANG_PART = 0.6
+#: Leases are renewed so long after the last good join.  A store that is down
+#: takes the lead's proof of holding the cell away, but the tasks need not die
+#: with it; a successor adds this time to every lease that may still hold.
+RENEW_BLIND_S = 3.0
+#: A lease that a predecessor gave lapses within its length of the predecessor's
+#: last renewal, and some slack for clocks that run 2% slow.
+_OLD_LEASE_FACTOR = 1.03
+#: An answer of the adviser is waited for so much longer than it should take.
+_ADVICE_SLACK_S = 1.5
+#: An instance that did not answer a question is asked nothing for so long.
+_AVOID_S = 1.0
+#: A worker whose ticket or capacity was refused shows its own picture.
+_PRODUCER = "lead"
+
+
+class Term:
+    """Leads the cell.
+
+    :param epoch: higher than that of any lead before; the epoch at the store
+        and the fencing token at the workers.
+    :ivar lost: whether another lead has been seen.
+    """
+
+    def __init__(self, lead: "Lead", epoch: int) -> None:
+        self.fence = epoch
+        self.lost = False
+        self._lead = lead
+        self._instance = lead.instance
+        self._store = lead.store
+        self._replica = lead.replica
+        self._meters = lead.meters
+        self._bounds = lead.settings.bounds
+        self.workers = Workers(lead.instance.session, self.may_act)
+        self.links: dict[str, WorkerLink] = {}
+        self.tickets = TicketBook()
+        config = lead.instance.config.config
+        assert config is not None
+        self.book = Book(config)
+        self._known: set[str] = set()
+        self._sequence = 0
+        self._wake = asyncio.Event()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._link_tasks: dict[str, asyncio.Task[None]] = {}
+        self._seats: dict[str, AdviserSeat] = {}
+        self._renew_until = 0.0
+        self._begun_at = boot_time()
+        self._ready = False
+
+    # Life of a term.
+
+    def begin(self) -> None:
+        """Take the cell over."""
+        self._spawn(self._run())
+
+    async def end(self) -> None:
+        """Stop at once; what was stored is the successor's."""
+        self.lost = True
+        tasks = [*self._tasks, *self._link_tasks.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log("term.task_failed", level="error", error=repr(task.exception()))
+
+    def may_act(self) -> bool:
+        """Return whether orders may be given at this moment."""
+        return not self.lost and self._lead.may_act()
+
+    def may_renew(self) -> bool:
+        """Return whether leases may be renewed."""
+        now = boot_time()
+        if self.may_act():
+            self._renew_until = now + RENEW_BLIND_S
+        return not self.lost and now < self._renew_until
+
+    def on_fenced(self, worker: str) -> None:
+        """Give up: a worker has seen the fencing token of another lead."""
+        log("lead.fenced", level="warning", epoch=self.fence, worker=worker)
+        self.lost = True
+
+    async def _run(self) -> None:
+        try:
+            await self._take_over()
+            await self._control()
+        except (LogFencedError, LogSequenceError) as exc:
+            log("lead.fenced", level="warning", epoch=self.fence, error=exc.code)
+            self.lost = True
+        except Exception as exc:
+            log("lead.crashed", level="error", epoch=self.fence, error=repr(exc))
+            self.lost = True
+
+    async def _take_over(self) -> None:
+        # From here on the store refuses what a lead before this one appends,
+        # so that what is read next is all there is.
+        await self._append([])
+        while True:
+            try:
+                await self._lead.bus.ask(CatchUp())
+                break
+            except FirhookError as exc:
+                log("lead.catch_up_retry", level="debug", error=repr(exc))
+                await asyncio.sleep(_RETRY_S)
+        now, unix = boot_time(), time.time()
+        for job_id, job in list(self._replica.unended()):
+            self._known.add(job_id)
+            assert job.accepted is not None
+            self.book.add(job.accepted, job.state, now, unix)
+            if job.cancelled:
+                self.book.cancel(job_id, unix)
+        settings = self._lead.settings
+        mine = LeadRecord(settings.name, self._instance.incarnation, self.fence)
+        await self._append([KeyedRecord(LEAD_KEY, encode_record(mine))])
+        self._ready = True
+        log(
+            "lead.began",
+            epoch=self.fence,
+            jobs=len(self.book.jobs),
+            runs=sum(len(r) for r in self.book.worker_runs.values()),
+            offset=self._replica.next_offset,
+            took_ms=round((boot_time() - self._begun_at) * 1000, 1),
+        )
+        self._meters.time("takeover", "", boot_time() - self._begun_at)
+        self._spawn(WorkerList(self._store, self._on_worker).run())
+
+    # What comes in.
+
+    def on_job(self, job_id: str) -> None:
+        """Take in a change of a job's records."""
+        if not self._ready:
+            return
+        view = self._replica.jobs.get(job_id)
+        if view is None or view.accepted is None:
+            return
+        if job_id not in self._known:
+            # A job that ended in this term is known as well.  Its last record
+            # may not have been read back yet when a late repeat of its
+            # submission is; it must not begin anew.
+            self._known.add(job_id)
+            if not view.status.ended or view.cancelled:
+                self.book.add(view.accepted, view.state, boot_time(), time.time())
+        if view.cancelled:
+            self.book.cancel(job_id, time.time())
+        self._wake.set()
+
+    def on_config(self, config: CellConfig) -> None:
+        """Go by another version of the configuration."""
+        self.book.set_config(config)
+        self._wake.set()
+
+    def _on_worker(self, name: str, entry: WorkerEntry | None) -> None:
+        link = self.links.get(name)
+        now = boot_time()
+        if entry is None:
+            if link is not None and link.unlisted_at is None:
+                link.unlisted_at = now
+            return
+        if link is None:
+            lease_s = self._bounds.lease_s
+            lapse_at = self._begun_at + RENEW_BLIND_S + lease_s * _OLD_LEASE_FACTOR
+            link = WorkerLink(self, entry, lease_s, lapse_at)
+            self.links[name] = link
+            self._link_tasks[name] = asyncio.create_task(link.run())
+        if entry.draining and not link.entry.draining:
+            self._on_draining(link, entry)
+        link.entry, link.unlisted_at = entry, None
+
+    def _on_draining(self, link: WorkerLink, entry: WorkerEntry) -> None:
+        """Move what would not end before the worker leaves."""
+        now = boot_time()
+        runs = list(self.book.worker_runs.get(link.name, {}).values())
+        log("worker.draining", worker=link.name, runs=len(runs), left=entry.leaves_in_s)
+        for run in runs:
+            if run.stored and run.left_s(now) > entry.leaves_in_s:
+                self.book.stop(run, "worker_leaves")
+        self._wake.set()
+
+    def on_look(self, link: WorkerLink, look: Look, sent_at: float) -> None:
+        """Take in what a worker lists."""
+        now, unix = boot_time(), time.time()
+        strays = self.book.take_look(link.name, look, sent_at, now, unix)
+        for run, end in self.book.ends:
+            self._note_end(link, run, end, now)
+        self.book.ends.clear()
+        for task, number in strays:
+            log("run.stray", worker=link.name, task=task, run=number)
+            self._spawn(self.workers.stop(link.entry, task, number, self.fence))
+        self._wake.set()
+
+    def _note_end(self, link: WorkerLink, run: Run, end: End, now: float) -> None:
+        step = run.task.step
+        self._meters.count("ends", end.value)
+        log(
+            "run.ended",
+            task=run.task.name,
+            run=run.number,
+            worker=link.name,
+            end=end.value,
+            ran_ms=round((now - run.begun_at) * 1000),
+        )
+        if link.health.note(step.job.id, end, now):
+            log("worker.rests", level="warning", worker=link.name)
+
+    def on_dark(self, link: WorkerLink) -> None:
+        """Take note that a worker stopped answering."""
+        for run in list(self.book.worker_runs.get(link.name, {}).values()):
+            others = (self.links.get(other.worker) for other in run.task.runs)
+            if all(other is None or other.doubted for other in others):
+                self.book.copy_wanted(run.task)
+        self._wake.set()
+
+    # The control loop.
+
+    async def _control(self) -> None:
+        while not self.lost:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._wake.wait(), _IDLE_S)
+            await asyncio.sleep(_GATHER_S)
+            self._wake.clear()
+            self.book.tick(boot_time(), time.time())
+            if self.may_act():
+                self._place()
+            for run in self.book.take_to_stop():
+                self._spawn(self._stop(run))
+            await self._store_changes()
+
+    def _place(self) -> None:
+        now = boot_time()
+        if not self.book.open_steps:
+            return
+        views = self._views(now)
+        result = place_round(self.book, views, self.tickets, now)
+        for placement in result.placements:
+            step = placement.step
+            for run in self.book.plan(step, placement.tasks, now):
+                run.ticket = self.tickets.text(step, run.worker)
+            if not step.occurrence and step.number == 0:
+                queue = step.job.queue.name
+                self._meters.time("wait_for_room", queue, now - step.job.accepted_at)
+        for wish in sorted(result.wishes, key=lambda w: w.before):
+            self._ask_adviser(wish, now)
+        self.tickets.keep_only(self.book.jobs)
+        took_s = boot_time() - now
+        self._meters.time("round", "", took_s)
+
+    def _views(self, now: float) -> dict[str, WorkerView]:
+        views = {}
+        for name, link in self.links.items():
+            if not link.usable(now):
+                continue
+            running = len(self.book.worker_runs.get(name, ()))
+            if not link.health.accepts(running, now):
+                continue
+            entry = link.entry
+            free = entry.capacity.minus(self.book.worker_use.get(name, NOTHING))
+            views[name] = WorkerView(
+                name, link.life, entry.pool, entry.rack, entry.labels, free
+            )
+        return views
+
+    async def _store_changes(self) -> None:
+        planned = self.book.take_planned()
+        jobs = self.book.take_dirty()
+        acks = [
+            (link, link.processed)
+            for link in self.links.values()
+            if link.processed > link.ack
+        ]
+        if jobs:
+            began = boot_time()
+            await self._append(
+                KeyedRecord(STATE_PREFIX + job.id, encode_record(job.to_state()))
+                for job in jobs
+            )
+            self._meters.time("store_state", "", boot_time() - began)
+        for link, number in acks:
+            link.set_ack(number)
+        for job in jobs:
+            if job.status.ended and not job.reported:
+                job.reported = True
+                self._note_job_end(job.id, job.status, job.accepted_at, job.queue.name)
+        for run in planned:
+            self._begin_run(run)
+
+    def _note_job_end(
+        self, job_id: str, status: JobStatus, accepted_at: float, queue: str
+    ) -> None:
+        took_s = boot_time() - accepted_at
+        self._meters.time("job", f"{queue} {status.name.lower()}", took_s)
+        log(
+            "job.ended", job=job_id, status=status.name.lower(), took_s=round(took_s, 3)
+        )
+
+    async def _append(self, records: Any) -> None:
+        """Append records under this term's epoch, until an answer comes.
+
+        Repeats carry the same sequence number, so that a record whose answer
+        was lost is not appended twice.
+
+        :raises LogFencedError: if another lead has begun.
+        """
+        contents = [encode_keyed(record) for record in records]
+        for chunk in _chunks(contents, self._lead.settings.store_limits.append_bytes):
+            await self._append_chunk(chunk)
+
+    async def _append_chunk(self, contents: list[bytes]) -> None:
+        producer = Producer(_PRODUCER, self.fence, self._sequence)
+        while True:
+            try:
+                await self._store.append(CELL_TOPIC, 0, contents, producer)
+                break
+            except (LogUnavailableError, LogOutcomeUnknownError) as exc:
+                log("lead.append_retry", level="debug", error=exc.detail[:200])
+                await asyncio.sleep(_RETRY_S)
+        if contents:
+            self._sequence += 1
+
+    # Orders.
+
+    def _begin_run(self, run: Run) -> None:
+        run.stored = True
+        if run.stopping or run not in run.task.runs:
+            # It was cancelled while its assignment was stored; nothing was sent.
+            self.book.void(run, "not_sent", boot_time())
+            return
+        self._spawn(self._start(run))
+
+    async def _start(self, run: Run) -> None:
+        began = boot_time()
+        step = run.task.step
+        limit_s = self._bounds.gang_s * _GANG_PART if step.spec.gang else _START_TRIES_S
+        while run in run.task.runs and not run.stopping and not self.lost:
+            if boot_time() - began > limit_s:
+                self._give_up_start(run, "start_unanswered")
+                return
+            answer = await self._send_start(run)
+            if self._take_start_answer(run, answer, began):
+                return
+            await asyncio.sleep(_ORDER_RETRY_S)
+
+    async def _send_start(self, run: Run) -> OrderAnswer:
+        link = self.links[run.worker]
+        step = run.task.step
+        order = StartOrder(
+            task=run.task.name,
+            run=run.number,
+            text=step.job.accepted.spec.text,
+            fence=self.fence,
+            lease_until_s=link.lease_until(),
+            checkpoint=step.start_checkpoint(run.task),
+            ticket=run.ticket,
+        )
+        # Counted before it is sent: whoever looks meanwhile must take it for
+        # one that may yet arrive.
+        run.unanswered += 1
+        answer = await self.workers.start(link.entry, order)
+        if answer.outcome is not OrderOutcome.UNKNOWN:
+            run.unanswered -= 1
+        if answer.life:
+            link.heard(answer.life, answer.clock_s, boot_time())
+        self._meters.count("starts", answer.outcome.value)
+        return answer
+
+    def _take_start_answer(self, run: Run, answer: OrderAnswer, began: float) -> bool:
+        """Return whether the start is settled."""
+        outcome = answer.outcome
+        step = run.task.step
+        if outcome in (OrderOutcome.TAKEN, OrderOutcome.OLD):
+            # Every earlier copy of this start is void now: the run is there.
+            run.unanswered = 0
+            run.settled_at = boot_time()
+            if answer.life > run.life:
+                run.life = answer.life
+            if outcome is OrderOutcome.TAKEN:
+                self._note_started(run, began)
+            return True
+        if outcome in (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT):
+            return False
+        if outcome is OrderOutcome.LATE:
+            return False
+        if outcome is OrderOutcome.FENCED:
+            self.on_fenced(run.worker)
+            return True
+        log(
+            "run.refused",
+            level="warning",
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker,
+            reason=outcome.value,
+        )
+        if outcome is OrderOutcome.NO_TICKET:
+            self.tickets.of(step).drop_ticket(run.worker)
+        self._give_up_start(run, outcome.value)
+        return True
+
+    def _give_up_start(self, run: Run, reason: str) -> None:
+        if run not in run.task.runs:
+            return
+        if run.unanswered:
+            # A copy of the start may yet be carried out; only a stop that is
+            # answered makes sure that it is not.
+            self.book.stop(run, reason)
+            if run.task.step.spec.gang:
+                for other in list(run.task.step.runs()):
+                    self.book.stop(other, "gang_broken")
+        else:
+            self.book.void(run, reason, boot_time())
+        self._wake.set()
+
+    def _note_started(self, run: Run, began: float) -> None:
+        run.confirmed = True
+        now = boot_time()
+        run.begun_at = now
+        self._meters.time("start", "", now - began)
+        log(
+            "run.started",
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker,
+            took_ms=round((now - began) * 1000, 1),
+        )
+
+    async def _stop(self, run: Run) -> None:
+        """Order a run to be stopped until the worker confirms it."""
+        log(
+            "run.stopping",
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker,
+            reason=run.stopping,
+        )
+        while run in run.task.runs and not self.lost:
+            if not run.stored:
+                return
+            link = self.links.get(run.worker)
+            if link is not None and self.may_act():
+                answer = await self.workers.stop(
+                    link.entry, run.task.name, run.number, self.fence
+                )
+                if answer.outcome in (OrderOutcome.TAKEN, OrderOutcome.OLD):
+                    run.unanswered = 0
+                    run.settled_at = boot_time()
+                    return
+                if answer.outcome is OrderOutcome.FENCED:
+                    self.on_fenced(run.worker)
+                    return
+            await asyncio.sleep(_ORDER_RETRY_S)
+
+    # Advice.
+
+    def _ask_adviser(self, wish: AdviceWish, now: float) -> None:
+        seat = choose_seat(self._current_seats(), wish.cost_s, now)
+        advice = self.tickets.of(wish.step)
+        if seat is None or advice.asking:
+            return
+        advice.asking = True
+        seat.waiting += 1
+        seat.busy_until = max(seat.busy_until, now) + wish.cost_s
+        self._spawn(self._ask(wish, seat))
+
+    def _current_seats(self) -> list[AdviserSeat]:
+        names = set(self._replica.peers)
+        if names != set(self._seats):
+            self._seats = {n: self._seats.get(n) or AdviserSeat(n) for n in names}
+            reserve_seats(list(self._seats.values()))
+        return list(self._seats.values())
+
+    async def _ask(self, wish: AdviceWish, seat: AdviserSeat) -> None:
+        began = boot_time()
+        names = tuple(name for name, _ in wish.workers)
+        timeout_s = max(seat.busy_until - began, wish.cost_s) + _ADVICE_SLACK_S
+        advice = self.tickets.of(wish.step)
+        try:
+            answer = await self._ask_through(
+                seat.name, wish.step.name, names, timeout_s
+            )
+        finally:
+            seat.waiting -= 1
+            advice.asking = False
+        now = boot_time()
+        if answer is None:
+            seat.avoid_until = now + _AVOID_S
+            seat.busy_until = now
+        else:
+            advice.take(wish.workers, answer, now)
+            queue = wish.step.job.queue.name
+            self._meters.time("advice", queue, now - began)
+        self._wake.set()
+
+    async def _ask_through(
+        self, instance: str, step: str, workers: tuple[str, ...], timeout_s: float
+    ) -> Advice | None:
+        if instance == self._lead.settings.name:
+            if self._lead.adviser is None:
+                return None
+            return await self._lead.adviser.ask(step, workers, timeout_s)
+        try:
+            reply = await self._lead.bus.ask(
+                AskInstance(instance, AdviceAsk(step, workers, timeout_s), timeout_s)
+            )
+        except PeerUnreachableError as exc:
+            log("advice.peer_failed", level="warning", peer=instance, error=exc.detail)
+            return None
+        if not isinstance(reply, AdviceReply) or not reply.answered:
+            return None
+        return Advice({t.worker: t.ticket for t in reply.tickets}, reply.valid_s)
+
+
+def _chunks(contents: list[bytes], most: int) -> list[list[bytes]]:
+    """Split records into appends of at most so many bytes; at least one."""
+    chunks: list[list[bytes]] = [[]]
+    size = 0
+    for content in contents:
+        if chunks[-1] and size + len(content) + 4 > most:
+            chunks.append([])
+            size = 0
+        chunks[-1].append(content)
+        size += len(content) + 4
+    return chunks
--- /dev/null
+++ b/src/firhook/services/_worker_link.py
@@ -0,0 +1,178 @@
+"""The lead's connection to one worker: its lease, its runs and its ends."""
+
+import asyncio
+from typing import Protocol
+
+from firhook.cell import Book, Look, WorkerEntry
+from firhook.clock import boot_time
+from firhook.decide.worker_health import WorkerHealth
+from firhook.errors import WorkerFencedError, WorkerUnreachableError
+from firhook.logs import log
+from firhook.platform.workers import Workers
+
+#: How long a worker may wait with its answer for a run to end.  Each look is
+#: priced; a worker in use answers several times a second in any case.
+_WAIT_S = 1.0
+#: Between looks while ends wait to be stored: the worker answers such a look at
+#: once, as it lists ends that it was not yet told to forget.
+_UNSTORED_WAIT_S = 0.4
+#: Between tries at a worker that does not answer.
+_RETRY_S = 0.25
+#: A lease is renewed no more once a worker was silent for so long.  Its tasks
+#: are free again only when the last lease that it may have got has lapsed, so
+#: renewing into the dark would put that off; two lost looks are borne.
+_RENEW_SILENT_S = 2.5
+#: A worker's clock may be 2% slow against ours.
+_DRIFT = 1.021
+#: On top of a lease, for times that are rounded and answers on their way.
+_LAPSE_MARGIN_S = 0.15
+#: A worker without an entry is used so long: entries that lapsed while the
+#: store was away come back within two seconds of its return.
+_UNLISTED_S = 3.0
+#: A worker that was silent for so long gets no new work.
+_SILENT_S = 2.4
+
+
+class LinkOwner(Protocol):
+    """What a link needs of the lead's term."""
+
+    fence: int
+    book: Book
+    workers: Workers
+
+    def may_renew(self) -> bool:
+        """Return whether leases may be renewed."""
+
+    def on_look(self, link: "WorkerLink", look: Look, sent_at: float) -> None:
+        """Take in a worker's answer."""
+
+    def on_fenced(self, worker: str) -> None:
+        """Take note that a worker has seen a higher fencing token."""
+
+    def on_dark(self, link: "WorkerLink") -> None:
+        """Take note that a worker stopped answering."""
+
+
+class WorkerLink:
+    """Looks at one worker again and again.
+
+    :param lapse_at: when every lease that others may have given it has lapsed.
+    :ivar ack: all ends up to this number are stored.
+    :ivar processed: all ends up to this number are in the book.
+    :ivar life: the life that answered last; 0 if none did.
+    """
+
+    def __init__(
+        self, owner: LinkOwner, entry: WorkerEntry, lease_s: float, lapse_at: float
+    ) -> None:
+        self.entry = entry
+        self.life = 0
+        self.ack = 0
+        self.processed = 0
+        self.health = WorkerHealth()
+        self.lapse_at = lapse_at
+        self.unlisted_at: float | None = None
+        self.drain_ends_at: float | None = None
+        self.answered_at = float("-inf")
+        self.doubted = False
+        self._owner = owner
+        self._lease_s = lease_s
+        self._clock_s = 0.0
+        self._clock_at = 0.0
+        self._dark = False
+        self._stored = asyncio.Event()
+
+    @property
+    def name(self) -> str:
+        """The worker's id."""
+        return self.entry.name
+
+    def usable(self, now: float) -> bool:
+        """Return whether new work may be sent there."""
+        if not self.life or self.entry.draining or self.doubted:
+            return False
+        if self.unlisted_at is not None and now - self.unlisted_at > _UNLISTED_S:
+            return False
+        return now - self.answered_at < _SILENT_S and self.life >= self.entry.life
+
+    def lease_until(self) -> float:
+        """Return the end of a lease given now, on the worker's clock.
+
+        The longest time that the lease may last on our clock is noted: until
+        then nothing that may run there may start elsewhere.
+        """
+        now = boot_time()
+        until = self._clock_s + (now - self._clock_at) + self._lease_s
+        lapses_at = self._clock_at + (until - self._clock_s) * _DRIFT + _LAPSE_MARGIN_S
+        self.lapse_at = max(self.lapse_at, lapses_at)
+        return until
+
+    def set_ack(self, number: int) -> None:
+        """Take note that all ends up to a number are stored."""
+        self.ack = max(self.ack, number)
+        self._stored.set()
+
+    def heard(self, life: int, clock_s: float | None, now: float) -> None:
+        """Take note of a worker's answer to an order."""
+        if clock_s is not None:
+            self._clock_s, self._clock_at = clock_s, now
+        self.doubted = False
+
+    async def run(self) -> None:
+        """Look at the worker until cancelled."""
+        while True:
+            try:
+                await self._look_once()
+            except WorkerUnreachableError as exc:
+                self._note_silence(exc)
+                await asyncio.sleep(_RETRY_S)
+            except WorkerFencedError:
+                self._owner.on_fenced(self.name)
+                await asyncio.sleep(_RETRY_S)
+            except Exception as exc:
+                log("link.failed", level="error", worker=self.name, error=repr(exc))
+                await asyncio.sleep(_RETRY_S)
+
+    async def _look_once(self) -> None:
+        sent_at = boot_time()
+        silent = sent_at - self.answered_at > _RENEW_SILENT_S
+        renews = self.life and not silent and self._owner.may_renew()
+        until = self.lease_until() if renews else None
+        wait_s = 0.0 if not self.life or silent else _WAIT_S
+        look = await self._owner.workers.look(
+            self.entry, self._owner.fence, self.ack, until, wait_s
+        )
+        now = boot_time()
+        self._clock_s, self._clock_at = look.clock_s, now
+        if look.life != self.life:
+            if self.life:
+                log("worker.restarted", worker=self.name, life=look.life)
+            self.life, self.ack, self.processed = look.life, 0, 0
+        self.answered_at = now
+        self.doubted = False
+        if self._dark:
+            self._dark = False
+            log("worker.regained", worker=self.name)
+        self._owner.on_look(self, look, sent_at)
+        if look.ended:
+            self.processed = max(self.processed, look.ended[-1].number)
+        if self.processed > self.ack:
+            await self._wait_stored()
+
+    async def _wait_stored(self) -> None:
+        self._stored.clear()
+        try:
+            await asyncio.wait_for(self._stored.wait(), _UNSTORED_WAIT_S)
+        except TimeoutError:
+            log("worker.ends_unstored", level="debug", worker=self.name)
+
+    def _note_silence(self, exc: Exception) -> None:
+        now = boot_time()
+        self.doubted = True
+        if not self._dark:
+            self._dark = True
+            log("worker.lost", level="warning", worker=self.name, error=str(exc)[:200])
+        self._owner.on_dark(self)
+        if now > self.lapse_at and self._owner.book.worker_runs.get(self.name):
+            log("worker.lapsed", level="warning", worker=self.name)
+            self._owner.book.lapse(self.name, now)
