--- a/src/firhook/_clock.py
+++ b/src/firhook/_clock.py
@@ -1,6 +1,15 @@
-"""The clock that leases are measured with."""
+"""The clocks that firhook goes by."""
 
 import time
+from collections.abc import Callable
+
+
+def _boot_clock() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+_boot: Callable[[], float] = _boot_clock
+_unix: Callable[[], float] = time.time
 
 
 def boot_time() -> float:
@@ -11,4 +20,18 @@
     with a lease that lapsed while it slept; the time of day, which does count
     suspensions, may jump.
     """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+    return _boot()
+
+
+def unix_time() -> float:
+    """Return the time of day in seconds since 1970; it may jump."""
+    return _unix()
+
+
+def set_clocks(
+    boot: Callable[[], float] | None = None, unix: Callable[[], float] | None = None
+) -> None:
+    """Go by other clocks, for tests in virtual time; by the real ones if none."""
+    global _boot, _unix
+    _boot = boot or _boot_clock
+    _unix = unix or time.time
--- a/src/firhook/_instance.py
+++ b/src/firhook/_instance.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-import aiohttp
 import attrs
 from mode import Service
 
@@ -15,8 +14,8 @@
 from firhook.clock import boot_time
 from firhook.logs import log
 from firhook.meters import Meters
+from firhook.platform.connections import Connections
 from firhook.platform.instance import InstanceSettings
-from firhook.platform.store import Store
 
 _SERVICES: dict[str, type["InstanceService"]] = {}
 
@@ -43,10 +42,13 @@
 
 
 def load_services() -> dict[str, type["InstanceService"]]:
-    """Import the services that ship with firhook and return all registered."""
+    """Import the services that ship with firhook and return all registered.
+
+    They are returned in the order in which they start.
+    """
     for name in SERVICE_MODULES:
         importlib.import_module(f"firhook.services._{name}")
-    return dict(_SERVICES)
+    return {name: _SERVICES[name] for name in SERVICE_MODULES}
 
 
 @attrs.define(slots=True, eq=False)
@@ -101,7 +103,8 @@
     """The root of the tree.
 
     :param settings: what the platform tells this instance.
-    :param session: for all calls that it makes.
+    :param platform: for all calls that it makes.
+    :param services: the services by name; those that ship with firhook if none.
     :ivar incarnation: unique for each run of the process.
     :ivar replica: the cell's records.
     :ivar config: the operators' configuration.
@@ -109,13 +112,16 @@
     """
 
     def __init__(
-        self, settings: InstanceSettings, session: aiohttp.ClientSession
+        self,
+        settings: InstanceSettings,
+        platform: Connections,
+        services: dict[str, type["InstanceService"]] | None = None,
     ) -> None:
         super().__init__()
         self.settings = settings
-        self.session = session
+        self.platform = platform
         self.incarnation = secrets.token_hex(4)
-        self.store = Store(session, settings.store)
+        self.store = platform.store
         self.replica = Replica()
         self.config = ConfigView(settings.bounds.revocation_s)
         self.meters = Meters()
@@ -123,20 +129,20 @@
         self.stopping = False
         self.started_at = boot_time()
         self.services: dict[str, InstanceService] = {
-            name: cls(self) for name, cls in load_services().items()
+            name: cls(self) for name, cls in (services or load_services()).items()
         }
 
     def on_init_dependencies(self) -> list[Service]:
         """Return the services, which start after the instance, in order."""
-        return [self.services[name] for name in SERVICE_MODULES]
+        return list(self.services.values())
 
     async def drain(self) -> None:
         """Bring every service to rest, so that stopping cuts nothing."""
         self.stopping = True
         log("instance.draining")
-        for name in reversed(SERVICE_MODULES):
+        for name, service in reversed(self.services.items()):
             try:
-                await self.services[name].drain()
+                await service.drain()
             except Exception as exc:
                 log("service.drain_failed", level="error", name=name, error=repr(exc))
         log("instance.drained")
--- a/src/firhook/_instance_daemon.py
+++ b/src/firhook/_instance_daemon.py
@@ -10,6 +10,7 @@
 from firhook.errors import SettingsInvalidError
 from firhook.instance import Instance
 from firhook.logs import log, setup_logs
+from firhook.platform.connections import HttpConnections
 from firhook.platform.instance import (
     SETTINGS_VARIABLE,
     InstanceSettings,
@@ -52,7 +53,7 @@
     changed = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, changed.set)
     async with new_session() as session:
-        instance = Instance(settings, session)
+        instance = Instance(settings, HttpConnections(settings, session))
         log("instance.starting", incarnation=instance.incarnation)
         await instance.start()
         log("instance.started", incarnation=instance.incarnation)
--- a/src/firhook/clock.py
+++ b/src/firhook/clock.py
@@ -1,5 +1,5 @@
-"""The clock that leases are measured with."""
+"""The clocks that firhook goes by."""
 
-from firhook._clock import boot_time
+from firhook._clock import boot_time, set_clocks, unix_time
 
-__all__ = ["boot_time"]
+__all__ = ["boot_time", "set_clocks", "unix_time"]
--- a/src/firhook/platform/_store.py
+++ b/src/firhook/platform/_store.py
@@ -2,14 +2,16 @@
 
 import base64
 import struct
+from abc import ABC, abstractmethod
 from collections.abc import Sequence
-from typing import Any, NoReturn
+from typing import Any
 
 import aiohttp
 import attrs
 import msgspec
 
 from firhook.errors import (
+    FirhookError,
     LogFencedError,
     LogFullError,
     LogMovedError,
@@ -134,12 +136,68 @@
     return StoredRecord(offset, key, content[end:] or None)
 
 
-class Store:
-    """Client of the platform's store; the only one.
+class Store(ABC):
+    """The platform's store, as one instance reaches it.
 
     Every method raises :class:`LogUnavailableError` if the store certainly did
     nothing, and :class:`LogOutcomeUnknownError` if no answer came.
 
+    :ivar calls: how many calls ended how, by name and outcome.
+    """
+
+    calls: dict[str, int]
+
+    @abstractmethod
+    async def append(
+        self,
+        topic: str,
+        partition: int,
+        records: Sequence[bytes],
+        producer: Producer | None = None,
+        expected_end: int | None = None,
+        timeout_s: float | None = None,
+    ) -> Appended:
+        """Append records, all or none; without records only set the epoch.
+
+        :param expected_end: append only if the partition ends there.
+        :raises LogFencedError: if a higher epoch has been seen.
+        :raises LogSequenceError: if the sequence number is not the next one.
+        :raises LogMovedError: if the partition ends elsewhere.
+        :raises LogFullError: if there is no space.
+        """
+
+    @abstractmethod
+    async def read(
+        self, topic: str, partition: int, offset: int, wait_s: float = 0.0
+    ) -> Slice:
+        """Return the records of a keyed topic from an offset on.
+
+        :param wait_s: how long the store waits if there are none yet.
+        :raises LogTrimmedError: if records from the offset on have expired.
+        """
+
+    @abstractmethod
+    async def newest(self, topic: str, partition: int = 0) -> Newest:
+        """Return the newest record of each key of a keyed topic."""
+
+    @abstractmethod
+    async def join(
+        self, group: str, member: str, topic: str, ttl_s: float, generation: int
+    ) -> Membership:
+        """Join a group, or stay in it, and return the member's share.
+
+        :param generation: the last one received, 0 at first.  Sending it says
+            that this member holds nothing any more that it was not given in it.
+        """
+
+    @abstractmethod
+    async def leave(self, group: str, member: str) -> None:
+        """Leave a group, so that its partitions are given to others at once."""
+
+
+class HttpStore(Store):
+    """Client of the platform's store; the only one.
+
     :param timeout_s: how long to wait for an answer.
     """
 
@@ -183,14 +241,7 @@
         expected_end: int | None = None,
         timeout_s: float | None = None,
     ) -> Appended:
-        """Append records, all or none; without records only set the epoch.
-
-        :param expected_end: append only if the partition ends there.
-        :raises LogFencedError: if a higher epoch has been seen.
-        :raises LogSequenceError: if the sequence number is not the next one.
-        :raises LogMovedError: if the partition ends elsewhere.
-        :raises LogFullError: if there is no space.
-        """
+        """See :meth:`Store.append`."""
         query = f"?topic={topic}&part={partition}"
         if producer is not None:
             query += f"&producer={producer.name}&epoch={producer.epoch}"
@@ -207,17 +258,12 @@
                 return Appended(whole(data, "offset", 0), whole(data, "end", 0))
             except FieldError as exc:
                 raise LogOutcomeUnknownError(str(exc)) from exc
-        _raise_append_error(answer)
-        return None
+        raise _append_error(answer)
 
     async def read(
         self, topic: str, partition: int, offset: int, wait_s: float = 0.0
     ) -> Slice:
-        """Return the records of a keyed topic from an offset on.
-
-        :param wait_s: how long the store waits if there are none yet.
-        :raises LogTrimmedError: if records from the offset on have expired.
-        """
+        """See :meth:`Store.read`."""
         query = f"?topic={topic}&part={partition}&from={offset}"
         if wait_s > 0:
             query += f"&wait_ms={int(wait_s * 1000)}"
@@ -257,11 +303,7 @@
     async def join(
         self, group: str, member: str, topic: str, ttl_s: float, generation: int
     ) -> Membership:
-        """Join a group, or stay in it, and return the member's share.
-
-        :param generation: the last one received, 0 at first.  Sending it says
-            that this member holds nothing any more that it was not given in it.
-        """
+        """See :meth:`Store.join`."""
         body = msgspec.json.encode(
             {
                 "group": group,
@@ -284,7 +326,7 @@
             raise LogOutcomeUnknownError(str(exc)) from exc
 
     async def leave(self, group: str, member: str) -> None:
-        """Leave a group, so that its partitions are given to others at once."""
+        """See :meth:`Store.leave`."""
         body = msgspec.json.encode({"group": group, "member_id": member})
         await self._call("POST", "leave", "", body, self._timeout_s)
 
@@ -314,7 +356,7 @@
     return Slice(tuple(records), offset, end)
 
 
-def _raise_append_error(answer: Answer) -> NoReturn:
+def _append_error(answer: Answer) -> FirhookError:
     try:
         data = parse_json(answer.body)
     except FieldError:
@@ -322,14 +364,14 @@
     # The field tells why a call was refused.
     reason = data.get("reason")
     if answer.status == 409 and reason == "fenced":
-        raise LogFencedError("a higher epoch has been seen")
+        return LogFencedError("a higher epoch has been seen")
     if answer.status == 409 and reason == "seq":
-        raise LogSequenceError("another sequence number is expected", **_extra(data))
+        return LogSequenceError("another sequence number is expected", **_extra(data))
     if answer.status == 412:
-        raise LogMovedError("the partition ends elsewhere", end=data.get("end"))
+        return LogMovedError("the partition ends elsewhere", end=data.get("end"))
     if answer.status == 507:
-        raise LogFullError("the store is full", retry_after_s=_RETRY_S)
-    raise LogOutcomeUnknownError(f"the store answered {answer.status}")
+        return LogFullError("the store is full", retry_after_s=_RETRY_S)
+    return LogOutcomeUnknownError(f"the store answered {answer.status}")
 
 
 def _extra(data: dict[str, Any]) -> dict[str, Any]:
--- a/src/firhook/platform/_workers.py
+++ b/src/firhook/platform/_workers.py
@@ -1,5 +1,6 @@
 """Workers: how they register, and the calls to one of them."""
 
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import Any
 
@@ -104,20 +105,14 @@
     return EndedRow(int(row[0]), str(row[1]), int(row[2]), _ENDS[row[3]], str(row[4]))
 
 
-class Workers:
-    """Calls to workers; the only client of them.
+class Workers(ABC):
+    """Calls to workers.
 
-    :param sending: asked right before each order is sent, whether the sender
-        may still give orders; an order is not sent if it may not.
+    Before each order is sent, the sender's right to give orders is asked for; an
+    order is not sent without it.
     """
 
-    def __init__(
-        self, session: aiohttp.ClientSession, sending: Callable[[], bool]
-    ) -> None:
-        self._session = session
-        self._sending = sending
-        self.looks = 0
-
+    @abstractmethod
     async def look(
         self,
         worker: WorkerEntry,
@@ -134,6 +129,46 @@
         :raises WorkerUnreachableError: if no whole answer came.
         :raises WorkerFencedError: if a higher fencing token was seen there.
         """
+
+    @abstractmethod
+    async def start(self, worker: WorkerEntry, order: StartOrder) -> OrderAnswer:
+        """Order a run to be started."""
+
+    @abstractmethod
+    async def stop(
+        self, worker: WorkerEntry, task: str, run: int, fence: int
+    ) -> OrderAnswer:
+        """Order a run to be stopped; one that is not there yet never starts."""
+
+    @abstractmethod
+    async def pace(
+        self, worker: WorkerEntry, task: str, run: int, percent: int, fence: int
+    ) -> OrderAnswer:
+        """Let a run work at a share of its full speed."""
+
+
+class HttpWorkers(Workers):
+    """Calls to workers over HTTP; the only client of them.
+
+    :param sending: whether the sender may still give orders.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, sending: Callable[[], bool]
+    ) -> None:
+        self._session = session
+        self._sending = sending
+        self.looks = 0
+
+    async def look(
+        self,
+        worker: WorkerEntry,
+        fence: int,
+        ack: int,
+        lease_until_s: float | None,
+        wait_s: float,
+    ) -> Look:
+        """See :meth:`Workers.look`."""
         body: dict[str, Any] = {"fencing_token": fence, "ack_cursor": ack}
         if lease_until_s is not None:
             body["deadline_ms"] = int(lease_until_s * 1000)
@@ -171,14 +206,14 @@
     async def stop(
         self, worker: WorkerEntry, task: str, run: int, fence: int
     ) -> OrderAnswer:
-        """Order a run to be stopped; one that is not there yet never starts."""
+        """See :meth:`Workers.stop`."""
         body = {"task": task, "run": run, "fencing_token": fence}
         return await self._order(worker, "run-stop", body)
 
     async def pace(
         self, worker: WorkerEntry, task: str, run: int, percent: int, fence: int
     ) -> OrderAnswer:
-        """Let a run work at a share of its full speed."""
+        """See :meth:`Workers.pace`."""
         body = {"task": task, "run": run, "percent": percent, "fencing_token": fence}
         return await self._order(worker, "pace", body)
 
@@ -228,13 +263,10 @@
     return OrderAnswer(outcome, life, clock_s)
 
 
-@attrs.define(slots=True)
-class Adviser:
+class Adviser(ABC):
     """The service that knows which workers may run a step."""
 
-    _session: aiohttp.ClientSession
-    _address: Address
-
+    @abstractmethod
     async def ask(
         self, step: str, workers: tuple[str, ...], timeout_s: float
     ) -> Advice | None:
@@ -242,6 +274,19 @@
 
         :return: ``None`` if no usable answer came.
         """
+
+
+@attrs.define(slots=True)
+class HttpAdviser(Adviser):
+    """The adviser over HTTP."""
+
+    _session: aiohttp.ClientSession
+    _address: Address
+
+    async def ask(
+        self, step: str, workers: tuple[str, ...], timeout_s: float
+    ) -> Advice | None:
+        """See :meth:`Adviser.ask`."""
         url = f"http://{self._address}/-/advise"
         body = msgspec.json.encode({"step": step, "workers": workers})
         headers = {"Content-Type": "application/json"}
--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -3,7 +3,6 @@
 import asyncio
 import math
 import socket
-import time
 from typing import Any
 
 import msgspec
@@ -11,7 +10,7 @@
 
 from firhook.cell import AcceptedJob, CellConfig, JobStatus, JobView, Queue
 from firhook.cell.records import CANCEL_PREFIX, JOB_PREFIX, encode_record
-from firhook.clock import boot_time
+from firhook.clock import boot_time, unix_time
 from firhook.errors import (
     BodyTooLargeError,
     FirhookError,
@@ -176,7 +175,7 @@
         if self._known(queue, team, job_id) is not None:
             return _json(b"{}")
         spec = decode_job(await _body(req, config.max_body_bytes))
-        accepted = AcceptedJob(job_id, team, queue, time.time(), spec)
+        accepted = AcceptedJob(job_id, team, queue, unix_time(), spec)
         value = encode_record(accepted)
         if len(value) > self.settings.store_limits.record_bytes - 256:
             raise BodyTooLargeError("the job is too large for a record")
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -8,7 +8,6 @@
 from firhook.instance import InstanceService, register_service
 from firhook.logs import log
 from firhook.platform.store import LEAD_GROUP, LEAD_TOPIC
-from firhook.platform.workers import Adviser
 from firhook.services._events import (
     ConfigApplied,
     JobChanged,
@@ -47,11 +46,7 @@
         self.term: Term | None = None
         self._terms_begun = 0
         self._retry_after_s = 0.0
-        self.adviser = (
-            Adviser(self.instance.session, settings.adviser)
-            if settings.adviser
-            else None
-        )
+        self.adviser = self.instance.platform.adviser
         self.bus.subscribe(JobChanged, self._on_job)
         self.bus.subscribe(ConfigApplied, self._on_config)
 
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import time
 from collections.abc import Coroutine
 from typing import TYPE_CHECKING, Any
 
@@ -23,7 +22,7 @@
     WorkerEntry,
 )
 from firhook.cell.records import LEAD_KEY, STATE_PREFIX, encode_record
-from firhook.clock import boot_time
+from firhook.clock import boot_time, unix_time
 from firhook.decide.schedule import WorkerView, place_round, urgent_room_m
 from firhook.decide.tickets import (
     AdviceWish,
@@ -47,7 +46,6 @@
     Producer,
     encode_keyed,
 )
-from firhook.platform.workers import Workers
 from firhook.services._events import AskInstance, CatchUp
 from firhook.services._worker_link import WorkerLink
 from firhook.services._worker_list import WorkerList
@@ -105,7 +103,7 @@
         self._replica = lead.replica
         self._meters = lead.meters
         self._bounds = lead.settings.bounds
-        self.workers = Workers(lead.instance.session, self.may_act)
+        self.workers = lead.instance.platform.workers(self.may_act)
         self.links: dict[str, WorkerLink] = {}
         self.tickets = TicketBook()
         config = lead.instance.config.config
@@ -194,7 +192,7 @@
             except FirhookError as exc:
                 log("lead.catch_up_retry", level="debug", error=repr(exc))
                 await asyncio.sleep(_RETRY_S)
-        now, unix = boot_time(), time.time()
+        now, unix = boot_time(), unix_time()
         for job_id, job in list(self._replica.unended()):
             self._known.add(job_id)
             assert job.accepted is not None
@@ -231,9 +229,9 @@
             # submission is; it must not begin anew.
             self._known.add(job_id)
             if not view.status.ended or view.cancelled:
-                self.book.add(view.accepted, view.state, boot_time(), time.time())
+                self.book.add(view.accepted, view.state, boot_time(), unix_time())
         if view.cancelled:
-            self.book.cancel(job_id, time.time())
+            self.book.cancel(job_id, unix_time())
         self._wake.set()
 
     def on_config(self, config: CellConfig) -> None:
@@ -269,7 +267,7 @@
 
     def on_look(self, link: WorkerLink, look: Look, sent_at: float) -> None:
         """Take in what a worker lists."""
-        now, unix = boot_time(), time.time()
+        now, unix = boot_time(), unix_time()
         strays = self.book.take_look(link.name, look, sent_at, now, unix)
         for run, end in self.book.ends:
             self._note_end(link, run, end, now)
@@ -309,7 +307,7 @@
                 await asyncio.wait_for(self._wake.wait(), _IDLE_S)
             await asyncio.sleep(_GATHER_S)
             self._wake.clear()
-            self.book.tick(boot_time(), time.time())
+            self.book.tick(boot_time(), unix_time())
             self._lapse_orphans()
             if self.may_act():
                 self._place()
--- /dev/null
+++ b/standins/model/__init__.py
@@ -0,0 +1,27 @@
+"""A model of the users' platform in virtual time.
+
+Store, workers, adviser and callers as their pages describe them, with faults on
+command.  The instances in it run firhook's real services; only what they reach
+through :mod:`firhook.platform` is replaced, and the messages between them.
+"""
+
+from standins.model._adviser import ModelAdviser
+from standins.model._cell import ModelCell, ModelInstance, run_virtual
+from standins.model._checks import Broken, Checks
+from standins.model._faults import Outcome, Trouble
+from standins.model._store import ModelStore
+from standins.model._workers import ModelWorker, TaskPlan
+
+__all__ = [
+    "Broken",
+    "Checks",
+    "ModelAdviser",
+    "ModelCell",
+    "ModelInstance",
+    "ModelStore",
+    "ModelWorker",
+    "Outcome",
+    "TaskPlan",
+    "Trouble",
+    "run_virtual",
+]
--- /dev/null
+++ b/standins/model/_adviser.py
@@ -0,0 +1,61 @@
+"""The service that knows which workers may run a step."""
+
+import hashlib
+
+from firhook.cell import Advice
+from firhook.platform.workers import Adviser
+from standins.model._time import now, pause
+
+
+class ModelAdviser:
+    """Answers each instance's questions one after the other.
+
+    :param good: the share of workers that may run a step.
+    """
+
+    def __init__(
+        self, base_s: float, per_worker_s: float, valid_s: float, good: float
+    ) -> None:
+        self.base_s, self.per_worker_s = base_s, per_worker_s
+        self.valid_s, self.good = valid_s, good
+        self.calls = 0
+        self.down = False
+        self._free_at: dict[str, float] = {}
+
+    def may_run(self, step: str, worker: str) -> bool:
+        """Return whether a worker may run a step; it never changes."""
+        digest = hashlib.sha256(f"{step} {worker}".encode()).digest()
+        return digest[0] / 256 < self.good
+
+    def client(self, instance: str) -> "ModelAdviserClient":
+        """Return the adviser as an instance reaches it."""
+        return ModelAdviserClient(self, instance)
+
+    async def answer(
+        self, instance: str, step: str, workers: tuple[str, ...]
+    ) -> Advice:
+        """Answer in turn."""
+        self.calls += 1
+        begins = max(now(), self._free_at.get(instance, 0.0))
+        ends = begins + self.base_s + self.per_worker_s * len(workers)
+        self._free_at[instance] = ends
+        await pause(ends - now())
+        good = {w: f"{step}/{w}" for w in workers if self.may_run(step, w)}
+        return Advice(good, self.valid_s)
+
+
+class ModelAdviserClient(Adviser):
+    """The adviser as one instance reaches it."""
+
+    def __init__(self, adviser: ModelAdviser, instance: str) -> None:
+        self._adviser = adviser
+        self._instance = instance
+
+    async def ask(
+        self, step: str, workers: tuple[str, ...], timeout_s: float
+    ) -> Advice | None:
+        """See :meth:`Adviser.ask`."""
+        if self._adviser.down:
+            await pause(timeout_s)
+            return None
+        return await self._adviser.answer(self._instance, step, workers)
--- /dev/null
+++ b/standins/model/_checks.py
@@ -0,0 +1,51 @@
+"""What must hold at all times, checked where the work is done."""
+
+import attrs
+
+
+@attrs.frozen
+class Broken:
+    """Something that must never happen, and did."""
+
+    at: float
+    what: str
+    detail: str
+
+
+@attrs.define(eq=False)
+class Checks:
+    """Sees every start and every end in the cell.
+
+    :ivar broken: what went wrong.
+    :ivar running: where each task runs now, with the run.
+    :ivar done: tasks whose end ``done`` was acknowledged or may be yet.
+    """
+
+    broken: list[Broken] = attrs.field(factory=list)
+    running: dict[str, dict[tuple[str, int], int]] = attrs.field(factory=dict)
+    done: set[str] = attrs.field(factory=set)
+    duplicates: set[str] = attrs.field(factory=set)
+    failed: dict[str, int] = attrs.field(factory=dict)
+    cancelled: dict[str, float] = attrs.field(factory=dict)
+    refused: set[str] = attrs.field(factory=set)
+
+    def note(self, at: float, what: str, detail: str) -> None:
+        """Take note of something that must never happen."""
+        self.broken.append(Broken(at, what, detail))
+
+    def started(self, at: float, task: str, worker: str, life: int, run: int) -> None:
+        """Take note of a start."""
+        others = self.running.setdefault(task, {})
+        step = task.rpartition(".")[0]
+        if others and step not in self.duplicates:
+            self.note(at, "twice", f"{task} run {run} on {worker}, also {others}")
+        if task in self.done and step not in self.duplicates:
+            self.note(at, "after_done", f"{task} run {run} on {worker}")
+        job = task.partition(".")[0]
+        if job in self.refused:
+            self.note(at, "refused_runs", task)
+        others[worker, life] = run
+
+    def ended(self, task: str, worker: str, life: int) -> None:
+        """Take note that a run is no longer going on."""
+        self.running.get(task, {}).pop((worker, life), None)
--- /dev/null
+++ b/standins/model/_faults.py
@@ -0,0 +1,268 @@
+"""Random faults over a cell, with jobs coming all the while."""
+
+import asyncio
+import random
+from typing import Any
+
+import attrs
+
+from standins.model._cell import ModelCell
+from standins.model._time import now, pause
+
+#: How long jobs and faults come, and how long the cell then has to finish.
+TROUBLE_S = 25.0
+REST_S = 60.0
+
+
+@attrs.frozen
+class Outcome:
+    """What a play came to.
+
+    :param broken: what must never happen, and did.
+    :param unended: accepted jobs that did not end.
+    :param wrong: jobs that ended otherwise than they should have.
+    """
+
+    broken: tuple[Any, ...]
+    unended: tuple[str, ...]
+    wrong: tuple[str, ...]
+    accepted: int
+    history: tuple[str, ...]
+
+    @property
+    def good(self) -> bool:
+        """Whether every promise was kept."""
+        return not self.broken and not self.unended and not self.wrong
+
+
+class Trouble:
+    """Plays one seed.
+
+    :param kinds: names of the faults that may come; all if none.
+    """
+
+    def __init__(self, seed: int, kinds: tuple[str, ...] = ()) -> None:
+        self.rng = random.Random(seed)
+        self.cell = ModelCell(
+            instances=self.rng.choice((2, 3, 5)),
+            workers=self.rng.choice((3, 6, 10)),
+            seed=seed,
+            advised=self.rng.random() < 0.5,
+        )
+        self.history: list[str] = []
+        self._kinds = kinds or tuple(
+            name.removeprefix("fault_") for name in dir(self) if "fault_" in name
+        )
+        self._hopeless: set[str] = set()
+        self._cancelled: set[str] = set()
+
+    async def play(self) -> Outcome:
+        """Play it, and say what came of it."""
+        await self.cell.begin()
+        end = now() + TROUBLE_S
+        while now() < end:
+            await self._something()
+            await pause(self.rng.expovariate(4.0))
+        await self._heal()
+        try:
+            await self.cell.all_done(REST_S)
+        except TimeoutError:
+            self.note("not all ended")
+        return self._outcome()
+
+    def note(self, what: str) -> None:
+        """Keep what was done, for who reads a failure."""
+        self.history.append(f"{now():.2f} {what}")
+
+    async def _something(self) -> None:
+        if self.rng.random() < 0.75:
+            await self._submit()
+            return
+        kind = self.rng.choice(self._kinds)
+        self.note(kind)
+        await getattr(self, f"fault_{kind}")()
+
+    async def _submit(self) -> None:
+        rng = self.rng
+        if not self._someone_alive():
+            return
+        steps = [self._step(i) for i in range(rng.choice((1, 1, 2, 3)))]
+        hopeless = rng.random() < 0.05
+        prefix = rng.choice(("/plan/", "/quote/"))
+        job, status = await self.cell.submit(
+            steps, rng.choice((0.3, 1.0, 4.0)), prefix, fails=hopeless
+        )
+        if status == 200 and hopeless:
+            self._hopeless.add(job)
+        elif status in (429, 503):
+            self.cell.checks.refused.add(job)
+
+    def _step(self, number: int) -> dict[str, Any]:
+        rng = self.rng
+        step: dict[str, Any] = {
+            "count": rng.choice((1, 2, 4)),
+            "millicpus": rng.choice((500, 1000, 2000)),
+            "task_memory_mb": 100,
+            "estimated_ms": 1000,
+        }
+        if number and rng.random() < 0.7:
+            step["after"] = [rng.randrange(number)]
+        for flag, share in (
+            ("all_or_nothing", 0.3),
+            ("enable_checkpoints", 0.5),
+            ("allow_duplicates", 0.1),
+        ):
+            if rng.random() < share:
+                step[flag] = True
+        if step.get("all_or_nothing"):
+            step.pop("allow_duplicates", None)
+        return step
+
+    def _someone_alive(self) -> bool:
+        return any(
+            i.alive and i.gate.open.is_set() for i in self.cell.instances.values()
+        )
+
+    def _pick_instance(self) -> str | None:
+        """Choose an instance, mostly the lead."""
+        alive = [n for n, i in self.cell.instances.items() if i.alive]
+        if not alive:
+            return None
+        lead = self.cell.lead()
+        if lead is not None and self.rng.random() < 0.6:
+            return self.cell.lead_name()
+        return self.rng.choice(sorted(alive))
+
+    def _pick_worker(self) -> Any:
+        return self.cell.workers[self.rng.choice(sorted(self.cell.workers))]
+
+    def later(self, delay_s: float, func: Any, *args: Any) -> None:
+        """Undo a fault after a while."""
+        asyncio.get_running_loop().call_later(delay_s, func, *args)
+
+    async def _heal(self) -> None:
+        self.note("heal")
+        self.cell.store.mode.clear()
+        self.cell.store.slow, self.cell.store.lost_share = 1.0, 0.0
+        self.cell.store.late_share = 0.0
+        self.cell.cuts.clear()
+        for name, found in list(self.cell.instances.items()):
+            self.cell.thaw(name) if found.alive else None
+        for worker in self.cell.workers.values():
+            worker.mode, worker.late_share, worker.slow = "up", 0.0, 1.0
+            worker.cut_from.clear()
+        if not any(i.alive for i in self.cell.instances.values()):
+            await self.cell.restart(sorted(self.cell.instances)[0])
+
+    # Faults.
+
+    async def fault_kill(self) -> None:
+        """Kill an instance, and start it again after a while."""
+        name = self._pick_instance()
+        if name is None:
+            return
+        self.cell.kill(name)
+        await pause(self.rng.random() * 2)
+        await self.cell.restart(name)
+
+    async def fault_freeze(self) -> None:
+        """Hold an instance up for some seconds."""
+        name = self._pick_instance()
+        if name is not None:
+            self.cell.freeze(name)
+            self.later(0.5 + 4 * self.rng.random(), self._thaw, name)
+
+    def _thaw(self, name: str) -> None:
+        if self.cell.instances[name].alive:
+            self.cell.thaw(name)
+
+    async def fault_store_down(self) -> None:
+        """Take the store away, from all or from one."""
+        name = self.rng.choice(("*", self._pick_instance() or "*"))
+        self.cell.store.mode[name] = self.rng.choice(("busy", "silent"))
+        self.later(1 + 4 * self.rng.random(), self.cell.store.mode.pop, name, None)
+
+    async def fault_store_loses(self) -> None:
+        """Lose answers of the store."""
+        self.cell.store.lost_share = 0.3
+        self.later(3, setattr, self.cell.store, "lost_share", 0.0)
+
+    async def fault_store_late(self) -> None:
+        """Carry writes out late."""
+        self.cell.store.late_share = 0.2
+        self.later(3, setattr, self.cell.store, "late_share", 0.0)
+
+    async def fault_store_slow(self) -> None:
+        """Slow the store down."""
+        self.cell.store.slow = 60.0
+        self.later(3, setattr, self.cell.store, "slow", 1.0)
+
+    async def fault_store_forgets(self) -> None:
+        """Expire the store's history."""
+        self.cell.store.forget_history()
+
+    async def fault_deal_anew(self) -> None:
+        """Deal the partitions of all groups anew."""
+        self.cell.store.deal_anew()
+
+    async def fault_worker_crash(self) -> None:
+        """Crash a worker, which comes back in a new life."""
+        worker = self._pick_worker()
+        worker.crash()
+        self.later(self.rng.random() * 6, worker.restart)
+
+    async def fault_worker_reborn(self) -> None:
+        """Restart a worker at once."""
+        self._pick_worker().restart()
+
+    async def fault_worker_cut(self) -> None:
+        """Cut a worker off, or let it answer nothing."""
+        worker = self._pick_worker()
+        worker.mode = self.rng.choice(("cut", "mute"))
+        self.later(1 + 12 * self.rng.random(), setattr, worker, "mode", "up")
+
+    async def fault_worker_cut_from_some(self) -> None:
+        """Cut a worker off from some instances."""
+        worker = self._pick_worker()
+        name = self._pick_instance()
+        if name is not None:
+            worker.cut_from.add(name)
+            self.later(1 + 8 * self.rng.random(), worker.cut_from.discard, name)
+
+    async def fault_orders_late(self) -> None:
+        """Let a worker carry out some orders seconds later."""
+        for worker in self.cell.workers.values():
+            worker.late_share = 0.1
+            self.later(4, setattr, worker, "late_share", 0.0)
+
+    async def fault_worker_slow(self) -> None:
+        """Slow a worker down."""
+        worker = self._pick_worker()
+        worker.slow = 4.0
+        self.later(5, setattr, worker, "slow", 1.0)
+
+    async def fault_cancel(self) -> None:
+        """Cancel some jobs."""
+        if not self._someone_alive():
+            return
+        jobs = [j for j in self.cell.accepted if not self.cell.ended(j)]
+        for job in self.rng.sample(jobs, min(len(jobs), 3)):
+            if await self.cell.cancel(job) == 200:
+                self._cancelled.add(job)
+
+    def _outcome(self) -> Outcome:
+        unended = [j for j in self.cell.accepted if not self.cell.ended(j)]
+        wrong = []
+        for job in self.cell.accepted:
+            if job in unended or job in self._cancelled:
+                continue
+            status = self.cell.final(job).name
+            if status != ("FAILED" if job in self._hopeless else "COMPLETED"):
+                wrong.append(f"{job} {status}")
+        return Outcome(
+            tuple(self.cell.checks.broken),
+            tuple(unended),
+            tuple(wrong),
+            len(self.cell.accepted),
+            tuple(self.history),
+        )
--- /dev/null
+++ b/standins/model/_store.py
@@ -0,0 +1,341 @@
+"""The platform's store: partitions, newest values, producers and groups."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+import attrs
+
+from firhook.errors import (
+    LogFencedError,
+    LogMovedError,
+    LogOutcomeUnknownError,
+    LogSequenceError,
+    LogTrimmedError,
+    LogUnavailableError,
+)
+from firhook.platform.store import (
+    Appended,
+    Membership,
+    Newest,
+    Producer,
+    Slice,
+    Store,
+    StoredRecord,
+)
+from standins.model._time import now, pause
+
+#: An answer of the calm store, and how long an append takes there.
+ANSWER_S = 0.004
+APPEND_S = 0.001
+#: How long callers wait for an answer that does not come.
+SILENCE_S = 1.5
+
+
+def split_keyed(content: bytes) -> tuple[str, bytes | None]:
+    """Return key and value of a keyed record's content."""
+    end = 1 + content[0]
+    return content[1:end].decode(), content[end:] or None
+
+
+@attrs.define(eq=False)
+class _Partition:
+    """The records of one partition, and who may append."""
+
+    records: list[bytes] = attrs.field(factory=list)
+    first: int = 0
+    newest: dict[str, tuple[int, bytes]] = attrs.field(factory=dict)
+    epoch: int = -1
+    sequence: int = -1
+    answers: dict[int, Appended] = attrs.field(factory=dict)
+    grew: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @property
+    def end(self) -> int:
+        return self.first + len(self.records)
+
+    def add(self, contents: Sequence[bytes]) -> Appended:
+        offset = self.end
+        for content in contents:
+            key, value = split_keyed(content)
+            if value is None:
+                self.newest.pop(key, None)
+            else:
+                self.newest[key] = (self.end, value)
+            self.records.append(content)
+        if contents:
+            self.grew.set()
+            self.grew = asyncio.Event()
+        return Appended(offset, self.end)
+
+
+@attrs.define(eq=False)
+class _Group:
+    """Members with the end of their time, and who holds which partition.
+
+    A partition moves only once its holder has joined with the generation in
+    which it no longer has it, or is gone.
+    """
+
+    parts: int
+    generation: int = 0
+    members: dict[str, float] = attrs.field(factory=dict)
+    wanted: dict[int, str] = attrs.field(factory=dict)
+    holders: dict[int, str] = attrs.field(factory=dict)
+    told: dict[str, int] = attrs.field(factory=dict)
+
+    def expire(self, at: float) -> None:
+        gone = [m for m, until in self.members.items() if until < at]
+        for member in gone:
+            self.remove(member)
+
+    def remove(self, member: str) -> None:
+        if self.members.pop(member, None) is None:
+            return
+        self.holders = {p: m for p, m in self.holders.items() if m != member}
+        self._deal()
+
+    def add(self, member: str, until: float) -> None:
+        new = member not in self.members
+        self.members[member] = until
+        if new:
+            self._deal()
+
+    def _deal(self) -> None:
+        """Move as few partitions as even them out."""
+        self.generation += 1
+        if not self.members:
+            self.wanted = {}
+            return
+        order = sorted(self.members)
+        most = -(-self.parts // len(order))
+        load = dict.fromkeys(order, 0)
+        wanted: dict[int, str] = {}
+        for part, member in sorted(self.wanted.items()):
+            if member in load and load[member] < most:
+                wanted[part] = member
+                load[member] += 1
+        for part in range(self.parts):
+            if part not in wanted:
+                member = min(order, key=lambda m: (load[m], m))
+                wanted[part] = member
+                load[member] += 1
+        self.wanted = wanted
+
+    def deal_anew(self, rng: random.Random) -> None:
+        """Give every partition to another member at once, unasked."""
+        self.generation += 1
+        order = sorted(self.members)
+        rng.shuffle(order)
+        if len(order) > 1:
+            for part, member in list(self.wanted.items()):
+                others = [m for m in order if m != member]
+                self.wanted[part] = others[part % len(others)]
+        self.holders = dict(self.wanted)
+
+    def join(self, member: str, generation: int) -> frozenset[int]:
+        """Return what the member holds now."""
+        for part, holder in list(self.holders.items()):
+            released = generation >= self.told.get(f"{part}", 0)
+            if holder == member and self.wanted.get(part) != member and released:
+                del self.holders[part]
+        for part, wanted in self.wanted.items():
+            if wanted == member and part not in self.holders:
+                self.holders[part] = member
+        held = {
+            part
+            for part, holder in self.holders.items()
+            if holder == member and self.wanted.get(part) == member
+        }
+        for part, holder in self.holders.items():
+            if holder == member and self.wanted.get(part) != member:
+                # It learns only from this answer that the partition moves.
+                self.told[f"{part}"] = self.generation
+        return frozenset(held)
+
+
+class ModelStore:
+    """The store itself.
+
+    :ivar mode: how it answers an instance: ``up``, ``busy`` (503), ``silent``
+        (nothing is done and no answer comes), by instance; ``*`` for all.
+    :ivar slow: a factor on its times.
+    :ivar lost_share: the share of writes that are done and not answered.
+    """
+
+    def __init__(self, seed: int = 1) -> None:
+        self.rng = random.Random(seed)
+        self.partitions: dict[tuple[str, int], _Partition] = {}
+        self.groups: dict[str, _Group] = {}
+        self.mode: dict[str, str] = {}
+        self.slow = 1.0
+        self.lost_share = 0.0
+        self.late_share = 0.0
+        self.writes = 0
+        self.reads = 0
+
+    def partition(self, topic: str, number: int = 0) -> _Partition:
+        """Return a partition; it is made on first use."""
+        return self.partitions.setdefault((topic, number), _Partition())
+
+    def put(self, topic: str, key: str, value: bytes | None) -> int:
+        """Write as an operator or a worker does; return the offset."""
+        content = bytes((len(key.encode()),)) + key.encode() + (value or b"")
+        return self.partition(topic).add([content]).offset
+
+    def forget_history(self) -> None:
+        """Expire all records but the newest of each key."""
+        for part in self.partitions.values():
+            part.first, part.records = part.end, []
+
+    def deal_anew(self) -> None:
+        """Deal all partitions of all groups anew."""
+        for group in self.groups.values():
+            group.expire(now())
+            group.deal_anew(self.rng)
+
+    def client(self, instance: str) -> "ModelStoreClient":
+        """Return the store as an instance reaches it."""
+        return ModelStoreClient(self, instance)
+
+
+class ModelStoreClient(Store):
+    """The store as one instance reaches it."""
+
+    def __init__(self, store: ModelStore, instance: str) -> None:
+        self.calls = {}
+        self._store = store
+        self._instance = instance
+        self.alive = True
+
+    def _mode(self) -> str:
+        modes = self._store.mode
+        return modes.get(self._instance, modes.get("*", "up"))
+
+    async def _enter(self) -> None:
+        await pause(ANSWER_S / 2 * self._store.slow)
+        mode = self._mode()
+        if mode == "busy":
+            raise LogUnavailableError("busy", retry_after_s=0.5)
+        if mode == "silent":
+            await pause(SILENCE_S)
+            raise LogOutcomeUnknownError("silent")
+
+    async def _leave(self, wrote: bool = False) -> None:
+        await pause(ANSWER_S / 2 * self._store.slow)
+        lost = wrote and self._store.rng.random() < self._store.lost_share
+        if lost or self._mode() == "silent":
+            await pause(SILENCE_S)
+            raise LogOutcomeUnknownError("the answer was lost")
+
+    async def append(
+        self,
+        topic: str,
+        partition: int,
+        records: Sequence[bytes],
+        producer: Producer | None = None,
+        expected_end: int | None = None,
+        timeout_s: float | None = None,
+    ) -> Appended:
+        """See :meth:`Store.append`."""
+        self._store.writes += 1
+        await self._enter()
+        if self._store.rng.random() < self._store.late_share:
+            late_s = 1 + 5 * self._store.rng.random()
+            asyncio.get_running_loop().call_later(
+                late_s, self._late, topic, partition, records, producer, expected_end
+            )
+            await pause(SILENCE_S)
+            raise LogOutcomeUnknownError("late")
+        await pause(APPEND_S * self._store.slow)
+        done = self._add(topic, partition, records, producer, expected_end)
+        await self._leave(wrote=True)
+        return done
+
+    def _late(self, topic, partition, records, producer, expected_end) -> None:
+        try:
+            self._add(topic, partition, records, producer, expected_end)
+        except (LogFencedError, LogSequenceError, LogMovedError):
+            # Its condition holds no more; the store does nothing.
+            return
+
+    def _add(self, topic, partition, records, producer, expected_end) -> Appended:
+        part = self._store.partition(topic, partition)
+        if expected_end is not None and part.end != expected_end:
+            raise LogMovedError("moved", end=part.end)
+        if producer is None:
+            return part.add(records)
+        if producer.epoch < part.epoch:
+            raise LogFencedError("fenced")
+        if producer.epoch > part.epoch:
+            part.epoch, part.sequence, part.answers = producer.epoch, -1, {}
+        if not records:
+            return Appended(part.end, part.end)
+        if producer.sequence in part.answers:
+            return part.answers[producer.sequence]
+        if part.sequence >= 0 and producer.sequence != part.sequence + 1:
+            raise LogSequenceError("sequence", expected=part.sequence + 1)
+        part.sequence = producer.sequence
+        part.answers[producer.sequence] = part.add(records)
+        part.answers.pop(producer.sequence - 5, None)
+        return part.answers[producer.sequence]
+
+    async def read(
+        self, topic: str, partition: int, offset: int, wait_s: float = 0.0
+    ) -> Slice:
+        """See :meth:`Store.read`."""
+        self._store.reads += 1
+        await self._enter()
+        part = self._store.partition(topic, partition)
+        until = now() + wait_s
+        while part.end <= offset and now() < until:
+            try:
+                await asyncio.wait_for(part.grew.wait(), until - now())
+            except TimeoutError:
+                break
+        if offset < part.first:
+            raise LogTrimmedError(topic)
+        records = tuple(
+            StoredRecord(i, *split_keyed(part.records[i - part.first]))
+            for i in range(offset, part.end)
+        )
+        done = Slice(records, part.end, part.end)
+        await self._leave()
+        return done
+
+    async def newest(self, topic: str, partition: int = 0) -> Newest:
+        """See :meth:`Store.newest`."""
+        self._store.reads += 1
+        await self._enter()
+        part = self._store.partition(topic, partition)
+        kept = self._kept(part)
+        done = Newest(kept, part.end)
+        await self._leave()
+        return done
+
+    @staticmethod
+    def _kept(part: _Partition) -> tuple[StoredRecord, ...]:
+        return tuple(
+            StoredRecord(offset, key, value)
+            for key, (offset, value) in sorted(part.newest.items())
+        )
+
+    async def join(
+        self, group: str, member: str, topic: str, ttl_s: float, generation: int
+    ) -> Membership:
+        """See :meth:`Store.join`."""
+        await self._enter()
+        found = self._store.groups.setdefault(group, _Group(24))
+        found.expire(now())
+        found.add(member, now() + ttl_s)
+        held = found.join(member, generation)
+        done = Membership(found.generation, held)
+        await self._leave()
+        return done
+
+    async def leave(self, group: str, member: str) -> None:
+        """See :meth:`Store.leave`."""
+        await self._enter()
+        if group in self._store.groups:
+            self._store.groups[group].remove(member)
+        await self._leave()
--- /dev/null
+++ b/standins/model/_workers.py
@@ -0,0 +1,429 @@
+"""Workers that run tasks under leases, as their pages describe them."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import attrs
+import msgspec
+
+from firhook.cell import (
+    End,
+    EndedRow,
+    Look,
+    OrderAnswer,
+    OrderOutcome,
+    Resources,
+    RunningRow,
+    StartOrder,
+    WorkerEntry,
+)
+from firhook.errors import WorkerFencedError, WorkerUnreachableError
+from firhook.platform.workers import ORDER_TIMEOUT_S, Workers
+from standins.model._checks import Checks
+from standins.model._time import now, pause
+
+NET_S = 0.001
+STOP_S = 0.4
+GANG_S = 3.0
+SAVE_S = 0.5
+
+
+@attrs.frozen
+class TaskPlan:
+    """What only the model knows of a task.
+
+    :param work_s: how long it takes on a sound worker.
+    :param fails: whether it fails wherever it runs.
+    """
+
+    work_s: float
+    need: Resources
+    fails: bool = False
+    gang: int = 0
+    checkpoints: bool = False
+
+
+@attrs.define(eq=False)
+class _Run:
+    """A run on a worker."""
+
+    task: str
+    number: int
+    plan: TaskPlan
+    started_at: float
+    saved_s: float
+    timers: list[asyncio.TimerHandle] = attrs.field(factory=list)
+    stopping: bool = False
+    works: bool = False
+
+
+class Gangs:
+    """Brings the members of gangs together over all workers."""
+
+    def __init__(self) -> None:
+        self.members: dict[tuple[str, int], dict[str, tuple[ModelWorker, _Run]]] = {}
+
+    def add(self, worker: "ModelWorker", run: _Run) -> None:
+        """Add a member; with the last one the gang begins to work."""
+        key = (run.task.rpartition(".")[0], run.number)
+        members = self.members.setdefault(key, {})
+        members[run.task] = (worker, run)
+        if len(members) == run.plan.gang:
+            longest = max(r.plan.work_s for _, r in members.values())
+            for member_worker, member in members.values():
+                member_worker.begin_work(member, longest)
+        else:
+            run.timers.append(
+                asyncio.get_running_loop().call_later(GANG_S, self._alone, key, run)
+            )
+
+    def _alone(self, key: tuple[str, int], run: _Run) -> None:
+        if not run.works and run.task in self.members.get(key, {}):
+            worker, _ = self.members[key][run.task]
+            worker.checks.note(now(), "alone", f"{run.task} run {run.number}")
+            worker.finish(run, End.ALONE)
+
+    def ended(self, run: _Run, end: End) -> None:
+        """End the other members with one."""
+        key = (run.task.rpartition(".")[0], run.number)
+        members = self.members.pop(key, {})
+        members.pop(run.task, None)
+        for worker, other in members.values():
+            worker.finish(other, End.DONE if end is End.DONE else End.BROKEN)
+
+
+class ModelWorker:
+    """One worker.
+
+    :ivar mode: ``up``, ``cut`` (nothing arrives), ``mute`` (what arrives is done
+        and not answered).
+    :ivar late_share: the share of orders that get no answer and are carried out
+        seconds later.
+    :ivar slow: a factor on the time that work takes.
+    :ivar fails_all: whether all that it runs fails at once.
+    :ivar stands_still: whether what it starts makes no progress.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        capacity: Resources,
+        rack: str,
+        zone: str,
+        plans: Callable[[str], TaskPlan],
+        checks: Checks,
+        gangs: Gangs,
+        rng: random.Random,
+        longest_lease_s: float = 10.0,
+    ) -> None:
+        self.name, self.capacity, self.rack, self.zone = name, capacity, rack, zone
+        self.checks = checks
+        self.mode = "up"
+        self.cut_from: set[str] = set()
+        self.late_share = 0.0
+        self.slow = 1.0
+        self.fails_all = False
+        self.stands_still = False
+        self.draining_s: float | None = None
+        self.life = 1_000_000 + rng.randrange(1000)
+        self.up = True
+        self.looks = 0
+        self._plans, self._gangs, self._rng = plans, gangs, rng
+        self._longest_lease_s = longest_lease_s
+        self._reset()
+
+    def _reset(self) -> None:
+        self._clock_base = now_or_zero() - self._rng.random() * 1000
+        self.fence = 0
+        self.runs: dict[tuple[str, int], _Run] = {}
+        self.ends: list[EndedRow] = []
+        self._count = 0
+        self._highest_ended: dict[str, int] = {}
+        self._lease_until = 0.0
+        self._lapse: asyncio.TimerHandle | None = None
+        self._changed = asyncio.Event()
+
+    def clock(self) -> float:
+        """Return its own steady clock."""
+        return now() - self._clock_base
+
+    # What happens to it.
+
+    def crash(self) -> None:
+        """Lose all that runs, silently."""
+        self.up = False
+        for run in list(self.runs.values()):
+            self._drop(run)
+            if run.plan.gang:
+                self._gangs.ended(run, End.BROKEN)
+
+    def restart(self) -> None:
+        """Come back in a new life that knows nothing."""
+        self.crash()
+        self.life += 1000
+        self._reset()
+        self.up = True
+
+    def entry(self) -> dict:
+        """Return what it registers."""
+        data = {
+            "service": "pool",
+            "address": f"{self.name}:80",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if self.draining_s is not None else "ready",
+            "cold_remaining_ms": 0,
+            "capacity": {
+                "millicpus": self.capacity.cpu_m,
+                "task_memory_mb": self.capacity.memory_mb,
+                "gpus": self.capacity.accelerators,
+            },
+            "labels": ["a", self.rack],
+            "sequence": 1,
+            "born": self.life,
+        }
+        if self.draining_s is not None:
+            data["drain_remaining_ms"] = int(self.draining_s * 1000)
+        return data
+
+    def entry_bytes(self) -> bytes:
+        """Return it as it lies in the store."""
+        return msgspec.json.encode(self.entry())
+
+    # Its work.
+
+    def used(self) -> Resources:
+        """Return what all that runs takes, what is being stopped included."""
+        total = Resources()
+        for run in self.runs.values():
+            total = total.plus(run.plan.need)
+        return total
+
+    def begin_work(self, run: _Run, work_s: float) -> None:
+        """Let a run work until it ends."""
+        run.works = True
+        run.started_at = now()
+        if self.stands_still:
+            return
+        if self.fails_all or run.plan.fails:
+            left, end = min(0.2, work_s), End.FAILED
+        else:
+            left, end = max(work_s - run.saved_s, 0.01) * self.slow, End.DONE
+        loop = asyncio.get_running_loop()
+        run.timers.append(loop.call_later(left, self.finish, run, end))
+
+    def finish(self, run: _Run, end: End) -> None:
+        """End a run, if it still goes on."""
+        if self.runs.get((run.task, run.number)) is not run:
+            return
+        saved = self._checkpoint(run)
+        self._drop(run)
+        self._count += 1
+        self._highest_ended[run.task] = max(
+            run.number, self._highest_ended.get(run.task, 0)
+        )
+        row = EndedRow(self._count, run.task, run.number, end, saved)
+        self.ends.append(row)
+        if end is End.DONE:
+            self.checks.done.add(run.task)
+        if run.plan.gang:
+            self._gangs.ended(run, end)
+        self._changed.set()
+
+    def _checkpoint(self, run: _Run) -> str:
+        if not run.plan.checkpoints or not run.works:
+            return ""
+        done_s = run.saved_s + (now() - run.started_at) / self.slow
+        return f"{int(done_s / SAVE_S)}"
+
+    def _drop(self, run: _Run) -> None:
+        for timer in run.timers:
+            timer.cancel()
+        self.runs.pop((run.task, run.number), None)
+        self.checks.ended(run.task, self.name, self.life)
+
+    def _extend(self, until_s: float) -> None:
+        until_s = min(until_s, self.clock() + self._longest_lease_s)
+        self._lease_until = max(self._lease_until, until_s)
+        if self._lapse is not None:
+            self._lapse.cancel()
+        left = max(self._lease_until - self.clock(), 0.0)
+        # Its clock is 1% slow, which is within what is allowed.
+        self._lapse = asyncio.get_running_loop().call_later(left * 1.01, self._lapsed)
+
+    def _lapsed(self) -> None:
+        for run in list(self.runs.values()):
+            self.finish(run, End.LAPSED)
+
+    # Its interface.
+
+    def look(self, fence: int, ack: int, until_s: float | None) -> Look:
+        """See :meth:`Workers.look`."""
+        if fence < self.fence:
+            raise WorkerFencedError(self.name)
+        self.fence = fence
+        self.looks += 1
+        self.ends = [row for row in self.ends if row.number > ack]
+        if until_s is not None:
+            self._extend(until_s)
+        rows = tuple(self._running_row(run) for run in self.runs.values())
+        return Look(self.life, self.clock(), rows, tuple(self.ends))
+
+    def _running_row(self, run: _Run) -> RunningRow:
+        if not run.works:
+            return RunningRow(run.task, run.number, "", 0)
+        done_s = run.saved_s + (now() - run.started_at) / self.slow
+        percent = 0 if self.stands_still else min(99, 100 * done_s / run.plan.work_s)
+        return RunningRow(run.task, run.number, self._checkpoint(run), int(percent))
+
+    def start(self, order: StartOrder) -> OrderAnswer:
+        """See :meth:`Workers.start`."""
+        if order.fence < self.fence:
+            return self._answer(OrderOutcome.FENCED)
+        self.fence = order.fence
+        if (order.task, order.run) in self.runs:
+            self._extend(order.lease_until_s)
+            return self._answer(OrderOutcome.TAKEN)
+        if order.run <= self._highest_ended.get(order.task, 0):
+            return self._answer(OrderOutcome.OLD)
+        if order.lease_until_s < self.clock():
+            return self._answer(OrderOutcome.LATE)
+        plan = self._plans(order.task)
+        saved_s = float(order.checkpoint or 0) * SAVE_S
+        run = _Run(order.task, order.run, plan, now(), saved_s)
+        self.runs[order.task, order.run] = run
+        self.checks.started(now(), order.task, self.name, self.life, order.run)
+        if not self.capacity.covers(self.used()):
+            detail = f"{self.name}: {self.used()} of {self.capacity}"
+            self.checks.note(now(), "capacity", detail)
+        self._extend(order.lease_until_s)
+        if plan.gang:
+            self._gangs.add(self, run)
+        else:
+            self.begin_work(run, plan.work_s)
+        return self._answer(OrderOutcome.TAKEN)
+
+    def stop(self, task: str, number: int, fence: int) -> OrderAnswer:
+        """See :meth:`Workers.stop`."""
+        if fence < self.fence:
+            return self._answer(OrderOutcome.FENCED)
+        self.fence = fence
+        run = self.runs.get((task, number))
+        if run is None:
+            highest = max(number, self._highest_ended.get(task, 0))
+            self._highest_ended[task] = highest
+        elif not run.stopping:
+            run.stopping = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(STOP_S, self.finish, run, End.STOPPED)
+        return self._answer(OrderOutcome.TAKEN)
+
+    def _answer(self, outcome: OrderOutcome) -> OrderAnswer:
+        return OrderAnswer(outcome, self.life, self.clock())
+
+    async def wait_for_end(self, wait_s: float) -> None:
+        """Wait until a run ends, if none is listed yet."""
+        until = now() + wait_s
+        while not self.ends and now() < until and self.up:
+            self._changed.clear()
+            try:
+                await asyncio.wait_for(self._changed.wait(), until - now())
+            except TimeoutError:
+                return
+
+
+def now_or_zero() -> float:
+    """Return the virtual time, or 0 before the loop runs."""
+    try:
+        return now()
+    except RuntimeError:
+        return 0.0
+
+
+class ModelWorkers(Workers):
+    """The workers as one instance reaches them.
+
+    :param zone: the instance's zone.
+    """
+
+    def __init__(
+        self,
+        workers: dict[str, ModelWorker],
+        instance: str,
+        sending: Callable[[], bool],
+        rng: random.Random,
+    ) -> None:
+        self._workers = workers
+        self._instance = instance
+        self._sending = sending
+        self._rng = rng
+
+    def _reached(self, name: str) -> ModelWorker | None:
+        worker = self._workers.get(name)
+        if worker is None or not worker.up or worker.mode == "cut":
+            return None
+        return None if self._instance in worker.cut_from else worker
+
+    async def look(
+        self,
+        worker: WorkerEntry,
+        fence: int,
+        ack: int,
+        lease_until_s: float | None,
+        wait_s: float,
+    ) -> Look:
+        """See :meth:`Workers.look`."""
+        await pause(NET_S)
+        target = self._reached(worker.name)
+        if target is None:
+            await pause(wait_s + 1.0)
+            raise WorkerUnreachableError(worker.name)
+        target.look(fence, ack, lease_until_s)
+        await target.wait_for_end(wait_s)
+        if self._reached(worker.name) is not target or target.mode == "mute":
+            await pause(1.0)
+            raise WorkerUnreachableError(worker.name)
+        look = target.look(fence, ack, None)
+        await pause(NET_S)
+        return look
+
+    async def start(self, worker: WorkerEntry, order: StartOrder) -> OrderAnswer:
+        """See :meth:`Workers.start`."""
+        return await self._order(worker.name, lambda w: w.start(order))
+
+    async def stop(
+        self, worker: WorkerEntry, task: str, run: int, fence: int
+    ) -> OrderAnswer:
+        """See :meth:`Workers.stop`."""
+        return await self._order(worker.name, lambda w: w.stop(task, run, fence))
+
+    async def pace(
+        self, worker: WorkerEntry, task: str, run: int, percent: int, fence: int
+    ) -> OrderAnswer:
+        """See :meth:`Workers.pace`."""
+        return await self._order(worker.name, lambda w: w._answer(OrderOutcome.TAKEN))
+
+    async def _order(
+        self, name: str, act: Callable[[ModelWorker], OrderAnswer]
+    ) -> OrderAnswer:
+        if not self._sending():
+            return OrderAnswer(OrderOutcome.NOT_SENT)
+        await pause(NET_S)
+        target = self._reached(name)
+        if target is None:
+            await pause(ORDER_TIMEOUT_S)
+            return OrderAnswer(OrderOutcome.UNKNOWN)
+        if self._rng.random() < target.late_share:
+            late_s = 2 + 10 * self._rng.random()
+            loop = asyncio.get_running_loop()
+            loop.call_later(late_s, lambda: target.up and act(target))
+            await pause(ORDER_TIMEOUT_S)
+            return OrderAnswer(OrderOutcome.UNKNOWN)
+        answer = act(target)
+        await pause(NET_S)
+        if target.mode == "mute":
+            await pause(ORDER_TIMEOUT_S)
+            return OrderAnswer(OrderOutcome.UNKNOWN)
+        return answer
