--- a/src/firhook/decide/_schedule.py
+++ b/src/firhook/decide/_schedule.py
@@ -21,6 +21,8 @@
 #: The part of a worker's processors that is kept for urgent work at the most.
 #: A burst of three times the usual quotes needs a tenth of the cell.
 _URGENT_PART = 0.1
+#: Work that has waited so long uses the room kept for urgent work as well.
+_URGENT_KEPT_S = 2.0
 #: Work that ends before a gang's room is together may use the room meanwhile;
 #: estimates are off, so that it must end well before.
 _BACKFILL_FACTOR = 1.25
@@ -234,15 +236,16 @@
         slow ones and those away from the data come last.
         """
         spec, urgent = step.spec, step.job.queue.priority == 0
+        keeps_urgent = self._keeps_urgent(step)
         best, best_key = None, (True, True, 0)
         for worker in workers:
             if worker.name in avoid or not worker.free.covers(spec.held):
                 continue
             if spec.per_worker and on_worker.get(worker.name, 0) >= spec.per_worker:
                 continue
-            if not urgent and not (
-                worker.leaves_urgent(spec.held) and self._leaves_reserved(worker, spec)
-            ):
+            if keeps_urgent and not worker.leaves_urgent(spec.held):
+                continue
+            if not urgent and not self._leaves_reserved(worker, spec):
                 continue
             away = bool(spec.data_rack) and worker.rack != spec.data_rack
             key = (away, worker.slow, worker.free.cpu_m)
@@ -250,6 +253,14 @@
                 best, best_key = worker, key
         return best
 
+    def _keeps_urgent(self, step: Step) -> bool:
+        """Return whether a step leaves the room that is kept for urgent work.
+
+        Work that needs whole workers would otherwise never start.
+        """
+        waited_s = self._now - (step.ready_at or self._now)
+        return step.job.queue.priority > 0 and waited_s < _URGENT_KEPT_S
+
     def _leaves_reserved(self, worker: WorkerView, spec: StepSpec) -> bool:
         if worker.spare is None or worker.spare.covers(spec.held):
             return True
@@ -302,7 +313,7 @@
             room = worker.free
             if worker.spare is not None and not self._in_time(worker, spec):
                 room = _least(room, worker.spare)
-            if step.job.queue.priority:
+            if self._keeps_urgent(step):
                 room = room.minus(Resources(worker.urgent_cpu_m))
             slots = room.copies(spec.held, most)
             if slots:
@@ -338,7 +349,8 @@
         """
         spec = step.spec
         most = spec.per_worker or spec.count
-        kept = {w.name: Resources(w.urgent_cpu_m) for w in workers}
+        keeps = self._keeps_urgent(step)
+        kept = {w.name: Resources(w.urgent_cpu_m if keeps else 0) for w in workers}
         room = {
             w.name: (w.free if w.spare is None else w.spare).minus(kept[w.name])
             for w in workers
--- a/standins/model/_checks.py
+++ b/standins/model/_checks.py
@@ -17,13 +17,17 @@
     """Sees every start and every end in the cell.
 
     :ivar broken: what went wrong.
+    :ivar alone: members of gangs that waited for the others in vain, which a
+        fault near them may bring about.
     :ivar running: where each task runs now, with the run.
-    :ivar done: tasks whose end ``done`` was acknowledged or may be yet.
+    :ivar done: tasks whose end ``done`` was acknowledged.
     """
 
     broken: list[Broken] = attrs.field(factory=list)
+    alone: list[str] = attrs.field(factory=list)
     running: dict[str, dict[tuple[str, int], int]] = attrs.field(factory=dict)
     done: set[str] = attrs.field(factory=set)
+    last_start: dict[str, float] = attrs.field(factory=dict)
     duplicates: set[str] = attrs.field(factory=set)
     failed: dict[str, int] = attrs.field(factory=dict)
     cancelled: dict[str, float] = attrs.field(factory=dict)
@@ -45,7 +49,19 @@
         if job in self.refused:
             self.note(at, "refused_runs", task)
         others[worker, life] = run
+        self.last_start[task] = at
 
     def ended(self, task: str, worker: str, life: int) -> None:
         """Take note that a run is no longer going on."""
         self.running.get(task, {}).pop((worker, life), None)
+
+    def acknowledged(self, at: float, task: str, ended_at: float) -> None:
+        """Take note that an end ``done`` was acknowledged.
+
+        Only then does it stand: an end that its worker lost, or whose lease
+        lapsed before, may be followed by another start.
+        """
+        self.done.add(task)
+        later = self.last_start.get(task, 0.0) > ended_at
+        if later and task.rpartition(".")[0] not in self.duplicates:
+            self.note(at, "after_done", f"{task} ended done at {ended_at}")
