--- a/src/firhook/_peer_messages.py
+++ b/src/firhook/_peer_messages.py
@@ -55,6 +55,26 @@
     offset: int = -1
 
 
+@attrs.frozen(slots=True)
+class PushedRecord:
+    """A record of the cell's topic that was appended."""
+
+    key: str
+    value: bytes | None
+
+
+@message
+@attrs.frozen(slots=True)
+class RecordsPush:
+    """Records that this instance has just appended, for its peers' replicas.
+
+    :param offset: of the first; the others follow it without a gap.
+    """
+
+    offset: int
+    records: tuple[PushedRecord, ...]
+
+
 @message
 @attrs.frozen(slots=True)
 class RecordsAsk:
--- a/src/firhook/cell/_book.py
+++ b/src/firhook/cell/_book.py
@@ -28,6 +28,8 @@
 
 #: A worker's progress is known well enough to go by from so many percent on.
 _TELLING_PERCENT = 5.0
+#: An order that got no answer may be carried out up to 12 s later.
+LATE_ORDER_S = 12.5
 #: Workers that the adviser is asked about when a job's chain is estimated; the
 #: objectives of jobs allow for one call about so many.
 _ADVISED_WORKERS = 30
@@ -42,6 +44,7 @@
     :ivar confirmed: whether the worker said that it runs.
     :ivar unanswered: starts that were sent and got no answer; each may yet be
         carried out, seconds later.
+    :ivar sent_at: when the last start was sent.
     :ivar settled_at: a look that was sent later than this and does not list the
         run proves that it is not there and will not come.
     :ivar ticket: the adviser's permission, if its queue needs one.
@@ -56,6 +59,7 @@
     stored: bool = False
     confirmed: bool = False
     unanswered: int = 0
+    sent_at: float = -math.inf
     settled_at: float = math.inf
     ticket: str = ""
     stopping: str = ""
@@ -652,8 +656,16 @@
             self.void(run, "not_there", now)
 
     def lapse(self, worker: str, now: float) -> None:
-        """Take note that whatever ran on a worker has lost its lease."""
+        """Take note that whatever ran on a worker has lost its lease.
+
+        A start that got no answer is waited for longer.  It may be carried out
+        seconds later; a worker that did not restart refuses it then, since the
+        lease in it has ended, but on one that did, whose clock is another, the
+        task would run beside its next run.
+        """
         for run in list(self.worker_runs.get(worker, {}).values()):
+            if run.unanswered and now - run.sent_at < LATE_ORDER_S:
+                continue
             if run.stored:
                 self.void(run, "lease_lapsed", now)
 
--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -17,6 +17,21 @@
     job_id: str
 
 
+@attrs.frozen(slots=True)
+class RecordsAppended:
+    """This instance appended records to the cell's topic, without a gap."""
+
+    offset: int
+    records: tuple[KeyedRecord, ...]
+
+
+@attrs.frozen(slots=True)
+class TellInstances:
+    """Send a one-way message to all peers; those that are away miss it."""
+
+    body: Any
+
+
 @attrs.frozen(slots=True)
 class ConfigApplied:
     """Another version of the configuration is in force here."""
--- a/src/firhook/services/_mesh.py
+++ b/src/firhook/services/_mesh.py
@@ -14,7 +14,13 @@
 from firhook.instance import InstanceService, register_service
 from firhook.logs import log
 from firhook.platform.store import CELL_TOPIC, KeyedRecord, encode_keyed
-from firhook.services._events import AskInstance, CatchUp, Record, ServeInstance
+from firhook.services._events import (
+    AskInstance,
+    CatchUp,
+    Record,
+    ServeInstance,
+    TellInstances,
+)
 from firhook.settings import Address
 
 #: Between tries when the store does not answer.
@@ -40,6 +46,11 @@
         self._connected: dict[str, str] = {}
         self.bus.answer(AskInstance, self._ask)
         self.bus.subscribe(ServeInstance, self._on_serve)
+        self.bus.subscribe(TellInstances, self._on_tell)
+
+    def _on_tell(self, event: TellInstances) -> None:
+        if self._mesh is not None:
+            self.add_future(self._mesh.tell_all(event.body))
 
     def _on_serve(self, event: ServeInstance) -> None:
         self._handlers[event.kind] = event.handler
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -46,7 +46,7 @@
     Producer,
     encode_keyed,
 )
-from firhook.services._events import AskInstance, CatchUp
+from firhook.services._events import AskInstance, CatchUp, RecordsAppended
 from firhook.services._worker_link import WorkerLink
 from firhook.services._worker_list import WorkerList
 
@@ -82,6 +82,8 @@
 #: The weight of the newest urgent step in the mean of what they need: the last
 #: twenty or so count.
 _URGENT_WEIGHT = 0.1
+#: Bytes of a record beside its key and its value.
+_RECORD_OVERHEAD = 8
 #: Names the lead's appends; one sequence for all leads of the cell.
 _PRODUCER = "lead"
 
@@ -420,21 +422,24 @@
 
         :raises LogFencedError: if another lead has begun.
         """
-        contents = [encode_keyed(record) for record in records]
-        for chunk in _chunks(contents, self._lead.settings.store_limits.append_bytes):
-            await self._append_chunk(chunk)
+        most = self._lead.settings.store_limits.append_bytes
+        for chunk in _chunks(list(records), most):
+            offset = await self._append_chunk([encode_keyed(r) for r in chunk])
+            if chunk:
+                self._lead.bus.publish(RecordsAppended(offset, tuple(chunk)))
 
-    async def _append_chunk(self, contents: list[bytes]) -> None:
+    async def _append_chunk(self, contents: list[bytes]) -> int:
         producer = Producer(_PRODUCER, self.fence, self._sequence)
         while True:
             try:
-                await self._store.append(CELL_TOPIC, 0, contents, producer)
+                done = await self._store.append(CELL_TOPIC, 0, contents, producer)
                 break
             except (LogUnavailableError, LogOutcomeUnknownError) as exc:
                 log("lead.append_retry", level="debug", error=exc.detail[:200])
                 await asyncio.sleep(_RETRY_S)
         if contents:
             self._sequence += 1
+        return done.offset
 
     # Orders.
 
@@ -474,6 +479,7 @@
         # Counted before it is sent: whoever looks meanwhile must take it for
         # one that may yet arrive.
         run.unanswered += 1
+        run.sent_at = boot_time()
         answer = await self.workers.start(link.entry, order)
         if answer.outcome is not OrderOutcome.UNKNOWN:
             run.unanswered -= 1
@@ -628,14 +634,15 @@
         return Advice({t.worker: t.ticket for t in reply.tickets}, reply.valid_s)
 
 
-def _chunks(contents: list[bytes], most: int) -> list[list[bytes]]:
+def _chunks(records: list[KeyedRecord], most: int) -> list[list[KeyedRecord]]:
     """Split records into appends of at most so many bytes; at least one."""
-    chunks: list[list[bytes]] = [[]]
+    chunks: list[list[KeyedRecord]] = [[]]
     size = 0
-    for content in contents:
-        if chunks[-1] and size + len(content) + 4 > most:
+    for record in records:
+        length = len(record.key) + len(record.value or b"") + _RECORD_OVERHEAD
+        if chunks[-1] and size + length > most:
             chunks.append([])
             size = 0
-        chunks[-1].append(content)
-        size += len(content) + 4
+        chunks[-1].append(record)
+        size += length
     return chunks
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -24,7 +24,7 @@
 )
 from firhook.platform.workers import Workers
 from firhook.services._callers import Callers
-from firhook.services._events import AskInstance, Record, ServeInstance
+from firhook.services._events import AskInstance, Record, ServeInstance, TellInstances
 from firhook.settings import Address
 from standins.model._adviser import ModelAdviser
 from standins.model._checks import Checks
@@ -109,6 +109,23 @@
         self.handlers: dict[type, Callable[[Any], Any]] = {}
         self.bus.answer(AskInstance, self._ask)
         self.bus.subscribe(ServeInstance, self._on_serve)
+        self.bus.subscribe(TellInstances, self._on_tell)
+
+    def _on_tell(self, event: TellInstances) -> None:
+        for name, peer in self.cell.instances.items():
+            cut = {self.settings.name, name} in self.cell.cuts
+            if name == self.settings.name or not peer.alive or cut:
+                continue
+            if not peer.gate.open.is_set() or self.cell.rng.random() < self.cell.drops:
+                continue
+            handler = peer.instance.services["mesh"].handlers.get(type(event.body))
+            if handler is not None:
+                self.add_future(self._deliver(handler, event.body))
+
+    @staticmethod
+    async def _deliver(handler: Callable[[Any], Any], body: Any) -> None:
+        await pause(NET_S)
+        await handler(body)
 
     def _on_serve(self, event: ServeInstance) -> None:
         self.handlers[event.kind] = event.handler
@@ -243,6 +260,7 @@
     """A cell: the platform, some instances, and callers.
 
     :param advised: whether the adviser is asked before each start.
+    :ivar drops: the share of one-way messages between instances that are lost.
     """
 
     def __init__(
@@ -261,6 +279,7 @@
         self.bounds = bounds or Bounds()
         self.plans: dict[str, TaskPlan] = {}
         self.cuts: list[set[str]] = []
+        self.drops = 0.02
         self.accepted: dict[str, str] = {}
         self._gangs = Gangs()
         self.workers: dict[str, ModelWorker] = {}
