--- /dev/null
+++ b/src/firhook/cell/book.py
@@ -0,0 +1,5 @@
+"""What the lead knows of the cell's jobs, tasks and runs."""
+
+from firhook.cell._book import LATE_ORDER_S, Book, Job, Run, Step, Task, tails_s
+
+__all__ = ["LATE_ORDER_S", "Book", "Job", "Run", "Step", "Task", "tails_s"]
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -21,6 +21,7 @@
     StartOrder,
     WorkerEntry,
 )
+from firhook.cell.book import LATE_ORDER_S
 from firhook.cell.records import LEAD_KEY, STATE_PREFIX, encode_record
 from firhook.clock import boot_time, unix_time
 from firhook.decide.schedule import WorkerView, place_round, urgent_room_m
@@ -121,6 +122,7 @@
         self._begun_at = boot_time()
         self._ready = False
         self._urgent_need_m = 0
+        self._unanswered: dict[str, dict[tuple[str, int], float]] = {}
 
     # Life of a term.
 
@@ -276,6 +278,7 @@
         for run, end in self.book.ends:
             self._note_end(link, run, end, now)
         self.book.ends.clear()
+        link.has_strays = bool(strays)
         for task, number in strays:
             log("run.stray", worker=link.name, task=task, run=number)
             self._spawn(self.workers.stop(link.entry, task, number, self.fence))
@@ -295,6 +298,20 @@
         if link.health.note(step.job.id, end, now):
             log("worker.rests", level="warning", worker=link.name)
 
+    def on_life(self, link: WorkerLink) -> None:
+        """Stop in a worker's new life what may yet arrive from before.
+
+        A start that got no answer was stopped, or outlived its lease, in the
+        worker's last life.  Carried out late it would reach the new one, which
+        knows of neither, and run the task beside its next run.
+        """
+        now = boot_time()
+        starts = self._unanswered.pop(link.name, {})
+        for (task, number), sent_at in starts.items():
+            active = (task, number) in self.book.worker_runs.get(link.name, {})
+            if now - sent_at < LATE_ORDER_S and not active:
+                self._spawn(self.workers.stop(link.entry, task, number, self.fence))
+
     def on_dark(self, link: WorkerLink) -> None:
         """Take note that a worker stopped answering."""
         for run in list(self.book.worker_runs.get(link.name, {}).values()):
@@ -481,7 +498,9 @@
         run.unanswered += 1
         run.sent_at = boot_time()
         answer = await self.workers.start(link.entry, order)
-        if answer.outcome is not OrderOutcome.UNKNOWN:
+        if answer.outcome is OrderOutcome.UNKNOWN:
+            self._unanswered.setdefault(run.worker, {})[run.key] = run.sent_at
+        else:
             run.unanswered -= 1
         if answer.life:
             link.heard(answer.life, answer.clock_s, boot_time())
--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -46,6 +46,9 @@
     def on_look(self, link: "WorkerLink", look: Look, sent_at: float) -> None:
         """Take in a worker's answer."""
 
+    def on_life(self, link: "WorkerLink") -> None:
+        """Take note that a worker began a life that was not known."""
+
     def on_fenced(self, worker: str) -> None:
         """Take note that a worker has seen a higher fencing token."""
 
@@ -60,6 +63,9 @@
     :ivar ack: all ends up to this number are stored.
     :ivar processed: all ends up to this number are in the book.
     :ivar life: the life that answered last; 0 if none did.
+    :ivar has_strays: whether runs go on there that the book does not know, left
+        by orders that were carried out late.  What they take is not accounted
+        for, so that nothing more is started beside them.
     """
 
     def __init__(
@@ -75,6 +81,7 @@
         self.drain_ends_at: float | None = None
         self.answered_at = float("-inf")
         self.doubted = False
+        self.has_strays = False
         self._owner = owner
         self._lease_s = lease_s
         self._clock_s = 0.0
@@ -90,7 +97,7 @@
 
     def usable(self, now: float) -> bool:
         """Return whether new work may be sent there."""
-        if not self.life or self.entry.draining or self.doubted:
+        if not self.life or self.entry.draining or self.doubted or self.has_strays:
             return False
         if self.unlisted_at is not None and now - self.unlisted_at > _UNLISTED_S:
             return False
@@ -131,6 +138,7 @@
         if self.life:
             log("worker.restarted", worker=self.name, life=life)
         self.life, self.ack, self.processed = life, 0, 0
+        self._owner.on_life(self)
 
     async def run(self) -> None:
         """Look at the worker until cancelled."""
--- a/tests/services/test_faults.py
+++ b/tests/services/test_faults.py
@@ -16,6 +16,10 @@
     4: "an old life's acknowledgement made a restarted worker forget its ends",
     18: "a job accepted in the middle of a takeover was never taken in",
     48: "a job accepted in the middle of a takeover was never taken in",
+    442: "a late start reached a worker's next life after its stop had been confirmed",
+    612: "what a late start took on a worker was not accounted for",
+    644: "a late start reached a worker's next life after its stop had been confirmed",
+    651: "what a late start took on a worker was not accounted for",
 }
 
 
