--- a/src/firhook/decide/_worker_health.py
+++ b/src/firhook/decide/_worker_health.py
@@ -46,10 +46,18 @@
         self.failed_jobs.add(job)
         if not self.probation and len(self.failed_jobs) < FAILURES_IN_A_ROW:
             return False
+        self._rest(now)
+        return True
+
+    def note_stall(self, now: float) -> None:
+        """Take note that what it runs stands still."""
+        if now >= self.rests_until:
+            self._rest(now)
+
+    def _rest(self, now: float) -> None:
         self.rests_until = now + self.rest_s
         self.rest_s = min(self.rest_s * 2, LONGEST_REST_S)
         self.probation = True
-        return True
 
     def accepts(self, running: int, now: float) -> bool:
         """Return whether new work may start on it.
--- a/src/firhook/decide/worker_health.py
+++ b/src/firhook/decide/worker_health.py
@@ -1,5 +1,9 @@
 """Which workers are left alone because of what became of their runs."""
 
-from firhook.decide._worker_health import WorkerHealth
+from firhook.decide._worker_health import (
+    FAILURES_IN_A_ROW,
+    FIRST_REST_S,
+    WorkerHealth,
+)
 
-__all__ = ["WorkerHealth"]
+__all__ = ["FAILURES_IN_A_ROW", "FIRST_REST_S", "WorkerHealth"]
--- a/src/firhook/services/_metrics.py
+++ b/src/firhook/services/_metrics.py
@@ -15,6 +15,7 @@
 
 from firhook.clock import boot_time
 from firhook.instance import Instance, InstanceService, register_service
+from firhook.logs import log
 
 #: The port that the deploy file names.
 METRICS_PORT = 9464
@@ -82,7 +83,12 @@
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
-        sock.bind((self.settings.ip, METRICS_PORT))
+        try:
+            sock.bind((self.settings.ip, METRICS_PORT))
+        except OSError as exc:
+            # An instance without metrics serves; one that ended here would not.
+            log("metrics.unavailable", level="error", error=repr(exc))
+            return
         await web.SockSite(self._runner, sock).start()
 
     async def _serve(self, req: web.BaseRequest) -> web.Response:
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -25,6 +25,8 @@
 from firhook.cell.records import LEAD_KEY, STATE_PREFIX, encode_record
 from firhook.clock import boot_time, unix_time
 from firhook.decide.schedule import WorkerView, place_round, urgent_room_m
+from firhook.decide.speeds import SpeedBook
+from firhook.decide.stalls import standing_still
 from firhook.decide.tickets import (
     AdviceWish,
     AdviserSeat,
@@ -109,6 +111,7 @@
         self.workers = lead.instance.platform.workers(self.may_act)
         self.links: dict[str, WorkerLink] = {}
         self.tickets = TicketBook()
+        self.speeds = SpeedBook()
         config = lead.instance.config.config
         assert config is not None
         self.book = Book(config)
@@ -282,8 +285,25 @@
         for task, number in strays:
             log("run.stray", worker=link.name, task=task, run=number)
             self._spawn(self.workers.stop(link.entry, task, number, self.fence))
+        self._move_stalled(link, now)
         self._wake.set()
 
+    def _move_stalled(self, link: WorkerLink, now: float) -> None:
+        """Have what stands still on a worker run elsewhere."""
+        runs = self.book.worker_runs.get(link.name, {})
+        for run in standing_still(runs.values(), now):
+            log(
+                "run.stalled",
+                level="warning",
+                task=run.task.name,
+                run=run.number,
+                worker=link.name,
+                percent=run.percent,
+                still_s=round(now - run.percent_at, 2),
+            )
+            self.book.stop(run, "stalled")
+            link.health.note_stall(now)
+
     def _note_end(self, link: WorkerLink, run: Run, end: End, now: float) -> None:
         step = run.task.step
         self._meters.count("ends", end.value)
@@ -295,6 +315,10 @@
             end=end.value,
             ran_ms=round((now - run.begun_at) * 1000),
         )
+        if end is End.DONE:
+            self.speeds.note(step.name, link.name, now - run.begun_at)
+        if step.left == 0:
+            self.speeds.close(step.name)
         if link.health.note(step.job.id, end, now):
             log("worker.rests", level="warning", worker=link.name)
 
@@ -306,6 +330,7 @@
         knows of neither, and run the task beside its next run.
         """
         now = boot_time()
+        self.speeds.forget(link.name)
         starts = self._unanswered.pop(link.name, {})
         for (task, number), sent_at in starts.items():
             active = (task, number) in self.book.worker_runs.get(link.name, {})
@@ -394,6 +419,7 @@
             view = WorkerView(
                 name, link.life, entry.pool, entry.rack, entry.labels, free
             )
+            view.slow = self.speeds.slow(name)
             view.urgent_cpu_m = urgent_room_m(entry.capacity.cpu_m, self._urgent_need_m)
             views[name] = view
         return views
--- a/standins/model/__init__.py
+++ b/standins/model/__init__.py
@@ -9,12 +9,14 @@
 from standins.model._cell import ModelCell, ModelInstance, run_virtual
 from standins.model._checks import Broken, Checks
 from standins.model._faults import Outcome, Trouble
+from standins.model._http import HttpModel
 from standins.model._store import ModelStore
 from standins.model._workers import ModelWorker, TaskPlan
 
 __all__ = [
     "Broken",
     "Checks",
+    "HttpModel",
     "ModelAdviser",
     "ModelCell",
     "ModelInstance",
--- /dev/null
+++ b/standins/model/_http.py
@@ -0,0 +1,342 @@
+"""The model of the platform over HTTP, in real time, for real processes."""
+
+import asyncio
+import base64
+import random
+import struct
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from firhook.cell import OrderAnswer, OrderOutcome, Resources, StartOrder
+from firhook.errors import (
+    LogFencedError,
+    LogMovedError,
+    LogOutcomeUnknownError,
+    LogSequenceError,
+    LogTrimmedError,
+    LogUnavailableError,
+    WorkerFencedError,
+)
+from firhook.platform.store import (
+    LEAD_TOPIC,
+    OPERATOR_TOPIC,
+    WORKER_TOPIC,
+    Producer,
+)
+from standins.model._adviser import ModelAdviser
+from standins.model._cell import config_body
+from standins.model._checks import Checks
+from standins.model._store import ModelStore
+from standins.model._workers import Gangs, ModelWorker, TaskPlan
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+_REASONS = {
+    OrderOutcome.FENCED: "fence",
+    OrderOutcome.OLD: "old",
+    OrderOutcome.LATE: "late",
+    OrderOutcome.NO_ROOM: "room",
+    OrderOutcome.NO_TICKET: "ticket",
+}
+_SETTINGS = """\
+node_name = "{name}"
+ip_address = "127.0.0.1"
+zone = "{zone}"
+region = "r"
+internal_port_range = [{peers}, {peers}]
+recommendation = "{adviser}"
+heartbeat_interval_ms = 500
+[zones]
+{zone} = "r"
+[listen_addresses]
+frontend = "127.0.0.1:{callers}"
+readiness = "127.0.0.1:{probe}"
+[limits]
+cpu_share = 1.0
+cores = 1
+[bounds]
+max_hold_ms = 3000
+termination_grace_ms = 200
+grace_period_s = 6
+[platform]
+address = "{store}"
+min_ttl_ms = 500
+"""
+
+
+def _json(data: Any, status: int = 200) -> web.Response:
+    return web.Response(
+        status=status, body=msgspec.json.encode(data), content_type="application/json"
+    )
+
+
+class HttpModel:
+    """Serves store, workers and adviser on ports of the loopback address.
+
+    :param work_s: how long each task works.
+    """
+
+    def __init__(self, workers: int = 4, work_s: float = 0.3, seed: int = 1) -> None:
+        self.store = ModelStore(seed)
+        self.checks = Checks()
+        self.adviser = ModelAdviser(0.02, 0.001, 2.0, 0.6)
+        self.work_s = work_s
+        self.workers: dict[str, ModelWorker] = {}
+        self.addresses: dict[str, str] = {}
+        self._rng = random.Random(seed)
+        self._gangs = Gangs()
+        self._count = workers
+        self._runners: list[web.AppRunner] = []
+
+    async def start(self) -> None:
+        """Listen, register the workers and put a configuration in force."""
+        self.addresses["store"] = await self._listen(self._store_routes())
+        adviser = [web.post("/-/advise", self._advise)]
+        self.addresses["adviser"] = await self._listen(adviser)
+        for i in range(self._count):
+            await self._add_worker(f"w{i}")
+        self.configure(1)
+
+    async def stop(self) -> None:
+        """Close all sockets."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    def configure(self, version: int, **changes: Any) -> None:
+        """Put a configuration in force, as operators do."""
+        body = config_body(version, **changes)
+        advice = {"decision_ms": 20, "per_item_ms": 1, "validity_ms": 2000}
+        for queue in body["routes"]:
+            queue["recommendation"] = advice
+        self.store.put(OPERATOR_TOPIC, "config", msgspec.json.encode(body))
+
+    def settings(self, folder: Path, name: str, ports: tuple[int, int, int]) -> Path:
+        """Write an instance's settings file; return its path."""
+        path = folder / f"{name}.toml"
+        callers, probe, peers = ports
+        text = _SETTINGS.format(
+            name=name,
+            zone="z0",
+            callers=callers,
+            probe=probe,
+            peers=peers,
+            store=self.addresses["store"],
+            adviser=self.addresses["adviser"],
+        )
+        path.write_text(text, encoding="utf-8")
+        return path
+
+    async def _listen(self, routes: list[web.RouteDef]) -> str:
+        app = web.Application(client_max_size=1 << 24)
+        app.add_routes(routes)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        self._runners.append(runner)
+        host, port = runner.addresses[0][:2]
+        return f"{host}:{port}"
+
+    # The store.
+
+    def _store_routes(self) -> list[web.RouteDef]:
+        return [
+            web.post("/-/log-append", self._answered(self._append)),
+            web.get("/-/log-read", self._answered(self._read)),
+            web.get("/-/log-newest", self._answered(self._newest)),
+            web.post("/-/log-join", self._answered(self._join)),
+            web.post("/-/log-leave", self._answered(self._leave)),
+        ]
+
+    def _answered(self, handler: Handler) -> Handler:
+        async def answer(req: web.Request) -> web.StreamResponse:
+            try:
+                return await handler(req)
+            except LogUnavailableError:
+                return web.Response(status=503)
+            except LogOutcomeUnknownError:
+                assert req.transport is not None
+                req.transport.abort()
+                return web.Response(status=500)
+            except LogFencedError:
+                return _json({"reason": "fenced"}, 409)
+            except LogSequenceError as exc:
+                return _json({"reason": "seq", "sequence": exc.extra["expected"]}, 409)
+            except LogMovedError as exc:
+                return _json({"end": exc.extra["end"]}, 412)
+            except LogTrimmedError:
+                return _json({"earliest_offset": 0}, 410)
+
+        return answer
+
+    async def _append(self, req: web.Request) -> web.Response:
+        q = req.query
+        producer = None
+        if "producer" in q:
+            producer = Producer(q["producer"], int(q["epoch"]), int(q["sequence"]))
+        at = int(q["at"]) if "at" in q else None
+        records = list(_records(await req.read()))
+        client = self.store.client("any")
+        done = await client.append(q["topic"], int(q["part"]), records, producer, at)
+        return _json({"offset": done.offset, "end": done.end})
+
+    async def _read(self, req: web.Request) -> web.Response:
+        q = req.query
+        wait_s = int(q.get("wait_ms", 0)) / 1000
+        client = self.store.client("any")
+        part = await client.read(q["topic"], int(q["part"]), int(q["from"]), wait_s)
+        body = struct.pack(">QQ", part.end, 0)
+        for record in part.records:
+            key = record.key.encode()
+            content = bytes((len(key),)) + key + (record.value or b"")
+            body += struct.pack(">I", len(content)) + content
+        return web.Response(body=body)
+
+    async def _newest(self, req: web.Request) -> web.Response:
+        q = req.query
+        client = self.store.client("any")
+        newest = await client.newest(q["topic"], int(q["part"]))
+        later = [r for r in newest.records if r.key > q.get("after", "")]
+        items = [
+            {
+                "key": r.key,
+                "value": base64.b64encode(r.value or b"").decode(),
+                "offset": r.offset,
+            }
+            for r in later[:3]
+        ]
+        more = len(later) > len(items)
+        return _json({"items": items, "has_more": more, "end": newest.end})
+
+    async def _join(self, req: web.Request) -> web.Response:
+        data = msgspec.json.decode(await req.read())
+        ttl_s = data["ttl_ms"] / 1000
+        share = await self.store.client("any").join(
+            data["group"], data["member_id"], LEAD_TOPIC, ttl_s, data["generation"]
+        )
+        rows = [[LEAD_TOPIC, part, 0] for part in sorted(share.partitions)]
+        return _json({"generation": share.generation, "parts": rows})
+
+    async def _leave(self, req: web.Request) -> web.Response:
+        data = msgspec.json.decode(await req.read())
+        await self.store.client("any").leave(data["group"], data["member_id"])
+        return _json({})
+
+    # The adviser.
+
+    async def _advise(self, req: web.Request) -> web.Response:
+        data = msgspec.json.decode(await req.read())
+        caller = str(req.remote)
+        advice = await self.adviser.answer(caller, data["step"], data["workers"])
+        rows = [[w, t] for w, t in advice.tickets.items()]
+        return _json({"good": rows, "validity_ms": int(advice.valid_s * 1000)})
+
+    # The workers.
+
+    def _plan(self, task: str) -> TaskPlan:
+        return TaskPlan(self.work_s, Resources(1000, 100))
+
+    async def _add_worker(self, name: str) -> None:
+        worker = ModelWorker(
+            name,
+            Resources(8000, 65536),
+            "r1-1",
+            "z0",
+            self._plan,
+            self.checks,
+            self._gangs,
+            self._rng,
+            3.0,
+        )
+        self.workers[name] = worker
+
+        async def look(req: web.Request) -> web.StreamResponse:
+            return await self._look(worker, req)
+
+        async def start(req: web.Request) -> web.StreamResponse:
+            data = msgspec.json.decode(await req.read())
+            order = StartOrder(
+                data["task"],
+                data["run"],
+                data["specification"],
+                data["fencing_token"],
+                data["deadline_ms"] / 1000,
+                data.get("last_checkpoint", ""),
+                data.get("ticket", ""),
+            )
+            return _order_response(worker.start(order))
+
+        async def stop(req: web.Request) -> web.StreamResponse:
+            data = msgspec.json.decode(await req.read())
+            answer = worker.stop(data["task"], data["run"], data["fencing_token"])
+            return _order_response(answer)
+
+        routes = [
+            web.post("/-/hold", look),
+            web.post("/-/run-start", start),
+            web.post("/-/run-stop", stop),
+        ]
+        address = await self._listen(routes)
+        self.addresses[name] = address
+        entry = {**worker.entry(), "address": address}
+        self.store.put(WORKER_TOPIC, name, msgspec.json.encode(entry))
+
+    async def _look(self, worker: ModelWorker, req: web.Request) -> web.Response:
+        data = msgspec.json.decode(await req.read())
+        until = data.get("deadline_ms")
+        try:
+            worker.look(
+                data["fencing_token"],
+                data["ack_cursor"],
+                until / 1000 if until is not None else None,
+            )
+            await worker.wait_for_end(data.get("wait_ms", 0) / 1000)
+            look = worker.look(data["fencing_token"], 0, None)
+        except WorkerFencedError:
+            return _json({"reason": "fence"}, 409)
+        return _json(
+            {
+                "born": look.life,
+                "timestamp_ms": int(look.clock_s * 1000),
+                "running": [
+                    [r.task, r.run, r.checkpoint, r.percent, r.load]
+                    for r in look.running
+                ],
+                "finished": [
+                    [r.number, r.task, r.run, r.end.value, r.checkpoint]
+                    for r in look.ended
+                ],
+            }
+        )
+
+
+def _order_response(answer: OrderAnswer) -> web.Response:
+    clock_ms = int((answer.clock_s or 0) * 1000)
+    data = {"timestamp_ms": clock_ms, "born": answer.life}
+    if answer.outcome is OrderOutcome.TAKEN:
+        return _json(data)
+    return _json({**data, "reason": _REASONS[answer.outcome]}, 409)
+
+
+def _records(body: bytes) -> Any:
+    at = 0
+    while at < len(body):
+        (length,) = struct.unpack_from(">I", body, at)
+        yield body[at + 4 : at + 4 + length]
+        at += 4 + length
+
+
+async def main() -> None:
+    """Serve until interrupted."""
+    model = HttpModel()
+    await model.start()
+    print(msgspec.json.encode(model.addresses).decode(), flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/standins/model/_workers.py
+++ b/standins/model/_workers.py
@@ -423,7 +423,12 @@
         if self._rng.random() < target.late_share:
             late_s = 2 + 10 * self._rng.random()
             loop = asyncio.get_running_loop()
-            loop.call_later(late_s, lambda: target.up and act(target))
+            # It waits inside the worker, and is lost with it: no order can be
+            # kept from a fresh life that has seen no fencing token.
+            life = target.life
+            loop.call_later(
+                late_s, lambda: target.up and target.life == life and act(target)
+            )
             await pause(ORDER_TIMEOUT_S)
             return OrderAnswer(OrderOutcome.UNKNOWN)
         answer = act(target)
