--- /dev/null
+++ b/tests/cell/test_replica.py
@@ -0,0 +1,99 @@
+"""The replica comes to the same from the same records in any order."""
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from firhook.cell import (
+    AcceptedJob,
+    AdvicePolicy,
+    JobSpec,
+    JobState,
+    JobStatus,
+    Queue,
+    Replica,
+    Resources,
+    RunState,
+    StepSpec,
+    StepState,
+    TaskState,
+)
+from firhook.cell._records import WorkerLife
+from firhook.cell.records import decode_record, encode_record
+from firhook.errors import RecordMalformedError
+
+QUEUE = Queue("q", "h", "/p/", "pool", advice=AdvicePolicy(1.0, 0.1, 2.0))
+SPEC = JobSpec("run", (StepSpec(2, Resources(1, 2, 3), after=()),))
+JOB = AcceptedJob("a" * 16, "t", QUEUE, 1.5, SPEC)
+STATE = JobState(
+    1,
+    0.0,
+    (WorkerLife("w", 7),),
+    (StepState(0, 0, (TaskState(False, 2, 1, "c", (RunState(2, 0),)), None)),),
+)
+
+
+def test_records_come_back_as_they_were_written():
+    assert decode_record(AcceptedJob, encode_record(JOB)) == JOB
+    assert decode_record(JobState, encode_record(STATE)) == STATE
+
+
+def test_a_record_of_a_newer_version_is_read_without_what_it_adds():
+    import msgspec
+
+    row = msgspec.msgpack.decode(encode_record(STATE))
+    longer = msgspec.msgpack.encode([*row, "new"])
+    assert decode_record(JobState, longer) == STATE
+
+
+@given(st.binary(max_size=60))
+def test_other_bytes_are_told_from_records(raw):
+    with pytest.raises(RecordMalformedError):
+        decode_record(AcceptedJob, raw)
+
+
+KEYS = ("job/1", "cancel/1", "state/1", "peer/x", "lead")
+
+
+def value_of(key, i):
+    if key.startswith("job"):
+        return encode_record(attrs.evolve(JOB, accepted_at=float(i)))
+    if key.startswith("state"):
+        return encode_record(attrs.evolve(STATE, status=i % 5))
+    if key.startswith("cancel"):
+        return b"\x01" if i % 2 else None
+    return b"garbage"
+
+
+@given(
+    st.lists(st.sampled_from(KEYS), min_size=1, max_size=12),
+    st.randoms(use_true_random=False),
+)
+def test_any_order_comes_to_the_same(keys, rng):
+    records = [(i, key, value_of(key, i)) for i, key in enumerate(keys)]
+    # A dropped key is forgotten with its offset; the store keeps only the
+    # newest of each key, so that an older one is not read after it.
+    newest = {key: (i, key, value) for i, key, value in records}
+    straight, shuffled = Replica(), Replica()
+    for record in records:
+        straight.apply(*record)
+    order = [r for r in records if newest[r[1]][2] is not None]
+    rng.shuffle(order)
+    for record in order:
+        shuffled.apply(*record)
+    for job_id in {*straight.jobs, *shuffled.jobs}:
+        one, other = straight.jobs.get(job_id), shuffled.jobs.get(job_id)
+        assert one == other or (
+            one and other and attrs.asdict(one) == attrs.asdict(other)
+        )
+
+
+def test_a_job_that_ended_before_its_cancelling_stays_as_it_ended():
+    replica = Replica()
+    replica.apply(0, "job/1", encode_record(JOB))
+    replica.apply(2, "cancel/1", b"\x01")
+    assert replica.find("1").status is JobStatus.CANCELLED
+    done = encode_record(attrs.evolve(STATE, status=2, steps=()))
+    replica.apply(1, "state/1", done)
+    assert replica.find("1").status is JobStatus.COMPLETED
