--- a/src/firhook/_peer_messages.py
+++ b/src/firhook/_peer_messages.py
@@ -71,6 +71,7 @@
     :param offset: of the first; the others follow it without a gap.
     """
 
+    partition: int
     offset: int
     records: tuple[PushedRecord, ...]
 
--- a/src/firhook/cell/_replica.py
+++ b/src/firhook/cell/_replica.py
@@ -55,12 +55,10 @@
     the higher offset holds.  A replica can thus be rebuilt from pages that
     were read while others wrote, which are no snapshot, and then read on.
 
-    :ivar next_offset: all records before it were applied.
     :ivar jobs: jobs by id.
     """
 
     def __init__(self) -> None:
-        self.next_offset = 0
         self.jobs: dict[str, JobView] = {}
         self.peers: dict[str, PeerRecord] = {}
         self.lead: LeadRecord | None = None
--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -9,6 +9,11 @@
 from firhook.cell import CellConfig
 from firhook.platform.store import KeyedRecord
 
+#: The partitions of the cell's topic.  A partition takes its appends one after
+#: the other; with one of its own the lead does not wait behind the callers'.
+LEAD_PARTITION = 0
+CALLERS_PARTITION = 1
+
 
 @attrs.frozen(slots=True)
 class JobChanged:
@@ -21,6 +26,7 @@
 class RecordsAppended:
     """This instance appended records to the cell's topic, without a gap."""
 
+    partition: int
     offset: int
     records: tuple[KeyedRecord, ...]
 
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+import attrs
+
 from firhook._peer_messages import PushedRecord, RecordsPush
 from firhook.clock import boot_time
 from firhook.errors import (
@@ -15,6 +17,8 @@
 from firhook.logs import log
 from firhook.platform.store import CELL_TOPIC, KeyedRecord, encode_keyed
 from firhook.services._events import (
+    CALLERS_PARTITION,
+    LEAD_PARTITION,
     CatchUp,
     Following,
     JobChanged,
@@ -24,7 +28,6 @@
     TellInstances,
 )
 
-CELL_PARTITION = 0
 #: How often the store is read although the peers push what they append.  A push
 #: that is lost is made up for by then.
 _READ_EVERY_S = 0.5
@@ -37,8 +40,64 @@
 #: and one that was lost.
 _FOLLOWED_S = 3.0
 #: The longest that one append is waited for before it is repeated; the record
-#: is the whole value of its key, so that a repeat changes nothing.
-_APPEND_S = 1.0
+#: is the whole value of its key, so that a repeat changes nothing.  A store that
+#: answers 60 times slower than its 5 ms is waited for: repeats would only make
+#: its queue longer.
+_APPEND_S = 1.5
+
+
+class _Reader:
+    """How far one partition of the cell's topic was read.
+
+    :ivar next_offset: all records before it were applied.
+    :ivar whole: whether the newest record of each key is known.
+    """
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.next_offset = 0
+        self.whole = False
+        self.answered_at = float("-inf")
+        self.gap = asyncio.Event()
+        self._ahead: dict[int, int] = {}
+
+    def pushed(self, offset: int, count: int) -> None:
+        """Take note that records were applied that were not read."""
+        self._ahead[offset] = max(self._ahead.get(offset, 0), offset + count)
+        self.advance(self.next_offset)
+        if self._ahead:
+            self.gap.set()
+
+    def advance(self, offset: int) -> None:
+        """Take note that all records before an offset were applied."""
+        self.next_offset = max(self.next_offset, offset)
+        for start in sorted(self._ahead):
+            if start > self.next_offset:
+                return
+            self.next_offset = max(self.next_offset, self._ahead.pop(start))
+
+
+@attrs.define(slots=True, eq=False)
+class _Pending:
+    """A record that waits to be appended.
+
+    :ivar tried: whether an append of it got no answer.
+    """
+
+    record: KeyedRecord
+    until: float
+    done: asyncio.Future[int]
+    tried: bool = False
+
+    def expire(self, exc: FirhookError) -> None:
+        """Give up, and say whether it may have been recorded."""
+        if self.done.done():
+            return
+        if self.tried:
+            self.done.set_exception(LogOutcomeUnknownError(exc.detail))
+        else:
+            error = LogUnavailableError(exc.detail, retry_after_s=exc.retry_after_s)
+            self.done.set_exception(error)
 
 
 @register_service("follower")
@@ -47,12 +106,11 @@
 
     def wire(self) -> None:
         """Offer reading to the end, and appending."""
-        self._answered_at = float("-inf")
-        self._whole = False
+        self._readers = [_Reader(LEAD_PARTITION), _Reader(CALLERS_PARTITION)]
         self._reachable = True
-        self._ahead: dict[int, int] = {}
-        self._gap = asyncio.Event()
         self._catching_up: asyncio.Task[None] | None = None
+        self._pending: list[_Pending] = []
+        self._has_pending = asyncio.Event()
         self.bus.answer(CatchUp, self._catch_up)
         self.bus.answer(Record, self._record)
         self.bus.answer(Following, self._following)
@@ -61,18 +119,26 @@
     async def on_started(self) -> None:
         """Begin to follow."""
         self.bus.publish(ServeInstance(RecordsPush, self._on_push))
-        self.add_future(self._follow())
+        for reader in self._readers:
+            self.add_future(self._follow(reader))
+        self.add_future(self._append_pending())
+
+    # Reading.
 
     def _on_appended(self, event: RecordsAppended) -> None:
         """Apply what this instance appended, and push it to its peers."""
-        self._take(event.offset, event.records)
+        self._take(event.partition, event.offset, event.records)
         rows = tuple(PushedRecord(r.key, r.value) for r in event.records)
-        self.bus.publish(TellInstances(RecordsPush(event.offset, rows)))
+        push = RecordsPush(event.partition, event.offset, rows)
+        self.bus.publish(TellInstances(push))
 
     async def _on_push(self, msg: RecordsPush) -> None:
-        self._take(msg.offset, tuple(KeyedRecord(r.key, r.value) for r in msg.records))
+        records = tuple(KeyedRecord(r.key, r.value) for r in msg.records)
+        self._take(msg.partition, msg.offset, records)
 
-    def _take(self, offset: int, records: tuple[KeyedRecord, ...]) -> None:
+    def _take(
+        self, partition: int, offset: int, records: tuple[KeyedRecord, ...]
+    ) -> None:
         """Apply records that came otherwise than by reading.
 
         Long polls of all instances at the store would be most of the calls to
@@ -82,43 +148,37 @@
         """
         for i, record in enumerate(records):
             self._apply(offset + i, record.key, record.value)
-        self._ahead[offset] = max(self._ahead.get(offset, 0), offset + len(records))
-        self._advance()
-        if self._ahead:
-            self._gap.set()
-
-    def _advance(self) -> None:
-        for start in sorted(self._ahead):
-            if start > self.replica.next_offset:
-                return
-            end = self._ahead.pop(start)
-            self.replica.next_offset = max(self.replica.next_offset, end)
+        for reader in self._readers:
+            if reader.number == partition:
+                reader.pushed(offset, len(records))
 
     async def _following(self, query: Following) -> bool:
-        return self._whole and boot_time() - self._answered_at < _FOLLOWED_S
+        now = boot_time()
+        return all(r.whole and now - r.answered_at < _FOLLOWED_S for r in self._readers)
 
-    async def _follow(self) -> None:
+    async def _follow(self, reader: _Reader) -> None:
         while not self.should_stop:
             try:
-                if not self._whole:
-                    await self._rebuild()
-                await self._read()
+                if not reader.whole:
+                    await self._rebuild(reader)
+                await self._read(reader)
                 self._note_reachable(True)
-                await self._pause()
+                await self._pause(reader)
             except LogTrimmedError:
                 # Records expired unread, for example after a long cut.  The
                 # newest record of each key is kept all the same.
-                log("replica.trimmed", level="warning", at=self.replica.next_offset)
-                self._whole = False
+                log("replica.trimmed", level="warning", at=reader.next_offset)
+                reader.whole = False
             except FirhookError as exc:
                 self._note_reachable(False, exc)
                 await asyncio.sleep(_RETRY_S)
 
-    async def _pause(self) -> None:
+    @staticmethod
+    async def _pause(reader: _Reader) -> None:
         """Wait until it is time to read again, or until there is a gap."""
-        self._gap.clear()
+        reader.gap.clear()
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._gap.wait(), _READ_EVERY_S)
+            await asyncio.wait_for(reader.gap.wait(), _READ_EVERY_S)
             await asyncio.sleep(_GAP_S)
 
     def _note_reachable(self, reachable: bool, exc: Exception | None = None) -> None:
@@ -128,27 +188,29 @@
         event = "store.regained" if reachable else "store.lost"
         log(event, level="info" if reachable else "warning", error=repr(exc))
 
-    async def _rebuild(self) -> None:
+    async def _rebuild(self, reader: _Reader) -> None:
         """Read the newest record of each key."""
-        newest = await self.store.newest(CELL_TOPIC, CELL_PARTITION)
+        newest = await self.store.newest(CELL_TOPIC, reader.number)
         for record in newest.records:
             self._apply(record.offset, record.key, record.value)
-        self.replica.next_offset = max(self.replica.next_offset, newest.end)
-        self._advance()
-        self._whole = True
-        log("replica.rebuilt", records=len(newest.records), offset=newest.end)
+        reader.advance(newest.end)
+        reader.whole = True
+        log(
+            "replica.rebuilt",
+            partition=reader.number,
+            records=len(newest.records),
+            offset=newest.end,
+        )
 
-    async def _read(self) -> int:
+    async def _read(self, reader: _Reader) -> int:
         """Read on once, and return how many records are left to read."""
         sent_at = boot_time()
-        at = self.replica.next_offset
-        part = await self.store.read(CELL_TOPIC, CELL_PARTITION, at)
+        part = await self.store.read(CELL_TOPIC, reader.number, reader.next_offset)
         for record in part.records:
             self._apply(record.offset, record.key, record.value)
-        self.replica.next_offset = max(self.replica.next_offset, part.next_offset)
-        self._advance()
-        self._answered_at = max(self._answered_at, sent_at)
-        return max(part.end - self.replica.next_offset, 0)
+        reader.advance(part.next_offset)
+        reader.answered_at = max(reader.answered_at, sent_at)
+        return max(part.end - reader.next_offset, 0)
 
     def _apply(self, offset: int, key: str, value: bytes | None) -> None:
         job_id = self.replica.apply(offset, key, value)
@@ -165,32 +227,78 @@
         await asyncio.shield(self._catching_up)
 
     async def _read_to_end(self) -> None:
-        if not self._whole:
-            await self._rebuild()
-        while await self._read():
+        await asyncio.gather(*(self._read_all(r) for r in self._readers))
+
+    async def _read_all(self, reader: _Reader) -> None:
+        if not reader.whole:
+            await self._rebuild(reader)
+        while await self._read(reader):
             pass
 
+    # Appending.
+
     async def _record(self, query: Record) -> int:
         """Append a record, repeating it until an answer comes or time is up."""
-        content = encode_keyed(query.record)
-        unknown: LogOutcomeUnknownError | None = None
-        while True:
-            left_s = query.until - boot_time()
-            if left_s <= 0:
-                raise unknown or LogUnavailableError("no time left", retry_after_s=1.0)
-            try:
-                done = await self.store.append(
-                    CELL_TOPIC,
-                    CELL_PARTITION,
-                    [content],
-                    timeout_s=min(left_s, _APPEND_S),
-                )
-            except LogOutcomeUnknownError as exc:
-                unknown = exc
-            except LogUnavailableError as exc:
-                if query.until - boot_time() < _RETRY_S:
-                    raise unknown or exc from exc
+        done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        self._pending.append(_Pending(query.record, query.until, done))
+        self._has_pending.set()
+        return await done
+
+    async def _append_pending(self) -> None:
+        """Append what waits, in one call at a time.
+
+        A partition takes its appends one after the other.  While the store is
+        60 times slower than usual, single appends for 20 jobs a second are more
+        than it takes; its queue grows to seconds, and the lead's own appends
+        wait in it.  With one call at a time the queue is as long as there are
+        instances.
+        """
+        while not self.should_stop:
+            await self._has_pending.wait()
+            self._has_pending.clear()
+            while self._pending:
+                batch, self._pending = self._pending, []
+                self._pending = await self._append_batch(batch) + self._pending
+
+    async def _append_batch(self, batch: list[_Pending]) -> list[_Pending]:
+        """Append records; return those that are to be tried again."""
+        most = self.settings.store_limits.append_bytes // 2
+        size, count = 0, 0
+        for row in batch:
+            size += len(row.record.key) + len(row.record.value or b"") + 8
+            if count and size > most:
+                break
+            count += 1
+        batch, rest = batch[:count], batch[count:]
+        left_s = max(row.until for row in batch) - boot_time()
+        try:
+            done = await self.store.append(
+                CELL_TOPIC,
+                CALLERS_PARTITION,
+                [encode_keyed(row.record) for row in batch],
+                timeout_s=min(max(left_s, 0.05), _APPEND_S),
+            )
+        except LogOutcomeUnknownError as exc:
+            for row in batch:
+                row.tried = True
+            return _unexpired(batch, exc) + rest
+        except FirhookError as exc:
+            batch = _unexpired(batch, exc)
+            if batch:
                 await asyncio.sleep(_RETRY_S)
-            else:
-                self.bus.publish(RecordsAppended(done.offset, (query.record,)))
-                return done.offset
+            return batch + rest
+        records = tuple(row.record for row in batch)
+        self.bus.publish(RecordsAppended(CALLERS_PARTITION, done.offset, records))
+        for i, row in enumerate(batch):
+            if not row.done.done():
+                row.done.set_result(done.offset + i)
+        return rest
+
+
+def _unexpired(batch: list[_Pending], exc: FirhookError) -> list[_Pending]:
+    """Give up the records whose time is up; return the others."""
+    now = boot_time()
+    for row in batch:
+        if row.until - now < _RETRY_S:
+            row.expire(exc)
+    return [row for row in batch if not row.done.done()]
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -20,7 +20,7 @@
 CELL = 0
 #: How often a member says that it lives; a tenth of a call each.  A partition
 #: that moves is taken over at the next join.
-_JOIN_S = 0.2
+_JOIN_S = 0.1
 #: A member that is silent for so long has left, if the store allows so little.
 _TTL_S = 1.0
 #: The lead gives orders only this part of the time to live after it sent its
--- a/src/firhook/services/_mesh.py
+++ b/src/firhook/services/_mesh.py
@@ -15,6 +15,7 @@
 from firhook.logs import log
 from firhook.platform.store import CELL_TOPIC, KeyedRecord, encode_keyed
 from firhook.services._events import (
+    CALLERS_PARTITION,
     AskInstance,
     CatchUp,
     Record,
@@ -74,6 +75,7 @@
         """Return the cell's key pair; the first instance makes it."""
         while True:
             try:
+                end = (await self.store.newest(CELL_TOPIC, CALLERS_PARTITION)).end
                 await self.bus.ask(CatchUp())
                 if self.replica.mesh_keys is not None:
                     return self.replica.mesh_keys
@@ -84,9 +86,9 @@
                 # the append holds only if nothing was written since the read.
                 await self.store.append(
                     CELL_TOPIC,
-                    0,
+                    CALLERS_PARTITION,
                     [encode_keyed(record)],
-                    expected_end=self.replica.next_offset,
+                    expected_end=end,
                 )
             except FirhookError as exc:
                 log("mesh.keys_retry", level="debug", error=repr(exc))
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -49,7 +49,12 @@
     Producer,
     encode_keyed,
 )
-from firhook.services._events import AskInstance, CatchUp, RecordsAppended
+from firhook.services._events import (
+    LEAD_PARTITION,
+    AskInstance,
+    CatchUp,
+    RecordsAppended,
+)
 from firhook.services._worker_link import WorkerLink
 from firhook.services._worker_list import WorkerList
 
@@ -217,7 +222,6 @@
             epoch=self.fence,
             jobs=len(self.book.jobs),
             runs=sum(len(r) for r in self.book.worker_runs.values()),
-            offset=self._replica.next_offset,
             took_ms=round((boot_time() - self._begun_at) * 1000, 1),
         )
         self._meters.time("takeover", "", boot_time() - self._begun_at)
@@ -469,13 +473,17 @@
         for chunk in _chunks(list(records), most):
             offset = await self._append_chunk([encode_keyed(r) for r in chunk])
             if chunk:
-                self._lead.bus.publish(RecordsAppended(offset, tuple(chunk)))
+                self._lead.bus.publish(
+                    RecordsAppended(LEAD_PARTITION, offset, tuple(chunk))
+                )
 
     async def _append_chunk(self, contents: list[bytes]) -> int:
         producer = Producer(_PRODUCER, self.fence, self._sequence)
         while True:
             try:
-                done = await self._store.append(CELL_TOPIC, 0, contents, producer)
+                done = await self._store.append(
+                    CELL_TOPIC, LEAD_PARTITION, contents, producer
+                )
                 break
             except (LogUnavailableError, LogOutcomeUnknownError) as exc:
                 log("lead.append_retry", level="debug", error=exc.detail[:200])
--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -16,6 +16,10 @@
 #: Between looks while ends wait to be stored: the worker answers such a look at
 #: once, as it lists ends that it was not yet told to forget.
 _UNSTORED_WAIT_S = 0.4
+#: After ends were stored, the next look waits so long, so that ends that come
+#: close together are told by one look: four a second and worker end, of which
+#: a fifth come within this of another.
+_GATHER_S = 0.06
 #: Between tries at a worker that does not answer.
 _RETRY_S = 0.25
 #: A lease is renewed no more once a worker was silent for so long.  Its tasks
@@ -185,6 +189,7 @@
             self.processed = max(self.processed, look.ended[-1].number)
         if self.processed > self.ack:
             await self._wait_stored()
+            await asyncio.sleep(_GATHER_S)
 
     async def _wait_stored(self) -> None:
         self._stored.clear()
