--- a/src/firhook/_instance.py
+++ b/src/firhook/_instance.py
@@ -17,6 +17,12 @@
 from firhook.platform.connections import Connections
 from firhook.platform.instance import InstanceSettings
 
+
+@attrs.frozen(slots=True)
+class StopBegun:
+    """A graceful stop of this instance has begun."""
+
+
 _SERVICES: dict[str, type["InstanceService"]] = {}
 
 #: In the order in which they start; they drain in the reverse order.
@@ -140,6 +146,7 @@
         """Bring every service to rest, so that stopping cuts nothing."""
         self.stopping = True
         log("instance.draining")
+        self.bus.publish(StopBegun())
         for name, service in reversed(self.services.items()):
             try:
                 await service.drain()
--- a/src/firhook/decide/_tickets.py
+++ b/src/firhook/decide/_tickets.py
@@ -200,8 +200,27 @@
     busy_until: float = 0.0
     avoid_until: float = 0.0
     waiting: int = 0
+    failures: int = 0
 
+    def failed(self, now: float) -> None:
+        """Take note that it did not answer: it may be gone.
 
+        One that is gone looks as free as can be.  It would be asked again and
+        again, and each of its questions would wait for nothing.
+        """
+        self.avoid_until = now + min(FIRST_AVOID_S * 2**self.failures, LONGEST_AVOID_S)
+        self.failures += 1
+        self.busy_until = now
+
+    def answered(self) -> None:
+        """Take note that it answered."""
+        self.failures = 0
+
+
+#: An instance that did not answer is left alone for so long at first, and at
+#: the longest.
+FIRST_AVOID_S = 0.5
+LONGEST_AVOID_S = 8.0
 #: One instance in so many answers fast questions only.  In the calm a sixth of
 #: the instances would do for these; a burst of three times as many quotes then
 #: still finds an instance that no slow question occupies.
--- a/src/firhook/instance.py
+++ b/src/firhook/instance.py
@@ -4,7 +4,8 @@
     ConfigView,
     Instance,
     InstanceService,
+    StopBegun,
     register_service,
 )
 
-__all__ = ["ConfigView", "Instance", "InstanceService", "register_service"]
+__all__ = ["ConfigView", "Instance", "InstanceService", "StopBegun", "register_service"]
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -39,6 +39,11 @@
 #: The replica counts as followed if a read was answered so lately: some reads,
 #: and one that was lost.
 _FOLLOWED_S = 3.0
+#: The store counts as away if nothing was answered for so long, and a read has
+#: failed: an idle read is answered every half second.
+_SILENT_S = 1.2
+#: When callers should come back to a store that is away.
+_AWAY_RETRY_S = 2.0
 #: The longest that one append is waited for before it is repeated; the record
 #: is the whole value of its key, so that a repeat changes nothing.  A store that
 #: answers 60 times slower than its 5 ms is waited for: repeats would only make
@@ -237,8 +242,21 @@
 
     # Appending.
 
+    def _silent(self) -> bool:
+        """Return whether the store has answered nothing for a while.
+
+        Load: the store is away without a word.  Harm: an append that gets no
+        answer leaves the caller with neither a yes nor a no, and most callers
+        do not dare to submit again after that.  Not sent at all, it can be
+        refused truly and at once, with the time to come back.
+        """
+        last = max(r.answered_at for r in self._readers)
+        return not self._reachable and boot_time() - last > _SILENT_S
+
     async def _record(self, query: Record) -> int:
         """Append a record, repeating it until an answer comes or time is up."""
+        if self._silent():
+            raise LogUnavailableError("the store is away", retry_after_s=_AWAY_RETRY_S)
         done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         self._pending.append(_Pending(query.record, query.until, done))
         self._has_pending.set()
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -78,36 +78,45 @@
 
     async def _membership(self) -> None:
         while not self.should_stop and not self._left:
+            released = False
             try:
-                await self._join()
+                released = await self._join()
             except FirhookError as exc:
                 log("lead.join_failed", level="debug", error=repr(exc))
             except Exception as exc:
                 log("lead.failed", level="error", error=repr(exc))
-            await asyncio.sleep(_JOIN_S)
+            if not released:
+                await asyncio.sleep(_JOIN_S)
 
-    async def _join(self) -> None:
+    async def _join(self) -> bool:
+        """Join once; return whether the cell was given up.
+
+        Its new holder gets it only at this member's next join, so that one
+        follows at once.
+        """
         # Nothing is to be led before there is something to lead by.
         if self.instance.config.config is None:
-            return
+            return False
         sent_at = boot_time()
         share = await self.store.join(
             LEAD_GROUP, self._member, LEAD_TOPIC, self._ttl_s, self._generation
         )
         if self._left:
-            return
+            return False
         holds = CELL in share.partitions
         if holds:
             self._act_until = sent_at + self._ttl_s * _ACT_PART
         else:
             self._act_until = float("-inf")
-        if self.term is not None and (not holds or self.term.lost):
+        released = self.term is not None and (not holds or self.term.lost)
+        if released:
             # The partition is given to another member only once this one joins
             # with the new generation; by then the term has ended.
             await self._end_term("lost" if holds else "moved")
         self._generation = share.generation
         if holds and self.term is None:
             await self._begin_term(share.generation)
+        return released
 
     async def _begin_term(self, generation: int) -> None:
         last = self.replica.lead.epoch if self.replica.lead else 0
--- a/src/firhook/services/_mesh.py
+++ b/src/firhook/services/_mesh.py
@@ -11,7 +11,7 @@
 from firhook.cell.records import MESH_KEY, PEER_PREFIX, encode_record
 from firhook.clock import boot_time
 from firhook.errors import FirhookError, FrameMalformedError, PeerUnreachableError
-from firhook.instance import InstanceService, register_service
+from firhook.instance import InstanceService, StopBegun, register_service
 from firhook.logs import log
 from firhook.platform.store import CELL_TOPIC, KeyedRecord, encode_keyed
 from firhook.services._events import (
@@ -48,6 +48,18 @@
         self.bus.answer(AskInstance, self._ask)
         self.bus.subscribe(ServeInstance, self._on_serve)
         self.bus.subscribe(TellInstances, self._on_tell)
+        self.bus.subscribe(StopBegun, self._on_stop_begun)
+
+    def _on_stop_begun(self, event: StopBegun) -> None:
+        self.add_future(self._unregister())
+
+    async def _unregister(self) -> None:
+        """Tell the others that this instance answers no more questions soon."""
+        record = KeyedRecord(PEER_PREFIX + self.settings.name, None)
+        try:
+            await self.bus.ask(Record(record, boot_time() + _REGISTER_S))
+        except FirhookError as exc:
+            log("mesh.unregister_failed", level="warning", error=repr(exc))
 
     def _on_tell(self, event: TellInstances) -> None:
         if self._mesh is not None:
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -83,10 +83,10 @@
 #: A lease that a predecessor gave lapses within its length of the predecessor's
 #: last renewal, and some slack for clocks that run 2% slow.
 _OLD_LEASE_FACTOR = 1.03
-#: An answer of the adviser is waited for so much longer than it should take.
-_ADVICE_SLACK_S = 1.5
-#: An instance that did not answer a question is asked nothing for so long.
-_AVOID_S = 1.0
+#: An answer of the adviser is waited for so much longer than it should take.  An
+#: instance that is gone costs a quote this much of its half second; answers
+#: through a peer come within 5 ms of when they should.
+_ADVICE_SLACK_S = 0.25
 #: The weight of the newest urgent step in the mean of what they need: the last
 #: twenty or so count.
 _URGENT_WEIGHT = 0.1
@@ -660,9 +660,9 @@
             advice.asking = False
         now = boot_time()
         if answer is None:
-            seat.avoid_until = now + _AVOID_S
-            seat.busy_until = now
+            seat.failed(now)
         else:
+            seat.answered()
             advice.take(wish.workers, answer, now)
             queue = wish.step.job.queue.name
             self._meters.time("advice", queue, now - began)
