--- /dev/null
+++ b/tests/decide/test_schedule.py
@@ -0,0 +1,295 @@
+"""Which waiting tasks start now, and where: loads played without a network."""
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from firhook.cell import (
+    AcceptedJob,
+    AdvicePolicy,
+    Book,
+    CellConfig,
+    End,
+    JobSpec,
+    Pool,
+    Queue,
+    Resources,
+    StepSpec,
+    Team,
+)
+from firhook.decide.schedule import WorkerView, place_round, urgent_room_m
+from firhook.decide.tickets import AdviserSeat, TicketBook, choose_seat, reserve_seats
+
+QUOTE = Queue("quote", "h", "/quote/", "pool", priority=0, target_s=0.25)
+PLAN = Queue("plan", "h", "/plan/", "pool", priority=1, slack_factor=2.2)
+BILL = Queue("bill", "h", "/bill/", "pool", priority=2, slack_factor=4.0, target_s=3)
+UNLIMITED = Team("a", frozenset())
+
+
+class World:
+    """A book, and workers that are as full as the book says."""
+
+    def __init__(self, workers=4, cpu_m=8000, teams=(UNLIMITED,), urgent_m=0):
+        config = CellConfig(1, (QUOTE, PLAN, BILL), tuple(teams), (Pool("pool"),))
+        self.book = Book(config)
+        self.capacity = Resources(cpu_m, 100000)
+        self.names = [f"w{i}" for i in range(workers)]
+        self.labels = {name: frozenset({"kind"}) for name in self.names}
+        self.tickets = TicketBook()
+        self.now = 100.0
+        self.urgent_m = urgent_m
+        self._jobs = 0
+
+    def submit(self, queue, *steps, team="a"):
+        self._jobs += 1
+        job_id = f"{self._jobs:016x}"
+        spec = JobSpec("x", tuple(steps))
+        accepted = AcceptedJob(job_id, team, queue, self.now, spec)
+        return self.book.add(accepted, None, self.now, self.now)
+
+    def round(self):
+        views = {
+            name: WorkerView(
+                name,
+                1,
+                "pool",
+                f"r{i // 2}",
+                self.labels[name],
+                self.capacity.minus(self.book.worker_use.get(name, Resources())),
+                urgent_cpu_m=self.urgent_m,
+            )
+            for i, name in enumerate(self.names)
+        }
+        result = place_round(self.book, views, self.tickets, self.now)
+        started = []
+        for placement in result.placements:
+            started += self.book.plan(placement.step, placement.tasks, self.now)
+        for run in started:
+            run.stored = True
+        return started
+
+    def finish(self, run, end=End.DONE):
+        self.book.end(run, end, "", self.now, self.now)
+
+    def overfull(self):
+        return [
+            name
+            for name in self.names
+            if not self.capacity.covers(self.book.worker_use.get(name, Resources()))
+        ]
+
+
+def tasks(count, cpu_m=1000, **more):
+    return StepSpec(count, Resources(cpu_m, 100), **more)
+
+
+def queues_of(runs):
+    return [run.task.step.job.queue.name for run in runs]
+
+
+def test_a_quote_finds_room_in_the_middle_of_a_burst_of_bills():
+    """Bills fill the cell for seconds; quotes have half a second to start.
+
+    Without room kept for them, a user waits on the page until a bill ends.
+    """
+    urgent_m = urgent_room_m(8000, 800)
+    world = World(urgent_m=urgent_m)
+    for _ in range(20):
+        world.submit(BILL, tasks(4))
+    world.round()
+    world.now += 0.1
+    world.submit(QUOTE, tasks(2, 800))
+    assert queues_of(world.round()) == ["quote", "quote"]
+
+
+def test_room_for_urgent_work_keeps_no_whole_worker_from_a_gang_for_ever():
+    world = World(workers=1, urgent_m=800)
+    world.submit(PLAN, tasks(4, 2000, gang=True))
+    assert world.round() == []
+    world.now += 2.1
+    assert len(world.round()) == 4
+
+
+def test_a_gang_is_not_starved_by_small_work_that_keeps_coming():
+    """Small tasks end one after the other, and others take their place.
+
+    The gang's room never comes together; a user's plan would wait until the
+    load falls.
+    """
+    world = World(workers=2)
+    small = [world.submit(BILL, tasks(1, 2000, estimate_s=5.0)) for _ in range(8)]
+    running = world.round()
+    assert len(running) == len(small)
+    gang = world.submit(PLAN, tasks(2, 6000, gang=True, estimate_s=5.0))
+    for _ in range(12):
+        world.now += 0.5
+        world.submit(BILL, tasks(1, 2000, estimate_s=5.0))
+        if running:
+            world.finish(running.pop(0))
+        running += [r for r in world.round() if r.task.step.job is not gang]
+        if any(gang.runs()):
+            break
+    assert len(list(gang.runs())) == 2
+    assert world.overfull() == []
+
+
+def test_work_that_ends_in_time_uses_the_room_kept_for_a_gang():
+    world = World(workers=1)
+    world.submit(BILL, tasks(1, 6000, estimate_s=10.0))
+    world.round()
+    world.submit(PLAN, tasks(1, 8000, gang=True, estimate_s=5.0))
+    long = world.submit(BILL, tasks(1, 2000, estimate_s=60.0))
+    short = world.submit(BILL, tasks(1, 2000, estimate_s=1.0))
+    world.round()
+    assert not any(long.runs())
+    assert any(short.runs())
+
+
+def test_a_gang_starts_whole_or_not_at_all():
+    world = World(workers=2)
+    world.submit(PLAN, tasks(5, 4000, gang=True))
+    assert world.round() == []
+    job = world.submit(PLAN, tasks(4, 4000, gang=True))
+    started = world.round()
+    assert [run.task.step.job for run in started] == [job] * 4
+    assert {run.number for run in started} == {1}
+
+
+def test_a_failed_member_takes_the_gang_with_it_and_counts_once():
+    world = World()
+    queue = attrs.evolve(PLAN, max_attempts=2)
+    world.book.config = attrs.evolve(world.book.config, queues=(queue,))
+    job = world.submit(queue, tasks(3, gang=True))
+    first = world.round()
+    world.finish(first[0], End.FAILED)
+    assert {run.stopping for run in first[1:]} == {"gang_broken"}
+    for run in first[1:]:
+        world.finish(run, End.BROKEN)
+    assert job.steps[0, 0].tasks[1].failures == 1
+    second = world.round()
+    assert {run.number for run in second} == {2}
+    world.finish(second[0], End.FAILED)
+    assert job.status.name == "FAILED"
+
+
+def test_steps_wait_for_the_steps_before_them():
+    world = World()
+    job = world.submit(BILL, tasks(2), tasks(1, after=(0,)))
+    first = world.round()
+    assert {run.task.step.number for run in first} == {0}
+    world.finish(first[0])
+    assert world.round() == []
+    world.finish(first[1])
+    last = world.round()
+    assert [run.task.step.number for run in last] == [1]
+    world.finish(last[0])
+    assert job.status.name == "COMPLETED"
+
+
+def test_a_team_has_never_more_running_than_its_limit():
+    limited = Team("a", frozenset(), limit=Resources(3000))
+    world = World(teams=(limited,))
+    world.submit(BILL, tasks(10))
+    started = world.round()
+    assert len(started) == 3
+    world.book.stop(started[0], "test")
+    assert world.round() == []
+    world.finish(started[0], End.STOPPED)
+    assert len(world.round()) == 1
+
+
+def test_labels_and_the_most_per_worker_are_kept_to():
+    world = World()
+    world.labels["w2"] = frozenset({"special"})
+    world.submit(BILL, tasks(3, label="special", per_worker=2))
+    assert [run.worker for run in world.round()] == ["w2", "w2"]
+
+
+def test_what_is_late_already_goes_behind_what_can_be_in_time():
+    world = World(workers=1)
+    late = world.submit(PLAN, tasks(8, estimate_s=1.0))
+    world.now += 60
+    timely = world.submit(BILL, tasks(8, estimate_s=1.0))
+    assert {run.task.step.job for run in world.round()} == {timely}
+    assert late.steps[0, 0].idle
+
+
+def test_without_a_ticket_nothing_starts_and_the_adviser_is_asked():
+    world = World()
+    advised = attrs.evolve(PLAN, advice=AdvicePolicy(0.5, 0.01, 2.0))
+    world.book.set_config(attrs.evolve(world.book.config, queues=(advised,)))
+    job = world.submit(advised, tasks(1))
+    views = {n: WorkerView(n, 1, "pool", "", frozenset(), world.capacity) for n in "ab"}
+    result = place_round(world.book, views, world.tickets, world.now)
+    assert result.placements == []
+    assert [w.step.job for w in result.wishes] == [job]
+    assert {name for name, _ in result.wishes[0].workers} == {"a", "b"}
+
+
+def test_slow_questions_keep_away_from_instances_for_fast_ones():
+    """Plans take the adviser a second, quotes 15 ms, one after the other."""
+    seats = [AdviserSeat(f"i{i}") for i in range(8)]
+    reserve_seats(seats)
+    now = 10.0
+    for _ in range(20):
+        seat = choose_seat(seats, 1.0, now)
+        if seat is None:
+            break
+        seat.waiting += 1
+        seat.busy_until = max(seat.busy_until, now) + 1.0
+    fast = choose_seat(seats, 0.015, now)
+    assert fast is not None
+    assert fast.busy_until <= now
+
+
+def test_an_instance_that_is_gone_is_asked_less_and_less():
+    seat = AdviserSeat("gone")
+    now, asked = 0.0, 0
+    while now < 30.0:
+        if choose_seat([seat], 0.01, now):
+            asked += 1
+            seat.failed(now)
+        now += 0.1
+    assert asked <= 8
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from((QUOTE, PLAN, BILL)),
+            st.integers(1, 6),
+            st.sampled_from((500, 1000, 3000, 8000)),
+            st.booleans(),
+        ),
+        max_size=25,
+    ),
+    st.randoms(use_true_random=False),
+)
+def test_no_worker_is_ever_given_more_than_it_has(jobs, rng):
+    limited = Team("a", frozenset(), limit=Resources(20000))
+    world = World(workers=3, teams=(limited,), urgent_m=800)
+    running = []
+    for queue, count, cpu_m, gang in jobs:
+        world.submit(queue, tasks(count, cpu_m, gang=gang))
+        running += world.round()
+        world.now += rng.random() * 3
+        assert world.overfull() == []
+        used = world.book.team_use.get("a", Resources())
+        assert used.cpu_m <= 20000
+        if running and rng.random() < 0.7:
+            run = running.pop(rng.randrange(len(running)))
+            if run in run.task.runs:
+                world.finish(run)
+
+
+@pytest.mark.parametrize("end", [End.LAPSED, End.STOPPED, End.FAILED])
+def test_a_task_that_did_not_end_done_runs_again_under_a_higher_number(end):
+    world = World()
+    world.submit(BILL, tasks(1))
+    queue = attrs.evolve(BILL, max_attempts=3)
+    world.book.set_config(attrs.evolve(world.book.config, queues=(queue,)))
+    (first,) = world.round()
+    world.finish(first, end)
+    (second,) = world.round()
+    assert second.number == first.number + 1
