--- a/Makefile
+++ b/Makefile
@@ -12,6 +12,7 @@
 
 demo: env
 	$(PY) scripts/demo.py
+	$(PY) scripts/demo_platform.py
 
 format: env
 	.venv/bin/ruff format .
--- a/standins/model/__init__.py
+++ b/standins/model/__init__.py
@@ -10,11 +10,13 @@
 from standins.model._checks import Broken, Checks
 from standins.model._faults import Outcome, Trouble
 from standins.model._http import HttpModel
+from standins.model._processes import KEY, Process, Processes, until
 from standins.model._store import ModelStore
 from standins.model._time import now, pause
 from standins.model._workers import ModelWorker, TaskPlan
 
 __all__ = [
+    "KEY",
     "Broken",
     "Checks",
     "HttpModel",
@@ -25,9 +27,12 @@
     "ModelStore",
     "ModelWorker",
     "Outcome",
+    "Process",
+    "Processes",
     "TaskPlan",
     "Trouble",
     "now",
     "pause",
     "run_virtual",
+    "until",
 ]
--- /dev/null
+++ b/standins/model/_processes.py
@@ -0,0 +1,164 @@
+"""Real processes of firhook over the model of the platform, on loopback."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from standins.model._http import HttpModel
+
+SRC = str(Path(__file__).parent.parent.parent / "src")
+KEY = {"Authorization": "Bearer key-of-a", "Host": "jobs.example"}
+LIMIT_S = 40.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that nobody listens on now."""
+    socks = [socket.socket() for _ in range(count)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
+
+
+async def until(holds: Any, limit_s: float = LIMIT_S) -> None:
+    """Wait until an asynchronous question is answered with yes."""
+    for _ in range(int(limit_s / 0.05)):
+        if await holds():
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError("not in time")
+
+
+class Process:
+    """A firhookd.
+
+    :ivar lines: what it logged.
+    """
+
+    def __init__(self, settings: Path, ports: tuple[int, ...]) -> None:
+        self.settings, self.ports = settings, ports
+        self.lines: list[dict[str, Any]] = []
+
+    async def start(self) -> None:
+        """Start it."""
+        env = {**os.environ, "FIRHOOK_SETTINGS": str(self.settings), "PYTHONPATH": SRC}
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "firhook.daemon",
+            env=env,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        self._reading = asyncio.create_task(self._read())
+
+    async def _read(self) -> None:
+        assert self.process.stdout is not None
+        async for line in self.process.stdout:
+            self.lines.append(msgspec.json.decode(line))
+
+    def leads(self) -> bool:
+        """Return whether its last word on leading was that it does."""
+        words = [line["event"] for line in self.lines]
+        words = [w for w in words if w in ("lead.began", "lead.ended")]
+        return bool(words) and words[-1] == "lead.began"
+
+    def signal(self, sig: signal.Signals) -> None:
+        """Send it a signal."""
+        self.process.send_signal(sig)
+
+    async def end(self) -> None:
+        """Kill it, if it still runs."""
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        self._reading.cancel()
+
+
+class Processes:
+    """Some instances, and a caller who tries another one on any trouble."""
+
+    def __init__(self, folder: Path, count: int) -> None:
+        self.model = HttpModel()
+        self._folder, self._count = folder, count
+        self.all: list[Process] = []
+
+    async def __aenter__(self) -> "Processes":
+        """Start everything and wait until it serves."""
+        await self.model.start()
+        self.session = aiohttp.ClientSession()
+        for i in range(self._count):
+            ports = tuple(free_ports(3))
+            path = self.model.settings(self._folder, f"i{i}", ports)
+            process = Process(path, ports)
+            await process.start()
+            self.all.append(process)
+        await until(self.serving)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """End what was started."""
+        await self.session.close()
+        for process in self.all:
+            await process.end()
+        await self.model.stop()
+
+    async def serving(self) -> bool:
+        """Return whether all are ready and one leads."""
+        answers = [await self.ready(p) for p in self.all]
+        return all(answers) and any(p.leads() for p in self.all)
+
+    async def ready(self, process: Process) -> bool:
+        """Return whether an instance says that it is ready."""
+        try:
+            url = f"http://127.0.0.1:{process.ports[1]}/-/readiness"
+            async with self.session.get(url) as resp:
+                return resp.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def call(
+        self, process: Process, method: str, path: str, body: bytes | None = None
+    ) -> tuple[int, bytes]:
+        """Send a request; return status and body, 0 if there was no answer."""
+        url = f"http://127.0.0.1:{process.ports[0]}{path}"
+        try:
+            async with self.session.request(
+                method, url, data=body, headers=KEY
+            ) as resp:
+                return resp.status, await resp.read()
+        except aiohttp.ClientError:
+            return 0, b""
+
+    async def submit(self, job: str, count: int = 4) -> None:
+        """Submit a job, as often as it takes."""
+        steps = [{"count": count, "millicpus": 1000, "task_memory_mb": 100}]
+        body = msgspec.json.encode({"specification": "x", "steps": steps})
+        for _ in range(20):
+            for process in self.all:
+                status, _ = await self.call(process, "POST", f"/plan/{job}", body)
+                if status == 200:
+                    return
+            await asyncio.sleep(0.2)
+        raise AssertionError("not accepted")
+
+    async def state(self, job: str) -> str | None:
+        """Return where a job stands, by the first instance that answers."""
+        for process in self.all:
+            status, body = await self.call(process, "GET", f"/plan/{job}")
+            if status == 200:
+                return msgspec.json.decode(body)["state"]
+        return None
+
+    async def completed(self, jobs: list[str]) -> bool:
+        """Return whether all jobs are completed."""
+        return all([await self.state(job) == "completed" for job in jobs])
