--- /dev/null
+++ b/bench/takeover.py
@@ -0,0 +1,49 @@
+"""How soon a successor gives its first order, over the model of the platform."""
+
+import statistics
+from collections.abc import Iterable
+from typing import Any
+
+from bench._registry import measure
+from standins.model import ModelCell, now, pause, run_virtual
+
+SEEDS = 50
+#: A new lead's first order: within 1.5 s of the old one's silence, within
+#: 150 ms of a planned stop.
+TARGETS_S = {"killed": 1.5, "stopped": 0.15}
+_STEP = {"count": 1, "millicpus": 1000, "task_memory_mb": 100}
+
+
+async def _play(seed: int, how: str) -> float:
+    cell = ModelCell(instances=5, workers=6, seed=seed)
+    await cell.begin()
+    await pause(seed % 10 / 50)
+    name = cell.lead_name()
+    old = cell.instances[name]
+    # Work that runs, so that the successor has something to take over.
+    for _ in range(20):
+        await cell.submit([_STEP], work_s=30.0)
+    began = now()
+    if how == "killed":
+        cell.kill(name)
+    else:
+        await old.lead.drain()
+    running = set(cell.checks.last_start)
+    await cell.submit([_STEP], work_s=30.0)
+    await cell.until(lambda: cell.lead() not in (None, old), 10.0)
+    await cell.until(lambda: set(cell.checks.last_start) - running, 10.0)
+    return now() - began
+
+
+@measure("takeover")
+def takeover() -> Iterable[dict[str, Any]]:
+    """Measure both ways in which a lead goes."""
+    for how, target_s in TARGETS_S.items():
+        times = sorted(run_virtual(_play(seed, how)) for seed in range(SEEDS))
+        yield {
+            "how": how,
+            "seeds": SEEDS,
+            "p50_ms": round(statistics.median(times) * 1000),
+            "worst_ms": round(times[-1] * 1000),
+            "target_ms": round(target_s * 1000),
+        }
