--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -13,8 +13,8 @@
 #: can be.  A partition takes its appends one after the other; with one of its own
 #: the lead does not wait behind the callers'.  The store may lose some of its
 #: partitions for seconds, in which without the others no task would start.
-LEAD_PARTITIONS = (0, 2)
-CALLERS_PARTITIONS = (1, 3)
+LEAD_PARTITIONS = (0, 2, 1, 3)
+CALLERS_PARTITIONS = (1, 3, 0, 2)
 
 
 @attrs.frozen(slots=True)
--- a/src/firhook/services/_fenced_writer.py
+++ b/src/firhook/services/_fenced_writer.py
@@ -1,9 +1,11 @@
 """The lead's appends, which the store refuses once another lead has begun."""
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 
+from firhook.clock import boot_time
 from firhook.errors import LogOutcomeUnknownError, LogUnavailableError
 from firhook.logs import log
 from firhook.platform.store import CELL_TOPIC, Producer, Store
@@ -41,12 +43,20 @@
     on being accepted; 4.6 s in which 110 jobs came were seen on a played day.
 
     :param epoch: higher than that of any lead before.
+    :param proven: called with the time at which an append was sent that the
+        store took: no other lead had begun by then.
     """
 
-    def __init__(self, store: Store, epoch: int) -> None:
+    def __init__(
+        self, store: Store, epoch: int, proven: Callable[[float], None]
+    ) -> None:
         self._store = store
         self._epoch = epoch
+        self._proven = proven
         self._partitions = [_Partition(number) for number in LEAD_PARTITIONS]
+        # One call at a time: two appends under one sequence number would pass
+        # for one and its repeat, and the second be lost.
+        self._busy = asyncio.Lock()
 
     async def set_epoch(self) -> None:
         """Have every partition refuse what a lead before this one appends.
@@ -54,17 +64,35 @@
         All of them are waited for: what lies on one that does not answer cannot
         be read either.
         """
-        for part in self._partitions:
-            while await self._try(part, []) is None:
-                await asyncio.sleep(_RETRY_S)
+        async with self._busy:
+            for part in self._partitions:
+                while await self._try(part, []) is None:
+                    await asyncio.sleep(_RETRY_S)
+
+    async def prove(self) -> None:
+        """Have the store say that no other lead has begun, if it answers.
+
+        :raises LogFencedError: if one has.
+        """
+        if self._busy.locked():
+            # What is under way proves as much.
+            return
+        async with self._busy:
+            for part in self._partitions:
+                if not part.unanswered and await self._try(part, []) is not None:
+                    return
 
     async def append(self, contents: list[bytes]) -> tuple[int, int]:
         """Append records; return the partition and the offset of the first.
 
         :raises LogFencedError: if another lead has begun.
         """
+        async with self._busy:
+            return await self._append(contents)
+
+    async def _append(self, contents: list[bytes]) -> tuple[int, int]:
         while True:
-            now = asyncio.get_running_loop().time()
+            now = boot_time()
             ready = [p for p in self._partitions if p.avoid_until <= now]
             for part in ready or self._partitions:
                 if part.unanswered and not await self._settle(part):
@@ -86,15 +114,18 @@
     async def _try(self, part: _Partition, contents: list[bytes]) -> int | None:
         """Append once; return the offset, or ``None`` if it failed."""
         producer = Producer(_PRODUCER, self._epoch, part.sequence)
+        sent_at = boot_time()
         try:
             done = await self._store.append(CELL_TOPIC, part.number, contents, producer)
         except LogUnavailableError as exc:
             self._avoid(part, exc)
             return None
         except LogOutcomeUnknownError as exc:
-            part.unanswered = list(contents)
+            if contents:
+                part.unanswered = contents
             self._avoid(part, exc)
             return None
+        self._proven(sent_at)
         if contents:
             part.sequence += 1
         return done.offset
@@ -106,4 +137,4 @@
             partition=part.number,
             error=str(exc)[:200],
         )
-        part.avoid_until = asyncio.get_running_loop().time() + _AVOID_S
+        part.avoid_until = boot_time() + _AVOID_S
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -126,7 +126,7 @@
             number: _Reader(
                 number, _READ_EVERY_S if number in firsts else _READ_SECOND_EVERY_S
             )
-            for number in sorted(LEAD_PARTITIONS + CALLERS_PARTITIONS)
+            for number in sorted(CALLERS_PARTITIONS)
         }
         self._catching_up: dict[int, asyncio.Task[None]] = {}
         self._failed_at: dict[int, float] = {}
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -76,6 +76,22 @@
         """Return whether this instance certainly leads at this moment."""
         return boot_time() < self._act_until
 
+    def proof_ends_in(self) -> float:
+        """Return for how long this instance certainly leads, in seconds."""
+        return self._act_until - boot_time()
+
+    def note_proof(self, sent_at: float) -> None:
+        """Take note that the store took an append under the term's epoch.
+
+        A successor has its own epoch set before it gives any order; so none had
+        begun when the append was sent, whether the group's answers come or not.
+        It counts every lease from when it began, so that orders which follow the
+        proof within this time are accounted for.
+        """
+        if self.term is not None and not self.term.lost and not self._left:
+            until = sent_at + self._ttl_s * _ACT_PART
+            self._act_until = max(self._act_until, until)
+
     async def _membership(self) -> None:
         while not self.should_stop and not self._left:
             released = False
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -49,7 +49,6 @@
 from firhook.logs import log
 from firhook.platform.store import KeyedRecord, encode_keyed
 from firhook.services._events import (
-    CALLERS_PARTITIONS,
     LEAD_PARTITIONS,
     AskInstance,
     CatchUp,
@@ -89,6 +88,8 @@
 #: instance that is gone costs a quote this much of its half second; answers
 #: through a peer come within 5 ms of when they should.
 _ADVICE_SLACK_S = 0.25
+#: How often the lead looks whether it can still prove that it leads.
+_PROVE_EVERY_S = 0.25
 #: Ended jobs are kept for so many times as long as is promised, since their
 #: submissions may be repeated late, and would run again once they are forgotten.
 _KEPT_FACTOR = 3
@@ -129,7 +130,7 @@
         assert config is not None
         self.book = Book(config)
         self._known: set[str] = set()
-        self._writer = FencedWriter(self._store, epoch)
+        self._writer = FencedWriter(self._store, epoch, lead.note_proof)
         self._versions = 0
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -209,7 +210,7 @@
         await self._writer.set_epoch()
         while True:
             try:
-                await self._lead.bus.ask(CatchUp(LEAD_PARTITIONS + CALLERS_PARTITIONS))
+                await self._lead.bus.ask(CatchUp(LEAD_PARTITIONS))
                 break
             except FirhookError as exc:
                 log("lead.catch_up_retry", level="debug", error=repr(exc))
@@ -236,6 +237,7 @@
         )
         self._meters.time("takeover", "", boot_time() - self._begun_at)
         self._spawn(self._forget_old_jobs())
+        self._spawn(self._keep_proving())
         self._spawn(WorkerList(self._store, self._on_worker).run())
 
     # What comes in.
@@ -362,6 +364,22 @@
 
     # The control loop.
 
+    async def _keep_proving(self) -> None:
+        """Prove that this is the lead while the group does not say so.
+
+        The store may lose the partition that its groups live on, and keep those
+        of the cell.  The lead would then be told by nobody that it still leads,
+        and give no orders until the group is back.
+        """
+        while not self.lost:
+            await asyncio.sleep(_PROVE_EVERY_S)
+            if self._lead.proof_ends_in() > _PROVE_EVERY_S:
+                continue
+            try:
+                await self._writer.prove()
+            except LogFencedError:
+                self._lose("fenced")
+
     async def _control(self) -> None:
         while not self.lost:
             with contextlib.suppress(TimeoutError):
--- a/standins/model/_store.py
+++ b/standins/model/_store.py
@@ -161,6 +161,7 @@
     :ivar mode: how it answers an instance: ``up``, ``busy`` (503), ``silent``
         (nothing is done and no answer comes), by instance; ``*`` for all.
     :ivar partly_down: partitions of every topic that answer nothing useful.
+    :ivar groups_down: whether nobody can join a group.
     :ivar slow: a factor on its times.
     :ivar lost_share: the share of writes that are done and not answered.
     """
@@ -171,6 +172,7 @@
         self.groups: dict[str, _Group] = {}
         self.mode: dict[str, str] = {}
         self.partly_down: set[int] = set()
+        self.groups_down = False
         self.slow = 1.0
         self.lost_share = 0.0
         self.late_share = 0.0
@@ -328,6 +330,8 @@
     ) -> Membership:
         """See :meth:`Store.join`."""
         await self._enter()
+        if self._store.groups_down:
+            raise LogUnavailableError("busy", retry_after_s=0.5)
         found = self._store.groups.setdefault(group, _Group(24))
         found.expire(now())
         found.add(member, now() + ttl_s)
--- a/tests/services/test_lead.py
+++ b/tests/services/test_lead.py
@@ -173,3 +173,25 @@
         assert cell.checks.broken == []
 
     run_virtual(play())
+
+
+def test_the_lead_goes_on_while_the_group_does_not_answer():
+    """The store loses what its groups live on, but not the cell's partitions.
+
+    Without another proof the lead would give no orders until the group is back,
+    and a user would see accepted jobs stand still for seconds.
+    """
+
+    async def play():
+        cell = ModelCell()
+        await cell.begin()
+        lead = cell.lead()
+        cell.store.groups_down = True
+        await pause(2.0)
+        for _ in range(5):
+            await cell.submit([step(2)], work_s=0.3)
+        await cell.all_done(3.0)
+        assert cell.lead() is lead
+        assert cell.checks.broken == []
+
+    run_virtual(play())
