What nothing uses is removed; a gang is broken in one place

Messages for relaying, an event without listeners, fields and constants that were only set: left from ways that were given up during the work.

--- a/src/firhook/_instance.py
+++ b/src/firhook/_instance.py
@@ -11,7 +11,6 @@
 
 from firhook._bus import Bus
 from firhook.cell import CellConfig, Replica
-from firhook.clock import boot_time
 from firhook.logs import log
 from firhook.meters import Meters
 from firhook.platform.connections import Connections
@@ -61,14 +60,12 @@
 class ConfigView:
     """The configuration as this instance last read it.
 
-    :ivar raw: as operators wrote it, for peers that cannot read it.
     :ivar read_at: when the newest reading was sent, on the boot clock.  All
         that was confirmed to operators before then is in it.
     """
 
     revocation_s: float
     config: CellConfig | None = None
-    raw: bytes = b""
     read_at: float = float("-inf")
 
     def fresh(self, now: float) -> bool:
@@ -133,7 +130,6 @@
         self.meters = Meters()
         self.bus = Bus()
         self.stopping = False
-        self.started_at = boot_time()
         self.services: dict[str, InstanceService] = {
             name: cls(self) for name, cls in (services or load_services()).items()
         }
--- a/src/firhook/_meters.py
+++ b/src/firhook/_meters.py
@@ -18,7 +18,6 @@
     def __init__(self) -> None:
         self.counters: dict[str, Counter[str]] = {}
         self.times: dict[str, dict[str, HdrHistogram]] = {}
-        self.gauges: dict[str, float] = {}
 
     def count(self, name: str, label: str = "", amount: int = 1) -> None:
         """Add to a counter."""
--- a/src/firhook/_peer_messages.py
+++ b/src/firhook/_peer_messages.py
@@ -33,28 +33,6 @@
     valid_s: float = 0.0
 
 
-@message
-@attrs.frozen(slots=True)
-class AppendAsk:
-    """Append a keyed record for an instance that the store turns away."""
-
-    key: str
-    value: bytes
-
-
-@message
-@attrs.frozen(slots=True)
-class AppendReply:
-    """What became of it.
-
-    :param outcome: ``taken``, ``refused`` if it certainly was not and will not
-        be taken, or ``unknown``.
-    """
-
-    outcome: str
-    offset: int = -1
-
-
 @attrs.frozen(slots=True)
 class PushedRecord:
     """A record of the cell's topic that was appended."""
@@ -74,41 +52,3 @@
     partition: int
     offset: int
     records: tuple[PushedRecord, ...]
-
-
-@message
-@attrs.frozen(slots=True)
-class RecordsAsk:
-    """Read the cell's records, and the configuration, for another instance.
-
-    :param offset: read from here on.
-    :param config_version: what the asker has.
-    """
-
-    offset: int
-    config_version: int
-
-
-@attrs.frozen(slots=True)
-class RelayedRecord:
-    """A record, as the store keeps it."""
-
-    offset: int
-    key: str
-    value: bytes | None
-
-
-@message
-@attrs.frozen(slots=True)
-class RecordsReply:
-    """What a peer read, in answer to the question.
-
-    :param age_s: how old its reading of the configuration is; negative if it
-        has none to offer.
-    :param config: the configuration as operators wrote it, if it is newer.
-    """
-
-    records: tuple[RelayedRecord, ...] = ()
-    next_offset: int = 0
-    age_s: float = -1.0
-    config: bytes | None = None
--- a/src/firhook/cell/_book.py
+++ b/src/firhook/cell/_book.py
@@ -507,7 +507,7 @@
         self.voided.append((run, reason))
         self._leave(run)
         if step.spec.gang and not run.task.done:
-            self._break_gang(step, run.number)
+            self.break_gang(step, run.number)
         self._after_leaving(step, now)
 
     def end(self, run: Run, end: End, checkpoint: str, now: float, unix: float) -> None:
@@ -525,7 +525,7 @@
         elif end is End.FAILED:
             self._failed(task, unix)
         if step.spec.gang and not task.done:
-            self._break_gang(step, run.number)
+            self.break_gang(step, run.number)
         self._after_leaving(step, now)
 
     def _after_leaving(self, step: Step, now: float) -> None:
@@ -578,7 +578,7 @@
         if task.failures >= step.job.queue.max_attempts and not task.done:
             self._end_job(step.job, JobStatus.FAILED, unix_now)
 
-    def _break_gang(self, step: Step, number: int) -> None:
+    def break_gang(self, step: Step, number: int) -> None:
         """Stop what is left of a gang's run; its members cannot end done."""
         for run in step.runs():
             if run.number == number:
@@ -687,8 +687,3 @@
         """Return the runs to stop, added since the last call."""
         wanted, self.to_stop = self.to_stop, []
         return wanted
-
-    @property
-    def has_changes(self) -> bool:
-        """Whether something waits to be stored."""
-        return bool(self._dirty)
--- a/src/firhook/cell/_resources.py
+++ b/src/firhook/cell/_resources.py
@@ -47,13 +47,5 @@
             count = min(count, self.accelerators // need.accelerators)
         return max(count, 0)
 
-    def scaled(self, factor: float) -> "Resources":
-        """Return this times a factor, rounded down."""
-        return Resources(
-            int(self.cpu_m * factor),
-            int(self.memory_mb * factor),
-            int(self.accelerators * factor),
-        )
-
 
 NOTHING = Resources()
--- a/src/firhook/decide/_tickets.py
+++ b/src/firhook/decide/_tickets.py
@@ -59,10 +59,6 @@
         """Return whether the adviser has answered for a worker."""
         return worker in self.yes or worker in self.no
 
-    def earliest_end(self) -> float:
-        """Return when the first of the newest tickets ends; 0 if there is none."""
-        return min((t.until for t in self.yes.values()), default=0.0)
-
     def take(
         self,
         asked: Iterable[tuple[str, int]],
--- a/src/firhook/platform/_store.py
+++ b/src/firhook/platform/_store.py
@@ -31,8 +31,6 @@
 OPERATOR_TOPIC = "keyed.op"
 #: Where workers register.
 WORKER_TOPIC = "keyed.servers"
-#: What the system says to operators.
-STATUS_TOPIC = "keyed.status"
 #: The group whose members share out the leads of cells, and its topic.
 LEAD_GROUP = "firhook-leads"
 LEAD_TOPIC = "firhook-leads"
--- a/src/firhook/platform/_workers.py
+++ b/src/firhook/platform/_workers.py
@@ -158,7 +158,6 @@
     ) -> None:
         self._session = session
         self._sending = sending
-        self.looks = 0
 
     async def look(
         self,
@@ -174,7 +173,6 @@
             body["deadline_ms"] = int(lease_until_s * 1000)
         if wait_s > 0:
             body["wait_ms"] = int(wait_s * 1000)
-        self.looks += 1
         try:
             answer = await self._post(worker, "hold", body, wait_s + _LOOK_SLACK_S)
         except (NotSentError, NoAnswerError) as exc:
--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -47,13 +47,6 @@
     config: CellConfig
 
 
-@attrs.frozen(slots=True)
-class LeadingChanged:
-    """This instance began or ceased to lead the cell."""
-
-    leading: bool
-
-
 @attrs.frozen(slots=True)
 class CatchUp(Query[None]):
     """Read the cell's records up to the end that they have now.
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -11,7 +11,6 @@
 from firhook.services._events import (
     ConfigApplied,
     JobChanged,
-    LeadingChanged,
     ServeInstance,
 )
 from firhook.services._term import Term
@@ -44,8 +43,6 @@
         self._act_until = float("-inf")
         self._left = False
         self.term: Term | None = None
-        self._terms_begun = 0
-        self._retry_after_s = 0.0
         self.adviser = self.instance.platform.adviser
         self.bus.subscribe(JobChanged, self._on_job)
         self.bus.subscribe(ConfigApplied, self._on_config)
@@ -138,7 +135,6 @@
         last = self.replica.lead.epoch if self.replica.lead else 0
         epoch = max(generation * EPOCHS_A_GENERATION, last + 1)
         self.term = Term(self, epoch)
-        self.bus.publish(LeadingChanged(True))
         self.term.begin()
 
     async def _end_term(self, reason: str) -> None:
@@ -146,7 +142,6 @@
         if term is not None:
             log("lead.ended", epoch=term.fence, reason=reason)
             await term.end()
-            self.bus.publish(LeadingChanged(False))
 
     async def drain(self) -> None:
         """Hand the lead over at once."""
--- a/src/firhook/services/_metrics.py
+++ b/src/firhook/services/_metrics.py
@@ -60,10 +60,11 @@
             calls.add_metric([label], count)
         yield calls
         view = self._instance.config
-        gauges = dict(meters.gauges)
-        gauges["config_age_seconds"] = min(boot_time() - view.read_at, 1e9)
-        gauges["config_version"] = view.config.version if view.config else 0
-        gauges["jobs_known"] = len(self._instance.replica.jobs)
+        gauges = {
+            "config_age_seconds": min(boot_time() - view.read_at, 1e9),
+            "config_version": view.config.version if view.config else 0,
+            "jobs_known": len(self._instance.replica.jobs),
+        }
         for name, value in sorted(gauges.items()):
             yield GaugeMetricFamily(f"firhook_{name}", name, value=value)
 
--- a/src/firhook/services/_operator.py
+++ b/src/firhook/services/_operator.py
@@ -50,12 +50,12 @@
             records, self._next_offset = part.records, part.next_offset
         for record in records:
             if record.key == CONFIG_KEY and record.value:
-                self._take(record.value, "store")
+                self._take(record.value)
         view = self.instance.config
         if view.config is not None:
             view.read_at = max(view.read_at, sent_at)
 
-    def _take(self, raw: bytes, source: str) -> None:
+    def _take(self, raw: bytes) -> None:
         """Put a configuration in force, unless it is an older one.
 
         A version never goes back in one life of the process, from whatever
@@ -70,12 +70,11 @@
             return
         if view.config is not None and config.version <= view.config.version:
             return
-        view.config, view.raw = config, raw
+        view.config = config
         log(
             "config.applied",
             version=config.version,
             queues=len(config.queues),
             teams=len(config.teams),
-            source=source,
         )
         self.bus.publish(ConfigApplied(config))
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -101,6 +101,8 @@
 _URGENT_WEIGHT = 0.1
 #: Bytes of a record beside its key and its value.
 _RECORD_OVERHEAD = 8
+#: Answers to a start after which it is sent once more.
+_TRIED_AGAIN = (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT, OrderOutcome.LATE)
 #: States that a term may write; versions begin anew with each epoch.
 _VERSIONS_A_TERM = 10**9
 
@@ -628,9 +630,7 @@
             if outcome is OrderOutcome.TAKEN:
                 self._note_started(run, began)
             return True
-        if outcome in (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT):
-            return False
-        if outcome is OrderOutcome.LATE:
+        if outcome in _TRIED_AGAIN:
             return False
         if outcome is OrderOutcome.FENCED:
             self.on_fenced(run.worker)
@@ -656,8 +656,7 @@
             # answered makes sure that it is not.
             self.book.stop(run, reason)
             if run.task.step.spec.gang:
-                for other in list(run.task.step.runs()):
-                    self.book.stop(other, "gang_broken")
+                self.book.break_gang(run.task.step, run.number)
         else:
             self.book.void(run, reason, boot_time())
         self._wake.set()
