One virtual event loop for all tests

It stood three times, in the golden sessions, the members' fleet and the model. Checked: the golden sessions, unchanged, and the tests of members and lead.

--- a/standins/model/__init__.py
+++ b/standins/model/__init__.py
@@ -12,7 +12,7 @@
 from standins.model._http import HttpModel
 from standins.model._processes import KEY, Process, Processes, until
 from standins.model._store import ModelStore
-from standins.model._time import now, pause
+from standins.model._time import VirtualLoop, now, pause
 from standins.model._workers import ModelWorker, TaskPlan
 
 __all__ = [
@@ -32,6 +32,7 @@
     "Processes",
     "TaskPlan",
     "Trouble",
+    "VirtualLoop",
     "now",
     "pause",
     "run_virtual",
--- a/tests/golden/sessions.py
+++ b/tests/golden/sessions.py
@@ -49,6 +49,7 @@
 )
 from firhook.settings import Address, parse_settings
 from standins.cluster import OPERATOR_KEY, render_ini
+from standins.model import VirtualLoop
 from standins.worker import Worker
 
 NET_S = 0.001
@@ -58,23 +59,6 @@
 _OWN_FIELDS = set(vars(logging.makeLogRecord({}))) | {"message", "taskName"}
 
 
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """An event loop whose time is that of its next timer."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self._now = 1000.0
-        self._selector.select = self._skip  # type: ignore[attr-defined]
-
-    def _skip(self, timeout: float | None = None) -> list[Any]:
-        self._now += timeout or 0.0
-        return []
-
-    def time(self) -> float:
-        """Return the virtual time in seconds."""
-        return self._now
-
-
 class Session:
     """A cell and the transcript of what goes in and out of it."""
 
--- a/tests/roles/fleet.py
+++ b/tests/roles/fleet.py
@@ -35,6 +35,7 @@
 )
 from firhook.model import Envelope, GrantAsk, HoldingsAsk, Plan, ZoneShort
 from firhook.state import CellState
+from standins.model import VirtualLoop
 
 ZONES = ("a", "b", "c")
 TEAM = "t"
@@ -58,24 +59,6 @@
     log_poll_s: float = 5.0
 
 
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """An event loop whose time is that of its next timer."""
-
-    def __init__(self):
-        super().__init__()
-        self._virtual = 1000.0
-        self._selector.select = self._skip
-
-    def _skip(self, timeout=None):
-        if timeout:
-            self._virtual += timeout
-        return []
-
-    def time(self):
-        """Return the virtual time in seconds."""
-        return self._virtual
-
-
 class FakeLog:
     """The two streams, which the members share."""
 
