Problem documents and the splitting of records by size have one piece of code each

The callers' interface wrote the problem document anew that _web has; the follower and the lead's term each counted the bytes of records for an append. No behaviour changes: no request id is added where there was none.

--- a/src/firhook/_web.py
+++ b/src/firhook/_web.py
@@ -43,18 +43,21 @@
     return given
 
 
-def problem_response(exc: FirhookError, rid: str) -> web.Response:
+def problem_response(exc: FirhookError, rid: str | None = None) -> web.Response:
     """Return an error as an RFC 9457 problem document.
 
+    :param rid: the request's id, where requests have one.
+
     The Retry-After header takes whole seconds only and is rounded up; the
     member ``retry_after`` of the document says it exactly.
     """
-    headers = {REQUEST_ID: rid}
+    headers = {} if rid is None else {REQUEST_ID: rid}
+    named = {} if rid is None else {"request_id": rid}
     if exc.retry_after_s is not None:
         headers["Retry-After"] = str(math.ceil(exc.retry_after_s))
     return web.Response(
         status=exc.status,
-        body=msgspec.json.encode({**exc.to_problem(), "request_id": rid}),
+        body=msgspec.json.encode({**exc.to_problem(), **named}),
         headers=headers,
         content_type="application/problem+json",
     )
--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -1,13 +1,12 @@
 """The callers' interface: jobs are submitted, looked up and cancelled."""
 
 import asyncio
-import math
 import socket
 from typing import Any
 
-import msgspec
 from aiohttp import web
 
+from firhook._web import BACKLOG, problem_response
 from firhook.cell import AcceptedJob, CellConfig, JobStatus, JobView, Queue
 from firhook.cell.records import CANCEL_PREFIX, JOB_PREFIX, encode_record
 from firhook.clock import boot_time, unix_time
@@ -41,9 +40,6 @@
 )
 from firhook.settings import Address
 
-#: Connections that may wait to be accepted; beyond it a burst's connections
-#: would be tried again by the callers' kernels after seconds.
-_BACKLOG = 512
 #: What a caller's whole request may take if it does not say.
 _DEFAULT_WAIT_S = 3.0
 #: An answer is sent so long before the caller stops waiting for it.
@@ -87,7 +83,7 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setblocking(False)
         sock.bind((address.host, address.port))
-        await web.SockSite(runner, sock, backlog=_BACKLOG).start()
+        await web.SockSite(runner, sock, backlog=BACKLOG).start()
         self._runners.append(runner)
 
     async def drain(self) -> None:
@@ -126,10 +122,10 @@
             resp = await self._answer(req)
         except FirhookError as exc:
             self._log_refusal(req, exc, began)
-            resp = _refusal(exc)
+            resp = problem_response(exc)
         except Exception as exc:
             log("request.failed", level="error", path=req.path, error=repr(exc))
-            resp = _refusal(FirhookError(repr(exc), ran="unknown"))
+            resp = problem_response(FirhookError(repr(exc), ran="unknown"))
         finally:
             self._open -= 1
         if self.instance.stopping:
@@ -286,15 +282,3 @@
 
 def _json(body: bytes) -> web.Response:
     return web.Response(body=body, content_type="application/json")
-
-
-def _refusal(exc: FirhookError) -> web.Response:
-    headers = {}
-    if exc.retry_after_s is not None:
-        headers["Retry-After"] = str(math.ceil(exc.retry_after_s))
-    return web.Response(
-        status=exc.status,
-        body=msgspec.json.encode(exc.to_problem()),
-        headers=headers,
-        content_type="application/problem+json",
-    )
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -17,6 +17,7 @@
 from firhook.instance import InstanceService, register_service
 from firhook.logs import log
 from firhook.platform.store import CELL_TOPIC, KeyedRecord, encode_keyed
+from firhook.services._batches import split_records
 from firhook.services._events import (
     CALLERS_PARTITIONS,
     LEAD_PARTITIONS,
@@ -326,12 +327,7 @@
     async def _append_batch(self, batch: list[_Pending]) -> list[_Pending]:
         """Append records; return those that are to be tried again."""
         most = self.settings.store_limits.append_bytes // 2
-        size, count = 0, 0
-        for row in batch:
-            size += len(row.record.key) + len(row.record.value or b"") + 8
-            if count and size > most:
-                break
-            count += 1
+        count = len(split_records([row.record for row in batch], most)[0])
         batch, rest = batch[:count], batch[count:]
         left_s = max(row.until for row in batch) - boot_time()
         partition = self._callers_partition()
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -48,6 +48,7 @@
 )
 from firhook.logs import log
 from firhook.platform.store import KeyedRecord, encode_keyed
+from firhook.services._batches import split_records
 from firhook.services._events import (
     LEAD_PARTITIONS,
     AskInstance,
@@ -99,8 +100,6 @@
 #: The weight of the newest urgent step in the mean of what they need: the last
 #: twenty or so count.
 _URGENT_WEIGHT = 0.1
-#: Bytes of a record beside its key and its value.
-_RECORD_OVERHEAD = 8
 #: Answers to a start after which it is sent once more.
 _TRIED_AGAIN = (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT, OrderOutcome.LATE)
 #: States that a term may write; versions begin anew with each epoch.
@@ -561,7 +560,7 @@
         :raises LogFencedError: if another lead has begun.
         """
         most = self._lead.settings.store_limits.append_bytes
-        for chunk in _chunks(list(records), most):
+        for chunk in split_records(list(records), most):
             partition, offset = await self._writer.append(
                 [encode_keyed(r) for r in chunk]
             )
@@ -758,17 +757,3 @@
         if not isinstance(reply, AdviceReply) or not reply.answered:
             return None
         return Advice({t.worker: t.ticket for t in reply.tickets}, reply.valid_s)
-
-
-def _chunks(records: list[KeyedRecord], most: int) -> list[list[KeyedRecord]]:
-    """Split records into appends of at most so many bytes; at least one."""
-    chunks: list[list[KeyedRecord]] = [[]]
-    size = 0
-    for record in records:
-        length = len(record.key) + len(record.value or b"") + _RECORD_OVERHEAD
-        if chunks[-1] and size + length > most:
-            chunks.append([])
-            size = 0
-        chunks[-1].append(record)
-        size += length
-    return chunks
