--- /dev/null
+++ b/src/firhook/services/_advising.py
@@ -0,0 +1,106 @@
+"""Asking the adviser, through whichever instance it answers first."""
+
+from collections.abc import Callable, Coroutine
+from typing import TYPE_CHECKING, Any
+
+from firhook._peer_messages import AdviceAsk, AdviceReply
+from firhook.cell import Advice
+from firhook.clock import boot_time
+from firhook.decide.tickets import (
+    AdviceWish,
+    AdviserSeat,
+    TicketBook,
+    choose_seat,
+    reserve_seats,
+)
+from firhook.errors import PeerUnreachableError
+from firhook.logs import log
+from firhook.services._events import AskInstance
+
+if TYPE_CHECKING:
+    from firhook.services._lead import Lead
+
+#: An answer of the adviser is waited for so much longer than it should take.  An
+#: instance that is gone costs a quote this much of its half second; answers
+#: through a peer come within 5 ms of when they should.
+_SLACK_S = 0.25
+
+
+class Advising:
+    """Carries out what the lead wants to know of the adviser.
+
+    :param tickets: where answers go.
+    :param spawn: runs work beside the caller.
+    :param answered: called after each answer, or when none came.
+    """
+
+    def __init__(
+        self,
+        lead: "Lead",
+        tickets: TicketBook,
+        spawn: Callable[[Coroutine[Any, Any, None]], None],
+        answered: Callable[[], None],
+    ) -> None:
+        self._lead = lead
+        self._tickets = tickets
+        self._spawn = spawn
+        self._answered = answered
+        self._seats: dict[str, AdviserSeat] = {}
+
+    def ask(self, wish: AdviceWish, now: float) -> None:
+        """Ask about a step, if an instance is free to."""
+        seat = choose_seat(self._current_seats(), wish.cost_s, now)
+        advice = self._tickets.of(wish.step)
+        if seat is None or advice.asking:
+            return
+        advice.asking = True
+        seat.waiting += 1
+        seat.busy_until = max(seat.busy_until, now) + wish.cost_s
+        self._spawn(self._ask(wish, seat))
+
+    def _current_seats(self) -> list[AdviserSeat]:
+        names = set(self._lead.replica.peers)
+        if names != set(self._seats):
+            self._seats = {n: self._seats.get(n) or AdviserSeat(n) for n in names}
+            reserve_seats(list(self._seats.values()))
+        return list(self._seats.values())
+
+    async def _ask(self, wish: AdviceWish, seat: AdviserSeat) -> None:
+        began = boot_time()
+        names = tuple(name for name, _ in wish.workers)
+        timeout_s = max(seat.busy_until - began, wish.cost_s) + _SLACK_S
+        advice = self._tickets.of(wish.step)
+        try:
+            answer = await self._ask_through(
+                seat.name, wish.step.name, names, timeout_s
+            )
+        finally:
+            seat.waiting -= 1
+            advice.asking = False
+        now = boot_time()
+        if answer is None:
+            seat.failed(now)
+        else:
+            seat.answered()
+            advice.take(wish.workers, answer, now)
+            queue = wish.step.job.queue.name
+            self._lead.meters.time("advice", queue, now - began)
+        self._answered()
+
+    async def _ask_through(
+        self, instance: str, step: str, workers: tuple[str, ...], timeout_s: float
+    ) -> Advice | None:
+        if instance == self._lead.settings.name:
+            if self._lead.adviser is None:
+                return None
+            return await self._lead.adviser.ask(step, workers, timeout_s)
+        try:
+            reply = await self._lead.bus.ask(
+                AskInstance(instance, AdviceAsk(step, workers, timeout_s), timeout_s)
+            )
+        except PeerUnreachableError as exc:
+            log("advice.peer_failed", level="warning", peer=instance, error=exc.detail)
+            return None
+        if not isinstance(reply, AdviceReply) or not reply.answered:
+            return None
+        return Advice({t.worker: t.ticket for t in reply.tickets}, reply.valid_s)
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -5,10 +5,8 @@
 from collections.abc import Coroutine, Iterable
 from typing import TYPE_CHECKING, Any
 
-from firhook._peer_messages import AdviceAsk, AdviceReply
 from firhook.cell import (
     NOTHING,
-    Advice,
     Book,
     CellConfig,
     End,
@@ -22,41 +20,28 @@
     WorkerEntry,
 )
 from firhook.cell.book import LATE_ORDER_S
-from firhook.cell.records import (
-    CANCEL_PREFIX,
-    JOB_PREFIX,
-    LEAD_KEY,
-    STATE_PREFIX,
-    encode_record,
-)
+from firhook.cell.records import LEAD_KEY, STATE_PREFIX, encode_record
 from firhook.clock import boot_time, unix_time
 from firhook.decide.schedule import WorkerView, place_round, urgent_room_m
 from firhook.decide.speeds import SpeedBook
 from firhook.decide.stalls import standing_still
-from firhook.decide.tickets import (
-    AdviceWish,
-    AdviserSeat,
-    TicketBook,
-    choose_seat,
-    reserve_seats,
-)
+from firhook.decide.tickets import TicketBook
 from firhook.errors import (
     FirhookError,
     LogFencedError,
     LogSequenceError,
-    PeerUnreachableError,
 )
 from firhook.logs import log
 from firhook.platform.store import KeyedRecord, encode_keyed
+from firhook.services._advising import Advising
 from firhook.services._batches import split_records
 from firhook.services._events import (
     LEAD_PARTITIONS,
-    AskInstance,
     CatchUp,
-    Record,
     RecordsAppended,
 )
 from firhook.services._fenced_writer import FencedWriter
+from firhook.services._forgetting import forget_old_jobs
 from firhook.services._worker_link import WorkerLink
 from firhook.services._worker_list import WorkerList
 
@@ -85,18 +70,8 @@
 #: A lease that a predecessor gave lapses within its length of the predecessor's
 #: last renewal, and some slack for clocks that run 2% slow.
 _OLD_LEASE_FACTOR = 1.03
-#: An answer of the adviser is waited for so much longer than it should take.  An
-#: instance that is gone costs a quote this much of its half second; answers
-#: through a peer come within 5 ms of when they should.
-_ADVICE_SLACK_S = 0.25
 #: How often the lead looks whether it can still prove that it leads.
 _PROVE_EVERY_S = 0.25
-#: Ended jobs are kept for so many times as long as is promised, since their
-#: submissions may be repeated late, and would run again once they are forgotten.
-_KEPT_FACTOR = 3
-#: How often some of the older ones are forgotten, and how many.
-_FORGET_EVERY_S = 5.0
-_FORGOTTEN_AT_ONCE = 200
 #: The weight of the newest urgent step in the mean of what they need: the last
 #: twenty or so count.
 _URGENT_WEIGHT = 0.1
@@ -135,8 +110,8 @@
         self._versions = 0
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._advising = Advising(lead, self.tickets, self._spawn, self._wake.set)
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
-        self._seats: dict[str, AdviserSeat] = {}
         self._renew_until = 0.0
         self._begun_at = boot_time()
         self._ready = False
@@ -237,7 +212,7 @@
             took_ms=round((boot_time() - self._begun_at) * 1000, 1),
         )
         self._meters.time("takeover", "", boot_time() - self._begun_at)
-        self._spawn(self._forget_old_jobs())
+        self._spawn(forget_old_jobs(self._lead, self._on_forgotten))
         self._spawn(self._keep_proving())
         self._spawn(WorkerList(self._store, self._on_worker).run())
 
@@ -396,40 +371,8 @@
             self._log_voided()
             await self._store_changes()
 
-    async def _forget_old_jobs(self) -> None:
-        """Drop the records of jobs that ended long ago, some at a time.
-
-        The store keeps the newest record of each key for good, and refuses to
-        take any more once it is full.
-        """
-        keep_s = self._bounds.status_s * _KEPT_FACTOR
-        while True:
-            await asyncio.sleep(_FORGET_EVERY_S)
-            before = unix_time() - keep_s
-            old = [
-                job_id
-                for job_id, job in self._replica.jobs.items()
-                if job.state is not None
-                and job.status.ended
-                and not job.state.steps
-                and 0 < job.state.ended_at < before
-            ][:_FORGOTTEN_AT_ONCE]
-            for job_id in old:
-                await self._forget(job_id)
-
-    async def _forget(self, job_id: str) -> None:
-        view = self._replica.jobs.get(job_id)
-        until = boot_time() + _FORGET_EVERY_S
-        try:
-            if view is not None and view.cancelled:
-                key = KeyedRecord(CANCEL_PREFIX + job_id, None)
-                await self._lead.bus.ask(Record(key, until))
-            key = KeyedRecord(JOB_PREFIX + job_id, None)
-            await self._lead.bus.ask(Record(key, until))
-        except FirhookError as exc:
-            log("job.forget_failed", level="debug", job=job_id, error=exc.detail)
-            return
-        # Without its submission the state means nothing, so that it goes last.
+    def _on_forgotten(self, job_id: str) -> None:
+        """Drop the state of a job as well, with the next append."""
         self._forgotten.append(job_id)
         self._known.discard(job_id)
         self._wake.set()
@@ -482,7 +425,7 @@
                 queue = step.job.queue.name
                 self._meters.time("wait_for_room", queue, now - step.job.accepted_at)
         for wish in sorted(result.wishes, key=lambda w: w.before):
-            self._ask_adviser(wish, now)
+            self._advising.ask(wish, now)
         self.tickets.keep_only(self.book.jobs)
         took_s = boot_time() - now
         self._meters.time("round", "", took_s)
@@ -698,62 +641,3 @@
                     self.on_fenced(run.worker)
                     return
             await asyncio.sleep(_ORDER_RETRY_S)
-
-    # Advice.
-
-    def _ask_adviser(self, wish: AdviceWish, now: float) -> None:
-        seat = choose_seat(self._current_seats(), wish.cost_s, now)
-        advice = self.tickets.of(wish.step)
-        if seat is None or advice.asking:
-            return
-        advice.asking = True
-        seat.waiting += 1
-        seat.busy_until = max(seat.busy_until, now) + wish.cost_s
-        self._spawn(self._ask(wish, seat))
-
-    def _current_seats(self) -> list[AdviserSeat]:
-        names = set(self._replica.peers)
-        if names != set(self._seats):
-            self._seats = {n: self._seats.get(n) or AdviserSeat(n) for n in names}
-            reserve_seats(list(self._seats.values()))
-        return list(self._seats.values())
-
-    async def _ask(self, wish: AdviceWish, seat: AdviserSeat) -> None:
-        began = boot_time()
-        names = tuple(name for name, _ in wish.workers)
-        timeout_s = max(seat.busy_until - began, wish.cost_s) + _ADVICE_SLACK_S
-        advice = self.tickets.of(wish.step)
-        try:
-            answer = await self._ask_through(
-                seat.name, wish.step.name, names, timeout_s
-            )
-        finally:
-            seat.waiting -= 1
-            advice.asking = False
-        now = boot_time()
-        if answer is None:
-            seat.failed(now)
-        else:
-            seat.answered()
-            advice.take(wish.workers, answer, now)
-            queue = wish.step.job.queue.name
-            self._meters.time("advice", queue, now - began)
-        self._wake.set()
-
-    async def _ask_through(
-        self, instance: str, step: str, workers: tuple[str, ...], timeout_s: float
-    ) -> Advice | None:
-        if instance == self._lead.settings.name:
-            if self._lead.adviser is None:
-                return None
-            return await self._lead.adviser.ask(step, workers, timeout_s)
-        try:
-            reply = await self._lead.bus.ask(
-                AskInstance(instance, AdviceAsk(step, workers, timeout_s), timeout_s)
-            )
-        except PeerUnreachableError as exc:
-            log("advice.peer_failed", level="warning", peer=instance, error=exc.detail)
-            return None
-        if not isinstance(reply, AdviceReply) or not reply.answered:
-            return None
-        return Advice({t.worker: t.ticket for t in reply.tickets}, reply.valid_s)
