One reader of the platform's topics, one way to bind a listening socket

The configuration and the list of workers each kept an offset, read the newest records and began anew when history was gone; three places bound a socket alike. A reading that begins anew counts from before the read that failed, which only makes keys count as older.

--- a/src/firhook/_web.py
+++ b/src/firhook/_web.py
@@ -166,6 +166,18 @@
             task.add_done_callback(self._accepted.discard)
 
 
+def bound_socket(host: str, port: int) -> socket.socket:
+    """Return a socket that is bound and ready to listen.
+
+    :raises OSError: if somebody else has the port.
+    """
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setblocking(False)
+    sock.bind((host, port))
+    return sock
+
+
 async def serve(routes: list[web.RouteDef], host: str, port: int, max_body: int) -> Any:
     """Start serving routes; return the runner and the port it got."""
     app = web.Application(middlewares=[problems], client_max_size=max_body)
@@ -177,10 +189,7 @@
         app, access_log=None, shutdown_timeout=1.0, auto_decompress=False
     )
     await runner.setup()
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.setblocking(False)
-    sock.bind((host, port))
+    sock = bound_socket(host, port)
     site = DrainedSite(runner, sock)
     await site.start()
     return runner, site
--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -1,12 +1,11 @@
 """The callers' interface: jobs are submitted, looked up and cancelled."""
 
 import asyncio
-import socket
 from typing import Any
 
 from aiohttp import web
 
-from firhook._web import BACKLOG, problem_response
+from firhook._web import BACKLOG, bound_socket, problem_response
 from firhook.cell import AcceptedJob, CellConfig, JobStatus, JobView, Queue
 from firhook.cell.records import CANCEL_PREFIX, JOB_PREFIX, encode_record
 from firhook.clock import boot_time, unix_time
@@ -79,10 +78,7 @@
         )
         runner = web.ServerRunner(server)
         await runner.setup()
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind((address.host, address.port))
+        sock = bound_socket(address.host, address.port)
         await web.SockSite(runner, sock, backlog=BACKLOG).start()
         self._runners.append(runner)
 
--- a/src/firhook/services/_metrics.py
+++ b/src/firhook/services/_metrics.py
@@ -1,6 +1,5 @@
 """Serves this instance's metrics to operators."""
 
-import socket
 from collections.abc import Iterable
 
 from aiohttp import web
@@ -13,6 +12,7 @@
 )
 from prometheus_client.registry import Collector
 
+from firhook._web import bound_socket
 from firhook.clock import boot_time
 from firhook.instance import Instance, InstanceService, register_service
 from firhook.logs import log
@@ -81,11 +81,8 @@
         """Listen."""
         self._runner = web.ServerRunner(web.Server(self._serve, access_log=None))
         await self._runner.setup()
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
         try:
-            sock.bind((self.settings.ip, METRICS_PORT))
+            sock = bound_socket(self.settings.ip, METRICS_PORT)
         except OSError as exc:
             # An instance without metrics serves; one that ended here would not.
             log("metrics.unavailable", level="error", error=repr(exc))
--- a/src/firhook/services/_operator.py
+++ b/src/firhook/services/_operator.py
@@ -3,12 +3,13 @@
 import asyncio
 
 from firhook.clock import boot_time
-from firhook.errors import FirhookError, LogTrimmedError
+from firhook.errors import FirhookError
 from firhook.instance import InstanceService, register_service
 from firhook.logs import log
 from firhook.platform.bodies import CONFIG_KEY, FieldError, decode_config
 from firhook.platform.store import OPERATOR_TOPIC
 from firhook.services._events import ConfigApplied
+from firhook.services._topic import TopicReader
 
 #: How long the store may wait with its answer for a change.  A reading counts
 #: from when it was sent, so that keys are known as of two seconds ago at worst.
@@ -23,7 +24,7 @@
 
     def wire(self) -> None:
         """Begin with nothing read."""
-        self._next_offset: int | None = None
+        self._topic = TopicReader(self.store, OPERATOR_TOPIC, _WAIT_S)
 
     async def on_started(self) -> None:
         """Begin to follow."""
@@ -33,21 +34,13 @@
         while not self.should_stop:
             try:
                 await self._read()
-            except LogTrimmedError:
-                # Only the newest record of each key is kept for good.
-                self._next_offset = None
             except FirhookError as exc:
                 log("config.read_failed", level="debug", error=repr(exc))
                 await asyncio.sleep(_RETRY_S)
 
     async def _read(self) -> None:
         sent_at = boot_time()
-        if self._next_offset is None:
-            newest = await self.store.newest(OPERATOR_TOPIC)
-            records, self._next_offset = newest.records, newest.end
-        else:
-            part = await self.store.read(OPERATOR_TOPIC, 0, self._next_offset, _WAIT_S)
-            records, self._next_offset = part.records, part.next_offset
+        records, _ = await self._topic.read()
         for record in records:
             if record.key == CONFIG_KEY and record.value:
                 self._take(record.value)
--- a/src/firhook/services/_worker_list.py
+++ b/src/firhook/services/_worker_list.py
@@ -4,10 +4,11 @@
 from collections.abc import Callable
 
 from firhook.cell import WorkerEntry
-from firhook.errors import FirhookError, LogTrimmedError
+from firhook.errors import FirhookError
 from firhook.logs import log
 from firhook.platform.bodies import decode_worker
 from firhook.platform.store import WORKER_TOPIC, Store
+from firhook.services._topic import TopicReader
 
 _WAIT_S = 1.0
 #: Workers write about once in 1.5 s each, mostly nothing new.  News of a worker
@@ -26,9 +27,8 @@
     def __init__(
         self, store: Store, changed: Callable[[str, WorkerEntry | None], None]
     ) -> None:
-        self._store = store
+        self._topic = TopicReader(store, WORKER_TOPIC, _WAIT_S)
         self._changed = changed
-        self._next_offset: int | None = None
         self._names: set[str] = set()
 
     async def run(self) -> None:
@@ -36,23 +36,16 @@
         while True:
             try:
                 await self._read()
-            except LogTrimmedError:
-                self._next_offset = None
             except FirhookError as exc:
                 log("worker_list.retry", level="debug", error=repr(exc))
                 await asyncio.sleep(_RETRY_S)
 
     async def _read(self) -> None:
-        if self._next_offset is None:
-            newest = await self._store.newest(WORKER_TOPIC)
-            self._next_offset = newest.end
-            for name in self._names - {r.key for r in newest.records}:
-                self._take(name, None)
-            records = newest.records
-        else:
-            part = await self._store.read(WORKER_TOPIC, 0, self._next_offset, _WAIT_S)
-            records, self._next_offset = part.records, part.next_offset
+        records, whole = await self._topic.read()
         latest = {record.key: record.value for record in records}
+        if whole:
+            for name in self._names - set(latest):
+                self._take(name, None)
         for name, value in latest.items():
             self._take(name, value)
         await asyncio.sleep(_GATHER_S)
