The book stops runs and estimates a job's chain in one place each

A private stop stood behind the public one, the chain's estimate was worked out twice with the same advice, and the rule for work that ends in time twice.

--- a/src/firhook/cell/_book.py
+++ b/src/firhook/cell/_book.py
@@ -225,6 +225,12 @@
         start = self.began_at(occurrence)
         return start + self.queue.slack_factor * self.chain_s + self.queue.target_s
 
+    def tails_s(self) -> list[float]:
+        """Return for each step the estimated work from its start to the end."""
+        advice = self.queue.advice
+        advice_s = advice.takes_s(_ADVISED_WORKERS) if advice else 0.0
+        return tails_s(self.accepted.spec.steps, advice_s)
+
     def runs(self) -> Iterator[Run]:
         """Return the runs that may be going on."""
         for step in self.steps.values():
@@ -321,8 +327,7 @@
         # The time of day may have jumped between the two clocks.
         age_s = min(max(unix_now - accepted.accepted_at, 0.0), 60.0)
         job = Job(accepted, queue, now - age_s)
-        advice_s = queue.advice.takes_s(_ADVISED_WORKERS) if queue.advice else 0.0
-        job.chain_s = max(tails_s(accepted.spec.steps, advice_s), default=0.0)
+        job.chain_s = max(job.tails_s(), default=0.0)
         self.jobs[job.id] = job
         if state is not None:
             self._restore(job, state, now)
@@ -365,9 +370,7 @@
         self._timed.pop(job.id, None)
 
     def _add_occurrence(self, job: Job, occurrence: int, now: float) -> None:
-        advice = job.queue.advice
-        advice_s = advice.takes_s(_ADVISED_WORKERS) if advice else 0.0
-        tails = tails_s(job.accepted.spec.steps, advice_s)
+        tails = job.tails_s()
         for number, spec in enumerate(job.accepted.spec.steps):
             if (occurrence, number) in job.steps:
                 continue
@@ -409,7 +412,7 @@
                 run.stored, run.settled_at = True, -math.inf
                 self._enter(run)
                 if step.job.status.ended or task.done:
-                    self._want_stop(run, "job_ended")
+                    self.stop(run, "job_ended")
         step.left = sum(not task.done for task in step.tasks)
 
     def cancel(self, job_id: str, unix_now: float) -> None:
@@ -427,9 +430,7 @@
             return
         if step.ready_at is None and self._turn_has_come(step):
             step.ready_at = now
-        step.idle = {
-            t.index: t for t in step.tasks if not t.done and self._may_start(t)
-        }
+        step.idle = {t.index: t for t in step.tasks if not t.done and not t.runs}
         if step.spec.gang and len(step.idle) < step.spec.count:
             step.idle = {}
         if step.ready_at is not None and step.idle:
@@ -443,10 +444,6 @@
             for earlier in step.spec.after
         )
 
-    @staticmethod
-    def _may_start(task: Task) -> bool:
-        return not task.runs
-
     def copy_wanted(self, task: Task) -> None:
         """Let a task that may run twice start elsewhere, beside its runs."""
         step = task.step
@@ -551,7 +548,7 @@
             step.left -= 1
             for other in task.runs:
                 if other.number != run.number or not step.spec.gang:
-                    self._want_stop(other, "copy_done")
+                    self.stop(other, "copy_done")
         if step.left == 0 and not step.job.status.ended:
             self._complete_if_done(step.job, unix_now)
 
@@ -582,7 +579,7 @@
         """Stop what is left of a gang's run; its members cannot end done."""
         for run in step.runs():
             if run.number == number:
-                self._want_stop(run, "gang_broken")
+                self.stop(run, "gang_broken")
 
     def _end_job(self, job: Job, status: JobStatus, unix_now: float) -> None:
         if job.status.ended:
@@ -596,7 +593,7 @@
         for run in list(job.runs()):
             # A gang that is done needs no stop: its members end together.
             if not run.task.done:
-                self._want_stop(run, "job_ended")
+                self.stop(run, "job_ended")
         self._forget_if_over(job)
 
     def _forget_if_over(self, job: Job) -> None:
@@ -604,16 +601,13 @@
             self._timed.pop(job.id, None)
             self.jobs.pop(job.id, None)
 
-    def _want_stop(self, run: Run, reason: str) -> None:
+    def stop(self, run: Run, reason: str) -> None:
+        """Have a run stopped, unless it is to be already."""
         if run.stopping:
             return
         run.stopping = reason
         self.to_stop.append(run)
 
-    def stop(self, run: Run, reason: str) -> None:
-        """Have a run stopped."""
-        self._want_stop(run, reason)
-
     # What workers say.
 
     def take_look(
@@ -650,7 +644,7 @@
             if run.unanswered:
                 # An order that was not answered may reach the new life too.
                 run.life = look.life
-                self._want_stop(run, "worker_restarted")
+                self.stop(run, "worker_restarted")
                 return
             self.void(run, "worker_restarted", now)
         elif run.settled_at < sent_at:
--- a/src/firhook/decide/_schedule.py
+++ b/src/firhook/decide/_schedule.py
@@ -264,8 +264,7 @@
     def _leaves_reserved(self, worker: WorkerView, spec: StepSpec) -> bool:
         if worker.spare is None or worker.spare.covers(spec.held):
             return True
-        ends_at = self._now + spec.estimate_s * _BACKFILL_FACTOR
-        return not spec.lasting and ends_at <= worker.reserved_at
+        return not spec.lasting and self._in_time(worker, spec)
 
     def _choose(self, step: Step, chosen: list[tuple[Task, str, int]]) -> None:
         if not chosen:
