Connections that callers keep stay open until their next request or their end

Cause: a stopping instance closed idle connections as soon as no request was in flight. A caller whose next request was on its way then got ServerDisconnectedError and could not tell whether it was run (seen as 2 posts of 177 in a rolling restart beside load). Ruled out: the listening socket (it accepts what waits) and requests in flight (they are counted and waited for). Change: both paths wait until callers have let go of their connections, 5 s at most (setting drain_idle_s) and 1.5 s on the users' platform; each answer in that time closes its connection. The callers' service closes its listening socket as the gateway does, accepting who still waits. Before: both new tests failed (connection refused after the stop); after: the post on the kept connection is answered with 200 and Connection: close.

--- a/src/firhook/_settings.py
+++ b/src/firhook/_settings.py
@@ -149,6 +149,7 @@
     default_deadline_s: float = _opt("gateway", _number(0.1, 3600), 30.0)
     drain_lag_s: float = _opt("gateway", _number(0, 60), 2.0)
     drain_max_s: float = _opt("gateway", _number(1, 600), 30.0)
+    drain_idle_s: float = _opt("gateway", _number(0, 600), 5.0)
 
     lead_lease_s: float = _opt("cell", _number(0.5, 60), 6.0)
     hold_s: float = _opt("cell", _number(1, 3600), 45.0)
--- a/src/firhook/_web.py
+++ b/src/firhook/_web.py
@@ -26,6 +26,8 @@
 #: Connections that may wait to be accepted; a burst beyond it is retried by
 #: the callers' kernels after a second.
 BACKLOG = 512
+#: How often a stopping instance looks whether callers still hold connections.
+_LET_GO_STEP_S = 0.05
 #: Where a request keeps its id.
 REQUEST_KEY = web.RequestKey("request_id", str)
 
@@ -138,7 +140,7 @@
     :param sock: the listening socket, not blocking.
     """
 
-    def __init__(self, runner: web.AppRunner, sock: socket.socket) -> None:
+    def __init__(self, runner: web.BaseRunner, sock: socket.socket) -> None:
         super().__init__(runner, sock, backlog=BACKLOG)
         self._app_runner = runner
         self._listening = sock
@@ -166,6 +168,25 @@
             task.add_done_callback(self._accepted.discard)
 
 
+async def wait_let_go(runner: web.BaseRunner, most_s: float) -> None:
+    """Wait until no caller holds a connection any more.
+
+    A caller that keeps its connection between two requests cannot know that
+    the instance stops.  If the instance closes the connection in the moment in
+    which the next request is on its way, the caller sees it cut and cannot tell
+    whether it was run.  So connections stay open until their callers have used
+    them once more, which tells them to close, or have let go of them.
+
+    :param most_s: a caller that comes back later than this finds its connection
+        closed, which it sees before it sends.
+    """
+    server = runner.server
+    waited_s = 0.0
+    while server is not None and server.connections and waited_s < most_s:
+        await asyncio.sleep(_LET_GO_STEP_S)
+        waited_s += _LET_GO_STEP_S
+
+
 def bound_socket(host: str, port: int) -> socket.socket:
     """Return a socket that is bound and ready to listen.
 
--- a/src/firhook/roles/_gateway.py
+++ b/src/firhook/roles/_gateway.py
@@ -10,7 +10,7 @@
 
 from firhook._calls import Call, note_earlier, read_call, whole_response
 from firhook._fleet import FleetView
-from firhook._web import REQUEST_KEY, problem_response, serve
+from firhook._web import REQUEST_KEY, problem_response, serve, wait_let_go
 from firhook.decide.admit import (
     REBALANCE_S,
     Dispatcher,
@@ -91,6 +91,8 @@
         while self._callers and self.kernel.clock() < deadline:
             await asyncio.sleep(0.02)
         self._refuse_waiting()
+        if self._runner is not None:
+            await wait_let_go(self._runner, self.cfg.drain_idle_s)
         if self._late:
             # A keyed request's outcome is worth storing though its caller has
             # been told that it is unknown: the repeat will ask for it.
--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -5,7 +5,12 @@
 
 from aiohttp import web
 
-from firhook._web import BACKLOG, bound_socket, problem_response
+from firhook._web import (
+    DrainedSite,
+    bound_socket,
+    problem_response,
+    wait_let_go,
+)
 from firhook.cell import AcceptedJob, CellConfig, JobStatus, JobView, Queue
 from firhook.cell.records import CANCEL_PREFIX, JOB_PREFIX, encode_record
 from firhook.clock import boot_time, unix_time
@@ -54,6 +59,10 @@
 #: After the stop was asked for, callers still come for so long: the platform
 #: asks for readiness once a second and acts on the second miss.
 _LEAVE_ROTATION_S = 2.6
+#: Then callers have so long to use the connections that they keep once more.
+#: With the rotation, and a second for requests that are being answered, this
+#: stays within the six seconds after which the platform kills.
+_LET_GO_S = 1.5
 #: An idle connection is kept so long.
 _KEEP_IDLE_S = 75.0
 
@@ -79,7 +88,7 @@
         runner = web.ServerRunner(server)
         await runner.setup()
         sock = bound_socket(address.host, address.port)
-        await web.SockSite(runner, sock, backlog=BACKLOG).start()
+        await DrainedSite(runner, sock).start()
         self._runners.append(runner)
 
     async def drain(self) -> None:
@@ -88,6 +97,7 @@
         deadline = boot_time() + 1.0
         while self._open and boot_time() < deadline:
             await asyncio.sleep(0.02)
+        await wait_let_go(self._runners[0], _LET_GO_S)
 
     async def on_stop(self) -> None:
         """Close all sockets."""
--- a/tests/failures/test_instances.py
+++ b/tests/failures/test_instances.py
@@ -56,6 +56,32 @@
     asyncio.run(play())
 
 
+def test_kept_connection_is_served_until_its_caller_lets_go_of_it(tmp_path):
+    """A caller keeps its connection open, and the instance is told to stop.
+
+    The caller cannot know; its next request goes out on that connection when
+    the instance has left the balancer's rotation.  Were the connection closed in
+    the same moment, the user could not tell whether the job was accepted.
+    """
+
+    async def play():
+        async with Processes(tmp_path, 2) as fleet:
+            process = fleet.all[0]
+            await fleet.submit("00000000000000aa")
+            # The session keeps the connection on which readiness was asked as
+            # well; this one is the callers'.
+            path = "/plan/00000000000000aa"
+            assert (await fleet.call(process, "GET", path))[0] == 200
+            process.signal(signal.SIGTERM)
+            await asyncio.sleep(3.2)
+            url = f"http://127.0.0.1:{process.ports[0]}{path}"
+            async with fleet.session.delete(url, headers=KEY) as resp:
+                assert (resp.status, resp.headers["Connection"]) == (200, "close")
+            assert await asyncio.wait_for(process.process.wait(), 6.0) == 0
+
+    asyncio.run(play())
+
+
 def test_bad_requests_are_refused_at_once_with_a_reason(tmp_path):
     async def play():
         async with Processes(tmp_path, 1) as fleet:
--- a/tests/failures/test_rolling_restart.py
+++ b/tests/failures/test_rolling_restart.py
@@ -90,6 +90,34 @@
     assert outcomes["whole"] > 50, outcomes
 
 
+@pytest.mark.row(9)
+def test_kept_connection_is_served_until_its_caller_lets_go_of_it():
+    """A caller keeps its connection open between two entries, and the instance
+    is stopped in between.
+
+    The caller cannot know; its next entry goes out on that connection.  Were it
+    closed in the same moment, the installer could not tell whether the entry is
+    recorded.
+    """
+
+    async def scenario() -> tuple[int, str]:
+        async with cell(("porto",), entries=2, runners=2) as c:
+            old = c.entries[0]
+            url = f"http://{old.ports['gateway']}/r/logbook/entries?ms=1&n="
+            headers = {"Authorization": f"Bearer {c.key}"}
+            async with aiohttp.ClientSession(headers=headers) as http:
+                async with http.post(url + "1", data="1") as resp:
+                    assert resp.status == 200
+                old.kill(15)
+                await asyncio.sleep(2.0)
+                async with http.post(url + "2", data="2") as resp:
+                    answered = resp.status, resp.headers.get("Connection", "")
+            assert await old.wait() == 0
+            return answered
+
+    assert asyncio.run(scenario()) == (200, "close")
+
+
 @pytest.mark.row(9)
 def test_rolling_restart_cuts_no_request():
     """Operators replace both instances one after the other while callers post
