Logs whose reader stalls cost lines and not service

Cause: lines were written to the pipe directly. Test: 3,000 requests with nobody reading are answered, a job completes, and what was left out is told once somebody reads; it hung before. Readers of the harness survive a line that is no JSON, and listening ports are chosen below those of outgoing connections, one of which took a port before its process.

--- a/src/firhook/_instance_daemon.py
+++ b/src/firhook/_instance_daemon.py
@@ -9,7 +9,7 @@
 
 from firhook.errors import SettingsInvalidError
 from firhook.instance import Instance
-from firhook.logs import log, setup_logs
+from firhook.logs import flush_logs, log, setup_logs
 from firhook.platform.connections import HttpConnections
 from firhook.platform.instance import (
     SETTINGS_VARIABLE,
@@ -85,6 +85,7 @@
     while True:
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(changed.wait(), _WATCH_S)
+        flush_logs()
         signalled = changed.is_set()
         changed.clear()
         try:
--- a/src/firhook/logs.py
+++ b/src/firhook/logs.py
@@ -7,9 +7,12 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from firhook._log_stream import StallProofStream
+
 #: Events alone.  mode logs under the names of its services' modules, that each
 #: starts and stops, which says nothing that the events do not say.
 _LOGGER = logging.getLogger("firhook.events")
+_stream: StallProofStream | None = None
 
 
 def setup_logs(
@@ -20,7 +23,9 @@
     :param zone: availability zone, put on every line.
     :param instance: the instance's name, put on every line.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    global _stream
+    _stream = StallProofStream(stream or sys.stderr)
+    handler = logging.StreamHandler(_stream)
     handler.setFormatter(
         JsonFormatter(
             "%(levelname)s %(message)s",
@@ -81,3 +86,16 @@
     number = logging.getLevelName(level.upper())
     if _LOGGER.isEnabledFor(number) and _budget.allows(event, time.monotonic()):
         _LOGGER.log(number, event, extra=fields)
+
+
+def flush_logs() -> None:
+    """Hand on what a reader that stalled did not take, and say what it missed.
+
+    To be called now and then: with nothing to log, nothing else would do it.
+    """
+    if _stream is None:
+        return
+    _stream.flush()
+    unread = _stream.take_left_out()
+    if unread:
+        _LOGGER.warning("log.left_out", extra={"lines": {"unread": unread}})
--- a/standins/model/_processes.py
+++ b/standins/model/_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import secrets
 import signal
 import socket
 import sys
@@ -16,13 +17,25 @@
 SRC = str(Path(__file__).parent.parent.parent / "src")
 KEY = {"Authorization": "Bearer key-of-a", "Host": "jobs.example"}
 LIMIT_S = 40.0
+#: Below 32768, from where Linux takes ports for outgoing connections.
+_LISTENING_PORTS = range(12000, 32000)
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens on now."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
+    """Return ports that nobody listens on now.
+
+    They are below those that the kernel gives to outgoing connections; one of
+    these could take a port in the moment between here and the listening.
+    """
+    socks: list[socket.socket] = []
+    while len(socks) < count:
+        sock = socket.socket()
+        try:
+            sock.bind(("127.0.0.1", secrets.choice(_LISTENING_PORTS)))
+        except OSError:
+            sock.close()
+            continue
+        socks.append(sock)
     ports = [sock.getsockname()[1] for sock in socks]
     for sock in socks:
         sock.close()
@@ -64,7 +77,19 @@
     async def _read(self) -> None:
         assert self.process.stdout is not None
         async for line in self.process.stdout:
-            self.lines.append(msgspec.json.decode(line))
+            try:
+                self.lines.append(msgspec.json.decode(line))
+            except msgspec.DecodeError as exc:
+                # Went this reader away, nobody would empty the pipe any more.
+                self.lines.append({"event": "unreadable", "raw": repr((exc, line))})
+
+    def stop_reading(self) -> None:
+        """Leave what it logs in the pipe."""
+        self._reading.cancel()
+
+    def read_on(self) -> None:
+        """Read what it logs again."""
+        self._reading = asyncio.create_task(self._read())
 
     def leads(self) -> bool:
         """Return whether its last word on leading was that it does."""
--- a/tests/failures/test_instances.py
+++ b/tests/failures/test_instances.py
@@ -82,6 +82,37 @@
     asyncio.run(play())
 
 
+def test_instance_whose_logs_nobody_reads_goes_on_serving(tmp_path):
+    """Whoever collects the logs stalls, and the pipe to it fills up.
+
+    A line that blocks would hold up the whole instance: callers would get no
+    answer any more, and no log would tell why.
+    """
+
+    async def play():
+        async with Processes(tmp_path, 2) as fleet:
+            process = fleet.all[0]
+            process.stop_reading()
+            body = b'{"specification":"x","steps":[]}'
+            # Each of these is refused with a line of some 250 bytes, which is
+            # more than the pipe, its reader and the instance hold together.
+            for i in range(3000):
+                path = f"/plan/{i:016x}"
+                assert (await fleet.call(process, "POST", path, body))[0] == 400
+            await fleet.submit("00000000000000aa")
+            await until(lambda: fleet.completed(["00000000000000aa"]))
+
+            process.read_on()
+
+            async def told():
+                lines = [x for x in process.lines if x["event"] == "log.left_out"]
+                return any("unread" in line["lines"] for line in lines)
+
+            await until(told, 10.0)
+
+    asyncio.run(play())
+
+
 def test_bad_requests_are_refused_at_once_with_a_reason(tmp_path):
     async def play():
         async with Processes(tmp_path, 1) as fleet:
