A stop ends within the time that the platform gives it

Change: serving ends after 0.7 of the time, leaving waits 0.6 s, and requests that are still being answered 0.3 s.

--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -59,10 +59,12 @@
 #: After the stop was asked for, callers still come for so long: the platform
 #: asks for readiness once a second and acts on the second miss.
 _LEAVE_ROTATION_S = 2.6
-#: Then callers have so long to use the connections that they keep once more.
-#: With the rotation, and a second for requests that are being answered, this
-#: stays within the six seconds after which the platform kills.
-_LET_GO_S = 1.5
+#: The platform kills a process so long after it told it to stop as its settings
+#: say.  This part of that time passes before the last connections are closed;
+#: handing over the lead and closing the sockets fit into the rest.
+_SERVE_PART = 0.7
+#: Requests that are being answered then have so long, in seconds.
+_CUT_OFF_S = 0.3
 #: An idle connection is kept so long.
 _KEEP_IDLE_S = 75.0
 
@@ -85,19 +87,22 @@
         server = web.Server(
             handler, access_log=None, keepalive_timeout=_KEEP_IDLE_S, lingering_time=1.0
         )
-        runner = web.ServerRunner(server)
+        runner = web.ServerRunner(server, shutdown_timeout=_CUT_OFF_S)
         await runner.setup()
         sock = bound_socket(address.host, address.port)
         await DrainedSite(runner, sock).start()
         self._runners.append(runner)
 
     async def drain(self) -> None:
-        """Go on serving until the platform has taken this instance out."""
+        """Go on serving until the platform has taken this instance out.
+
+        Callers that keep their connections are served until they let go of them.
+        """
+        deadline = boot_time() + self.settings.bounds.stop_s * _SERVE_PART
         await asyncio.sleep(_LEAVE_ROTATION_S)
-        deadline = boot_time() + 1.0
         while self._open and boot_time() < deadline:
             await asyncio.sleep(0.02)
-        await wait_let_go(self._runners[0], _LET_GO_S)
+        await wait_let_go(self._runners[0], deadline - boot_time())
 
     async def on_stop(self) -> None:
         """Close all sockets."""
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -23,6 +23,10 @@
 _JOIN_S = 0.1
 #: A member that is silent for so long has left, if the store allows so little.
 _TTL_S = 1.0
+#: The store is told for so long that a member leaves.  One that is told nothing
+#: takes it for gone after the time to live, and a process that waits for a store
+#: that is away is killed in the middle of its stop.
+_LEAVE_S = 0.6
 #: How often an instance that is weaker than others asks who is in the group.
 _REVIEW_S = 1.0
 #: An instance that knows no others this long after its start stands by itself.
@@ -140,8 +144,9 @@
         self._generation = 0
         await self._end_term(reason)
         try:
-            await self.store.leave(LEAD_GROUP, self._member)
-        except FirhookError as exc:
+            leaving = self.store.leave(LEAD_GROUP, self._member)
+            await asyncio.wait_for(leaving, _LEAVE_S)
+        except (FirhookError, TimeoutError) as exc:
             log("lead.leave_failed", level="warning", error=repr(exc))
 
     async def _join(self) -> bool:
