A soak of real processes, with faults from outside them by a seed

Four instances behind links of their own, six callers that keep connections, six workers; 16 kinds of fault in series and one over the other; promises checked from what callers and workers see. By hand: python -m standins.soak.

--- a/standins/model/_http.py
+++ b/standins/model/_http.py
@@ -78,6 +78,7 @@
     """Serves store, workers and adviser on ports of the loopback address.
 
     :param work_s: how long each task works.
+    :ivar plans: what is known of the tasks of a step, where it is not that.
     """
 
     def __init__(self, workers: int = 4, work_s: float = 0.3, seed: int = 1) -> None:
@@ -85,6 +86,7 @@
         self.checks = Checks()
         self.adviser = ModelAdviser(0.02, 0.001, 2.0, 0.6)
         self.work_s = work_s
+        self.plans: dict[str, TaskPlan] = {}
         self.workers: dict[str, ModelWorker] = {}
         self.addresses: dict[str, str] = {}
         self._rng = random.Random(seed)
@@ -95,8 +97,7 @@
     async def start(self) -> None:
         """Listen, register the workers and put a configuration in force."""
         self.addresses["store"] = await self._listen(self._store_routes())
-        adviser = [web.post("/-/advise", self._advise)]
-        self.addresses["adviser"] = await self._listen(adviser)
+        self.addresses["adviser"] = await self.add_adviser("any")
         for i in range(self._count):
             await self._add_worker(f"w{i}")
         self.configure(1)
@@ -114,8 +115,19 @@
             queue["recommendation"] = advice
         self.store.put(OPERATOR_TOPIC, "config", msgspec.json.encode(body))
 
-    def settings(self, folder: Path, name: str, ports: tuple[int, int, int]) -> Path:
-        """Write an instance's settings file; return its path."""
+    def settings(
+        self,
+        folder: Path,
+        name: str,
+        ports: tuple[int, ...],
+        store: str = "",
+        adviser: str = "",
+    ) -> Path:
+        """Write an instance's settings file; return its path.
+
+        :param store: the address at which it reaches the store, if another.
+        :param adviser: likewise the adviser's.
+        """
         path = folder / f"{name}.toml"
         callers, probe, peers = ports
         text = _SETTINGS.format(
@@ -124,8 +136,8 @@
             callers=callers,
             probe=probe,
             peers=peers,
-            store=self.addresses["store"],
-            adviser=self.addresses["adviser"],
+            store=store or self.addresses["store"],
+            adviser=adviser or self.addresses["adviser"],
         )
         path.write_text(text, encoding="utf-8")
         return path
@@ -160,9 +172,7 @@
             except LogUnavailableError:
                 return web.Response(status=503)
             except LogOutcomeUnknownError:
-                assert req.transport is not None
-                req.transport.abort()
-                return web.Response(status=500)
+                return _broken_off(req)
             except LogFencedError:
                 return _json({"reason": "fenced"}, 409)
             except LogSequenceError as exc:
@@ -233,17 +243,22 @@
 
     # The adviser.
 
-    async def _advise(self, req: web.Request) -> web.Response:
-        data = msgspec.json.decode(await req.read())
-        caller = str(req.remote)
-        advice = await self.adviser.answer(caller, data["step"], data["workers"])
-        rows = [[w, t] for w, t in advice.tickets.items()]
-        return _json({"good": rows, "validity_ms": int(advice.valid_s * 1000)})
+    async def add_adviser(self, caller: str) -> str:
+        """Listen for one machine's questions, which are answered in turn."""
+
+        async def advise(req: web.Request) -> web.Response:
+            data = msgspec.json.decode(await req.read())
+            advice = await self.adviser.answer(caller, data["step"], data["workers"])
+            rows = [[w, t] for w, t in advice.tickets.items()]
+            return _json({"good": rows, "validity_ms": int(advice.valid_s * 1000)})
+
+        return await self._listen([web.post("/-/advise", advise)])
 
     # The workers.
 
     def _plan(self, task: str) -> TaskPlan:
-        return TaskPlan(self.work_s, Resources(1000, 100))
+        known = self.plans.get(task.rpartition(".")[0])
+        return known or TaskPlan(self.work_s, Resources(1000, 100))
 
     async def _add_worker(self, name: str) -> None:
         worker = ModelWorker(
@@ -259,6 +274,12 @@
         )
         self.workers[name] = worker
 
+        def reached(handler: Handler) -> Handler:
+            async def answer(req: web.Request) -> web.StreamResponse:
+                return await handler(req) if worker.up else _broken_off(req)
+
+            return answer
+
         async def look(req: web.Request) -> web.StreamResponse:
             return await self._look(worker, req)
 
@@ -281,13 +302,17 @@
             return _order_response(answer)
 
         routes = [
-            web.post("/-/hold", look),
-            web.post("/-/run-start", start),
-            web.post("/-/run-stop", stop),
+            web.post("/-/hold", reached(look)),
+            web.post("/-/run-start", reached(start)),
+            web.post("/-/run-stop", reached(stop)),
         ]
         address = await self._listen(routes)
         self.addresses[name] = address
-        entry = {**worker.entry(), "address": address}
+        self.register(name)
+
+    def register(self, name: str) -> None:
+        """Write a worker's entry, with the address that instances reach it at."""
+        entry = {**self.workers[name].entry(), "address": self.addresses[name]}
         self.store.put(WORKER_TOPIC, name, msgspec.json.encode(entry))
 
     async def _look(self, worker: ModelWorker, req: web.Request) -> web.Response:
@@ -319,6 +344,13 @@
         )
 
 
+def _broken_off(req: web.Request) -> web.Response:
+    """Break the connection; the answer that is returned reaches nobody."""
+    if req.transport is not None:
+        req.transport.abort()
+    return web.Response(status=500)
+
+
 def _order_response(answer: OrderAnswer) -> web.Response:
     clock_ms = int((answer.clock_s or 0) * 1000)
     data = {"timestamp_ms": clock_ms, "born": answer.life}
--- /dev/null
+++ b/standins/soak/__main__.py
@@ -0,0 +1,58 @@
+"""The soak by hand: ``python -m standins.soak --seeds 50``."""
+
+import asyncio
+import sys
+import tempfile
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from cyclopts import App, Parameter
+
+from standins.soak import Report, play
+
+app = App(name="soak", help="Plays seeds of faults over real processes.")
+
+
+@app.default
+def run(
+    *,
+    first: Annotated[int, Parameter(help="The first seed.")] = 1,
+    seeds: Annotated[int, Parameter(help="How many seeds.")] = 50,
+    seconds: Annotated[float, Parameter(help="How long faults come.")] = 15.0,
+    at_once: Annotated[int, Parameter(help="Seeds that are played at a time.")] = 3,
+    keep: Annotated[Path, Parameter(help="Where logs of broken seeds go.")] = Path(
+        "soak-logs"
+    ),
+) -> int:
+    """Play seeds; the exit status is 1 if a promise was broken."""
+    reports = asyncio.run(_all(range(first, first + seeds), seconds, at_once, keep))
+    broken = [report.seed for report in reports if report.broken]
+    print(f"{len(reports)} seeds, {len(broken)} broken: {broken}")
+    return 1 if broken else 0
+
+
+async def _all(
+    seeds: Iterable[int], seconds: float, at_once: int, keep: Path
+) -> list[Report]:
+    turn = asyncio.Semaphore(at_once)
+
+    async def one(seed: int) -> Report:
+        async with turn:
+            with tempfile.TemporaryDirectory(prefix="firhook-soak-") as folder:
+                report = await play(seed, Path(folder), seconds)
+        print(f"seed {seed}: {report.accepted} accepted, {len(report.broken)} broken")
+        for line in report.broken:
+            print(f"    {line}", flush=True)
+        if report.broken:
+            keep.mkdir(exist_ok=True)
+            raw = msgspec.json.encode(report.logs | {"faults": report.history})
+            (keep / f"{seed}.json").write_bytes(raw)
+        return report
+
+    return list(await asyncio.gather(*(one(seed) for seed in seeds)))
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- /dev/null
+++ b/standins/soak/_faults.py
@@ -0,0 +1,199 @@
+"""Faults from outside the processes, chosen by a seed."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Awaitable, Callable
+
+from standins.model import KEY, now
+from standins.model._cell import config_body
+from standins.soak._callers import WITHDRAWN_KEY, Callers
+from standins.soak._fleet import Fleet, Member
+
+#: What a fault does to the callers of an instance may show for so long after it.
+AFTER_S = 3.5
+#: The pauses between two faults, and how long one lasts.
+_PAUSE_S, _LASTS_S = (0.2, 1.6), (0.3, 3.0)
+
+Fault = Callable[[Member, float], Awaitable[None]]
+
+
+class Faults:
+    """Plays faults one after the other and one over the other.
+
+    :ivar history: what was done when.
+    :ivar broken: processes that ended otherwise than they should.
+    """
+
+    def __init__(self, fleet: Fleet, callers: Callers, rng: random.Random) -> None:
+        self.fleet, self.callers, self.rng = fleet, callers, rng
+        self.history: list[str] = []
+        self.broken: list[str] = []
+        self._busy: set[str] = set()
+        self._began = now()
+        self._kinds: dict[str, Fault] = {
+            "kill": self._kill,
+            "stop": self._stop,
+            "pause": self._pause,
+            "hup": self._hup,
+            "cut": self._cut,
+            "cut_back": self._cut_back,
+            "delay": self._delay,
+            "reset": self._reset,
+            "silence": self._silence,
+            "worker_cut": self._worker_cut,
+            "worker_restart": self._worker_restart,
+            "store_busy": self._store_busy,
+            "store_slow": self._store_slow,
+            "store_loses": self._store_loses,
+            "deal_anew": self._deal_anew,
+            "forget": self._forget,
+        }
+
+    async def run(self, seconds: float) -> None:
+        """Play for a time, and wait until what was begun is over."""
+        until = now() + seconds
+        async with asyncio.TaskGroup() as group:
+            withdraw_at = now() + self.rng.uniform(0.1, 0.6) * seconds
+            while now() < until:
+                kind = self.rng.choice(list(self._kinds))
+                member = self.rng.choice(self.fleet.members)
+                lasts_s = self.rng.uniform(*_LASTS_S)
+                group.create_task(self._play(kind, member, lasts_s))
+                await asyncio.sleep(self.rng.uniform(*_PAUSE_S))
+                if self.callers.withdrawn_at is None and now() > withdraw_at:
+                    self._withdraw_key()
+        self.fleet.heal()
+
+    async def _play(self, kind: str, member: Member, lasts_s: float) -> None:
+        if member.name in self._busy or not member.runs:
+            return
+        self._busy.add(member.name)
+        at = now() - self._began
+        self.history.append(f"{at:.1f} {kind} {member.name} {lasts_s:.1f} s")
+        try:
+            await self._kinds[kind](member, lasts_s)
+        finally:
+            self._busy.discard(member.name)
+
+    def _withdraw_key(self) -> None:
+        keys = [KEY["Authorization"].removeprefix("Bearer ")]
+        team = {"name": "a", "api_keys": keys, "weight": 1, "upper_limit": {}}
+        self.fleet.model.configure(7, tenants=[team])
+        self.callers.withdrawn_at = now()
+        self.history.append(f"{now() - self._began:.1f} key withdrawn")
+
+    def _disturb(self, members: list[Member], lasts_s: float) -> None:
+        for member in members:
+            until = now() + lasts_s + AFTER_S
+            member.disturbed_until = max(member.disturbed_until, until)
+
+    # The processes.
+
+    async def _kill(self, member: Member, lasts_s: float) -> None:
+        self._disturb([member], lasts_s)
+        await self.fleet.kill(member)
+        await asyncio.sleep(lasts_s)
+        await self.fleet.launch(member)
+
+    async def _stop(self, member: Member, lasts_s: float) -> None:
+        status = await self.fleet.stop(member)
+        if status != 0:
+            self.broken.append(f"{member.name} ended with {status} at a stop")
+        await asyncio.sleep(lasts_s / 3)
+        await self.fleet.launch(member)
+
+    async def _pause(self, member: Member, lasts_s: float) -> None:
+        assert member.process is not None
+        self._disturb([member], lasts_s)
+        member.process.signal(signal.SIGSTOP)
+        await asyncio.sleep(lasts_s)
+        member.process.signal(signal.SIGCONT)
+
+    async def _hup(self, member: Member, lasts_s: float) -> None:
+        """Change the settings file, with a signal and without."""
+        assert member.process is not None
+        text = member.settings.read_text(encoding="utf-8")
+        member.settings.write_text(text + "# changed\n", encoding="utf-8")
+        if lasts_s > sum(_LASTS_S) / 2:
+            member.process.signal(signal.SIGHUP)
+
+    # Its connections.
+
+    async def _cut(self, member: Member, lasts_s: float) -> None:
+        self._disturb([member], lasts_s)
+        member.links["store"].cut()
+        await asyncio.sleep(lasts_s)
+        member.links["store"].heal()
+
+    async def _cut_back(self, member: Member, lasts_s: float) -> None:
+        self._disturb([member], lasts_s)
+        member.links["store"].cut_back()
+        await asyncio.sleep(lasts_s)
+        member.links["store"].heal()
+
+    async def _delay(self, member: Member, lasts_s: float) -> None:
+        self._disturb([member], lasts_s)
+        member.links["store"].delay_s = self.rng.uniform(0.01, 0.25)
+        await asyncio.sleep(lasts_s)
+        member.links["store"].heal()
+
+    async def _reset(self, member: Member, lasts_s: float) -> None:
+        self._disturb([member], 0.0)
+        for link in member.links.values():
+            link.reset()
+
+    async def _silence(self, member: Member, lasts_s: float) -> None:
+        self._disturb([member], lasts_s)
+        for link in member.links.values():
+            link.silence()
+
+    # The workers and the store.
+
+    async def _worker_cut(self, member: Member, lasts_s: float) -> None:
+        link = self.rng.choice(list(self.fleet.worker_links.values()))
+        if lasts_s > sum(_LASTS_S) / 2:
+            link.cut_back()
+        else:
+            link.cut()
+        await asyncio.sleep(lasts_s)
+        link.heal()
+
+    async def _worker_restart(self, member: Member, lasts_s: float) -> None:
+        name = self.rng.choice(list(self.fleet.worker_links))
+        worker = self.fleet.model.workers[name]
+        worker.crash()
+        await asyncio.sleep(lasts_s)
+        worker.restart()
+        self.fleet.model.register(name)
+
+    async def _store_busy(self, member: Member, lasts_s: float) -> None:
+        self._disturb(self.fleet.members, lasts_s)
+        self.fleet.model.store.mode["*"] = "busy"
+        await asyncio.sleep(lasts_s)
+        self.fleet.model.store.mode["*"] = "up"
+
+    async def _store_slow(self, member: Member, lasts_s: float) -> None:
+        self._disturb(self.fleet.members, lasts_s)
+        self.fleet.model.store.slow = 30.0
+        await asyncio.sleep(lasts_s)
+        self.fleet.model.store.slow = 1.0
+
+    async def _store_loses(self, member: Member, lasts_s: float) -> None:
+        self._disturb(self.fleet.members, lasts_s)
+        self.fleet.model.store.lost_share = 0.3
+        self.fleet.model.store.late_share = 0.1
+        await asyncio.sleep(lasts_s)
+        self.fleet.model.store.lost_share = self.fleet.model.store.late_share = 0.0
+
+    async def _deal_anew(self, member: Member, lasts_s: float) -> None:
+        self.fleet.model.store.deal_anew()
+
+    async def _forget(self, member: Member, lasts_s: float) -> None:
+        self.fleet.model.store.forget_history()
+
+
+def first_teams() -> list[dict]:
+    """Return the teams before any key is withdrawn."""
+    team = config_body()["tenants"][0]
+    return [{**team, "api_keys": [*team["api_keys"], WITHDRAWN_KEY]}]
