--- /dev/null
+++ b/src/firhook/services/_orders.py
@@ -0,0 +1,194 @@
+"""The orders of a lead's term to the workers: starts and stops of runs."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import TYPE_CHECKING, Any
+
+from firhook.cell import OrderAnswer, OrderOutcome, Run, StartOrder
+from firhook.cell.book import LATE_ORDER_S
+from firhook.clock import boot_time
+from firhook.logs import log
+from firhook.meters import Meters
+from firhook.platform.instance import Bounds
+
+if TYPE_CHECKING:
+    from firhook.services._term import Term
+    from firhook.services._worker_link import WorkerLink
+
+#: An order that got no answer is repeated after this.
+_ORDER_RETRY_S = 0.1
+#: A start is repeated for so long; then it is stopped, which any worker that
+#: answers at all confirms.
+_START_TRIES_S = 2.5
+#: The members of a gang must all have started within this part of the time for
+#: which they wait for each other.
+_GANG_PART = 0.6
+#: Answers to a start after which it is sent once more.
+_TRIED_AGAIN = (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT, OrderOutcome.LATE)
+
+
+class Orders:
+    """Carries out what the book says, each order until it is settled.
+
+    :param spawn: runs work beside the caller.
+    :param wake: called after a change that a round should see.
+    """
+
+    def __init__(
+        self,
+        term: "Term",
+        bounds: Bounds,
+        meters: Meters,
+        spawn: Callable[[Coroutine[Any, Any, Any]], None],
+        wake: Callable[[], None],
+    ) -> None:
+        self._term = term
+        self._bounds = bounds
+        self._meters = meters
+        self._spawn = spawn
+        self._wake = wake
+        self._unanswered: dict[str, dict[tuple[str, int], float]] = {}
+
+    def stop_late_starts(self, link: "WorkerLink", now: float) -> None:
+        """Stop in a worker's new life what may yet arrive from before.
+
+        A start that got no answer was stopped, or outlived its lease, in the
+        worker's last life.  Carried out late it would reach the new one, which
+        knows of neither, and run the task beside its next run.
+        """
+        term = self._term
+        starts = self._unanswered.pop(link.name, {})
+        for (task, number), sent_at in starts.items():
+            active = (task, number) in term.book.worker_runs.get(link.name, {})
+            if now - sent_at < LATE_ORDER_S and not active:
+                self._spawn(term.workers.stop(link.entry, task, number, term.fence))
+
+    def begin(self, run: Run) -> None:
+        run.stored = True
+        if run.stopping or run not in run.task.runs:
+            # It was cancelled while its assignment was stored; nothing was sent.
+            self._term.book.void(run, "not_sent", boot_time())
+            return
+        self._spawn(self._start(run))
+
+    async def _start(self, run: Run) -> None:
+        began = boot_time()
+        step = run.task.step
+        limit_s = self._bounds.gang_s * _GANG_PART if step.spec.gang else _START_TRIES_S
+        while run in run.task.runs and not run.stopping and not self._term.lost:
+            if boot_time() - began > limit_s:
+                self._give_up_start(run, "start_unanswered")
+                return
+            answer = await self._send_start(run)
+            if self._take_start_answer(run, answer, began):
+                return
+            await asyncio.sleep(_ORDER_RETRY_S)
+
+    async def _send_start(self, run: Run) -> OrderAnswer:
+        link = self._term.links[run.worker]
+        step = run.task.step
+        order = StartOrder(
+            task=run.task.name,
+            run=run.number,
+            text=step.job.accepted.spec.text,
+            fence=self._term.fence,
+            lease_until_s=link.lease_until(),
+            checkpoint=step.start_checkpoint(run.task),
+            ticket=run.ticket,
+        )
+        # Counted before it is sent: whoever looks meanwhile must take it for
+        # one that may yet arrive.
+        run.unanswered += 1
+        run.sent_at = boot_time()
+        answer = await self._term.workers.start(link.entry, order)
+        if answer.outcome is OrderOutcome.UNKNOWN:
+            self._unanswered.setdefault(run.worker, {})[run.key] = run.sent_at
+        else:
+            run.unanswered -= 1
+        if answer.life:
+            link.heard(answer.life, answer.clock_s, boot_time())
+        self._meters.count("starts", answer.outcome.value)
+        return answer
+
+    def _take_start_answer(self, run: Run, answer: OrderAnswer, began: float) -> bool:
+        """Return whether the start is settled."""
+        outcome = answer.outcome
+        step = run.task.step
+        if outcome in (OrderOutcome.TAKEN, OrderOutcome.OLD):
+            # Every earlier copy of this start is void now: the run is there.
+            run.unanswered = 0
+            run.settled_at = boot_time()
+            if answer.life > run.life:
+                run.life = answer.life
+            if outcome is OrderOutcome.TAKEN:
+                self._note_started(run, began)
+            return True
+        if outcome in _TRIED_AGAIN:
+            return False
+        if outcome is OrderOutcome.FENCED:
+            self._term.on_fenced(run.worker)
+            return True
+        log(
+            "run.refused",
+            level="warning",
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker,
+            reason=outcome.value,
+        )
+        if outcome is OrderOutcome.NO_TICKET:
+            self._term.tickets.of(step).drop_ticket(run.worker)
+        self._give_up_start(run, outcome.value)
+        return True
+
+    def _give_up_start(self, run: Run, reason: str) -> None:
+        if run not in run.task.runs:
+            return
+        if run.unanswered:
+            # A copy of the start may yet be carried out; only a stop that is
+            # answered makes sure that it is not.
+            self._term.book.stop(run, reason)
+            if run.task.step.spec.gang:
+                self._term.book.break_gang(run.task.step, run.number)
+        else:
+            self._term.book.void(run, reason, boot_time())
+        self._wake()
+
+    def _note_started(self, run: Run, began: float) -> None:
+        run.confirmed = True
+        now = boot_time()
+        run.begun_at = now
+        self._meters.time("start", "", now - began)
+        log(
+            "run.started",
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker,
+            took_ms=round((now - began) * 1000, 1),
+        )
+
+    async def stop(self, run: Run) -> None:
+        """Order a run to be stopped until the worker confirms it."""
+        log(
+            "run.stopping",
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker,
+            reason=run.stopping,
+        )
+        while run in run.task.runs and not self._term.lost:
+            if not run.stored:
+                return
+            link = self._term.links.get(run.worker)
+            if link is not None and self._term.may_act():
+                answer = await self._term.workers.stop(
+                    link.entry, run.task.name, run.number, self._term.fence
+                )
+                if answer.outcome in (OrderOutcome.TAKEN, OrderOutcome.OLD):
+                    run.unanswered = 0
+                    run.settled_at = boot_time()
+                    return
+                if answer.outcome is OrderOutcome.FENCED:
+                    self._term.on_fenced(run.worker)
+                    return
+            await asyncio.sleep(_ORDER_RETRY_S)
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -14,13 +14,9 @@
     JobView,
     LeadRecord,
     Look,
-    OrderAnswer,
-    OrderOutcome,
     Run,
-    StartOrder,
     WorkerEntry,
 )
-from firhook.cell.book import LATE_ORDER_S
 from firhook.cell.records import LEAD_KEY, STATE_PREFIX, encode_record
 from firhook.clock import boot_time, unix_time
 from firhook.decide.schedule import WorkerView, place_round, urgent_room_m
@@ -44,6 +40,7 @@
 )
 from firhook.services._fenced_writer import FencedWriter
 from firhook.services._forgetting import forget_old_jobs
+from firhook.services._orders import Orders
 from firhook.services._worker_link import WorkerLink
 from firhook.services._worker_list import WorkerList
 
@@ -57,14 +54,6 @@
 _IDLE_S = 0.1
 #: Between tries when the store does not take an append.
 _RETRY_S = 0.05
-#: An order that got no answer is repeated after this.
-_ORDER_RETRY_S = 0.1
-#: A start is repeated for so long; then it is stopped, which any worker that
-#: answers at all confirms.
-_START_TRIES_S = 2.5
-#: The members of a gang must all have started within this part of the time for
-#: which they wait for each other.
-_GANG_PART = 0.6
 #: Leases are renewed so long after the last good join.  A store that is down
 #: takes the lead's proof of holding the cell away, but the tasks need not die
 #: with it; a successor adds this time to every lease that may still hold.
@@ -77,8 +66,6 @@
 #: The weight of the newest urgent step in the mean of what they need: the last
 #: twenty or so count.
 _URGENT_WEIGHT = 0.1
-#: Answers to a start after which it is sent once more.
-_TRIED_AGAIN = (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT, OrderOutcome.LATE)
 #: States that a term may write; versions begin anew with each epoch.
 _VERSIONS_A_TERM = 10**9
 
@@ -119,7 +106,9 @@
         self._ready = False
         self._urgent_need_m = 0
         self._forgotten: list[str] = []
-        self._unanswered: dict[str, dict[tuple[str, int], float]] = {}
+        self._orders = Orders(
+            self, self._bounds, self._meters, self._spawn, self._wake.set
+        )
 
     # Life of a term.
 
@@ -331,19 +320,9 @@
             log("worker.rests", level="warning", worker=link.name)
 
     def on_life(self, link: WorkerLink) -> None:
-        """Stop in a worker's new life what may yet arrive from before.
-
-        A start that got no answer was stopped, or outlived its lease, in the
-        worker's last life.  Carried out late it would reach the new one, which
-        knows of neither, and run the task beside its next run.
-        """
-        now = boot_time()
+        """Forget what was known of a worker's last life."""
         self.speeds.forget(link.name)
-        starts = self._unanswered.pop(link.name, {})
-        for (task, number), sent_at in starts.items():
-            active = (task, number) in self.book.worker_runs.get(link.name, {})
-            if now - sent_at < LATE_ORDER_S and not active:
-                self._spawn(self.workers.stop(link.entry, task, number, self.fence))
+        self._orders.stop_late_starts(link, boot_time())
 
     def on_dark(self, link: WorkerLink) -> None:
         """Take note that a worker stopped answering."""
@@ -382,7 +361,7 @@
             if self.may_act():
                 self._place()
             for run in self.book.take_to_stop():
-                self._spawn(self._stop(run))
+                self._spawn(self._orders.stop(run))
             self._log_voided()
             await self._store_changes()
 
@@ -496,7 +475,7 @@
                 job.reported = True
                 self._note_job_end(job.id, job.status, job.accepted_at, job.queue.name)
         for run in planned:
-            self._begin_run(run)
+            self._orders.begin(run)
 
     def _note_job_end(
         self, job_id: str, status: JobStatus, accepted_at: float, queue: str
@@ -524,135 +503,3 @@
             )
             event = RecordsAppended(partition, offset, tuple(chunk))
             self._lead.bus.publish(event)
-
-    # Orders.
-
-    def _begin_run(self, run: Run) -> None:
-        run.stored = True
-        if run.stopping or run not in run.task.runs:
-            # It was cancelled while its assignment was stored; nothing was sent.
-            self.book.void(run, "not_sent", boot_time())
-            return
-        self._spawn(self._start(run))
-
-    async def _start(self, run: Run) -> None:
-        began = boot_time()
-        step = run.task.step
-        limit_s = self._bounds.gang_s * _GANG_PART if step.spec.gang else _START_TRIES_S
-        while run in run.task.runs and not run.stopping and not self.lost:
-            if boot_time() - began > limit_s:
-                self._give_up_start(run, "start_unanswered")
-                return
-            answer = await self._send_start(run)
-            if self._take_start_answer(run, answer, began):
-                return
-            await asyncio.sleep(_ORDER_RETRY_S)
-
-    async def _send_start(self, run: Run) -> OrderAnswer:
-        link = self.links[run.worker]
-        step = run.task.step
-        order = StartOrder(
-            task=run.task.name,
-            run=run.number,
-            text=step.job.accepted.spec.text,
-            fence=self.fence,
-            lease_until_s=link.lease_until(),
-            checkpoint=step.start_checkpoint(run.task),
-            ticket=run.ticket,
-        )
-        # Counted before it is sent: whoever looks meanwhile must take it for
-        # one that may yet arrive.
-        run.unanswered += 1
-        run.sent_at = boot_time()
-        answer = await self.workers.start(link.entry, order)
-        if answer.outcome is OrderOutcome.UNKNOWN:
-            self._unanswered.setdefault(run.worker, {})[run.key] = run.sent_at
-        else:
-            run.unanswered -= 1
-        if answer.life:
-            link.heard(answer.life, answer.clock_s, boot_time())
-        self._meters.count("starts", answer.outcome.value)
-        return answer
-
-    def _take_start_answer(self, run: Run, answer: OrderAnswer, began: float) -> bool:
-        """Return whether the start is settled."""
-        outcome = answer.outcome
-        step = run.task.step
-        if outcome in (OrderOutcome.TAKEN, OrderOutcome.OLD):
-            # Every earlier copy of this start is void now: the run is there.
-            run.unanswered = 0
-            run.settled_at = boot_time()
-            if answer.life > run.life:
-                run.life = answer.life
-            if outcome is OrderOutcome.TAKEN:
-                self._note_started(run, began)
-            return True
-        if outcome in _TRIED_AGAIN:
-            return False
-        if outcome is OrderOutcome.FENCED:
-            self.on_fenced(run.worker)
-            return True
-        log(
-            "run.refused",
-            level="warning",
-            task=run.task.name,
-            run=run.number,
-            worker=run.worker,
-            reason=outcome.value,
-        )
-        if outcome is OrderOutcome.NO_TICKET:
-            self.tickets.of(step).drop_ticket(run.worker)
-        self._give_up_start(run, outcome.value)
-        return True
-
-    def _give_up_start(self, run: Run, reason: str) -> None:
-        if run not in run.task.runs:
-            return
-        if run.unanswered:
-            # A copy of the start may yet be carried out; only a stop that is
-            # answered makes sure that it is not.
-            self.book.stop(run, reason)
-            if run.task.step.spec.gang:
-                self.book.break_gang(run.task.step, run.number)
-        else:
-            self.book.void(run, reason, boot_time())
-        self._wake.set()
-
-    def _note_started(self, run: Run, began: float) -> None:
-        run.confirmed = True
-        now = boot_time()
-        run.begun_at = now
-        self._meters.time("start", "", now - began)
-        log(
-            "run.started",
-            task=run.task.name,
-            run=run.number,
-            worker=run.worker,
-            took_ms=round((now - began) * 1000, 1),
-        )
-
-    async def _stop(self, run: Run) -> None:
-        """Order a run to be stopped until the worker confirms it."""
-        log(
-            "run.stopping",
-            task=run.task.name,
-            run=run.number,
-            worker=run.worker,
-            reason=run.stopping,
-        )
-        while run in run.task.runs and not self.lost:
-            if not run.stored:
-                return
-            link = self.links.get(run.worker)
-            if link is not None and self.may_act():
-                answer = await self.workers.stop(
-                    link.entry, run.task.name, run.number, self.fence
-                )
-                if answer.outcome in (OrderOutcome.TAKEN, OrderOutcome.OLD):
-                    run.unanswered = 0
-                    run.settled_at = boot_time()
-                    return
-                if answer.outcome is OrderOutcome.FENCED:
-                    self.on_fenced(run.worker)
-                    return
-            await asyncio.sleep(_ORDER_RETRY_S)
--- a/tests/services/test_seeded_defects.py
+++ b/tests/services/test_seeded_defects.py
@@ -10,6 +10,7 @@
 import pytest
 
 from firhook.cell import Book
+from firhook.services._orders import Orders
 from firhook.services._term import Term
 from firhook.services._worker_link import WorkerLink
 from standins.model import Trouble, run_virtual
@@ -30,7 +31,7 @@
 
     async def hasty(self):
         for run in self.book.take_planned():
-            self._begin_run(run)
+            self._orders.begin(run)
         await store(self)
 
     monkeypatch.setattr(Term, "_store_changes", hasty)
@@ -76,13 +77,13 @@
 
 
 def test_forgetting_a_start_without_an_answer_is_caught(monkeypatch):
-    give_up = Term._give_up_start
+    give_up = Orders._give_up_start
 
     def careless(self, run, reason):
         run.unanswered = 0
         give_up(self, run, reason)
 
-    monkeypatch.setattr(Term, "_give_up_start", careless)
+    monkeypatch.setattr(Orders, "_give_up_start", careless)
     assert caught(("orders_late", "worker_cut")) is not None
 
 
