A weak instance does not join because it could not see the members

Cause: time in which the store turned a weak instance away counted as time without a stronger member.

--- a/src/firhook/decide/_candidacy.py
+++ b/src/firhook/decide/_candidacy.py
@@ -21,11 +21,13 @@
     the one before; with a strong one of the same cell a tenth was not.
 
     :param strength: of this instance, in cores.
+    :ivar stands: whether this instance should be a member.
     """
 
     def __init__(self, strength: float) -> None:
         self._strength = strength
-        self._seen_at = float("-inf")
+        self._none_since: float | None = None
+        self.stands = False
 
     def stronger(self, strengths: Iterable[float]) -> bool:
         """Return whether one of these is the better lead."""
@@ -34,8 +36,17 @@
     def note_members(self, strengths: Iterable[float], now: float) -> None:
         """Take note of how strong the members of the group are."""
         if self.stronger(strengths):
-            self._seen_at = now
-
-    def stands(self, now: float) -> bool:
-        """Return whether this instance should be a member."""
-        return now - self._seen_at >= PATIENCE_S
+            self._none_since, self.stands = None, False
+        elif self._none_since is None:
+            self._none_since = now
+        elif now - self._none_since >= PATIENCE_S:
+            self.stands = True
+
+    def note_silence(self) -> None:
+        """Take note that the members could not be learned.
+
+        An instance that was cut off from the store must not come back as a
+        member only because it saw no others meanwhile: the lead would move to
+        it, and on to a stronger one a second later.  One that is a member stays.
+        """
+        self._none_since = None
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -28,7 +28,7 @@
 #: that is away is killed in the middle of its stop.
 _LEAVE_S = 0.6
 #: How often an instance that is weaker than others asks who is in the group.
-_REVIEW_S = 1.0
+_REVIEW_S = 0.8
 #: An instance that knows no others this long after its start stands by itself.
 _ALONE_S = 2.0
 #: The lead gives orders only this part of the time to live after it sent its
@@ -131,11 +131,15 @@
             return True
         if now - self._reviewed_at >= _REVIEW_S:
             self._reviewed_at = now
-            holders = await self.store.holders(LEAD_GROUP, LEAD_TOPIC)
+            try:
+                holders = await self.store.holders(LEAD_GROUP, LEAD_TOPIC)
+            except FirhookError:
+                self._candidacy.note_silence()
+                raise
             names = {h.member.partition("#")[0] for h in holders}
             strengths = [peers[name].strength for name in names if name in peers]
             self._candidacy.note_members(strengths, now)
-        return self._candidacy.stands(now)
+        return self._candidacy.stands
 
     async def _step_back(self, reason: str) -> None:
         """Leave the group, and hand the lead over at once."""
--- a/tests/services/test_lead.py
+++ b/tests/services/test_lead.py
@@ -234,3 +234,28 @@
         assert cell.checks.broken == []
 
     run_virtual(play())
+
+
+def test_weak_instance_that_was_cut_off_from_the_store_does_not_take_the_lead():
+    """The store turns some instances away for seconds, and then serves them.
+
+    They saw no other member meanwhile.  Were they to join at once, the lead
+    would move to a weak one and on to a strong one; nothing is started in between.
+    """
+
+    async def play():
+        strengths = {"i1": 4.0, "i3": 4.0}
+        cell = ModelCell(instances=6, strengths=strengths)
+        await cell.begin()
+        await cell.until(lambda: any(cell.instances[n].leads for n in strengths), 5.0)
+        await pause(3.0)
+        first = cell.lead_name()
+        for name in ("i0", "i2", "i4", "i5"):
+            cell.store.mode[name] = "busy"
+        await pause(6.0)
+        cell.store.mode.clear()
+        for _ in range(60):
+            await pause(0.05)
+            assert cell.lead_name() == first
+
+    run_virtual(play())
