Instances tell the lead what they accept, and the lead tells all

A follower read the store 26 times a second in place of 5, at each push that overtook another (profile of 4 s), and 33 instances told each other of each job that they accepted: 2,200 messages a second beside the lead's 1,900. Change: a gap between pushes is read only if the same record is still missing 50 ms later. An instance tells the lead alone; the lead gathers 15 ms and tells all, with its states. Until then an unknown job is looked up in the log, as before. The test of a job's end waits 30 ms for the other instances, which the lead tells later now.

--- a/src/firhook/_peer_messages.py
+++ b/src/firhook/_peer_messages.py
@@ -41,14 +41,21 @@
     value: bytes | None
 
 
-@message
 @attrs.frozen(slots=True)
-class RecordsPush:
-    """Records that this instance has just appended, for its peers' replicas.
+class PushedBatch:
+    """Records of one partition that follow each other without a gap.
 
-    :param offset: of the first; the others follow it without a gap.
+    :param offset: of the first.
     """
 
     partition: int
     offset: int
     records: tuple[PushedRecord, ...]
+
+
+@message
+@attrs.frozen(slots=True)
+class RecordsPush:
+    """Records that were just appended, for the replicas of peers."""
+
+    batches: tuple[PushedBatch, ...]
--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -40,6 +40,14 @@
     body: Any
 
 
+@attrs.frozen(slots=True)
+class TellInstance:
+    """Send a one-way message to one peer, which misses it if it is away."""
+
+    peer: str
+    body: Any
+
+
 @attrs.frozen(slots=True)
 class ConfigApplied:
     """Another version of the configuration is in force here."""
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -1,11 +1,10 @@
 """Follows the cell's topic, and appends callers' records to it."""
 
 import asyncio
-import contextlib
 
 import attrs
 
-from firhook._peer_messages import PushedRecord, RecordsPush
+from firhook._peer_messages import PushedRecord, PushedBatch, RecordsPush
 from firhook.clock import boot_time
 from firhook.errors import (
     FirhookError,
@@ -27,6 +26,7 @@
     Record,
     RecordsAppended,
     ServeInstance,
+    TellInstance,
     TellInstances,
 )
 
@@ -36,9 +36,13 @@
 #: The second partitions are used only while the first ones cannot be, and what is
 #: written there is pushed as well, so that they are read less often.
 _READ_SECOND_EVERY_S = 2.0
-#: A gap between what was pushed is read from the store after this; pushes of
-#: two instances may overtake each other by a few milliseconds.
-_GAP_S = 0.03
+#: A gap between what was pushed is read from the store if the record that is
+#: missing has not come in this time; pushes of two instances overtake each other
+#: by some 10 ms, more on a busy machine.
+_GAP_S = 0.05
+#: The lead gathers for so long what it hands on to the other instances.  Callers
+#: see a job's end so much later; a quote has some 500 ms to spare.
+_PUSH_GATHER_S = 0.015
 #: Between tries when the store does not answer.
 _RETRY_S = 0.15
 #: The replica counts as followed if a read was answered so lately: some reads,
@@ -77,6 +81,11 @@
         self.gap = asyncio.Event()
         self._ahead: dict[int, int] = {}
 
+    @property
+    def has_gap(self) -> bool:
+        """Whether records were applied beyond one that was not."""
+        return bool(self._ahead)
+
     def pushed(self, offset: int, count: int) -> None:
         """Take note that records were applied that were not read."""
         self._ahead[offset] = max(self._ahead.get(offset, 0), offset + count)
@@ -133,6 +142,8 @@
         self._failed_at: dict[int, float] = {}
         self._pending: list[_Pending] = []
         self._has_pending = asyncio.Event()
+        self._outbox: list[PushedBatch] = []
+        self._has_outbox = asyncio.Event()
         self.bus.answer(CatchUp, self._catch_up)
         self.bus.answer(Record, self._record)
         self.bus.answer(Following, self._following)
@@ -144,19 +155,52 @@
         for reader in self._readers.values():
             self.add_future(self._follow(reader))
         self.add_future(self._append_pending())
+        self.add_future(self._push_on())
 
     # Reading.
 
     def _on_appended(self, event: RecordsAppended) -> None:
-        """Apply what this instance appended, and push it to its peers."""
+        """Apply what this instance appended, and have its peers apply it."""
         self._take(event.partition, event.offset, event.records)
         rows = tuple(PushedRecord(r.key, r.value) for r in event.records)
-        push = RecordsPush(event.partition, event.offset, rows)
-        self.bus.publish(TellInstances(push))
+        batch = PushedBatch(event.partition, event.offset, rows)
+        lead = self.replica.lead.name if self.replica.lead else ""
+        if self._leads():
+            self._outbox.append(batch)
+            self._has_outbox.set()
+        elif lead in self.replica.peers:
+            self.bus.publish(TellInstance(lead, RecordsPush((batch,))))
+        else:
+            self.bus.publish(TellInstances(RecordsPush((batch,))))
 
     async def _on_push(self, msg: RecordsPush) -> None:
-        records = tuple(KeyedRecord(r.key, r.value) for r in msg.records)
-        self._take(msg.partition, msg.offset, records)
+        for batch in msg.batches:
+            records = tuple(KeyedRecord(r.key, r.value) for r in batch.records)
+            self._take(batch.partition, batch.offset, records)
+        if self._leads():
+            self._outbox += msg.batches
+            self._has_outbox.set()
+
+    def _leads(self) -> bool:
+        """Return whether this instance's is the newest lead that is known."""
+        lead = self.replica.lead
+        return lead is not None and lead.incarnation == self.instance.incarnation
+
+    async def _push_on(self) -> None:
+        """Hand what the lead has learned on to all, some of it at a time.
+
+        Load: 33 instances accept 70 jobs a second, and the lead writes 60 times
+        a second.  Harm: told to all by each of them, that is 4,200 messages a
+        second, each encrypted and read; half of what an idle instance did.  So
+        they tell the lead, which must know at once, and it tells the others;
+        until then these read the log when they are asked for an unknown job.
+        """
+        while not self.should_stop:
+            await self._has_outbox.wait()
+            self._has_outbox.clear()
+            await asyncio.sleep(_PUSH_GATHER_S)
+            batches, self._outbox = tuple(self._outbox), []
+            self.bus.publish(TellInstances(RecordsPush(batches)))
 
     def _take(
         self, partition: int, offset: int, records: tuple[KeyedRecord, ...]
@@ -197,11 +241,24 @@
 
     @staticmethod
     async def _pause(reader: _Reader) -> None:
-        """Wait until it is time to read again, or until there is a gap."""
-        reader.gap.clear()
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(reader.gap.wait(), reader.every_s)
+        """Wait until it is time to read again, or until a gap stays open.
+
+        Pushes of many instances overtake each other all the time, and close the
+        gap that they seemed to leave a moment later.  Read at each of these, the
+        store got 26 calls a second from each of 33 instances in place of 5.
+        """
+        until = boot_time() + reader.every_s
+        while until - boot_time() > _GAP_S:
+            if not reader.has_gap:
+                reader.gap.clear()
+            try:
+                await asyncio.wait_for(reader.gap.wait(), until - boot_time())
+            except TimeoutError:
+                return
+            missing = reader.next_offset
             await asyncio.sleep(_GAP_S)
+            if reader.has_gap and reader.next_offset == missing:
+                return
 
     @staticmethod
     def _note_reachable(
--- a/src/firhook/services/_mesh.py
+++ b/src/firhook/services/_mesh.py
@@ -20,6 +20,7 @@
     CatchUp,
     Record,
     ServeInstance,
+    TellInstance,
     TellInstances,
 )
 from firhook.settings import Address
@@ -48,6 +49,7 @@
         self.bus.answer(AskInstance, self._ask)
         self.bus.subscribe(ServeInstance, self._on_serve)
         self.bus.subscribe(TellInstances, self._on_tell)
+        self.bus.subscribe(TellInstance, self._on_tell_one)
         self.bus.subscribe(StopBegun, self._on_stop_begun)
 
     def _on_stop_begun(self, event: StopBegun) -> None:
@@ -65,6 +67,11 @@
         if self._mesh is not None:
             self.add_future(self._mesh.tell_all(event.body))
 
+    def _on_tell_one(self, event: TellInstance) -> None:
+        address = self._connected.get(event.peer)
+        if self._mesh is not None and address is not None:
+            self.add_future(self._mesh.tell(address, event.body))
+
     def _on_serve(self, event: ServeInstance) -> None:
         self._handlers[event.kind] = event.handler
 
--- a/tests/services/test_lead.py
+++ b/tests/services/test_lead.py
@@ -1,5 +1,7 @@
 """The lead over the model of the platform: takeovers, lapses, unanswered orders."""
 
+import asyncio
+
 from firhook.platform.instance import Bounds
 from standins.model import ModelCell, ModelRequest, now, pause, run_virtual
 
@@ -15,6 +17,8 @@
         job, status = await cell.submit([step(3), step(2, after=[0])])
         assert status == 200
         await cell.all_done(10.0)
+        # The others learn from the lead, which gathers for 15 ms.
+        await pause(0.03)
         states = {await cell.status(job, i) for i in cell.instances.values()}
         assert states == {"completed"}
         assert cell.checks.broken == []
@@ -259,3 +263,65 @@
             assert cell.lead_name() == first
 
     run_virtual(play())
+
+
+def test_records_that_overtake_each_other_between_instances_are_not_read_again():
+    """Many instances accept jobs at once and tell each other of them.
+
+    What arrives out of order is complete a moment later.  Reading the store
+    for each of these would be most of the calls to it, which are paid for, and
+    most of what an idle instance does: 2,900 calls here, now 340.
+    """
+
+    async def play():
+        cell = ModelCell(instances=8)
+        cell.drops, cell.jitter_s = 0.0, 0.02
+        await cell.begin()
+        began, reads = now(), cell.store.reads
+        while now() - began < 5.0:
+            await asyncio.gather(
+                *(cell.submit([step(1)], work_s=0.2) for _ in range(4))
+            )
+        # Each instance reads 5 times a second, the list of workers and the
+        # configuration beside.
+        assert (cell.store.reads - reads) / 5.0 / 8 < 9
+        await cell.all_done(120.0)
+
+    run_virtual(play())
+
+
+def test_lead_tells_all_what_each_instance_accepted():
+    """Callers hand in jobs at many instances, and ask for them at any other.
+
+    Told to all by each instance, the messages grow with the square of their
+    number: 486 here, with 60 jobs and 10 instances.  Each tells the lead alone,
+    and the lead tells all what it gathers, together with its states: 196.
+    """
+
+    async def play():
+        cell = ModelCell(instances=10)
+        cell.drops = 0.0
+        await cell.begin()
+        told = cell.told
+        jobs = []
+        for _ in range(6):
+            answers = await asyncio.gather(
+                *(cell.submit([step(1)], work_s=0.5) for _ in range(10))
+            )
+            assert {status for _, status in answers} == {200}
+            jobs += [job for job, _ in answers]
+            await pause(0.1)
+        reads = cell.store.reads
+        await pause(0.05)
+        known = [
+            instance.instance.replica.find(job) is not None
+            for job in jobs
+            for instance in cell.instances.values()
+        ]
+        assert all(known)
+        # None of them had to read the store for that.
+        assert cell.store.reads - reads < 20
+        await cell.all_done(10.0)
+        assert cell.told - told < 300
+
+    run_virtual(play())
