--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from firhook._peer_messages import PushedRecord, PushedBatch, RecordsPush
+from firhook._peer_messages import PushedBatch, PushedRecord, RecordsPush
 from firhook.clock import boot_time
 from firhook.errors import (
     FirhookError,
