A place in the log that has expired is read anew, not told as "no such job"

Ruled out: a record lost on the way between instances; each has the job after its next reading. Change: such a partition is read anew, three times at most, then 503 with when to come back.

--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -51,6 +51,9 @@
 #: The store counts as away if nothing was answered for so long, and a read has
 #: failed: an idle read is answered every half second.
 _SILENT_S = 1.2
+#: So often a partition is read anew for one question if its records expire
+#: meanwhile; the platform keeps them for many seconds, and once is the rule.
+_REBUILDS = 3
 #: A partition that failed is tried again after this; the other one serves
 #: meanwhile.
 _AVOID_S = 1.0
@@ -335,10 +338,25 @@
         await asyncio.shield(self._catching_up[reader.number])
 
     async def _read_all(self, reader: _Reader) -> None:
-        if not reader.whole:
-            await self._rebuild(reader)
-        while await self._read(reader):
-            pass
+        """Read to the end that the log has now.
+
+        Records may expire between the newest ones and what follows them.  That
+        says nothing of any job; told as it is, a caller would take it for "no
+        such job", which has the same status.
+        """
+        for _ in range(_REBUILDS):
+            try:
+                if not reader.whole:
+                    await self._rebuild(reader)
+                while await self._read(reader):
+                    pass
+                return
+            except LogTrimmedError:
+                log("replica.trimmed", level="warning", at=reader.next_offset)
+                reader.whole = False
+        raise LogUnavailableError(
+            "the log expires faster than it is read", retry_after_s=_AWAY_RETRY_S
+        )
 
     # Appending.
 
--- a/tests/failures/test_soak.py
+++ b/tests/failures/test_soak.py
@@ -11,6 +11,9 @@
     # Told to stop while the store was slow to be told of it, an instance took
     # longer than the platform waits, and was killed under its callers.
     7: 15.0,
+    # Asked for a job while records expired under its reading, an instance passed
+    # the store's "gone" on as "no such job".
+    202: 15.0,
 }
 
 
