--- a/tests/golden/sessions.py
+++ b/tests/golden/sessions.py
@@ -452,9 +452,10 @@
 
 
 class _Listener:
-    """Stands for a listening socket."""
+    """Stands for a listening socket, with no connections on it."""
 
     addresses = (("127.0.0.1", 0),)
+    server = None
 
     async def stop(self) -> None:
         """Stop listening."""
