--- a/src/firhook/decide/_candidacy.py
+++ b/src/firhook/decide/_candidacy.py
@@ -16,7 +16,7 @@
     """Keeps weak instances out of the group while stronger ones are in it.
 
     Load: instances that differ fourfold in processor, and a cell with 350
-    starts a second, which take most of the strongest one's.  Harm: with a weak
+    starts a second, which take a third of the strongest one's.  Harm: with a weak
     lead nine tenths of the work was never served, as each round came later than
     the one before; with a strong one of the same cell a tenth was not.
 
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -93,7 +93,7 @@
         """Take note that records were applied; return whether they were new."""
         if offset + count <= self.next_offset or offset in self._ahead:
             return False
-        self._ahead[offset] = max(self._ahead.get(offset, 0), offset + count)
+        self._ahead[offset] = offset + count
         self.advance(self.next_offset)
         if self._ahead:
             self.gap.set()
@@ -218,12 +218,12 @@
     ) -> bool:
         """Apply records that came otherwise than by reading.
 
-        :return: whether any of them was new here.
-
         Long polls of all instances at the store would be most of the calls to
         it, which are priced, and would show callers a change 20 ms later in
         the mean than a push does.  Whether a record was applied is known by its
         offset, so that reading fills whatever was not pushed.
+
+        :return: whether any of them was new here.
         """
         for i, record in enumerate(records):
             self._apply(partition, offset + i, record.key, record.value)
--- a/src/firhook/services/_orders.py
+++ b/src/firhook/services/_orders.py
@@ -64,6 +64,7 @@
                 self._spawn(term.workers.stop(link.entry, task, number, term.fence))
 
     def begin(self, run: Run) -> None:
+        """Have a run started, whose assignment is stored now."""
         run.stored = True
         if run.stopping or run not in run.task.runs:
             # It was cancelled while its assignment was stored; nothing was sent.
