The lead is chosen, not dealt

Change: who leads is settled by the epoch in the store; who stands is a pure rule (decide/election): the lead stays while it is heard, by message or by what it writes; else the first in line, of another zone, stands after 0.4 s. A lead that stops or is turned away offers itself; a takeover that is not done in 3 s is given up.

--- a/src/firhook/_instance.py
+++ b/src/firhook/_instance.py
@@ -147,5 +147,7 @@
             try:
                 await service.drain()
             except Exception as exc:
-                log("service.drain_failed", level="error", name=name, error=repr(exc))
+                log(
+                    "service.drain_failed", level="error", service=name, error=repr(exc)
+                )
         log("instance.drained")
--- a/src/firhook/_peer_messages.py
+++ b/src/firhook/_peer_messages.py
@@ -59,3 +59,40 @@
     """Records that were just appended, for the replicas of peers."""
 
     batches: tuple[PushedBatch, ...]
+
+
+@message
+@attrs.frozen(slots=True)
+class LeadAlive:
+    """The lead says that it leads.
+
+    :param newest: the version of the newest record that it has written.
+    """
+
+    epoch: int
+    name: str
+    newest: int
+
+
+@message
+@attrs.frozen(slots=True)
+class LeadOffer:
+    """Ask an instance to take the cell over from the lead that asks."""
+
+    epoch: int
+
+
+@message
+@attrs.frozen(slots=True)
+class LeadOfferReply:
+    """Whether the instance takes the cell over now."""
+
+    taken: bool
+
+
+@message
+@attrs.frozen(slots=True)
+class StrongerHere:
+    """Tell the lead that a much stronger instance is ready to lead."""
+
+    name: str
--- a/src/firhook/cell/_records.py
+++ b/src/firhook/cell/_records.py
@@ -32,6 +32,20 @@
 MESH_KEY = "mesh"
 
 
+#: States that a lead may write; versions begin anew with each epoch.
+VERSIONS_AN_EPOCH = 10**9
+
+
+def state_version(epoch: int, count: int) -> int:
+    """Return the version of a lead's state, above that of every lead before."""
+    return epoch * VERSIONS_AN_EPOCH + count
+
+
+def epoch_of(version: int) -> int:
+    """Return the epoch of the lead that wrote a record with this version."""
+    return version // VERSIONS_AN_EPOCH
+
+
 class JobStatus(enum.IntEnum):
     """Where a job stands; the numbers are on the log."""
 
@@ -139,11 +153,16 @@
 
 @attrs.frozen(slots=True)
 class LeadRecord:
-    """The instance that leads the cell, for operators and for its peers."""
+    """The instance that leads the cell, for operators and for its peers.
+
+    :param version: like that of a job's state; a lead that has nothing else to
+        write writes this record again, which tells that it lives.
+    """
 
     name: str
     incarnation: str
     epoch: int
+    version: int = 0
 
 
 @attrs.frozen(slots=True)
--- a/src/firhook/cell/records.py
+++ b/src/firhook/cell/records.py
@@ -9,6 +9,8 @@
     STATE_PREFIX,
     decode_record,
     encode_record,
+    epoch_of,
+    state_version,
 )
 
 __all__ = [
@@ -20,4 +22,6 @@
     "STATE_PREFIX",
     "decode_record",
     "encode_record",
+    "epoch_of",
+    "state_version",
 ]
--- a/src/firhook/platform/_instance.py
+++ b/src/firhook/platform/_instance.py
@@ -20,12 +20,10 @@
 
     :param record_bytes: the most in one record.
     :param append_bytes: the most in the records of one append.
-    :param least_member_ttl_s: the shortest time to live of a group's member.
     """
 
     record_bytes: int = 262144
     append_bytes: int = 2097152
-    least_member_ttl_s: float = 1.0
     writes_per_s: float = 800.0
     reads_per_s: float = 2000.0
 
@@ -191,7 +189,6 @@
     return StoreLimits(
         record_bytes=whole(data, "record_bytes", plain.record_bytes),
         append_bytes=whole(data, "request_bytes", plain.append_bytes),
-        least_member_ttl_s=number(data, "min_ttl_ms", 1000) / 1000,
         writes_per_s=number(data, "writes_per_s", plain.writes_per_s),
         reads_per_s=number(data, "reads_per_s", plain.reads_per_s),
     )
--- a/src/firhook/platform/_store.py
+++ b/src/firhook/platform/_store.py
@@ -1,4 +1,4 @@
-"""The platform's store: partitions of records, newest values, and groups."""
+"""The platform's store: partitions of records, and newest values."""
 
 import base64
 import struct
@@ -8,7 +8,6 @@
 
 import aiohttp
 import attrs
-import msgspec
 
 from firhook.errors import (
     FirhookError,
@@ -31,9 +30,6 @@
 OPERATOR_TOPIC = "keyed.op"
 #: Where workers register.
 WORKER_TOPIC = "keyed.servers"
-#: The group whose members share out the leads of cells, and its topic.
-LEAD_GROUP = "firhook-leads"
-LEAD_TOPIC = "firhook-leads"
 
 #: When a refused call makes sense again, in seconds.
 _RETRY_S = 0.5
@@ -111,25 +107,6 @@
     end: int
 
 
-@attrs.frozen(slots=True)
-class Membership:
-    """A member's share of a group.
-
-    :param generation: rises with each change of the group.
-    """
-
-    generation: int
-    partitions: frozenset[int]
-
-
-@attrs.frozen(slots=True)
-class Holder:
-    """A member of a group that holds a partition."""
-
-    partition: int
-    member: str
-
-
 def encode_keyed(record: KeyedRecord) -> bytes:
     """Return a keyed record's content."""
     key = record.key.encode()
@@ -191,24 +168,6 @@
     async def newest(self, topic: str, partition: int = 0) -> Newest:
         """Return the newest record of each key of a keyed topic."""
 
-    @abstractmethod
-    async def join(
-        self, group: str, member: str, topic: str, ttl_s: float, generation: int
-    ) -> Membership:
-        """Join a group, or stay in it, and return the member's share.
-
-        :param generation: the last one received, 0 at first.  Sending it says
-            that this member holds nothing any more that it was not given in it.
-        """
-
-    @abstractmethod
-    async def leave(self, group: str, member: str) -> None:
-        """Leave a group, so that its partitions are given to others at once."""
-
-    @abstractmethod
-    async def holders(self, group: str, topic: str) -> tuple[Holder, ...]:
-        """Return who holds the partitions of a topic; anybody may ask."""
-
 
 class HttpStore(Store):
     """Client of the platform's store; the only one.
@@ -327,52 +286,6 @@
                 return Newest(tuple(records), end)
             after = page[-1].key
 
-    async def join(
-        self, group: str, member: str, topic: str, ttl_s: float, generation: int
-    ) -> Membership:
-        """See :meth:`Store.join`."""
-        body = msgspec.json.encode(
-            {
-                "group": group,
-                "member_id": member,
-                "topics": [topic],
-                "ttl_ms": int(ttl_s * 1000),
-                "generation": generation,
-            }
-        )
-        answer = await self._call("POST", "join", "", body, self._timeout_s)
-        if answer.status != 200:
-            raise LogUnavailableError(f"the store answered {answer.status}")
-        try:
-            data = parse_json(answer.body)
-            held = frozenset(
-                int(row[1]) for row in rows(data, "parts") if row[0] == topic
-            )
-            return Membership(whole(data, "generation"), held)
-        except (FieldError, TypeError, IndexError, ValueError) as exc:
-            raise LogOutcomeUnknownError(str(exc)) from exc
-
-    async def leave(self, group: str, member: str) -> None:
-        """See :meth:`Store.leave`."""
-        body = msgspec.json.encode({"group": group, "member_id": member})
-        await self._call("POST", "leave", "", body, self._timeout_s)
-
-    async def holders(self, group: str, topic: str) -> tuple[Holder, ...]:
-        """See :meth:`Store.holders`."""
-        answer = await self._call(
-            "GET", "owners", f"?group={group}", None, self._timeout_s
-        )
-        if answer.status != 200:
-            raise LogUnavailableError(f"the store answered {answer.status}")
-        try:
-            return tuple(
-                Holder(int(row[1]), str(row[2]))
-                for row in rows(parse_json(answer.body), "parts")
-                if row[0] == topic and row[2]
-            )
-        except (FieldError, TypeError, IndexError, ValueError) as exc:
-            raise LogOutcomeUnknownError(f"{exc}: {answer.body[:200]!r}") from exc
-
 
 def _newest_record(item: Any) -> StoredRecord | None:
     if not isinstance(item, dict) or not isinstance(item.get("key"), str):
--- a/src/firhook/platform/store.py
+++ b/src/firhook/platform/store.py
@@ -2,15 +2,11 @@
 
 from firhook.platform._store import (
     CELL_TOPIC,
-    LEAD_GROUP,
-    LEAD_TOPIC,
     OPERATOR_TOPIC,
     WORKER_TOPIC,
     Appended,
-    Holder,
     HttpStore,
     KeyedRecord,
-    Membership,
     Newest,
     Producer,
     Slice,
@@ -21,15 +17,11 @@
 
 __all__ = [
     "CELL_TOPIC",
-    "LEAD_GROUP",
-    "LEAD_TOPIC",
     "OPERATOR_TOPIC",
     "WORKER_TOPIC",
     "Appended",
-    "Holder",
     "HttpStore",
     "KeyedRecord",
-    "Membership",
     "Newest",
     "Producer",
     "Slice",
--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -66,6 +66,27 @@
     partitions: tuple[int, ...]
 
 
+@attrs.frozen(slots=True)
+class ReadToEnd(Query[int]):
+    """Read one partition up to its end, and return the offset of that end.
+
+    :raises LogUnavailableError: if the store cannot be read.
+    """
+
+    partition: int
+
+
+@attrs.frozen(slots=True)
+class LeadSeen:
+    """A record that a lead wrote was read from the store, or came from a peer.
+
+    :param version: of the record.
+    """
+
+    epoch: int
+    version: int
+
+
 @attrs.frozen(slots=True)
 class Record(Query[int]):
     """Append a keyed record to the cell's topic, and return its offset.
--- a/src/firhook/services/_fenced_writer.py
+++ b/src/firhook/services/_fenced_writer.py
@@ -65,22 +65,30 @@
         be read either.
         """
         async with self._busy:
-            for part in self._partitions:
-                while await self._try(part, []) is None:
-                    await asyncio.sleep(_RETRY_S)
+            await asyncio.gather(*(self._set_epoch(part) for part in self._partitions))
 
-    async def prove(self) -> None:
+    async def _set_epoch(self, part: _Partition) -> None:
+        while await self._try(part, []) is None:
+            await asyncio.sleep(_RETRY_S)
+
+    async def prove(self, contents: list[bytes]) -> tuple[int, int] | None:
         """Have the store say that no other lead has begun, if it answers.
 
+        :param contents: appended, unless another append is under way.
+        :return: the partition and the offset where they were appended, if they were.
         :raises LogFencedError: if one has.
         """
         if self._busy.locked():
             # What is under way proves as much.
-            return
+            return None
         async with self._busy:
-            for part in self._partitions:
-                if not part.unanswered and await self._try(part, []) is not None:
-                    return
+            now = boot_time()
+            clean = [p for p in self._partitions if not p.unanswered]
+            for part in sorted(clean, key=lambda p: p.avoid_until > now):
+                offset = await self._try(part, contents)
+                if offset is not None:
+                    return part.number, offset
+        return None
 
     async def append(self, contents: list[bytes]) -> tuple[int, int]:
         """Append records; return the partition and the offset of the first.
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -5,6 +5,7 @@
 import attrs
 
 from firhook._peer_messages import PushedBatch, PushedRecord, RecordsPush
+from firhook.cell.records import LEAD_KEY, STATE_PREFIX, epoch_of
 from firhook.clock import boot_time
 from firhook.errors import (
     FirhookError,
@@ -23,6 +24,8 @@
     CatchUp,
     Following,
     JobChanged,
+    LeadSeen,
+    ReadToEnd,
     Record,
     RecordsAppended,
     ServeInstance,
@@ -151,6 +154,7 @@
         self._outbox: list[PushedBatch] = []
         self._has_outbox = asyncio.Event()
         self.bus.answer(CatchUp, self._catch_up)
+        self.bus.answer(ReadToEnd, self._read_to_end)
         self.bus.answer(Record, self._record)
         self.bus.answer(Following, self._following)
         self.bus.subscribe(RecordsAppended, self._on_appended)
@@ -291,7 +295,7 @@
         """Read the newest record of each key."""
         newest = await self.store.newest(CELL_TOPIC, reader.number)
         for record in newest.records:
-            self._apply(reader.number, record.offset, record.key, record.value)
+            self._apply(reader.number, record.offset, record.key, record.value, False)
         reader.advance(newest.end)
         reader.whole = True
         log(
@@ -312,8 +316,18 @@
         return max(part.end - reader.next_offset, 0)
 
     def _apply(
-        self, partition: int, offset: int, key: str, value: bytes | None
+        self,
+        partition: int,
+        offset: int,
+        key: str,
+        value: bytes | None,
+        recent: bool = True,
     ) -> None:
+        """Apply a record.
+
+        :param recent: whether it may have been written just now, and so tells
+            that the lead which wrote it lives.
+        """
         try:
             job_id = self.replica.apply(offset, key, value, partition)
         except RecordMalformedError as exc:
@@ -321,6 +335,24 @@
             return
         if job_id is not None:
             self.bus.publish(JobChanged(job_id))
+        if recent and value is not None:
+            self._note_lead(key, job_id)
+
+    def _note_lead(self, key: str, job_id: str | None) -> None:
+        """Say that a lead lives, if a record is one that only leads write."""
+        lead = self.replica.lead
+        if key == LEAD_KEY and lead is not None:
+            self.bus.publish(LeadSeen(lead.epoch, lead.version))
+        elif job_id is not None and key.startswith(STATE_PREFIX):
+            view = self.replica.jobs.get(job_id)
+            if view is not None and view.state is not None:
+                version = view.state.version
+                self.bus.publish(LeadSeen(epoch_of(version), version))
+
+    async def _read_to_end(self, query: ReadToEnd) -> int:
+        reader = self._readers[query.partition]
+        await self._catch_up_one(reader)
+        return reader.next_offset
 
     async def _catch_up(self, query: CatchUp) -> None:
         readers = [self._readers[number] for number in query.partitions]
@@ -348,8 +380,12 @@
             try:
                 if not reader.whole:
                     await self._rebuild(reader)
-                while await self._read(reader):
-                    pass
+                left = await self._read(reader)
+                # What is written from here on is not waited for: on a thin link
+                # a busy cell writes about as fast as it can be read.
+                end = reader.next_offset + left
+                while reader.next_offset < end:
+                    await self._read(reader)
                 return
             except LogTrimmedError:
                 log("replica.trimmed", level="warning", at=reader.next_offset)
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -1,69 +1,109 @@
-"""Membership of the group whose member for a cell's partition leads the cell."""
+"""Stands for the lead of the cell, leads it, and hands it over."""
 
 import asyncio
+import contextlib
 
-from firhook._peer_messages import AdviceAsk, AdviceReply, WorkerTicket
+from firhook._peer_messages import (
+    AdviceAsk,
+    AdviceReply,
+    LeadAlive,
+    LeadOffer,
+    LeadOfferReply,
+    StrongerHere,
+    WorkerTicket,
+)
+from firhook.cell import LeadRecord
+from firhook.cell.records import LEAD_KEY, encode_record
 from firhook.clock import boot_time
-from firhook.decide.candidacy import Candidacy
-from firhook.errors import FirhookError
-from firhook.instance import InstanceService, register_service
+from firhook.decide.election import (
+    Candidate,
+    Election,
+    line_of_succession,
+    much_stronger,
+)
+from firhook.errors import FirhookError, LogMovedError, PeerUnreachableError
+from firhook.instance import InstanceService, StopBegun, register_service
 from firhook.logs import log
-from firhook.platform.store import LEAD_GROUP, LEAD_TOPIC
+from firhook.platform.store import CELL_TOPIC, KeyedRecord, encode_keyed
 from firhook.services._events import (
+    LEAD_PARTITIONS,
+    AskInstance,
     ConfigApplied,
+    Following,
     JobChanged,
+    LeadSeen,
+    ReadToEnd,
     ServeInstance,
+    TellInstance,
+    TellInstances,
 )
-from firhook.services._term import Term
-
-#: The partition of the group's topic whose holder leads the cell.
-CELL = 0
-#: How often a member says that it lives; a tenth of a call each.  A partition
-#: that moves is taken over at the next join.
-_JOIN_S = 0.1
-#: A member that is silent for so long has left, if the store allows so little.
-_TTL_S = 1.0
-#: The store is told for so long that a member leaves.  One that is told nothing
-#: takes it for gone after the time to live, and a process that waits for a store
-#: that is away is killed in the middle of its stop.
-_LEAVE_S = 0.6
-#: How often an instance that is weaker than others asks who is in the group.
-_REVIEW_S = 0.8
-#: An instance that knows no others this long after its start stands by itself.
-_ALONE_S = 2.0
-#: The lead gives orders only this part of the time to live after it sent its
-#: last good join: its successor has the partition after the whole of it.
-_ACT_PART = 0.75
-#: Epochs of one term: the group's generation leaves room for this many, so
-#: that a term can be begun anew without a change of the group.
-EPOCHS_A_GENERATION = 1000
+from firhook.services._term import PROOF_S, Term
+
+#: How often an instance looks whether the lead is its own business.
+_TICK_S = 0.05
+#: How often the lead tells the others that it leads.
+_SPEAK_S = 0.1
+#: The longest that the claim of the lead may take at the store.
+_CLAIM_S = 1.0
+#: An offered lead still writes until it is told that its offer is taken, and a
+#: claim holds only if nothing was written since the log was read.
+_CLAIM_TRIES = 6
+#: A new lead that has not begun after this leaves the cell to another one.  Its
+#: four calls to a store that answers 60 times slower than its 4 ms take 1.5 s.
+_TAKEOVER_S = 3.0
+#: An instance whose takeover failed leaves the lead to others for so long.
+_FAILED_REST_S = 6.0
+#: An instance that was replaced does not stand before its successor is heard.
+_REPLACED_REST_S = 0.5
+#: The lead offers itself to a successor if the store took none of its appends for
+#: so long.  It proves itself every 0.25 s.
+_UNPROVEN_S = 0.4
+#: Between offers while nobody takes the lead.
+_OFFER_EVERY_S = 0.5
+#: Instances that are offered the lead at most, and how long each may take to say
+#: whether it can reach the store.
+_OFFERS = 4
+_OFFER_S = 0.2
+_REACH_S = 0.12
+#: A lead whose offer was taken writes nothing for so long.
+_HANDOVER_S = 0.5
+#: The lead moves to a stronger instance only after it led, and the stronger one
+#: was ready, for so long: at a start of all, the strong ones are not the first.
+_SETTLED_S = 2.0
+#: How often a stronger instance says that it is there.
+_STRONGER_EVERY_S = 1.0
 
 
 @register_service("lead")
 class Lead(InstanceService):
-    """Joins the group, and leads the cell while it holds its partition."""
+    """Stands for the lead when it is due, and leads the cell."""
 
     def wire(self) -> None:
         """Take in what the lead goes by."""
-        settings = self.settings
-        self._member = f"{settings.name}#{self.instance.incarnation}"
-        self._generation = 0
-        self._ttl_s = max(_TTL_S, settings.store_limits.least_member_ttl_s)
+        self._election = Election(self.settings.name)
         self._act_until = float("-inf")
         self._left = False
-        self._joined = False
-        self._candidacy = Candidacy(settings.strength)
-        self._reviewed_at = float("-inf")
-        self._began_at = boot_time()
+        self._offered = False
+        self._offering: asyncio.Task[bool] | None = None
+        self._offered_at = float("-inf")
+        self._stronger_waits = False
+        self._spoke_at = float("-inf")
+        self._began_at = float("-inf")
+        self._woken = asyncio.Event()
         self.term: Term | None = None
         self.adviser = self.instance.platform.adviser
         self.bus.subscribe(JobChanged, self._on_job)
         self.bus.subscribe(ConfigApplied, self._on_config)
+        self.bus.subscribe(LeadSeen, self._on_seen)
+        self.bus.subscribe(StopBegun, self._on_stop_begun)
 
     async def on_started(self) -> None:
-        """Begin to join."""
+        """Begin to listen for the lead."""
         self.bus.publish(ServeInstance(AdviceAsk, self._serve_advice))
-        self.add_future(self._membership())
+        self.bus.publish(ServeInstance(LeadAlive, self._on_alive))
+        self.bus.publish(ServeInstance(LeadOffer, self._on_offer))
+        self.bus.publish(ServeInstance(StrongerHere, self._on_stronger))
+        self.add_future(self._run())
 
     def _on_job(self, event: JobChanged) -> None:
         if self.term is not None:
@@ -82,121 +122,237 @@
         tickets = tuple(WorkerTicket(w, t) for w, t in advice.tickets.items())
         return AdviceReply(True, tickets, advice.valid_s)
 
+    # What proves the lead.
+
     def may_act(self) -> bool:
-        """Return whether this instance certainly leads at this moment."""
+        """Return whether this instance leads, as far as it can know now."""
         return boot_time() < self._act_until
 
-    def proof_ends_in(self) -> float:
-        """Return for how long this instance certainly leads, in seconds."""
-        return self._act_until - boot_time()
-
     def note_proof(self, sent_at: float) -> None:
         """Take note that the store took an append under the term's epoch.
 
         A successor has its own epoch set before it gives any order; so none had
-        begun when the append was sent, whether the group's answers come or not.
-        It counts every lease from when it began, so that orders which follow the
-        proof within this time are accounted for.
+        begun when the append was sent.  It counts every lease from when it began,
+        so that orders which follow the proof within this time are accounted for.
         """
         if self.term is not None and not self.term.lost and not self._left:
-            until = sent_at + self._ttl_s * _ACT_PART
-            self._act_until = max(self._act_until, until)
+            self._act_until = max(self._act_until, sent_at + PROOF_S)
+
+    def unproven_for(self) -> float:
+        """Return how long ago the last append was sent that the store took."""
+        return boot_time() - (self._act_until - PROOF_S)
+
+    # Who leads.
+
+    def _on_seen(self, event: LeadSeen) -> None:
+        self._election.read(event.epoch, event.version, boot_time())
+        self._yield_to(event.epoch)
+
+    async def _on_alive(self, msg: LeadAlive) -> None:
+        self._election.hear(msg.epoch, msg.name, msg.newest, boot_time())
+        self._yield_to(msg.epoch)
+
+    def _yield_to(self, epoch: int) -> None:
+        """Give up at once if another lead has begun."""
+        if self.term is not None and epoch > self.term.fence:
+            self.term.give_up("replaced", by_epoch=epoch)
+            self._woken.set()
+
+    def _candidates(self) -> list[Candidate]:
+        return [
+            Candidate(peer.name, peer.zone, peer.strength)
+            for peer in self.replica.peers.values()
+        ]
 
-    async def _membership(self) -> None:
+    async def _ready(self) -> bool:
+        """Return whether this instance could lead.
+
+        Nothing is to be led before there is something to lead by; and who the
+        others are is read from the cell's records.
+        """
+        if self.instance.stopping or self.instance.config.config is None:
+            return False
+        if self.settings.name not in self.replica.peers:
+            return False
+        return await self.bus.ask(Following())
+
+    async def _run(self) -> None:
         while not self.should_stop and not self._left:
-            released = False
             try:
-                if await self._stands():
-                    released = await self._join()
-                elif self._joined:
-                    await self._step_back("stronger_member")
+                await self._step()
             except FirhookError as exc:
-                log("lead.join_failed", level="debug", error=repr(exc))
+                log("lead.step_failed", level="warning", error=repr(exc))
             except Exception as exc:
                 log("lead.failed", level="error", error=repr(exc))
-            if not released:
-                await asyncio.sleep(_JOIN_S)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._woken.wait(), _TICK_S)
+            self._woken.clear()
+
+    async def _step(self) -> None:
+        now = boot_time()
+        last = self.replica.lead
+        if last is not None:
+            self._election.know(last.epoch, last.name)
+        self._election.note_ready(await self._ready(), now)
+        if self.term is not None:
+            if self.term.lost:
+                self._election.rest(now + _REPLACED_REST_S)
+                await self._end_term(self.term.lost_by)
+            else:
+                self._keep(self.term, now)
+            return
+        offered, self._offered = self._offered, False
+        if offered or self._election.stands(self._candidates(), now):
+            await self._stand(offered)
+        else:
+            self._offer_strength(now)
 
-    async def _stands(self) -> bool:
-        """Return whether this instance should be in the group.
+    # Taking the lead.
 
-        Who the others are is read from the cell's records; until it has read
-        its own there, it does not know them.
+    async def _stand(self, offered: bool) -> None:
+        """Claim the lead, and begin a term if the claim holds."""
+        began = boot_time()
+        log("lead.standing", offered=offered, last=self._election.lead)
+        epoch = None
+        for _ in range(_CLAIM_TRIES if offered else 1):
+            epoch = await self._claim(offered)
+            if epoch is not None:
+                break
+        if epoch is None or self.term is not None or self._left:
+            return
+        took_ms = round((boot_time() - began) * 1000, 1)
+        log("lead.claimed", epoch=epoch, took_ms=took_ms)
+        self._began_at = boot_time()
+        self.term = Term(self, epoch)
+        self.term.begin()
+        self.speak()
+
+    async def _claim(self, offered: bool) -> int | None:
+        """Write that this instance leads; return the epoch if it holds.
+
+        Of several that stand at once one gets the epoch: the append holds only if
+        nothing was written since the log was read.  What was read also tells
+        whether the lead is alive after all, and only its messages got lost.
         """
-        now = boot_time()
-        peers = self.replica.peers
-        if self.settings.name not in peers and now - self._began_at < _ALONE_S:
-            return False
-        if not self._candidacy.stronger(p.strength for p in peers.values()):
-            return True
-        if now - self._reviewed_at >= _REVIEW_S:
-            self._reviewed_at = now
-            try:
-                holders = await self.store.holders(LEAD_GROUP, LEAD_TOPIC)
-            except FirhookError:
-                self._candidacy.note_silence()
-                raise
-            names = {h.member.partition("#")[0] for h in holders}
-            strengths = [peers[name].strength for name in names if name in peers]
-            self._candidacy.note_members(strengths, now)
-        return self._candidacy.stands
-
-    async def _step_back(self, reason: str) -> None:
-        """Leave the group, and hand the lead over at once."""
-        self._act_until = float("-inf")
-        self._joined = False
-        self._generation = 0
-        await self._end_term(reason)
+        partition = LEAD_PARTITIONS[0]
+        end = await self.bus.ask(ReadToEnd(partition))
+        if not offered and not self._election.silent(boot_time()):
+            log("lead.alive_in_store", epoch=self._election.epoch)
+            return None
+        epoch = self._election.epoch + 1
+        mine = LeadRecord(self.settings.name, self.instance.incarnation, epoch)
+        record = KeyedRecord(LEAD_KEY, encode_record(mine))
         try:
-            leaving = self.store.leave(LEAD_GROUP, self._member)
-            await asyncio.wait_for(leaving, _LEAVE_S)
+            await self.store.append(
+                CELL_TOPIC,
+                partition,
+                [encode_keyed(record)],
+                expected_end=end,
+                timeout_s=_CLAIM_S,
+            )
+        except LogMovedError:
+            return None
+        return epoch
+
+    async def _on_offer(self, msg: LeadOffer) -> LeadOfferReply:
+        """Take the cell over, if this instance can reach the store at once."""
+        if self.term is not None or not await self._ready():
+            return LeadOfferReply(False)
+        try:
+            await asyncio.wait_for(
+                self.bus.ask(ReadToEnd(LEAD_PARTITIONS[0])), _REACH_S
+            )
         except (FirhookError, TimeoutError) as exc:
-            log("lead.leave_failed", level="warning", error=repr(exc))
+            log("lead.offer_refused", epoch=msg.epoch, error=repr(exc))
+            return LeadOfferReply(False)
+        self._offered = True
+        self._woken.set()
+        return LeadOfferReply(True)
 
-    async def _join(self) -> bool:
-        """Join once; return whether the cell was given up.
+    # Keeping the lead, and handing it over.
 
-        Its new holder gets it only at this member's next join, so that one
-        follows at once.
-        """
-        # Nothing is to be led before there is something to lead by.
-        if self.instance.config.config is None:
-            return False
-        sent_at = boot_time()
-        share = await self.store.join(
-            LEAD_GROUP, self._member, LEAD_TOPIC, self._ttl_s, self._generation
-        )
-        self._joined = True
-        if self._left:
-            return False
-        holds = CELL in share.partitions
-        if holds:
-            self._act_until = sent_at + self._ttl_s * _ACT_PART
-        else:
-            self._act_until = float("-inf")
-        released = self.term is not None and (not holds or self.term.lost)
-        if released:
-            # The partition is given to another member only once this one joins
-            # with the new generation; by then the term has ended.
-            await self._end_term("lost" if holds else "moved")
-        self._generation = share.generation
-        if holds and self.term is None:
-            await self._begin_term(share.generation)
-        return released
-
-    async def _begin_term(self, generation: int) -> None:
-        last = self.replica.lead.epoch if self.replica.lead else 0
-        epoch = max(generation * EPOCHS_A_GENERATION, last + 1)
-        self.term = Term(self, epoch)
-        self.term.begin()
+    def _keep(self, term: Term, now: float) -> None:
+        """Say that this instance leads, and see whether another one should."""
+        if now - self._spoke_at >= _SPEAK_S:
+            self.speak()
+        if not term.begun:
+            if now - self._began_at > _TAKEOVER_S:
+                self._election.rest(now + _FAILED_REST_S)
+                term.give_up("takeover_slow", doing=term.doing)
+            return
+        if self.unproven_for() > _UNPROVEN_S:
+            self._offer("unproven", now)
+        elif self._stronger_waits and now - self._began_at > _SETTLED_S:
+            self._stronger_waits = False
+            self._offer("stronger_instance", now)
+
+    def speak(self) -> None:
+        """Tell the others that this instance leads."""
+        term, now = self.term, boot_time()
+        if term is None or term.lost:
+            return
+        self._spoke_at = now
+        name = self.settings.name
+        self._election.hear(term.fence, name, term.newest_version, now)
+        message = LeadAlive(term.fence, name, term.newest_version)
+        self.bus.publish(TellInstances(message))
+
+    def _offer(self, reason: str, now: float) -> None:
+        """Offer the lead to others, unless that is under way or was tried lately."""
+        under_way = self._offering is not None and not self._offering.done()
+        if under_way or now - self._offered_at < _OFFER_EVERY_S:
+            return
+        self._offered_at = now
+        self._offering = asyncio.create_task(self._offer_around(reason))
+
+    async def _offer_around(self, reason: str) -> bool:
+        """Offer the lead to the next in line; return whether one takes it."""
+        line = line_of_succession(self._candidates(), self.settings.name)
+        names = [c.name for c, _ in line if c.name != self.settings.name]
+        for name in names[:_OFFERS]:
+            term = self.term
+            if term is None or term.lost:
+                return True
+            try:
+                reply = await self.bus.ask(
+                    AskInstance(name, LeadOffer(term.fence), _OFFER_S)
+                )
+            except PeerUnreachableError as exc:
+                log("lead.offer_unanswered", to=name, error=exc.detail)
+                continue
+            if isinstance(reply, LeadOfferReply) and reply.taken:
+                log("lead.offered", to=name, epoch=term.fence, reason=reason)
+                term.pause(_HANDOVER_S)
+                return True
+        return False
+
+    def _offer_strength(self, now: float) -> None:
+        """Tell a lead that is much weaker that this instance is there."""
+        lead = self.replica.peers.get(self._election.lead)
+        if lead is None or not much_stronger(self.settings.strength, lead.strength):
+            return
+        if self._election.ready_for(now) < _SETTLED_S:
+            return
+        if now - self._spoke_at >= _STRONGER_EVERY_S:
+            self._spoke_at = now
+            message = StrongerHere(self.settings.name)
+            self.bus.publish(TellInstance(lead.name, message))
+
+    async def _on_stronger(self, msg: StrongerHere) -> None:
+        self._stronger_waits = self.term is not None
+
+    def _on_stop_begun(self, event: StopBegun) -> None:
+        if self.term is not None:
+            self.add_future(self._offer_around("stopping"))
 
     async def _end_term(self, reason: str) -> None:
         term, self.term = self.term, None
+        self._act_until = float("-inf")
         if term is not None:
             log("lead.ended", epoch=term.fence, reason=reason)
             await term.end()
 
     async def drain(self) -> None:
-        """Hand the lead over at once."""
+        """Give no more orders; a successor was asked when the stop began."""
         self._left = True
-        await self._step_back("stopping")
+        await self._end_term("stopping")
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -17,7 +17,12 @@
     Run,
     WorkerEntry,
 )
-from firhook.cell.records import LEAD_KEY, STATE_PREFIX, encode_record
+from firhook.cell.records import (
+    LEAD_KEY,
+    STATE_PREFIX,
+    encode_record,
+    state_version,
+)
 from firhook.clock import boot_time, unix_time
 from firhook.decide.schedule import WorkerView, place_round, urgent_room_m
 from firhook.decide.speeds import SpeedBook
@@ -54,7 +59,10 @@
 _IDLE_S = 0.1
 #: Between tries when the store does not take an append.
 _RETRY_S = 0.05
-#: Leases are renewed so long after the last good join.  A store that is down
+#: The lead gives orders for so long after it sent the last append that the store
+#: took.
+PROOF_S = 0.75
+#: Leases are renewed so long after the last proof.  A store that is down
 #: takes the lead's proof of holding the cell away, but the tasks need not die
 #: with it; a successor adds this time to every lease that may still hold.
 RENEW_BLIND_S = 3.0
@@ -62,12 +70,10 @@
 #: last renewal, and some slack for clocks that run 2% slow.
 _OLD_LEASE_FACTOR = 1.03
 #: How often the lead looks whether it can still prove that it leads.
-_PROVE_EVERY_S = 0.25
+_PROVE_EVERY_S = 0.2
 #: The weight of the newest urgent step in the mean of what they need: the last
 #: twenty or so count.
 _URGENT_WEIGHT = 0.1
-#: States that a term may write; versions begin anew with each epoch.
-_VERSIONS_A_TERM = 10**9
 
 
 class Term:
@@ -76,11 +82,17 @@
     :param epoch: higher than that of any lead before; the epoch at the store
         and the fencing token at the workers.
     :ivar lost: whether another lead has been seen.
+    :ivar lost_by: why it was lost, or empty.
+    :ivar begun: whether the cell is taken over.
+    :ivar doing: what the takeover waits for.
     """
 
     def __init__(self, lead: "Lead", epoch: int) -> None:
         self.fence = epoch
         self.lost = False
+        self.lost_by = ""
+        self.begun = False
+        self.doing = "epoch"
         self._lead = lead
         self._instance = lead.instance
         self._store = lead.store
@@ -102,6 +114,7 @@
         self._advising = Advising(lead, self.tickets, self._spawn, self._wake.set)
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._renew_until = 0.0
+        self._paused_until = float("-inf")
         self._begun_at = boot_time()
         self._ready = False
         self._urgent_need_m = 0
@@ -145,6 +158,18 @@
             self._renew_until = now + RENEW_BLIND_S
         return not self.lost and now < self._renew_until
 
+    def give_up(self, reason: str, **fields: object) -> None:
+        """Give no more orders: another instance leads, or is to."""
+        self._lose(reason, level="info", **fields)
+
+    def pause(self, for_s: float) -> None:
+        """Write nothing for a while, so that a successor's claim holds."""
+        self._paused_until = boot_time() + for_s
+
+    @property
+    def _paused(self) -> bool:
+        return boot_time() < self._paused_until
+
     def on_fenced(self, worker: str) -> None:
         """Give up: a worker has seen the fencing token of another lead."""
         self._lose("fenced", worker=worker)
@@ -166,7 +191,7 @@
         """
         if self.lost:
             return
-        self.lost = True
+        self.lost, self.lost_by = True, reason
         log("lead.lost", level=level, epoch=self.fence, reason=reason, **fields)
         for task in self._link_tasks.values():
             task.cancel()
@@ -175,6 +200,7 @@
         # From here on the store refuses what a lead before this one appends,
         # so that what is read next is all there is.
         await self._writer.set_epoch()
+        self.doing = "log"
         while True:
             try:
                 await self._lead.bus.ask(CatchUp(LEAD_PARTITIONS))
@@ -182,6 +208,7 @@
             except FirhookError as exc:
                 log("lead.catch_up_retry", level="debug", error=repr(exc))
                 await asyncio.sleep(_RETRY_S)
+        self.doing = "jobs"
         now, unix = boot_time(), unix_time()
         for job_id, job in list(self._replica.unended()):
             self._known.add(job_id)
@@ -189,9 +216,9 @@
         # From here on changes are taken in as they are read.  Without a pause in
         # between: a job that is accepted in such a pause would be in neither.
         self._ready = True
-        settings = self._lead.settings
-        mine = LeadRecord(settings.name, self._instance.incarnation, self.fence)
-        await self._append([KeyedRecord(LEAD_KEY, encode_record(mine))])
+        self.doing = "record"
+        await self._append([self._sign_of_life()])
+        self.begun = True
         log(
             "lead.began",
             epoch=self.fence,
@@ -335,27 +362,38 @@
     # The control loop.
 
     async def _keep_proving(self) -> None:
-        """Prove that this is the lead while the group does not say so.
+        """Prove that this is the lead while it has nothing else to write.
 
-        The store may lose the partition that its groups live on, and keep those
-        of the cell.  The lead would then be told by nobody that it still leads,
-        and give no orders until the group is back.
+        The record that is appended tells instances which hear nothing else of the
+        lead, as when all connections between instances hang, that it is alive.
         """
         while not self.lost:
             await asyncio.sleep(_PROVE_EVERY_S)
-            if self._lead.proof_ends_in() > _PROVE_EVERY_S:
+            if self._lead.unproven_for() < _PROVE_EVERY_S or self._paused:
                 continue
             try:
-                await self._writer.prove()
+                record = encode_keyed(self._sign_of_life())
+                # Told of first, the record does not pass for a sign of life of
+                # the moment when it happens to be read.
+                self._lead.speak()
+                await self._writer.prove([record])
             except LogFencedError:
                 self._lose("fenced")
 
+    def _sign_of_life(self) -> KeyedRecord:
+        """Return the record that tells who leads, and that it lives."""
+        name, incarnation = self._lead.settings.name, self._instance.incarnation
+        mine = LeadRecord(name, incarnation, self.fence, self._version())
+        return KeyedRecord(LEAD_KEY, encode_record(mine))
+
     async def _control(self) -> None:
         while not self.lost:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._wake.wait(), _IDLE_S)
             await asyncio.sleep(_GATHER_S)
             self._wake.clear()
+            if self._paused:
+                continue
             self.book.tick(boot_time(), unix_time())
             self._lapse_orphans()
             if self.may_act():
@@ -401,7 +439,7 @@
     def _old_leases_lapse_at(self) -> float:
         """Return when every lease has lapsed that a lead before this one gave."""
         longest_s = self._bounds.lease_s * _OLD_LEASE_FACTOR
-        return self._begun_at + RENEW_BLIND_S + longest_s
+        return self._begun_at + PROOF_S + RENEW_BLIND_S + longest_s
 
     def _place(self) -> None:
         now = boot_time()
@@ -486,10 +524,15 @@
             "job.ended", job=job_id, status=status.name.lower(), took_s=round(took_s, 3)
         )
 
+    @property
+    def newest_version(self) -> int:
+        """The version of the newest record that was written in this term."""
+        return state_version(self.fence, self._versions)
+
     def _version(self) -> int:
         """Return the next version of a state, above that of every lead before."""
         self._versions += 1
-        return self.fence * _VERSIONS_A_TERM + self._versions
+        return self.newest_version
 
     async def _append(self, records: Iterable[KeyedRecord]) -> None:
         """Append records under this term's epoch, until an answer comes.
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -11,6 +11,7 @@
 from multidict import CIMultiDict
 
 from firhook._instance import Instance, InstanceService, load_services
+from firhook._peer_messages import RecordsPush
 from firhook.cell import JobStatus, PeerRecord, Resources
 from firhook.cell.records import PEER_PREFIX, encode_record
 from firhook.clock import boot_time, set_clocks
@@ -41,6 +42,8 @@
 HOST = "jobs.example"
 KEY = "key-of-a"
 NET_S = 0.001
+#: How long callers take to leave an instance that is told to stop.
+LEAVE_S = 2.6
 
 
 def run_virtual(work: Coroutine[Any, Any, Any]) -> Any:
@@ -131,7 +134,7 @@
             return
         handler = peer.instance.services["mesh"].handlers.get(type(event.body))
         if handler is not None:
-            self.cell.told += 1
+            self.cell.told += isinstance(event.body, RecordsPush)
             late_s = self.cell.jitter_s * self.cell.rng.random()
             self.add_future(self._deliver(handler, event.body, NET_S + late_s))
 
@@ -185,6 +188,10 @@
     async def _listen(self, handler: Any, address: Address) -> None:
         """Listen nowhere."""
 
+    async def drain(self) -> None:
+        """Wait as long as callers take to leave."""
+        await pause(LEAVE_S)
+
 
 class _Content:
     def __init__(self, body: bytes) -> None:
@@ -284,7 +291,7 @@
     :param strengths: processors of instances, in cores; 1 where nothing is said.
     :ivar drops: the share of one-way messages between instances that are lost.
     :ivar jitter_s: how much later than others such a message may arrive.
-    :ivar told: such messages that arrived.
+    :ivar told: such messages with records that arrived.
     """
 
     def __init__(
@@ -417,6 +424,14 @@
             await term.end()
         await found.instance.stop()
 
+    async def stop(self, name: str) -> None:
+        """Tell an instance to stop, and wait until it has."""
+        found = self.instances[name]
+        await found.instance.drain()
+        found.alive = False
+        found.gate.open.clear()
+        await found.instance.stop()
+
     async def restart(self, name: str) -> None:
         """Start a killed instance again."""
         await self.add_instance(name)
--- a/standins/soak/_faults.py
+++ b/standins/soak/_faults.py
@@ -191,7 +191,10 @@
         self.fleet.model.store.lost_share = self.fleet.model.store.late_share = 0.0
 
     async def _deal_anew(self, member: Member, lasts_s: float) -> None:
-        self.fleet.model.store.deal_anew()
+        """Do nothing: no instance holds partitions of a group.
+
+        The name stays, so that kept seeds play the scenes that they played.
+        """
 
     async def _forget(self, member: Member, lasts_s: float) -> None:
         self.fleet.model.store.forget_history()
