An instance that the store turns away knows it at once, and asks the lead

The instance then appends through the lead, learns the configuration from it with its age, is not ready, or refuses at once and says that nothing ran. The lead's appends are repeated after half a second.

--- a/src/firhook/_mesh.py
+++ b/src/firhook/_mesh.py
@@ -16,6 +16,8 @@
 import zmq.asyncio
 from zmq.auth.asyncio import AsyncioAuthenticator
 
+from firhook._codec import decode_message, encode_message
+from firhook._peer_messages import PeerError
 from firhook._settings import Address
 from firhook.errors import (
     FirhookError,
@@ -24,7 +26,6 @@
     PeerUnreachableError,
 )
 from firhook.logs import log
-from firhook.model import PeerError, decode_message, encode_message
 
 #: Larger frames are refused by libzmq, so that no peer can fill the memory.
 MAX_FRAME_BYTES = 4 << 20
@@ -33,6 +34,13 @@
 #: Messages that are being answered at once.  A peer that sends without end is
 #: refused beyond them, or the answers in progress would fill the memory.
 MAX_SERVING = 1000
+#: A connection on which nothing came for so long is made anew.  One that went silent
+#: without a reset, as after a cut, would otherwise be waited on for many seconds.
+_HEARTBEAT_MS = 700
+_SILENT_MS = 1500
+#: A peer without power does not refuse a connection; it is tried again soon, as it
+#: may be back within a second.
+_CONNECT_MS = 500
 ONE_WAY = b""
 _TAG_BYTES = 8
 #: Shorter frames gain nothing by compression.
@@ -157,6 +165,9 @@
 
     def _configure(self, sock: zmq.asyncio.Socket) -> None:
         sock.linger = 0
+        sock.heartbeat_ivl = _HEARTBEAT_MS
+        sock.heartbeat_timeout = _SILENT_MS
+        sock.handshake_ivl = _SILENT_MS
         sock.maxmsgsize = MAX_FRAME_BYTES
         sock.sndhwm = QUEUED_MESSAGES
         sock.curve_publickey = self._public
@@ -170,7 +181,8 @@
         self._configure(dealer)
         dealer.curve_serverkey = self._public
         dealer.reconnect_ivl = 100
-        dealer.reconnect_ivl_max = 2000
+        dealer.reconnect_ivl_max = 400
+        dealer.connect_timeout = _CONNECT_MS
         dealer.connect(f"tcp://{address}")
         self._dealers[address] = dealer
         self._readers[address] = asyncio.create_task(self._read_answers(dealer))
--- a/src/firhook/_messages.py
+++ b/src/firhook/_messages.py
@@ -64,15 +64,6 @@
     """An empty answer."""
 
 
-@message
-@attrs.frozen(slots=True)
-class PeerError:
-    """A refusal, with the code of the error."""
-
-    code: str
-    detail: str
-
-
 @attrs.frozen(slots=True)
 class TeamRoom:
     """Room of one team at one instance.
--- a/src/firhook/_peer_messages.py
+++ b/src/firhook/_peer_messages.py
@@ -5,6 +5,15 @@
 from firhook._codec import message
 
 
+@message
+@attrs.frozen(slots=True)
+class PeerError:
+    """A refusal, with the code of the error."""
+
+    code: str
+    detail: str
+
+
 @attrs.frozen(slots=True)
 class WorkerTicket:
     """The adviser's permission for one worker."""
@@ -96,3 +105,44 @@
     """Tell the lead that a much stronger instance is ready to lead."""
 
     name: str
+
+
+@message
+@attrs.frozen(slots=True)
+class AppendAsk:
+    """Ask an instance to append a record, for one that the store turns away."""
+
+    record: PushedRecord
+
+
+@message
+@attrs.frozen(slots=True)
+class AppendReply:
+    """Where the record lies now; not ``taken`` if it certainly was not appended."""
+
+    taken: bool
+    offset: int = 0
+
+
+@message
+@attrs.frozen(slots=True)
+class ConfigAsk:
+    """Ask an instance for the configuration as it last read it.
+
+    :param version: the version that the asking instance has.
+    """
+
+    version: int
+
+
+@message
+@attrs.frozen(slots=True)
+class ConfigReply:
+    """The configuration as an instance last read it.
+
+    :param age_s: how long ago that reading was sent.
+    :param raw: as operators wrote it; empty if the version is not newer.
+    """
+
+    age_s: float
+    raw: bytes = b""
--- a/src/firhook/decide/_election.py
+++ b/src/firhook/decide/_election.py
@@ -13,6 +13,8 @@
 #: A lead is silent if it was heard neither from itself nor through the store for
 #: so long.  It speaks every 0.1 s, so that three lost messages are borne.
 SILENT_S = 0.4
+#: After so long without a message of the lead it is not asked for anything.
+QUIET_S = 0.25
 #: Each in the line waits so much longer than the one before it, which is enough
 #: for that one to claim the lead (two calls to the store) and to be heard.
 RANK_S = 0.15
@@ -115,8 +117,10 @@
         self.epoch = 0
         self.lead = ""
         self._heard_at = -math.inf
+        self._told_at = -math.inf
         self._newest = 0
         self._ready_since: float | None = None
+        self._listens_since: float | None = None
         self._rests_until = -math.inf
 
     def hear(self, epoch: int, name: str, newest: int, now: float) -> None:
@@ -130,6 +134,7 @@
             return
         self.epoch, self.lead = epoch, name
         self._newest = max(self._newest, newest)
+        self._told_at = max(self._told_at, now)
         self._heard_at = max(self._heard_at, now)
 
     def read(self, epoch: int, version: int, now: float) -> None:
@@ -148,12 +153,20 @@
         if epoch > self.epoch:
             self.epoch, self.lead = epoch, name
 
+    def note_listening(self, now: float) -> None:
+        """Take note that all was read that leads had written until now."""
+        if self._listens_since is None:
+            self._listens_since = now
+
     def note_ready(self, ready: bool, now: float) -> None:
         """Take note of whether this instance could lead."""
         if not ready:
+            if self._ready_since is not None:
+                self._listens_since = None
             self._ready_since = None
         elif self._ready_since is None:
             self._ready_since = now
+            self.note_listening(now)
 
     def ready_for(self, now: float) -> float:
         """Return for how long this instance could have led, in seconds."""
@@ -167,16 +180,25 @@
         """Return whether the lead was not heard for too long."""
         return now - self._heard_at >= SILENT_S
 
+    def quiet(self, now: float) -> bool:
+        """Return whether no message of the lead came lately.
+
+        It is then not asked for anything: it may be gone, or behind a cut.
+        """
+        return now - self._told_at >= QUIET_S
+
     def stands(self, candidates: Sequence[Candidate], now: float) -> bool:
         """Return whether this instance stands now.
 
         :param candidates: the instances that are registered, this one included.
         """
-        if self._ready_since is None or now < self._rests_until:
+        if self._ready_since is None or self._listens_since is None:
+            return False
+        if now < self._rests_until:
             return False
         delay = standing_delay(self._name, candidates, self.lead)
         if delay is None or not self.silent(now):
             return False
-        listen_s = LISTEN_S if self.epoch else FIRST_S
-        since = max(self._heard_at + SILENT_S, self._ready_since + listen_s)
+        listened = self._listens_since + (LISTEN_S if self.epoch else FIRST_S)
+        since = max(self._heard_at + SILENT_S, self._ready_since, listened)
         return now >= since + delay
--- /dev/null
+++ b/src/firhook/decide/_reach.py
@@ -0,0 +1,90 @@
+"""Whether the store can be reached from one instance."""
+
+from collections.abc import Iterable
+
+import attrs
+
+#: A call counts as unanswered after so long at least.  The store answers within
+#: 10 ms, and within 240 ms on its slowest days.
+LEAST_LIMIT_S = 0.25
+#: And after so many times what its answers took lately.
+_LIMIT_FACTOR = 4.0
+#: A call is doubtful after this part of the time.
+_DOUBT_PART = 0.3
+#: The weight of the newest answer in what answers took lately.
+_WEIGHT = 0.2
+
+
+@attrs.define(slots=True, eq=False)
+class _Calls:
+    """The calls to one partition: those under way, and how the last one ended."""
+
+    failed: bool = False
+    under_way: dict[int, float] = attrs.field(factory=dict)
+
+
+class StoreReach:
+    """What an instance's own calls tell of its way to the store.
+
+    Load: the store turns one instance away, or its zone is cut off, while the
+    others are served.  Harm: known only from a time-out of a second or more, each
+    caller of that instance waits as long for a refusal, and the platform sends it
+    more of them for three seconds; half of the quotes of those windows were late.
+
+    The way is lost when no partition is served: each has refused its last call,
+    or leaves one unanswered for several times as long as usual.  A store that is
+    slow for all stays within that, and one that lost some partitions serves the
+    others.
+
+    :param partitions: the numbers of all partitions.
+    """
+
+    def __init__(self, partitions: Iterable[int]) -> None:
+        self._calls = {number: _Calls() for number in partitions}
+        self._usual_s = 0.0
+        self._count = 0
+
+    def sent(self, partition: int, now: float) -> int:
+        """Take note of a call; return its number."""
+        self._count += 1
+        self._calls[partition].under_way[self._count] = now
+        return self._count
+
+    def answered(self, partition: int, call: int, now: float) -> None:
+        """Take note that a call was answered."""
+        calls = self._calls[partition]
+        sent_at = calls.under_way.pop(call, now)
+        # Whatever was sent before it was lost, not refused.
+        calls.failed = False
+        self._usual_s += _WEIGHT * (now - sent_at - self._usual_s)
+
+    def failed(self, partition: int, call: int) -> None:
+        """Take note that a call was refused, or got no answer."""
+        calls = self._calls[partition]
+        calls.under_way.pop(call, None)
+        calls.failed = True
+
+    def limit_s(self) -> float:
+        """Return after how long a call counts as unanswered."""
+        return max(LEAST_LIMIT_S, _LIMIT_FACTOR * self._usual_s)
+
+    def doubtful(self, now: float) -> bool:
+        """Return whether some partition may not serve this instance.
+
+        The others should be asked then: were each to wait for its own turn, the
+        way would be known to be lost only after all of them had one.
+        """
+        limit_s = self.limit_s() * _DOUBT_PART
+        return any(_bad(calls, now, limit_s) for calls in self._calls.values())
+
+    def lost(self, now: float) -> bool:
+        """Return whether no partition serves this instance."""
+        limit_s = self.limit_s()
+        return all(_bad(calls, now, limit_s) for calls in self._calls.values())
+
+
+def _bad(calls: _Calls, now: float, limit_s: float) -> bool:
+    if calls.failed:
+        return True
+    oldest = min(calls.under_way.values(), default=now)
+    return now - oldest > limit_s
--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -76,6 +76,13 @@
     partition: int
 
 
+@attrs.frozen(slots=True)
+class PartitionRebuilt:
+    """All newest records of a partition of the cell's topic were read."""
+
+    partition: int
+
+
 @attrs.frozen(slots=True)
 class LeadSeen:
     """A record that a lead wrote was read from the store, or came from a peer.
@@ -123,3 +130,13 @@
 @attrs.frozen(slots=True)
 class Following(Query[bool]):
     """Whether the replica is whole and was read to the end lately."""
+
+
+@attrs.frozen(slots=True)
+class HeardLead(Query[str]):
+    """The name of another instance that leads and was heard just now, or empty."""
+
+
+@attrs.frozen(slots=True)
+class StoreReached(Query[bool]):
+    """Whether some partition of the cell's topic serves this instance."""
--- a/src/firhook/services/_fenced_writer.py
+++ b/src/firhook/services/_fenced_writer.py
@@ -6,6 +6,7 @@
 import attrs
 
 from firhook.clock import boot_time
+from firhook.decide.reach import StoreReach
 from firhook.errors import LogOutcomeUnknownError, LogUnavailableError
 from firhook.logs import log
 from firhook.platform.store import CELL_TOPIC, Producer, Store
@@ -15,6 +16,9 @@
 _PRODUCER = "lead"
 #: Between tries when the store does not take an append.
 _RETRY_S = 0.05
+#: An append is repeated elsewhere after so many times what makes one doubtful: half
+#: a second at a calm store.  A repeat under the same number does nothing twice.
+_PATIENCE = 2.0
 #: A partition that failed is tried again after this; the other one serves
 #: meanwhile.
 _AVOID_S = 1.0
@@ -54,6 +58,7 @@
         self._epoch = epoch
         self._proven = proven
         self._partitions = [_Partition(number) for number in LEAD_PARTITIONS]
+        self._reach = StoreReach(LEAD_PARTITIONS)
         # One call at a time: two appends under one sequence number would pass
         # for one and its repeat, and the second be lost.
         self._busy = asyncio.Lock()
@@ -83,8 +88,9 @@
             return None
         async with self._busy:
             now = boot_time()
-            clean = [p for p in self._partitions if not p.unanswered]
-            for part in sorted(clean, key=lambda p: p.avoid_until > now):
+            for part in sorted(self._partitions, key=lambda p: p.avoid_until > now):
+                if part.unanswered and not await self._settle(part):
+                    continue
                 offset = await self._try(part, contents)
                 if offset is not None:
                     return part.number, offset
@@ -123,8 +129,15 @@
         """Append once; return the offset, or ``None`` if it failed."""
         producer = Producer(_PRODUCER, self._epoch, part.sequence)
         sent_at = boot_time()
+        call = self._reach.sent(part.number, sent_at)
         try:
-            done = await self._store.append(CELL_TOPIC, part.number, contents, producer)
+            done = await self._store.append(
+                CELL_TOPIC,
+                part.number,
+                contents,
+                producer,
+                timeout_s=_PATIENCE * self._reach.limit_s(),
+            )
         except LogUnavailableError as exc:
             self._avoid(part, exc)
             return None
@@ -133,6 +146,7 @@
                 part.unanswered = contents
             self._avoid(part, exc)
             return None
+        self._reach.answered(part.number, call, boot_time())
         self._proven(sent_at)
         if contents:
             part.sequence += 1
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -4,14 +4,22 @@
 
 import attrs
 
-from firhook._peer_messages import PushedBatch, PushedRecord, RecordsPush
+from firhook._peer_messages import (
+    AppendAsk,
+    AppendReply,
+    PushedBatch,
+    PushedRecord,
+    RecordsPush,
+)
 from firhook.cell.records import LEAD_KEY, STATE_PREFIX, epoch_of
 from firhook.clock import boot_time
+from firhook.decide.reach import StoreReach
 from firhook.errors import (
     FirhookError,
     LogOutcomeUnknownError,
     LogTrimmedError,
     LogUnavailableError,
+    PeerUnreachableError,
     RecordMalformedError,
 )
 from firhook.instance import InstanceService, register_service
@@ -21,14 +29,18 @@
 from firhook.services._events import (
     CALLERS_PARTITIONS,
     LEAD_PARTITIONS,
+    AskInstance,
     CatchUp,
     Following,
+    HeardLead,
     JobChanged,
     LeadSeen,
+    PartitionRebuilt,
     ReadToEnd,
     Record,
     RecordsAppended,
     ServeInstance,
+    StoreReached,
     TellInstance,
     TellInstances,
 )
@@ -51,17 +63,20 @@
 #: The replica counts as followed if a read was answered so lately: some reads,
 #: and one that was lost.
 _FOLLOWED_S = 3.0
-#: The store counts as away if nothing was answered for so long, and a read has
-#: failed: an idle read is answered every half second.
-_SILENT_S = 1.2
 #: So often a partition is read anew for one question if its records expire
 #: meanwhile; the platform keeps them for many seconds, and once is the rule.
 _REBUILDS = 3
 #: A partition that failed is tried again after this; the other one serves
 #: meanwhile.
 _AVOID_S = 1.0
-#: When callers should come back to a store that is away.
+#: When callers should come back to a store that is away for all, and to one that
+#: may be away from this instance alone: another one serves them then.
 _AWAY_RETRY_S = 2.0
+_ELSEWHERE_RETRY_S = 1.0
+#: How often the way to the store is looked at.
+_REACH_EVERY_S = 0.05
+#: How long the lead may take to append for an instance that cannot.
+_RELAY_S = 0.4
 #: The longest that one append is waited for before it is repeated; the record
 #: is the whole value of its key, so that a repeat changes nothing.  A store that
 #: answers 60 times slower than its 5 ms is waited for: repeats would only make
@@ -75,6 +90,7 @@
     :ivar next_offset: all records before it were applied.
     :ivar whole: whether the newest record of each key is known.
     :ivar reachable: whether the last read was answered.
+    :ivar asked: whether it is to be read at once.
     """
 
     def __init__(self, number: int, every_s: float) -> None:
@@ -85,8 +101,15 @@
         self.whole = False
         self.answered_at = float("-inf")
         self.gap = asyncio.Event()
+        self.asked = False
+        self.rebuilding = asyncio.Lock()
         self._ahead: dict[int, int] = {}
 
+    def ask(self) -> None:
+        """Have it read now."""
+        self.asked = True
+        self.gap.set()
+
     @property
     def has_gap(self) -> bool:
         """Whether records were applied beyond one that was not."""
@@ -115,7 +138,7 @@
 class _Pending:
     """A record that waits to be appended.
 
-    :ivar tried: whether an append of it got no answer.
+    :ivar tried: whether an append of it is under way, or got no answer.
     """
 
     record: KeyedRecord
@@ -149,6 +172,8 @@
         }
         self._catching_up: dict[int, asyncio.Task[None]] = {}
         self._failed_at: dict[int, float] = {}
+        self._reach = StoreReach(self._readers)
+        self._reachable = True
         self._pending: list[_Pending] = []
         self._has_pending = asyncio.Event()
         self._outbox: list[PushedBatch] = []
@@ -156,16 +181,44 @@
         self.bus.answer(CatchUp, self._catch_up)
         self.bus.answer(ReadToEnd, self._read_to_end)
         self.bus.answer(Record, self._record)
+        self.bus.answer(StoreReached, self._store_reached)
         self.bus.answer(Following, self._following)
         self.bus.subscribe(RecordsAppended, self._on_appended)
 
     async def on_started(self) -> None:
         """Begin to follow."""
         self.bus.publish(ServeInstance(RecordsPush, self._on_push))
+        self.bus.publish(ServeInstance(AppendAsk, self._serve_append))
         for reader in self._readers.values():
             self.add_future(self._follow(reader))
         self.add_future(self._append_pending())
         self.add_future(self._push_on())
+        self.add_future(self._watch_reach())
+
+    # The way to the store.
+
+    async def _watch_reach(self) -> None:
+        """Ask all partitions as soon as one of them, or the lead, is not heard.
+
+        Left alone, they would tell only seconds later whether they serve this
+        instance.  With its zone cut off, the lead's silence is the first sign.
+        """
+        while not self.should_stop:
+            await asyncio.sleep(_REACH_EVERY_S)
+            now = boot_time()
+            quiet = not self._leads() and not await self.bus.ask(HeardLead())
+            if quiet or self._reach.doubtful(now):
+                for reader in self._readers.values():
+                    if now - reader.answered_at > self._reach.limit_s():
+                        reader.ask()
+            reachable = not self._reach.lost(now)
+            if reachable != self._reachable:
+                self._reachable = reachable
+                log(
+                    "store.reached" if reachable else "store.out_of_reach",
+                    level="info" if reachable else "warning",
+                    limit_s=round(self._reach.limit_s(), 3),
+                )
 
     # Reading.
 
@@ -234,9 +287,14 @@
         reader = self._readers.get(partition)
         return reader is not None and reader.pushed(offset, len(records))
 
+    async def _store_reached(self, query: StoreReached) -> bool:
+        return self._reachable
+
     async def _following(self, query: Following) -> bool:
         readers = self._readers.values()
         last = max(reader.answered_at for reader in readers)
+        if not self._reachable:
+            return False
         return all(r.whole for r in readers) and boot_time() - last < _FOLLOWED_S
 
     async def _follow(self, reader: _Reader) -> None:
@@ -266,12 +324,15 @@
         """
         until = boot_time() + reader.every_s
         while until - boot_time() > _GAP_S:
-            if not reader.has_gap:
+            if not reader.has_gap and not reader.asked:
                 reader.gap.clear()
             try:
                 await asyncio.wait_for(reader.gap.wait(), until - boot_time())
             except TimeoutError:
                 return
+            if reader.asked:
+                reader.asked = False
+                return
             missing = reader.next_offset
             await asyncio.sleep(_GAP_S)
             if reader.has_gap and reader.next_offset == missing:
@@ -292,12 +353,22 @@
         )
 
     async def _rebuild(self, reader: _Reader) -> None:
-        """Read the newest record of each key."""
+        """Read the newest record of each key, unless that was done meanwhile.
+
+        At a start several ask for it at once, and each page takes half a core
+        50 ms, before which nobody is served.
+        """
+        async with reader.rebuilding:
+            if not reader.whole:
+                await self._rebuild_now(reader)
+
+    async def _rebuild_now(self, reader: _Reader) -> None:
         newest = await self.store.newest(CELL_TOPIC, reader.number)
         for record in newest.records:
             self._apply(reader.number, record.offset, record.key, record.value, False)
         reader.advance(newest.end)
         reader.whole = True
+        self.bus.publish(PartitionRebuilt(reader.number))
         log(
             "replica.rebuilt",
             partition=reader.number,
@@ -308,7 +379,22 @@
     async def _read(self, reader: _Reader) -> int:
         """Read on once, and return how many records are left to read."""
         sent_at = boot_time()
-        part = await self.store.read(CELL_TOPIC, reader.number, reader.next_offset)
+        call = self._reach.sent(reader.number, sent_at)
+        reading = self.store.read(CELL_TOPIC, reader.number, reader.next_offset)
+        # A call that hangs would hide for a second that the store is back.
+        timeout_s = None if self._reachable else 2 * self._reach.limit_s()
+        try:
+            part = await asyncio.wait_for(reading, timeout_s)
+        except TimeoutError as exc:
+            self._reach.failed(reader.number, call)
+            raise LogUnavailableError("no answer to a read") from exc
+        except LogTrimmedError:
+            self._reach.answered(reader.number, call, boot_time())
+            raise
+        except BaseException:
+            self._reach.failed(reader.number, call)
+            raise
+        self._reach.answered(reader.number, call, boot_time())
         for record in part.records:
             self._apply(reader.number, record.offset, record.key, record.value)
         reader.advance(part.next_offset)
@@ -396,28 +482,84 @@
 
     # Appending.
 
-    def _silent(self) -> bool:
-        """Return whether the store has answered nothing for a while.
+    async def _record(self, query: Record) -> int:
+        """Append a record, repeating it until an answer comes or time is up.
 
-        Load: the store is away without a word.  Harm: an append that gets no
-        answer leaves the caller with neither a yes nor a no, and most callers
-        do not dare to submit again after that.  Not sent at all, it can be
-        refused truly and at once, with the time to come back.
+        Load: the store is away without a word, from all or from this instance.
+        Harm: an append that gets no answer leaves the caller with neither a yes
+        nor a no, and most callers do not dare to submit again after that.  Not
+        sent at all, it can be refused truly and at once, with the time to come
+        back; the lead, which reaches the store, may append it even so.
         """
-        readers = self._readers.values()
-        last = max(reader.answered_at for reader in readers)
-        lost = any(not reader.reachable for reader in readers)
-        return lost and boot_time() - last > _SILENT_S
-
-    async def _record(self, query: Record) -> int:
-        """Append a record, repeating it until an answer comes or time is up."""
-        if self._silent():
-            raise LogUnavailableError("the store is away", retry_after_s=_AWAY_RETRY_S)
+        if not self._reachable:
+            offset = await self._relay(query.record)
+            if offset is not None:
+                return offset
+            raise LogUnavailableError(
+                "the store is out of reach", retry_after_s=_ELSEWHERE_RETRY_S
+            )
         done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-        self._pending.append(_Pending(query.record, query.until, done))
+        pending = _Pending(query.record, query.until, done)
+        self._pending.append(pending)
         self._has_pending.set()
+        while not done.done():
+            await asyncio.wait({done}, timeout=_REACH_EVERY_S)
+            if not done.done() and not self._reachable:
+                await self._settle_elsewhere(pending)
+                break
         return await done
 
+    async def _settle_elsewhere(self, pending: _Pending) -> None:
+        """End the wait for a store that is out of reach."""
+        try:
+            offset = await self._relay(pending.record)
+        except LogOutcomeUnknownError:
+            pending.tried, offset = True, None
+        if pending.done.done():
+            return
+        if offset is not None:
+            pending.done.set_result(offset)
+            return
+        pending.expire(
+            LogUnavailableError(
+                "the store is out of reach", retry_after_s=_ELSEWHERE_RETRY_S
+            )
+        )
+
+    async def _relay(self, record: KeyedRecord) -> int | None:
+        """Have the lead append a record; return its offset, or ``None`` if not.
+
+        :raises LogOutcomeUnknownError: if the lead did not say.
+        """
+        lead = await self.bus.ask(HeardLead())
+        if not lead:
+            return None
+        pushed = PushedRecord(record.key, record.value)
+        try:
+            reply = await self.bus.ask(AskInstance(lead, AppendAsk(pushed), _RELAY_S))
+        except PeerUnreachableError as exc:
+            if exc.ran == "no":
+                return None
+            raise LogOutcomeUnknownError(
+                f"through {lead}: {exc.detail}", retry_after_s=_ELSEWHERE_RETRY_S
+            ) from exc
+        if not isinstance(reply, AppendReply) or not reply.taken:
+            return None
+        self.meters.count("relayed", lead)
+        return reply.offset
+
+    async def _serve_append(self, msg: AppendAsk) -> AppendReply:
+        """Append for an instance that the store turns away."""
+        if not self._reachable:
+            return AppendReply(False)
+        record = KeyedRecord(msg.record.key, msg.record.value)
+        try:
+            offset = await self._record(Record(record, boot_time() + _RELAY_S))
+        except LogUnavailableError as exc:
+            log("relay.refused", level="warning", key=record.key, error=exc.detail)
+            return AppendReply(False)
+        return AppendReply(True, offset)
+
     async def _append_pending(self) -> None:
         """Append what waits, in one call at a time.
 
@@ -447,11 +589,18 @@
 
     async def _append_batch(self, batch: list[_Pending]) -> list[_Pending]:
         """Append records; return those that are to be tried again."""
+        batch = [row for row in batch if not row.done.done()]
+        if not batch:
+            return []
         most = self.settings.store_limits.append_bytes // 2
         count = len(split_records([row.record for row in batch], most)[0])
         batch, rest = batch[:count], batch[count:]
         left_s = max(row.until for row in batch) - boot_time()
         partition = self._callers_partition()
+        untried = [row for row in batch if not row.tried]
+        for row in batch:
+            row.tried = True
+        call = self._reach.sent(partition, boot_time())
         try:
             done = await self.store.append(
                 CELL_TOPIC,
@@ -461,15 +610,18 @@
             )
         except LogOutcomeUnknownError as exc:
             self._failed_at[partition] = boot_time()
-            for row in batch:
-                row.tried = True
+            self._reach.failed(partition, call)
             return _unexpired(batch, exc) + rest
         except FirhookError as exc:
             self._failed_at[partition] = boot_time()
+            self._reach.failed(partition, call)
+            for row in untried:
+                row.tried = False
             batch = _unexpired(batch, exc)
             if batch:
                 await asyncio.sleep(_RETRY_S)
             return batch + rest
+        self._reach.answered(partition, call, boot_time())
         records = tuple(row.record for row in batch)
         self.bus.publish(RecordsAppended(partition, done.offset, records))
         for i, row in enumerate(batch):
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -30,10 +30,13 @@
     AskInstance,
     ConfigApplied,
     Following,
+    HeardLead,
     JobChanged,
     LeadSeen,
+    PartitionRebuilt,
     ReadToEnd,
     ServeInstance,
+    StoreReached,
     TellInstance,
     TellInstances,
 )
@@ -60,11 +63,9 @@
 _UNPROVEN_S = 0.4
 #: Between offers while nobody takes the lead.
 _OFFER_EVERY_S = 0.5
-#: Instances that are offered the lead at most, and how long each may take to say
-#: whether it can reach the store.
+#: Instances that are offered the lead at most, and how long each may take to answer.
 _OFFERS = 4
 _OFFER_S = 0.2
-_REACH_S = 0.12
 #: A lead whose offer was taken writes nothing for so long.
 _HANDOVER_S = 0.5
 #: The lead moves to a stronger instance only after it led, and the stronger one
@@ -95,7 +96,9 @@
         self.bus.subscribe(JobChanged, self._on_job)
         self.bus.subscribe(ConfigApplied, self._on_config)
         self.bus.subscribe(LeadSeen, self._on_seen)
+        self.bus.subscribe(PartitionRebuilt, self._on_rebuilt)
         self.bus.subscribe(StopBegun, self._on_stop_begun)
+        self.bus.answer(HeardLead, self._heard_lead)
 
     async def on_started(self) -> None:
         """Begin to listen for the lead."""
@@ -148,6 +151,10 @@
         self._election.read(event.epoch, event.version, boot_time())
         self._yield_to(event.epoch)
 
+    def _on_rebuilt(self, event: PartitionRebuilt) -> None:
+        if event.partition == LEAD_PARTITIONS[0]:
+            self._election.note_listening(boot_time())
+
     async def _on_alive(self, msg: LeadAlive) -> None:
         self._election.hear(msg.epoch, msg.name, msg.newest, boot_time())
         self._yield_to(msg.epoch)
@@ -158,6 +165,12 @@
             self.term.give_up("replaced", by_epoch=epoch)
             self._woken.set()
 
+    async def _heard_lead(self, query: HeardLead) -> str:
+        name = self._election.lead
+        if name == self.settings.name or self._election.quiet(boot_time()):
+            return ""
+        return name
+
     def _candidates(self) -> list[Candidate]:
         return [
             Candidate(peer.name, peer.zone, peer.strength)
@@ -255,15 +268,17 @@
         return epoch
 
     async def _on_offer(self, msg: LeadOffer) -> LeadOfferReply:
-        """Take the cell over, if this instance can reach the store at once."""
-        if self.term is not None or not await self._ready():
+        """Take the cell over, if the store serves this instance.
+
+        An offer may have waited behind a cut while another instance took the lead;
+        taken up then, it would move the lead for nothing.
+        """
+        if msg.epoch < self._election.epoch or self.term is not None:
             return LeadOfferReply(False)
-        try:
-            await asyncio.wait_for(
-                self.bus.ask(ReadToEnd(LEAD_PARTITIONS[0])), _REACH_S
-            )
-        except (FirhookError, TimeoutError) as exc:
-            log("lead.offer_refused", epoch=msg.epoch, error=repr(exc))
+        if not await self._ready():
+            return LeadOfferReply(False)
+        if not await self.bus.ask(StoreReached()):
+            log("lead.offer_refused", epoch=msg.epoch, reason="store_out_of_reach")
             return LeadOfferReply(False)
         self._offered = True
         self._woken.set()
@@ -280,7 +295,9 @@
                 self._election.rest(now + _FAILED_REST_S)
                 term.give_up("takeover_slow", doing=term.doing)
             return
-        if self.unproven_for() > _UNPROVEN_S:
+        if self.instance.stopping:
+            self._offer("stopping", now)
+        elif self.unproven_for() > _UNPROVEN_S:
             self._offer("unproven", now)
         elif self._stronger_waits and now - self._began_at > _SETTLED_S:
             self._stronger_waits = False
@@ -307,6 +324,9 @@
 
     async def _offer_around(self, reason: str) -> bool:
         """Offer the lead to the next in line; return whether one takes it."""
+        if reason == "unproven" and await self.bus.ask(StoreReached()):
+            # The store answers here; another lead would fare no better.
+            return False
         line = line_of_succession(self._candidates(), self.settings.name)
         names = [c.name for c, _ in line if c.name != self.settings.name]
         for name in names[:_OFFERS]:
@@ -343,7 +363,7 @@
 
     def _on_stop_begun(self, event: StopBegun) -> None:
         if self.term is not None:
-            self.add_future(self._offer_around("stopping"))
+            self._offer("stopping", boot_time())
 
     async def _end_term(self, reason: str) -> None:
         term, self.term = self.term, None
@@ -353,6 +373,6 @@
             await term.end()
 
     async def drain(self) -> None:
-        """Give no more orders; a successor was asked when the stop began."""
+        """Give no more orders; successors were asked since the stop began."""
         self._left = True
         await self._end_term("stopping")
--- a/src/firhook/services/_operator.py
+++ b/src/firhook/services/_operator.py
@@ -2,13 +2,19 @@
 
 import asyncio
 
+from firhook._peer_messages import ConfigAsk, ConfigReply
 from firhook.clock import boot_time
-from firhook.errors import FirhookError
+from firhook.errors import FirhookError, PeerUnreachableError
 from firhook.instance import InstanceService, register_service
 from firhook.logs import log
 from firhook.platform.bodies import CONFIG_KEY, FieldError, decode_config
 from firhook.platform.store import OPERATOR_TOPIC
-from firhook.services._events import ConfigApplied
+from firhook.services._events import (
+    AskInstance,
+    ConfigApplied,
+    HeardLead,
+    ServeInstance,
+)
 from firhook.services._topic import TopicReader
 
 #: How long the store may wait with its answer for a change.  A reading counts
@@ -16,6 +22,11 @@
 _WAIT_S = 1.0
 #: Between tries when the store does not answer.
 _RETRY_S = 0.15
+#: A configuration that was read so long ago is asked for at the lead: it is read
+#: about once a second.
+_ASK_AFTER_S = 1.5
+_ASK_EVERY_S = 0.5
+_ASK_TIMEOUT_S = 0.3
 
 
 @register_service("operator")
@@ -25,10 +36,55 @@
     def wire(self) -> None:
         """Begin with nothing read."""
         self._topic = TopicReader(self.store, OPERATOR_TOPIC, _WAIT_S)
+        self._raw = b""
 
     async def on_started(self) -> None:
         """Begin to follow."""
+        self.bus.publish(ServeInstance(ConfigAsk, self._serve))
         self.add_future(self._follow())
+        self.add_future(self._ask_when_old())
+
+    async def _serve(self, msg: ConfigAsk) -> ConfigReply | None:
+        view = self.instance.config
+        if view.config is None:
+            return None
+        newer = view.config.version > msg.version
+        age_s = boot_time() - view.read_at
+        return ConfigReply(age_s, self._raw if newer else b"")
+
+    async def _ask_when_old(self) -> None:
+        """Read the configuration through the lead while the store answers nothing.
+
+        Load: the store turns this instance away and serves the others.  Harm:
+        after some seconds keys may have been withdrawn unseen, so that every
+        caller would be refused for as long as that lasts.
+        """
+        while not self.should_stop:
+            await asyncio.sleep(_ASK_EVERY_S)
+            if boot_time() - self.instance.config.read_at < _ASK_AFTER_S:
+                continue
+            lead = await self.bus.ask(HeardLead())
+            if lead:
+                await self._ask(lead)
+
+    async def _ask(self, lead: str) -> None:
+        view = self.instance.config
+        version = view.config.version if view.config else 0
+        asked_at = boot_time()
+        try:
+            reply = await self.bus.ask(
+                AskInstance(lead, ConfigAsk(version), _ASK_TIMEOUT_S)
+            )
+        except PeerUnreachableError as exc:
+            log("config.ask_failed", level="debug", peer=lead, error=exc.detail)
+            return
+        if not isinstance(reply, ConfigReply):
+            return
+        if reply.raw:
+            self._take(reply.raw)
+        # The lead's reading was sent so long before it answered, which was not
+        # before it was asked.
+        view.read_at = max(view.read_at, asked_at - reply.age_s)
 
     async def _follow(self) -> None:
         while not self.should_stop:
@@ -63,7 +119,7 @@
             return
         if view.config is not None and config.version <= view.config.version:
             return
-        view.config = config
+        view.config, self._raw = config, raw
         log(
             "config.applied",
             version=config.version,
--- a/standins/model/_store.py
+++ b/standins/model/_store.py
@@ -122,13 +122,13 @@
         modes = self._store.mode
         return modes.get(self._instance, modes.get("*", "up"))
 
-    async def _enter(self, partition: int = -1) -> None:
+    async def _enter(self, partition: int = -1, silence_s: float = SILENCE_S) -> None:
         await pause(ANSWER_S / 2 * self._store.slow)
         mode = "busy" if partition in self._store.partly_down else self._mode()
         if mode == "busy":
             raise LogUnavailableError("busy", retry_after_s=0.5)
         if mode == "silent":
-            await pause(SILENCE_S)
+            await pause(silence_s)
             raise LogOutcomeUnknownError("silent")
 
     async def _leave(self, wrote: bool = False) -> None:
@@ -149,7 +149,7 @@
     ) -> Appended:
         """See :meth:`Store.append`."""
         self._store.writes += 1
-        await self._enter(partition)
+        await self._enter(partition, min(timeout_s or SILENCE_S, SILENCE_S))
         if self._store.rng.random() < self._store.late_share:
             late_s = 1 + 5 * self._store.rng.random()
             asyncio.get_running_loop().call_later(
