Callers connect before a start is done; a lagging replica asks the lead

Change: the socket for callers is opened before the imports, SIGTERM is noted from then on, and callers are taken in once there is a configuration, half a second later at the latest. A replica that was not whole for a second asks the lead how many jobs wait, or says that it cannot tell.

A process told to stop before it handles signals ended by them, with callers in its queue; that is mended and has a test.

--- a/src/firhook/_instance.py
+++ b/src/firhook/_instance.py
@@ -4,6 +4,7 @@
 import secrets
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from socket import socket
 from typing import TypeVar
 
 import attrs
@@ -108,6 +109,7 @@
     :param settings: what the platform tells this instance.
     :param platform: for all calls that it makes.
     :param services: the services by name; those that ship with firhook if none.
+    :param listening: the socket for callers, if it listens already.
     :ivar incarnation: unique for each run of the process.
     :ivar replica: the cell's records.
     :ivar config: the operators' configuration.
@@ -119,10 +121,12 @@
         settings: InstanceSettings,
         platform: Connections,
         services: dict[str, type["InstanceService"]] | None = None,
+        listening: socket | None = None,
     ) -> None:
         super().__init__()
         self.settings = settings
         self.platform = platform
+        self.listening = listening
         self.incarnation = secrets.token_hex(4)
         self.store = platform.store
         self.replica = Replica()
--- a/src/firhook/_instance_daemon.py
+++ b/src/firhook/_instance_daemon.py
@@ -7,16 +7,17 @@
 import sys
 from pathlib import Path
 
+from firhook._early import EarlyStart
 from firhook.errors import SettingsInvalidError
 from firhook.instance import Instance
 from firhook.logs import flush_logs, log, setup_logs
 from firhook.platform.connections import HttpConnections
 from firhook.platform.instance import (
-    SETTINGS_VARIABLE,
     InstanceSettings,
     load_instance_settings,
     new_session,
 )
+from firhook.platform.names import SETTINGS_VARIABLE
 
 EXIT_SETTINGS = 2
 EXIT_CRASHED = 1
@@ -24,10 +25,11 @@
 _WATCH_S = 1.0
 
 
-def run_instance(check: bool) -> int:
+def run_instance(check: bool, early: EarlyStart | None = None) -> int:
     """Run an instance with the settings that the platform lays down.
 
     :param check: only check the settings.
+    :param early: what was begun before this was imported.
     """
     path = os.environ.get(SETTINGS_VARIABLE)
     if not path:
@@ -41,19 +43,24 @@
     if check:
         print(f"{path}: settings are valid")
         return 0
-    return asyncio.run(_run(settings, Path(path)))
+    return asyncio.run(_run(settings, Path(path), early))
 
 
-async def _run(settings: InstanceSettings, path: Path) -> int:
+async def _run(settings: InstanceSettings, path: Path, early: EarlyStart | None) -> int:
     setup_logs(settings.zone, settings.name, stream=sys.stdout)
     told = asyncio.Event()
     loop = asyncio.get_running_loop()
     for sig in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(sig, told.set)
+    if early is not None and early.stop_asked:
+        told.set()
     changed = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, changed.set)
     async with new_session() as session:
-        instance = Instance(settings, HttpConnections(settings, session))
+        connections = HttpConnections(settings, session)
+        instance = Instance(
+            settings, connections, listening=early.listening if early else None
+        )
         log("instance.starting", incarnation=instance.incarnation)
         await instance.start()
         log("instance.started", incarnation=instance.incarnation)
--- a/src/firhook/_peer_messages.py
+++ b/src/firhook/_peer_messages.py
@@ -146,3 +146,22 @@
 
     age_s: float
     raw: bytes = b""
+
+
+@message
+@attrs.frozen(slots=True)
+class PendingAsk:
+    """Ask the lead how many jobs of a queue wait for their first start.
+
+    :param queue: its address.
+    """
+
+    queue: str
+
+
+@message
+@attrs.frozen(slots=True)
+class PendingReply:
+    """How many jobs of a queue wait."""
+
+    count: int
--- a/src/firhook/_web.py
+++ b/src/firhook/_web.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from firhook._bus import Bus
+from firhook._sockets import BACKLOG, bound_socket
 from firhook.errors import (
     BodyTooLargeError,
     FirhookError,
@@ -23,9 +24,6 @@
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 REQUEST_ID = "X-Request-Id"
-#: Connections that may wait to be accepted; a burst beyond it is retried by
-#: the callers' kernels after a second.
-BACKLOG = 512
 #: How often a stopping instance looks whether callers still hold connections.
 _LET_GO_STEP_S = 0.05
 #: Where a request keeps its id.
@@ -187,18 +185,6 @@
         waited_s += _LET_GO_STEP_S
 
 
-def bound_socket(host: str, port: int) -> socket.socket:
-    """Return a socket that is bound and ready to listen.
-
-    :raises OSError: if somebody else has the port.
-    """
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.setblocking(False)
-    sock.bind((host, port))
-    return sock
-
-
 async def serve(routes: list[web.RouteDef], host: str, port: int, max_body: int) -> Any:
     """Start serving routes; return the runner and the port it got."""
     app = web.Application(middlewares=[problems], client_max_size=max_body)
--- a/src/firhook/daemon.py
+++ b/src/firhook/daemon.py
@@ -2,22 +2,25 @@
 
 import os
 import sys
+from pathlib import Path
 
-from firhook.platform.instance import SETTINGS_VARIABLE
+from firhook.platform.names import SETTINGS_VARIABLE
 
 
 def main() -> None:
     """Run the daemon.
 
-    On the users' platform it is started without words on its command line, and
-    what only others need is not imported.  After a loss of power nothing is served
-    until the imports are done, on machines with half a core; the library for
-    command lines and the journal of single machines are a third of them.
+    On the users' platform it is started without words on its command line.  What
+    only others need is not imported then, as a start takes that much longer.
     """
-    if len(sys.argv) == 1 and os.environ.get(SETTINGS_VARIABLE):
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if len(sys.argv) == 1 and path:
+        from firhook._early import EarlyStart
+
+        early = EarlyStart(Path(path))
         from firhook._instance_daemon import run_instance
 
-        sys.exit(run_instance(check=False))
+        sys.exit(run_instance(check=False, early=early))
     from firhook._daemon import main as run
 
     run()
--- a/src/firhook/decide/_reach.py
+++ b/src/firhook/decide/_reach.py
@@ -37,11 +37,12 @@
     others.
 
     :param partitions: the numbers of all partitions.
+    :ivar usual_s: what answers took lately.
     """
 
     def __init__(self, partitions: Iterable[int]) -> None:
         self._calls = {number: _Calls() for number in partitions}
-        self._usual_s = 0.0
+        self.usual_s = 0.0
         self._count = 0
 
     def sent(self, partition: int, now: float) -> int:
@@ -56,7 +57,7 @@
         sent_at = calls.under_way.pop(call, now)
         # Whatever was sent before it was lost, not refused.
         calls.failed = False
-        self._usual_s += _WEIGHT * (now - sent_at - self._usual_s)
+        self.usual_s += _WEIGHT * (now - sent_at - self.usual_s)
 
     def failed(self, partition: int, call: int) -> None:
         """Take note that a call was refused, or got no answer."""
@@ -66,7 +67,7 @@
 
     def limit_s(self) -> float:
         """Return after how long a call counts as unanswered."""
-        return max(LEAST_LIMIT_S, _LIMIT_FACTOR * self._usual_s)
+        return max(LEAST_LIMIT_S, _LIMIT_FACTOR * self.usual_s)
 
     def doubtful(self, now: float) -> bool:
         """Return whether some partition may not serve this instance.
--- a/src/firhook/platform/_instance.py
+++ b/src/firhook/platform/_instance.py
@@ -10,9 +10,6 @@
 from firhook.platform._fields import FieldError, number, table, text, whole
 from firhook.settings import Address
 
-#: Names the settings file.
-SETTINGS_VARIABLE = "FIRHOOK_SETTINGS"
-
 
 @attrs.frozen(slots=True)
 class StoreLimits:
--- a/src/firhook/platform/instance.py
+++ b/src/firhook/platform/instance.py
@@ -2,7 +2,6 @@
 
 from firhook.platform._client import new_session
 from firhook.platform._instance import (
-    SETTINGS_VARIABLE,
     Bounds,
     InstanceSettings,
     StoreLimits,
@@ -10,7 +9,6 @@
 )
 
 __all__ = [
-    "SETTINGS_VARIABLE",
     "Bounds",
     "InstanceSettings",
     "StoreLimits",
--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -1,13 +1,15 @@
 """The callers' interface: jobs are submitted, looked up and cancelled."""
 
 import asyncio
+import socket
 from typing import Any
 
 from aiohttp import web
 
+from firhook._peer_messages import PendingAsk, PendingReply
+from firhook._sockets import bound_socket
 from firhook._web import (
     DrainedSite,
-    bound_socket,
     problem_response,
     wait_let_go,
 )
@@ -22,6 +24,7 @@
     KeyRefusedError,
     LogOutcomeUnknownError,
     NotReadyError,
+    PeerUnreachableError,
     QueueUnknownError,
     RequestMalformedError,
     SubmissionUnknownError,
@@ -38,8 +41,11 @@
 from firhook.platform.store import KeyedRecord
 from firhook.services._events import (
     CALLERS_PARTITIONS,
+    AskInstance,
     CatchUp,
+    Current,
     Following,
+    HeardLead,
     Record,
 )
 from firhook.settings import Address
@@ -63,6 +69,13 @@
 #: say.  This part of that time passes before the last connections are closed;
 #: handing over the lead and closing the sockets fit into the rest.
 _SERVE_PART = 0.7
+#: Callers' connections wait so long at a start for the first configuration.
+_FIRST_CONFIG_S = 0.5
+_FIRST_CONFIG_STEP_S = 0.01
+#: A replica that was whole so much longer ago than it is read lags; what waits may
+#: be told as of two seconds ago.
+_PENDING_AGE_S = 1.0
+_PENDING_ASK_S = 0.5
 #: Requests that are being answered then have so long, in seconds.
 _CUT_OFF_S = 0.3
 #: An idle connection is kept so long.
@@ -80,16 +93,29 @@
 
     async def on_started(self) -> None:
         """Listen."""
-        await self._listen(self._handle, self.settings.callers)
         await self._listen(self._probe, self.settings.probe)
+        self.add_future(self._serve_callers())
 
-    async def _listen(self, handler: Any, address: Address) -> None:
+    async def _serve_callers(self) -> None:
+        """Take callers in once there is a configuration, or soon after the start.
+
+        It is there some 50 ms after the start.  Callers whose connections wait
+        meanwhile are served then; refused, they would come back a second later.
+        """
+        until = boot_time() + _FIRST_CONFIG_S
+        while self.instance.config.config is None and boot_time() < until:
+            await asyncio.sleep(_FIRST_CONFIG_STEP_S)
+        await self._listen(self._handle, self.settings.callers, self.instance.listening)
+
+    async def _listen(
+        self, handler: Any, address: Address, sock: socket.socket | None = None
+    ) -> None:
         server = web.Server(
             handler, access_log=None, keepalive_timeout=_KEEP_IDLE_S, lingering_time=1.0
         )
         runner = web.ServerRunner(server, shutdown_timeout=_CUT_OFF_S)
         await runner.setup()
-        sock = bound_socket(address.host, address.port)
+        sock = sock or bound_socket(address.host, address.port)
         await DrainedSite(runner, sock).start()
         self._runners.append(runner)
 
@@ -102,7 +128,8 @@
         await asyncio.sleep(_LEAVE_ROTATION_S)
         while self._open and boot_time() < deadline:
             await asyncio.sleep(0.02)
-        await wait_let_go(self._runners[0], deadline - boot_time())
+        for runner in self._runners[1:]:
+            await wait_let_go(runner, deadline - boot_time())
 
     async def on_stop(self) -> None:
         """Close all sockets."""
@@ -154,7 +181,7 @@
         team = _team_name(config, queue, req)
         job_id = path[len(queue.prefix) :]
         if not job_id and req.method == "GET":
-            return _json(encode_pending(self.replica.pending(queue.address)))
+            return _json(encode_pending(await self._pending(queue)))
         if not JOB_ID.fullmatch(job_id):
             raise QueueUnknownError(f"{path[:100]}: no job id of 16 hex digits")
         if req.method == "POST":
@@ -166,6 +193,28 @@
             return await self._cancel(req, queue, team, job_id)
         raise RequestMalformedError(f"{req.method}: use POST, GET or DELETE")
 
+    async def _pending(self, queue: Queue) -> int:
+        """Return how many jobs of a queue wait for their first start.
+
+        Load: a busy cell, and an instance on a link that its records fill.  Harm:
+        its replica lags by seconds, and it says that 19 jobs wait where 50 do.  One
+        that lags asks the lead, which knows, or says that it cannot tell.
+        """
+        if await self.bus.ask(Current(_PENDING_AGE_S)):
+            return self.replica.pending(queue.address)
+        lead = await self.bus.ask(HeardLead())
+        if lead:
+            try:
+                reply = await self.bus.ask(
+                    AskInstance(lead, PendingAsk(queue.address), _PENDING_ASK_S)
+                )
+            except PeerUnreachableError as exc:
+                log("pending.ask_failed", level="debug", peer=lead, error=exc.detail)
+            else:
+                if isinstance(reply, PendingReply):
+                    return reply.count
+        raise NotReadyError("the replica lags", retry_after_s=_RETRY_S)
+
     def _fresh_config(self) -> CellConfig:
         view = self.instance.config
         if view.config is None:
--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -138,5 +138,18 @@
 
 
 @attrs.frozen(slots=True)
-class StoreReached(Query[bool]):
-    """Whether some partition of the cell's topic serves this instance."""
+class StoreTime(Query[float]):
+    """How long the store's answers took lately, in seconds.
+
+    It is infinite while no partition of the cell's topic serves this instance.
+    """
+
+
+@attrs.frozen(slots=True)
+class Current(Query[bool]):
+    """Whether all that the cell's topic held some seconds ago was read.
+
+    :param age_s: how much later than usual the last whole reading may be.
+    """
+
+    age_s: float
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -1,6 +1,7 @@
 """Follows the cell's topic, and appends callers' records to it."""
 
 import asyncio
+import math
 
 import attrs
 
@@ -31,6 +32,7 @@
     LEAD_PARTITIONS,
     AskInstance,
     CatchUp,
+    Current,
     Following,
     HeardLead,
     JobChanged,
@@ -40,7 +42,7 @@
     Record,
     RecordsAppended,
     ServeInstance,
-    StoreReached,
+    StoreTime,
     TellInstance,
     TellInstances,
 )
@@ -90,6 +92,7 @@
     :ivar next_offset: all records before it were applied.
     :ivar whole: whether the newest record of each key is known.
     :ivar reachable: whether the last read was answered.
+    :ivar whole_at: when the last read was sent that left nothing unread.
     :ivar asked: whether it is to be read at once.
     """
 
@@ -100,6 +103,7 @@
         self.next_offset = 0
         self.whole = False
         self.answered_at = float("-inf")
+        self.whole_at = float("-inf")
         self.gap = asyncio.Event()
         self.asked = False
         self.rebuilding = asyncio.Lock()
@@ -181,7 +185,8 @@
         self.bus.answer(CatchUp, self._catch_up)
         self.bus.answer(ReadToEnd, self._read_to_end)
         self.bus.answer(Record, self._record)
-        self.bus.answer(StoreReached, self._store_reached)
+        self.bus.answer(StoreTime, self._store_time)
+        self.bus.answer(Current, self._current)
         self.bus.answer(Following, self._following)
         self.bus.subscribe(RecordsAppended, self._on_appended)
 
@@ -287,8 +292,13 @@
         reader = self._readers.get(partition)
         return reader is not None and reader.pushed(offset, len(records))
 
-    async def _store_reached(self, query: StoreReached) -> bool:
-        return self._reachable
+    async def _store_time(self, query: StoreTime) -> float:
+        return self._reach.usual_s if self._reachable else math.inf
+
+    async def _current(self, query: Current) -> bool:
+        now = boot_time()
+        readers = self._readers.values()
+        return all(now - r.whole_at < r.every_s + query.age_s for r in readers)
 
     async def _following(self, query: Following) -> bool:
         readers = self._readers.values()
@@ -399,7 +409,10 @@
             self._apply(reader.number, record.offset, record.key, record.value)
         reader.advance(part.next_offset)
         reader.answered_at = max(reader.answered_at, sent_at)
-        return max(part.end - reader.next_offset, 0)
+        left = max(part.end - reader.next_offset, 0)
+        if not left:
+            reader.whole_at = max(reader.whole_at, sent_at)
+        return left
 
     def _apply(
         self,
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 
 from firhook._peer_messages import (
     AdviceAsk,
@@ -9,11 +10,13 @@
     LeadAlive,
     LeadOffer,
     LeadOfferReply,
+    PendingAsk,
+    PendingReply,
     StrongerHere,
     WorkerTicket,
 )
 from firhook.cell import LeadRecord
-from firhook.cell.records import LEAD_KEY, encode_record
+from firhook.cell.records import LEAD_KEY, encode_record, state_version
 from firhook.clock import boot_time
 from firhook.decide.election import (
     Candidate,
@@ -36,7 +39,7 @@
     PartitionRebuilt,
     ReadToEnd,
     ServeInstance,
-    StoreReached,
+    StoreTime,
     TellInstance,
     TellInstances,
 )
@@ -66,6 +69,10 @@
 #: Instances that are offered the lead at most, and how long each may take to answer.
 _OFFERS = 4
 _OFFER_S = 0.2
+#: A stopping lead waits for a store that takes longer than this to be faster again,
+#: for this part of the time that the platform gives it to stop.
+_SLOW_STORE_S = 0.05
+_WAIT_PART = 0.5
 #: A lead whose offer was taken writes nothing for so long.
 _HANDOVER_S = 0.5
 #: The lead moves to a stronger instance only after it led, and the stronger one
@@ -90,6 +97,7 @@
         self._stronger_waits = False
         self._spoke_at = float("-inf")
         self._began_at = float("-inf")
+        self._stop_began_at = float("inf")
         self._woken = asyncio.Event()
         self.term: Term | None = None
         self.adviser = self.instance.platform.adviser
@@ -106,6 +114,7 @@
         self.bus.publish(ServeInstance(LeadAlive, self._on_alive))
         self.bus.publish(ServeInstance(LeadOffer, self._on_offer))
         self.bus.publish(ServeInstance(StrongerHere, self._on_stronger))
+        self.bus.publish(ServeInstance(PendingAsk, self._serve_pending))
         self.add_future(self._run())
 
     def _on_job(self, event: JobChanged) -> None:
@@ -125,6 +134,11 @@
         tickets = tuple(WorkerTicket(w, t) for w, t in advice.tickets.items())
         return AdviceReply(True, tickets, advice.valid_s)
 
+    async def _serve_pending(self, msg: PendingAsk) -> PendingReply | None:
+        if self.term is None or not self.term.begun:
+            return None
+        return PendingReply(self.replica.pending(msg.queue))
+
     # What proves the lead.
 
     def may_act(self) -> bool:
@@ -253,7 +267,8 @@
             log("lead.alive_in_store", epoch=self._election.epoch)
             return None
         epoch = self._election.epoch + 1
-        mine = LeadRecord(self.settings.name, self.instance.incarnation, epoch)
+        name, incarnation = self.settings.name, self.instance.incarnation
+        mine = LeadRecord(name, incarnation, epoch, state_version(epoch, 0))
         record = KeyedRecord(LEAD_KEY, encode_record(mine))
         try:
             await self.store.append(
@@ -277,7 +292,7 @@
             return LeadOfferReply(False)
         if not await self._ready():
             return LeadOfferReply(False)
-        if not await self.bus.ask(StoreReached()):
+        if await self.bus.ask(StoreTime()) == math.inf:
             log("lead.offer_refused", epoch=msg.epoch, reason="store_out_of_reach")
             return LeadOfferReply(False)
         self._offered = True
@@ -324,9 +339,16 @@
 
     async def _offer_around(self, reason: str) -> bool:
         """Offer the lead to the next in line; return whether one takes it."""
-        if reason == "unproven" and await self.bus.ask(StoreReached()):
+        store_s = await self.bus.ask(StoreTime())
+        if reason == "unproven" and store_s < math.inf:
             # The store answers here; another lead would fare no better.
             return False
+        if reason == "stopping" and store_s > _SLOW_STORE_S:
+            stops_for_s = boot_time() - self._stop_began_at
+            if stops_for_s < self.settings.bounds.stop_s * _WAIT_PART:
+                # A takeover is six calls in turn.  While the store is 36 times
+                # slower than usual nothing would start for a second.
+                return False
         line = line_of_succession(self._candidates(), self.settings.name)
         names = [c.name for c, _ in line if c.name != self.settings.name]
         for name in names[:_OFFERS]:
@@ -362,6 +384,7 @@
         self._stronger_waits = self.term is not None
 
     def _on_stop_begun(self, event: StopBegun) -> None:
+        self._stop_began_at = boot_time()
         if self.term is not None:
             self._offer("stopping", boot_time())
 
--- a/src/firhook/services/_metrics.py
+++ b/src/firhook/services/_metrics.py
@@ -12,7 +12,7 @@
 )
 from prometheus_client.registry import Collector
 
-from firhook._web import bound_socket
+from firhook._sockets import bound_socket
 from firhook.clock import boot_time
 from firhook.instance import Instance, InstanceService, register_service
 from firhook.logs import log
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -217,8 +217,6 @@
         # From here on changes are taken in as they are read.  Without a pause in
         # between: a job that is accepted in such a pause would be in neither.
         self._ready = True
-        self.doing = "record"
-        await self._append([self._sign_of_life()])
         self.begun = True
         log(
             "lead.began",
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -185,7 +185,7 @@
 class ModelCallers(Callers):
     """The callers' interface without sockets."""
 
-    async def _listen(self, handler: Any, address: Address) -> None:
+    async def _listen(self, handler: Any, address: Address, sock: Any = None) -> None:
         """Listen nowhere."""
 
     async def drain(self) -> None:
--- a/tests/failures/test_instances.py
+++ b/tests/failures/test_instances.py
@@ -141,3 +141,52 @@
             assert (status, body) == (200, b'{"pending":0}')
 
     asyncio.run(play())
+
+
+def test_caller_who_connects_while_an_instance_is_starting_is_answered(tmp_path):
+    """All instances lost power, and their callers come back before they do.
+
+    Turned away while a process still imports, a caller has used up one of its few
+    tries; told to stop in that very moment, the process must not cut it either.
+    """
+
+    async def play():
+        async with Processes(tmp_path, 1) as cell:
+            process = cell.all[0]
+            for stopped in (False, True):
+                await process.end()
+                process.lines.clear()
+                await process.start()
+                asked = asyncio.create_task(ask_early(process))
+                await asyncio.wait_for(connected.wait(), 20)
+                connected.clear()
+                assert not any(x["event"] == "instance.started" for x in process.lines)
+                if stopped:
+                    process.signal(signal.SIGTERM)
+                status = (await asyncio.wait_for(asked, 20)).split()[1]
+                assert status in (b"200", b"404", b"410", b"503")
+                if stopped:
+                    assert await asyncio.wait_for(process.process.wait(), 20) == 0
+                else:
+                    assert status == b"410"
+
+    connected = asyncio.Event()
+
+    async def ask_early(process):
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", process.ports[0]
+                )
+                break
+            except ConnectionRefusedError:
+                await asyncio.sleep(0.005)
+        connected.set()
+        lines = ["GET /plan/00000000000000ab HTTP/1.1", "Connection: close"]
+        lines += [f"{name}: {value}" for name, value in KEY.items()]
+        writer.write("\r\n".join([*lines, "", ""]).encode())
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+    asyncio.run(play())
--- a/tests/services/test_lead.py
+++ b/tests/services/test_lead.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from firhook._peer_messages import RecordsPush
 from firhook.platform.instance import Bounds
 from standins.model import ModelCell, ModelRequest, now, pause, run_virtual
 
@@ -562,3 +563,30 @@
             assert status == 200
 
     run_virtual(play())
+
+
+def test_instance_whose_replica_lags_says_what_the_lead_knows_of_waiting_jobs():
+    """An instance on a thin link gets neither pushes nor pages for seconds.
+
+    It would say that nothing waits, while a hundred jobs do; operators who add
+    workers by that figure add none.
+    """
+
+    async def play():
+        cell = ModelCell(workers=1)
+        await cell.begin()
+        behind = next(n for n in cell.instances if n != cell.lead_name())
+        found = cell.instances[behind]
+        cell.store.mode[behind] = "silent"
+        found.instance.services["mesh"].handlers.pop(RecordsPush)
+        jobs = [await cell.submit([step(8)], work_s=30.0) for _ in range(10)]
+        assert {status for _, status in jobs} == {200}
+        await pause(4.0)
+        status, body = await found.call(ModelRequest("GET", "/plan/"))
+        assert (status, body["pending"]) == (200, 9)
+        cell.cuts += [{behind, other} for other in cell.instances if other != behind]
+        await pause(0.5)
+        status, _ = await found.call(ModelRequest("GET", "/plan/"))
+        assert status == 503
+
+    run_virtual(play())
