No two instances lead under one epoch

Ruled out: a claim that is carried out late (it holds only at the end that was read).

Change: a claim looks at the lead on record after it has read, and is given up if that moved.

--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -217,9 +217,7 @@
 
     async def _step(self) -> None:
         now = boot_time()
-        last = self.replica.lead
-        if last is not None:
-            self._election.know(last.epoch, last.name)
+        self._learn_of_leads()
         self._election.note_ready(await self._ready(), now)
         if self.term is not None:
             if self.term.lost:
@@ -234,6 +232,11 @@
         else:
             self._offer_strength(now)
 
+    def _learn_of_leads(self) -> None:
+        last = self.replica.lead
+        if last is not None:
+            self._election.know(last.epoch, last.name)
+
     # Taking the lead.
 
     async def _stand(self, offered: bool) -> None:
@@ -259,10 +262,15 @@
 
         Of several that stand at once one gets the epoch: the append holds only if
         nothing was written since the log was read.  What was read also tells
-        whether the lead is alive after all, and only its messages got lost.
+        whether the lead is alive after all, and only its messages got lost; and
+        whether another one has the epoch, under which two would start each task.
         """
-        partition = LEAD_PARTITIONS[0]
+        partition, known = LEAD_PARTITIONS[0], self._election.epoch
         end = await self.bus.ask(ReadToEnd(partition))
+        self._learn_of_leads()
+        if self._election.epoch > known:
+            log("lead.claimed_by_another", epoch=self._election.epoch)
+            return None
         if not offered and not self._election.silent(boot_time()):
             log("lead.alive_in_store", epoch=self._election.epoch)
             return None
--- a/tests/services/test_lead.py
+++ b/tests/services/test_lead.py
@@ -590,3 +590,26 @@
         assert status == 503
 
     run_virtual(play())
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_no_two_instances_lead_under_one_epoch(seed):
+    """Several instances stand at once and do not hear each other, as in a cut.
+
+    The store and the workers tell two leads apart by their epoch alone.  Under one
+    epoch both start every task, and a user is charged twice.
+    """
+
+    async def play():
+        cell = ModelCell(instances=5, seed=seed)
+        await cell.begin()
+        others = [i.lead for n, i in cell.instances.items() if n != cell.lead_name()]
+        cell.drops = 1.0
+        await asyncio.gather(*(lead._stand(offered=True) for lead in others))
+        leads = [i.lead for i in cell.instances.values()]
+        epochs = [lead.term.fence for lead in leads if lead.term is not None]
+        assert len(set(epochs)) == len(epochs)
+        await pause(1.0)
+        await cell.until(lambda: cell.lead() is not None, 3.0)
+
+    run_virtual(play())
