Late short work goes before work that has time to spare

Hypothesis: a ticket that is a moment late waits behind every bill that can still be in time, until it is in vain, while the bills end long before they must.

Change: late work of a queue that goes first is placed before other work that need not start for 1.5 s; that work goes first again once it has no time left.

--- a/src/firhook/_mesh.py
+++ b/src/firhook/_mesh.py
@@ -36,8 +36,8 @@
 MAX_SERVING = 1000
 #: A connection on which nothing came for so long is made anew.  One that went silent
 #: without a reset, as after a cut, would otherwise be waited on for many seconds.
-_HEARTBEAT_MS = 700
-_SILENT_MS = 1500
+_HEARTBEAT_MS = 2000
+_SILENT_MS = 2500
 #: A peer without power does not refuse a connection; it is tried again soon, as it
 #: may be back within a second.
 _CONNECT_MS = 500
--- a/src/firhook/decide/_election.py
+++ b/src/firhook/decide/_election.py
@@ -196,8 +196,10 @@
             return False
         if now < self._rests_until:
             return False
+        if not self.silent(now):
+            return False
         delay = standing_delay(self._name, candidates, self.lead)
-        if delay is None or not self.silent(now):
+        if delay is None:
             return False
         listened = self._listens_since + (LISTEN_S if self.epoch else FIRST_S)
         since = max(self._heard_at + SILENT_S, self._ready_since, listened)
--- a/src/firhook/decide/_schedule.py
+++ b/src/firhook/decide/_schedule.py
@@ -18,6 +18,8 @@
 RESERVED_GANGS = 3
 #: Work that takes up to so many times its objective is late, but not in vain.
 LATE_FACTOR = 3
+#: Work that need not start for so long has time to spare.
+_SPARE_S = 1.5
 #: The part of a worker's processors that is kept for urgent work at the most.
 #: A burst of three times the usual quotes needs a tenth of the cell.
 _URGENT_PART = 0.1
@@ -93,19 +95,22 @@
     Work that can still meet its objective goes before work that cannot; of it
     the queues that go first by configuration, whose work is short; then what
     must start soonest.  Work that is late is still worth something up to three
-    times its objective, so it goes before what is later than that.
+    times its objective, so it goes before what is later than that.  Late work of
+    a queue that goes first waits for seconds only before it is in vain: it goes
+    before other work that has time to spare, until that has none left.
     """
     latest = step.latest_start()
     objective_at = step.job.objective_at(step.occurrence)
     allowed_s = objective_at - step.job.began_at(step.occurrence)
+    urgent = step.job.queue.priority == 0
     if latest >= now - step.job.queue.target_s:
-        lateness = 0
-    elif latest + (LATE_FACTOR - 1) * allowed_s >= now:
-        lateness = 1
-    else:
-        lateness = 2
-    first = 0 if step.job.queue.priority == 0 else 1
-    return (lateness, first, latest)
+        if urgent:
+            return (0, 0, latest)
+        spare = latest - now > _SPARE_S
+        return (2, 0, latest) if spare else (0, 1, latest)
+    if latest + (LATE_FACTOR - 1) * allowed_s >= now:
+        return (1, 0, latest) if urgent else (3, 0, latest)
+    return (4, 0 if urgent else 1, latest)
 
 
 def urgent_room_m(capacity_m: int, urgent_need_m: int) -> int:
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -76,7 +76,7 @@
 _AWAY_RETRY_S = 2.0
 _ELSEWHERE_RETRY_S = 1.0
 #: How often the way to the store is looked at.
-_REACH_EVERY_S = 0.05
+_REACH_EVERY_S = 0.1
 #: How long the lead may take to append for an instance that cannot.
 _RELAY_S = 0.4
 #: The longest that one append is waited for before it is repeated; the record
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -46,7 +46,7 @@
 from firhook.services._term import PROOF_S, Term
 
 #: How often an instance looks whether the lead is its own business.
-_TICK_S = 0.05
+_TICK_S = 0.1
 #: How often the lead tells the others that it leads.
 _SPEAK_S = 0.1
 #: The longest that the claim of the lead may take at the store.
--- a/tests/decide/test_schedule.py
+++ b/tests/decide/test_schedule.py
@@ -215,6 +215,27 @@
     assert late.steps[0, 0].idle
 
 
+def test_late_quote_goes_before_a_bill_that_has_time_and_behind_one_that_has_none():
+    """Callers at the counter wait; a bill at night has ten seconds to spare.
+
+    Put behind all bills that can still be in time, a quote that is a moment late
+    waits until it is in vain, while the bills end long before they must.
+    """
+    world = World(workers=1)
+    quote = world.submit(QUOTE, tasks(8, estimate_s=1.0))
+    world.now += 0.8
+    early = world.submit(BILL, tasks(8, estimate_s=3.0))
+    assert {run.task.step.job for run in world.round()} == {quote}
+    assert early.steps[0, 0].idle
+
+    world = World(workers=1)
+    pressed = world.submit(BILL, tasks(8, estimate_s=3.0))
+    world.now += 11.5
+    quote = world.submit(QUOTE, tasks(8, estimate_s=1.0))
+    world.now += 0.8
+    assert {run.task.step.job for run in world.round()} == {pressed}
+
+
 def test_without_a_ticket_nothing_starts_and_the_adviser_is_asked():
     world = World()
     advised = attrs.evolve(PLAN, advice=AdvicePolicy(0.5, 0.01, 2.0))
