Work that never moved is moved before it is worthless

Change: a run that shows no progress at all is moved after 0.8 s and a part of its estimate, and what moved before does not hide that a worker stands still now. The test that held such a run for 1.1 s after its first look is replaced by two, with the old bound for runs that moved.

--- a/tests/decide/test_speeds.py
+++ b/tests/decide/test_speeds.py
@@ -16,13 +16,22 @@
 class FakeStep:
     spec = Spec
 
+    @staticmethod
+    def start_checkpoint(task):
+        return task.checkpoint
+
 
 class FakeTask:
     step = FakeStep
+    checkpoint = ""
+
 
+class ResumedTask(FakeTask):
+    checkpoint = "saved"
 
-def a_run(first, percent, at):
-    run = Run(FakeTask, 1, "w", 1, 0.0)
+
+def a_run(first, percent, at, task=FakeTask):
+    run = Run(task, 1, "w", 1, 0.0)
     run.confirmed = True
     run.first_percent, run.percent, run.percent_at = first, percent, at
     return run
@@ -48,11 +57,32 @@
 
     Its tasks would never end; a user sees a job that runs for ever.
     """
-    still = [a_run(0, 0, 1.0), a_run(0, 0, 1.0)]
+    still = [a_run(0, 50, 1.0), a_run(0, 50, 1.0)]
     assert standing_still(still, 1.0 + STALL_S / 2) == []
     assert standing_still(still, 1.5 + STALL_S) == still
 
 
+def test_short_work_that_never_moved_is_moved_before_it_is_worthless():
+    """A ticket of 0.6 s is started on a worker that stands still.
+
+    Left there for as long as work that moved before, it is worth nothing any more
+    when it begins anew.
+    """
+    fresh = [a_run(0, 0, 0.4)]
+    assert standing_still(fresh, 0.7) == []
+    assert standing_still(fresh, 1.0) == fresh
+    resumed = [a_run(0, 0, 0.4, ResumedTask)]
+    assert standing_still(resumed, 1.4) == []
+    assert standing_still(resumed, 1.7) == resumed
+
+
+def test_what_moved_before_does_not_hide_that_a_worker_stands_still_now():
+    before, fresh = a_run(0, 60, 1.0), a_run(0, 0, 1.5)
+    fresh.begun_at = 1.2
+    assert standing_still([before, fresh], 2.1) == []
+    assert standing_still([before, fresh], 2.4) == [fresh]
+
+
 def test_a_slow_run_beside_one_that_moves_is_left_alone():
     runs = [a_run(0, 0, 1.0), a_run(0, 50, 4.0)]
     assert standing_still(runs, 4.2) == []
