--- a/src/firhook/decide/_election.py
+++ b/src/firhook/decide/_election.py
@@ -174,7 +174,7 @@
 
     def rest(self, until: float) -> None:
         """Leave the lead to others until then, after a takeover that failed."""
-        self._rests_until = until
+        self._rests_until = max(self._rests_until, until)
 
     def silent(self, now: float) -> bool:
         """Return whether the lead was not heard for too long."""
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -62,7 +62,7 @@
 #: An instance that was replaced does not stand before its successor is heard.
 _REPLACED_REST_S = 0.5
 #: The lead offers itself to a successor if the store took none of its appends for
-#: so long.  It proves itself every 0.25 s.
+#: so long.  It proves itself every 0.2 s.
 _UNPROVEN_S = 0.4
 #: Between offers while nobody takes the lead.
 _OFFER_EVERY_S = 0.5
--- a/tests/decide/test_election.py
+++ b/tests/decide/test_election.py
@@ -84,6 +84,8 @@
     election.note_ready(True, 0.0)
     election.hear(5, "i0", 0, 10.0)
     election.rest(16.0)
+    # That it was replaced does not end the longer rest.
+    election.rest(10.5)
     assert not election.stands(seven(), 15.9)
     assert election.stands(seven(), 16.0)
 
