--- a/src/firhook/decide/_seats.py
+++ b/src/firhook/decide/_seats.py
@@ -43,7 +43,6 @@
     name: str
     busy_until: float = 0.0
     avoid_until: float = 0.0
-    waiting: int = 0
     failures: int = 0
 
     def failed(self, now: float) -> None:
--- a/src/firhook/services/_advising.py
+++ b/src/firhook/services/_advising.py
@@ -63,7 +63,6 @@
         if seat is None:
             return
         advice.asking = True
-        seat.waiting += 1
         seat.busy_until = max(seat.busy_until, now) + wish.cost_s
         self._spawn(self._ask(wish, seat))
 
@@ -83,7 +82,6 @@
                 seat.name, wish.step.name, names, timeout_s
             )
         finally:
-            seat.waiting -= 1
             advice.asking = advice.wished = False
         now = boot_time()
         if answer is None:
--- a/src/firhook/services/_fenced_writer.py
+++ b/src/firhook/services/_fenced_writer.py
@@ -76,25 +76,22 @@
         while await self._try(part, []) is None:
             await asyncio.sleep(_RETRY_S)
 
-    async def prove(self, contents: list[bytes]) -> tuple[int, int] | None:
+    async def prove(self, contents: list[bytes]) -> None:
         """Have the store say that no other lead has begun, if it answers.
 
         :param contents: appended, unless another append is under way.
-        :return: the partition and the offset where they were appended, if they were.
         :raises LogFencedError: if one has.
         """
         if self._busy.locked():
             # What is under way proves as much.
-            return None
+            return
         async with self._busy:
             now = boot_time()
             for part in sorted(self._partitions, key=lambda p: p.avoid_until > now):
                 if part.unanswered and not await self._settle(part):
                     continue
-                offset = await self._try(part, contents)
-                if offset is not None:
-                    return part.number, offset
-        return None
+                if await self._try(part, contents) is not None:
+                    return
 
     async def append(self, contents: list[bytes]) -> tuple[int, int]:
         """Append records; return the partition and the offset of the first.
@@ -139,9 +136,11 @@
                 timeout_s=_PATIENCE * self._reach.limit_s(),
             )
         except LogUnavailableError as exc:
+            self._reach.failed(part.number, call)
             self._avoid(part, exc)
             return None
         except LogOutcomeUnknownError as exc:
+            self._reach.failed(part.number, call)
             if contents:
                 part.unanswered = contents
             self._avoid(part, exc)
