A count of waiting jobs leaves a line that says what it rests on

An on-call engineer could not tell why a caller was told that one job waits: the answer left no line, and no metric said how old the replica behind it was.

Each answer is logged with its source and the age of the replica, counted by what it rests on, and the replica's age is a metric of each instance. No answer changes.

--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -47,6 +47,7 @@
     Following,
     HeardLead,
     Record,
+    ReplicaAge,
 )
 from firhook.settings import Address
 
@@ -201,7 +202,8 @@
         that lags asks the lead, which knows, or says that it cannot tell.
         """
         if await self.bus.ask(Current(_PENDING_AGE_S)):
-            return self.replica.pending(queue.address)
+            count = self.replica.pending(queue.address)
+            return await self._note_pending(queue, count, "replica")
         lead = await self.bus.ask(HeardLead())
         if lead:
             try:
@@ -212,9 +214,24 @@
                 log("pending.ask_failed", level="debug", peer=lead, error=exc.detail)
             else:
                 if isinstance(reply, PendingReply):
-                    return reply.count
+                    return await self._note_pending(queue, reply.count, lead)
+        self.meters.count("pending_answers", "refused")
         raise NotReadyError("the replica lags", retry_after_s=_RETRY_S)
 
+    async def _note_pending(self, queue: Queue, count: int, source: str) -> int:
+        """Log a count and what it rests on; return the count."""
+        age_s = await self.bus.ask(ReplicaAge())
+        kind = "replica" if source == "replica" else "peer"
+        self.meters.count("pending_answers", kind)
+        log(
+            "pending.answered",
+            queue=queue.name,
+            count=count,
+            source=source,
+            replica_age_s=round(min(age_s, 1e6), 2),
+        )
+        return count
+
     def _fresh_config(self) -> CellConfig:
         view = self.instance.config
         if view.config is None:
--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -145,6 +145,14 @@
     """
 
 
+@attrs.frozen(slots=True)
+class ReplicaAge(Query[float]):
+    """How old the replica is, in seconds: all older records were applied.
+
+    It is infinite until every partition of the cell's topic was read to its end.
+    """
+
+
 @attrs.frozen(slots=True)
 class Current(Query[bool]):
     """Whether all that the cell's topic held some seconds ago was read.
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -41,6 +41,7 @@
     ReadToEnd,
     Record,
     RecordsAppended,
+    ReplicaAge,
     ServeInstance,
     StoreTime,
     TellInstance,
@@ -187,6 +188,7 @@
         self.bus.answer(Record, self._record)
         self.bus.answer(StoreTime, self._store_time)
         self.bus.answer(Current, self._current)
+        self.bus.answer(ReplicaAge, self._age)
         self.bus.answer(Following, self._following)
         self.bus.subscribe(RecordsAppended, self._on_appended)
 
@@ -300,6 +302,9 @@
         readers = self._readers.values()
         return all(now - r.whole_at < r.every_s + query.age_s for r in readers)
 
+    async def _age(self, query: ReplicaAge) -> float:
+        return boot_time() - min(r.whole_at for r in self._readers.values())
+
     async def _following(self, query: Following) -> bool:
         readers = self._readers.values()
         last = max(reader.answered_at for reader in readers)
--- a/src/firhook/services/_metrics.py
+++ b/src/firhook/services/_metrics.py
@@ -16,6 +16,7 @@
 from firhook.clock import boot_time
 from firhook.instance import Instance, InstanceService, register_service
 from firhook.logs import log
+from firhook.services._events import ReplicaAge
 
 #: The port that the deploy file names.
 METRICS_PORT = 9464
@@ -26,8 +27,9 @@
 class _Collector(Collector):
     """Reads the counters when they are asked for."""
 
-    def __init__(self, instance: Instance) -> None:
+    def __init__(self, instance: Instance, replica_age_s: float) -> None:
         self._instance = instance
+        self._replica_age_s = replica_age_s
 
     def collect(self) -> Iterable[Metric]:
         """Return all metrics."""
@@ -64,6 +66,7 @@
             "config_age_seconds": min(boot_time() - view.read_at, 1e9),
             "config_version": view.config.version if view.config else 0,
             "jobs_known": len(self._instance.replica.jobs),
+            "replica_age_seconds": min(self._replica_age_s, 1e9),
         }
         for name, value in sorted(gauges.items()):
             yield GaugeMetricFamily(f"firhook_{name}", name, value=value)
@@ -93,7 +96,8 @@
         if req.path != _PATH:
             return web.Response(status=404)
         registry = CollectorRegistry(auto_describe=False)
-        registry.register(_Collector(self.instance))
+        replica_age_s = await self.bus.ask(ReplicaAge())
+        registry.register(_Collector(self.instance, replica_age_s))
         return web.Response(body=generate_latest(registry), content_type="text/plain")
 
     async def on_stop(self) -> None:
