--- a/standins/model/_store.py
+++ b/standins/model/_store.py
@@ -77,6 +77,8 @@
     :ivar partly_down: partitions of every topic that answer nothing useful.
     :ivar slow: a factor on its times.
     :ivar lost_share: the share of writes that are done and not answered.
+    :ivar transfer_s: how long an instance's link takes for an answer to a reading
+        of a partition, by both.
     """
 
     def __init__(self, seed: int = 1) -> None:
@@ -87,6 +89,7 @@
         self.slow = 1.0
         self.lost_share = 0.0
         self.late_share = 0.0
+        self.transfer_s: dict[tuple[str, int], float] = {}
         self.writes = 0
         self.reads = 0
 
@@ -138,6 +141,11 @@
             await pause(SILENCE_S)
             raise LogOutcomeUnknownError("the answer was lost")
 
+    async def _transfer(self, topic: str, partition: int) -> None:
+        if topic == CELL_TOPIC:
+            key = (self._instance, partition)
+            await pause(self._store.transfer_s.get(key, 0.0))
+
     async def append(
         self,
         topic: str,
@@ -210,6 +218,7 @@
             for i in range(offset, part.end)
         )
         done = Slice(records, part.end, part.end)
+        await self._transfer(topic, partition)
         await self._leave()
         return done
 
@@ -220,6 +229,7 @@
         part = self._store.partition(topic, partition)
         kept = self._kept(part)
         done = Newest(kept, part.end)
+        await self._transfer(topic, partition)
         await self._leave()
         return done
 
