An instance finds its peers before it has read the jobs

Cause: the mesh began only after the key pair was found by reading every record of the partition that also holds all jobs; and that partition was read twice over, once for its end alone. 2,305 jobs fill a link of 10 Mbit/s for 12 s: the instances had read all states at 45.4 s and all jobs at 57 s. Ruled out: the store (no call failed or was refused) and processor time (2 to 7 in 100 of a core).

Change: the records of instances lie together in the order of keys, and are read as a range, one page. If the key pair is not there, all is read before one is made, as before.

--- a/src/firhook/cell/_records.py
+++ b/src/firhook/cell/_records.py
@@ -30,6 +30,8 @@
 PEER_PREFIX = "peer/"
 LEAD_KEY = "lead"
 MESH_KEY = "mesh"
+#: The keys between these two, in the order of their bytes, are of instances.
+MEMBERS_AFTER, MEMBERS_UNTIL = LEAD_KEY, STATE_PREFIX
 
 
 #: States that a lead may write; versions begin anew with each epoch.
--- a/src/firhook/platform/_store.py
+++ b/src/firhook/platform/_store.py
@@ -165,8 +165,14 @@
         """
 
     @abstractmethod
-    async def newest(self, topic: str, partition: int = 0) -> Newest:
-        """Return the newest record of each key of a keyed topic."""
+    async def newest(
+        self, topic: str, partition: int = 0, after: str = "", until: str = ""
+    ) -> Newest:
+        """Return the newest record of each key of a keyed topic.
+
+        :param after: only of keys beyond this one, in the order of their bytes.
+        :param until: only of keys before this one; of all if empty.
+        """
 
 
 class HttpStore(Store):
@@ -258,11 +264,12 @@
             raise LogOutcomeUnknownError(f"the store answered {answer.status}")
         return _decode_slice(answer.body, offset)
 
-    async def newest(self, topic: str, partition: int = 0) -> Newest:
-        """Return the newest record of each key of a keyed topic."""
+    async def newest(
+        self, topic: str, partition: int = 0, after: str = "", until: str = ""
+    ) -> Newest:
+        """See :meth:`Store.newest`."""
         records: list[StoredRecord] = []
         end: int | None = None
-        after = ""
         while True:
             query = f"?topic={topic}&part={partition}"
             if after:
@@ -281,8 +288,10 @@
                 more = data.get("has_more") is True
             except FieldError as exc:
                 raise LogOutcomeUnknownError(str(exc)) from exc
-            records += [record for record in page if record is not None]
-            if not more or not page or page[-1] is None:
+            found = [record for record in page if record is not None]
+            records += [r for r in found if not until or r.key < until]
+            beyond = bool(until) and any(r.key >= until for r in found)
+            if not more or not page or page[-1] is None or beyond:
                 return Newest(tuple(records), end)
             after = page[-1].key
 
--- a/src/firhook/services/_mesh.py
+++ b/src/firhook/services/_mesh.py
@@ -23,6 +23,7 @@
     TellInstance,
     TellInstances,
 )
+from firhook.services._members import read_members
 from firhook.settings import Address
 
 #: Between tries when the store does not answer.
@@ -94,8 +95,9 @@
         """Return the cell's key pair; the first instance makes it."""
         while True:
             try:
-                end = (await self.store.newest(CELL_TOPIC, CALLERS_PARTITIONS[0])).end
-                await self.bus.ask(CatchUp(CALLERS_PARTITIONS))
+                end = await read_members(self.store, self.replica)
+                if self.replica.mesh_keys is None:
+                    await self.bus.ask(CatchUp(CALLERS_PARTITIONS))
                 if self.replica.mesh_keys is not None:
                     return self.replica.mesh_keys
                 public, secret = zmq.curve_keypair()
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -32,6 +32,7 @@
     TellInstance,
     TellInstances,
 )
+from firhook.services._members import read_members
 from firhook.settings import Address
 from standins.model._adviser import ModelAdviser
 from standins.model._checks import Checks
@@ -164,6 +165,7 @@
         record = KeyedRecord(PEER_PREFIX + name, encode_record(mine))
         while True:
             with contextlib.suppress(FirhookError):
+                await read_members(self.store, self.replica)
                 await self.bus.ask(Record(record, boot_time() + 2.0))
                 return
             await pause(0.1)
--- a/standins/model/_http.py
+++ b/standins/model/_http.py
@@ -206,8 +206,8 @@
     async def _newest(self, req: web.Request) -> web.Response:
         q = req.query
         client = self.store.client("any")
-        newest = await client.newest(q["topic"], int(q["part"]))
-        later = [r for r in newest.records if r.key > q.get("after", "")]
+        newest = await client.newest(q["topic"], int(q["part"]), q.get("after", ""))
+        later = newest.records
         items = [
             {
                 "key": r.key,
--- a/standins/model/_store.py
+++ b/standins/model/_store.py
@@ -222,14 +222,21 @@
         await self._leave()
         return done
 
-    async def newest(self, topic: str, partition: int = 0) -> Newest:
+    async def newest(
+        self, topic: str, partition: int = 0, after: str = "", until: str = ""
+    ) -> Newest:
         """See :meth:`Store.newest`."""
         self._store.reads += 1
         await self._enter(partition if topic == CELL_TOPIC else -1)
         part = self._store.partition(topic, partition)
-        kept = self._kept(part)
+        kept = tuple(
+            record
+            for record in self._kept(part)
+            if record.key > after and (not until or record.key < until)
+        )
         done = Newest(kept, part.end)
-        await self._transfer(topic, partition)
+        if not until:
+            await self._transfer(topic, partition)
         await self._leave()
         return done
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -58,3 +58,34 @@
     """
     with pytest.raises(LogOutcomeUnknownError):
         newest_from(pieces=2, pause_s=TIMEOUT_S * 4)
+
+
+def test_records_of_other_keys_are_neither_returned_nor_waited_for():
+    """A range of keys is read although the store pages through all that follow."""
+    pages = {
+        "lead": ["mesh", "peer/a"],
+        "peer/a": ["peer/b", "state/1"],
+    }
+    asked = []
+
+    async def serve(reader, writer):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        after = head.split("after=")[1].split()[0].split("&")[0]
+        asked.append(after)
+        items = [{"key": k, "value": "eA==", "offset": 1} for k in pages[after]]
+        body = msgspec.json.encode({"items": items, "has_more": True, "end": 9})
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+        writer.write(body)
+        writer.close()
+
+    async def scenario():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        async with server, new_session() as session:
+            store = HttpStore(session, Address("127.0.0.1", port), TIMEOUT_S)
+            return await store.newest("keyed.firhook", 1, "lead", "state/")
+
+    newest = asyncio.run(scenario())
+    assert [r.key for r in newest.records] == ["mesh", "peer/a", "peer/b"]
+    assert newest.end == 9
+    assert asked == ["lead", "peer/a"]
