Callers are told of jobs only what a replica new enough holds

Cause, as a class: an answer that claims more than its source can know. A replica passed for current until a second after its next reading was due, a peer that was asked counted whatever its own replica held, and where a job stands was told without a look at how old the replica is.

Change: one place tells callers of jobs. A count is told from a replica that was read to its end within a second, after reading on if need be; else from the lead or a strong peer under the same rule, which says how old its replica is; else refused at once. The state of a job likewise, with one that has ended told at once, since it never changes, and "no such job" only by an instance that has read to the end. A second peer is asked beside the first after 0.15 s.

--- a/src/firhook/_peer_messages.py
+++ b/src/firhook/_peer_messages.py
@@ -151,7 +151,7 @@
 @message
 @attrs.frozen(slots=True)
 class PendingAsk:
-    """Ask the lead how many jobs of a queue wait for their first start.
+    """Ask an instance how many jobs of a queue wait for their first start.
 
     :param queue: its address.
     """
@@ -162,6 +162,33 @@
 @message
 @attrs.frozen(slots=True)
 class PendingReply:
-    """How many jobs of a queue wait."""
+    """How many jobs of a queue wait.
+
+    :param age_s: how old the replica is that was counted.
+    """
 
     count: int
+    age_s: float
+
+
+@message
+@attrs.frozen(slots=True)
+class JobAsk:
+    """Ask an instance where a job stands."""
+
+    job_id: str
+
+
+@message
+@attrs.frozen(slots=True)
+class JobReply:
+    """Where a job stands; not ``found`` if there certainly is no such job.
+
+    :param status: a :class:`firhook.cell.JobStatus`.
+    :param queue: the address of its queue.
+    """
+
+    found: bool
+    status: int = 0
+    queue: str = ""
+    team: str = ""
--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -6,25 +6,22 @@
 
 from aiohttp import web
 
-from firhook._peer_messages import PendingAsk, PendingReply
 from firhook._sockets import bound_socket
 from firhook._web import (
     DrainedSite,
     problem_response,
     wait_let_go,
 )
-from firhook.cell import AcceptedJob, CellConfig, JobStatus, JobView, Queue
+from firhook.cell import AcceptedJob, CellConfig, JobStatus, Queue
 from firhook.cell.records import CANCEL_PREFIX, JOB_PREFIX, encode_record
 from firhook.clock import boot_time, unix_time
 from firhook.errors import (
     BodyTooLargeError,
     FirhookError,
-    JobGoneError,
     KeyMissingError,
     KeyRefusedError,
     LogOutcomeUnknownError,
     NotReadyError,
-    PeerUnreachableError,
     QueueUnknownError,
     RequestMalformedError,
     SubmissionUnknownError,
@@ -40,15 +37,10 @@
 )
 from firhook.platform.store import KeyedRecord
 from firhook.services._events import (
-    CALLERS_PARTITIONS,
-    AskInstance,
-    CatchUp,
-    Current,
     Following,
-    HeardLead,
     Record,
-    ReplicaAge,
 )
+from firhook.services._lookups import Lookups
 from firhook.settings import Address
 
 #: What a caller's whole request may take if it does not say.
@@ -73,10 +65,6 @@
 #: Callers' connections wait so long at a start for the first configuration.
 _FIRST_CONFIG_S = 0.5
 _FIRST_CONFIG_STEP_S = 0.01
-#: A replica that was whole so much longer ago than it is read lags; what waits may
-#: be told as of two seconds ago.
-_PENDING_AGE_S = 1.0
-_PENDING_ASK_S = 0.5
 #: Requests that are being answered then have so long, in seconds.
 _CUT_OFF_S = 0.3
 #: An idle connection is kept so long.
@@ -91,9 +79,11 @@
         """Begin without sockets."""
         self._runners: list[web.ServerRunner] = []
         self._open = 0
+        self._lookups = Lookups(self)
 
     async def on_started(self) -> None:
         """Listen."""
+        self._lookups.serve()
         await self._listen(self._probe, self.settings.probe)
         self.add_future(self._serve_callers())
 
@@ -182,56 +172,18 @@
         team = _team_name(config, queue, req)
         job_id = path[len(queue.prefix) :]
         if not job_id and req.method == "GET":
-            return _json(encode_pending(await self._pending(queue)))
+            return _json(encode_pending(await self._lookups.pending(queue)))
         if not JOB_ID.fullmatch(job_id):
             raise QueueUnknownError(f"{path[:100]}: no job id of 16 hex digits")
         if req.method == "POST":
             return await self._submit(req, config, queue, team, job_id)
         if req.method == "GET":
-            job = await self._find(queue, team, job_id)
-            return _json(encode_status(job.status))
+            status = await self._lookups.status(queue, team, job_id)
+            return _json(encode_status(status))
         if req.method == "DELETE":
             return await self._cancel(req, queue, team, job_id)
         raise RequestMalformedError(f"{req.method}: use POST, GET or DELETE")
 
-    async def _pending(self, queue: Queue) -> int:
-        """Return how many jobs of a queue wait for their first start.
-
-        Load: a busy cell, and an instance on a link that its records fill.  Harm:
-        its replica lags by seconds, and it says that 19 jobs wait where 50 do.  One
-        that lags asks the lead, which knows, or says that it cannot tell.
-        """
-        if await self.bus.ask(Current(_PENDING_AGE_S)):
-            count = self.replica.pending(queue.address)
-            return await self._note_pending(queue, count, "replica")
-        lead = await self.bus.ask(HeardLead())
-        if lead:
-            try:
-                reply = await self.bus.ask(
-                    AskInstance(lead, PendingAsk(queue.address), _PENDING_ASK_S)
-                )
-            except PeerUnreachableError as exc:
-                log("pending.ask_failed", level="debug", peer=lead, error=exc.detail)
-            else:
-                if isinstance(reply, PendingReply):
-                    return await self._note_pending(queue, reply.count, lead)
-        self.meters.count("pending_answers", "refused")
-        raise NotReadyError("the replica lags", retry_after_s=_RETRY_S)
-
-    async def _note_pending(self, queue: Queue, count: int, source: str) -> int:
-        """Log a count and what it rests on; return the count."""
-        age_s = await self.bus.ask(ReplicaAge())
-        kind = "replica" if source == "replica" else "peer"
-        self.meters.count("pending_answers", kind)
-        log(
-            "pending.answered",
-            queue=queue.name,
-            count=count,
-            source=source,
-            replica_age_s=round(min(age_s, 1e6), 2),
-        )
-        return count
-
     def _fresh_config(self) -> CellConfig:
         view = self.instance.config
         if view.config is None:
@@ -250,7 +202,7 @@
         job_id: str,
     ) -> web.Response:
         until = self._until(req)
-        if self._known(queue, team, job_id) is not None:
+        if self._lookups.known(queue, team, job_id) is not None:
             return _json(b"{}")
         spec = decode_job(await _body(req, config.max_body_bytes))
         accepted = AcceptedJob(job_id, team, queue, unix_time(), spec)
@@ -275,35 +227,11 @@
         )
         return _json(b"{}")
 
-    def _known(self, queue: Queue, team: str, job_id: str) -> JobView | None:
-        job = self.replica.find(job_id)
-        if job is None or job.accepted is None:
-            return None
-        if job.accepted.queue.address != queue.address:
-            return None
-        if not queue.anonymous and job.accepted.team != team:
-            return None
-        return job
-
-    async def _find(self, queue: Queue, team: str, job_id: str) -> JobView:
-        """Return a job, as of now.
-
-        It may have been accepted by another instance a moment ago; so "no such
-        job" is said only after the log was read to the end that it has now.
-        """
-        job = self._known(queue, team, job_id)
-        if job is None:
-            await self.bus.ask(CatchUp(CALLERS_PARTITIONS))
-            job = self._known(queue, team, job_id)
-        if job is None:
-            raise JobGoneError(job_id)
-        return job
-
     async def _cancel(
         self, req: web.BaseRequest, queue: Queue, team: str, job_id: str
     ) -> web.Response:
-        job = await self._find(queue, team, job_id)
-        if not job.status.ended:
+        status = await self._lookups.status(queue, team, job_id)
+        if not status.ended:
             record = KeyedRecord(CANCEL_PREFIX + job_id, b"\x01")
             offset = await self.bus.ask(Record(record, self._until(req)))
             log("job.cancelled", job=job_id, offset=offset)
--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -1,5 +1,6 @@
 """Events and queries that the services of an instance exchange."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -150,14 +151,10 @@
     """How old the replica is, in seconds: all older records were applied.
 
     It is infinite until every partition of the cell's topic was read to its end.
-    """
-
-
-@attrs.frozen(slots=True)
-class Current(Query[bool]):
-    """Whether all that the cell's topic held some seconds ago was read.
 
-    :param age_s: how much later than usual the last whole reading may be.
+    :param wanted_s: what was read longer ago than this is read on first.
+    :param within_s: how long that may take.
     """
 
-    age_s: float
+    wanted_s: float = math.inf
+    within_s: float = 0.0
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -32,7 +32,6 @@
     LEAD_PARTITIONS,
     AskInstance,
     CatchUp,
-    Current,
     Following,
     HeardLead,
     JobChanged,
@@ -115,6 +114,10 @@
         self.asked = True
         self.gap.set()
 
+    def age_s(self) -> float:
+        """Return how long ago the last read was sent that left nothing unread."""
+        return boot_time() - self.whole_at
+
     @property
     def has_gap(self) -> bool:
         """Whether records were applied beyond one that was not."""
@@ -187,7 +190,6 @@
         self.bus.answer(ReadToEnd, self._read_to_end)
         self.bus.answer(Record, self._record)
         self.bus.answer(StoreTime, self._store_time)
-        self.bus.answer(Current, self._current)
         self.bus.answer(ReplicaAge, self._age)
         self.bus.answer(Following, self._following)
         self.bus.subscribe(RecordsAppended, self._on_appended)
@@ -297,13 +299,16 @@
     async def _store_time(self, query: StoreTime) -> float:
         return self._reach.usual_s if self._reachable else math.inf
 
-    async def _current(self, query: Current) -> bool:
-        now = boot_time()
-        readers = self._readers.values()
-        return all(now - r.whole_at < r.every_s + query.age_s for r in readers)
-
     async def _age(self, query: ReplicaAge) -> float:
-        return boot_time() - min(r.whole_at for r in self._readers.values())
+        late = [r for r in self._readers.values() if r.age_s() > query.wanted_s]
+        # A partition that is still read from the start takes longer than that.
+        if late and all(reader.whole for reader in late):
+            reading = asyncio.gather(*(self._catch_up_one(r) for r in late))
+            try:
+                await asyncio.wait_for(reading, query.within_s)
+            except (TimeoutError, FirhookError) as exc:
+                log("replica.read_on_failed", level="debug", error=repr(exc))
+        return max(reader.age_s() for reader in self._readers.values())
 
     async def _following(self, query: Following) -> bool:
         readers = self._readers.values()
@@ -470,6 +475,7 @@
             await asyncio.wait({under_way})
         if under_way is None or self._catching_up[reader.number].done():
             task = asyncio.create_task(self._read_all(reader))
+            task.add_done_callback(_note_failed_reading)
             self._catching_up[reader.number] = task
         await asyncio.shield(self._catching_up[reader.number])
 
@@ -648,6 +654,12 @@
         return rest
 
 
+def _note_failed_reading(task: asyncio.Task[None]) -> None:
+    """Log why a reading failed, whose askers may have given up waiting."""
+    if not task.cancelled() and task.exception() is not None:
+        log("replica.reading_failed", level="debug", error=repr(task.exception()))
+
+
 def _unexpired(batch: list[_Pending], exc: FirhookError) -> list[_Pending]:
     """Give up the records whose time is up; return the others."""
     now = boot_time()
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -10,8 +10,6 @@
     LeadAlive,
     LeadOffer,
     LeadOfferReply,
-    PendingAsk,
-    PendingReply,
     StrongerHere,
     WorkerTicket,
 )
@@ -114,7 +112,6 @@
         self.bus.publish(ServeInstance(LeadAlive, self._on_alive))
         self.bus.publish(ServeInstance(LeadOffer, self._on_offer))
         self.bus.publish(ServeInstance(StrongerHere, self._on_stronger))
-        self.bus.publish(ServeInstance(PendingAsk, self._serve_pending))
         self.add_future(self._run())
 
     def _on_job(self, event: JobChanged) -> None:
@@ -134,11 +131,6 @@
         tickets = tuple(WorkerTicket(w, t) for w, t in advice.tickets.items())
         return AdviceReply(True, tickets, advice.valid_s)
 
-    async def _serve_pending(self, msg: PendingAsk) -> PendingReply | None:
-        if self.term is None or not self.term.begun:
-            return None
-        return PendingReply(self.replica.pending(msg.queue))
-
     # What proves the lead.
 
     def may_act(self) -> bool:
--- /dev/null
+++ b/src/firhook/services/_lookups.py
@@ -0,0 +1,211 @@
+"""What callers are told of jobs, from here or from an instance that knows."""
+
+import asyncio
+import math
+from typing import Any, TypeVar
+
+from firhook._peer_messages import JobAsk, JobReply, PendingAsk, PendingReply
+from firhook.cell import JobStatus, JobView, Queue
+from firhook.clock import boot_time
+from firhook.decide.asking import whom_to_ask
+from firhook.decide.election import Candidate
+from firhook.errors import (
+    FirhookError,
+    JobGoneError,
+    NotReadyError,
+    PeerUnreachableError,
+)
+from firhook.instance import InstanceService
+from firhook.logs import log
+from firhook.services._events import (
+    CALLERS_PARTITIONS,
+    AskInstance,
+    CatchUp,
+    HeardLead,
+    ReplicaAge,
+    ServeInstance,
+)
+
+#: Callers may be told a count that is two seconds old.  A replica this old, the
+#: time to read on and the time to ask a peer come to that.
+_PENDING_AGE_S = 1.0
+_READ_ON_S = 0.5
+_ASK_S = 0.5
+#: A peer that has not answered by then is not waited for alone.
+_HEDGE_S = 0.15
+#: Jobs change all the time; a replica is read to its end every two seconds.
+_STATUS_AGE_S = 2.5
+#: How long the log is read for one question about a job that is not known.
+_CATCH_UP_S = 1.0
+#: When callers should come back if nobody can tell.
+_RETRY_S = 1.0
+
+R = TypeVar("R")
+
+
+class Lookups:
+    """Answers from the replica if it is new enough, else from a peer's.
+
+    Load: all instances start at once, some on links that the cell's records fill
+    for many seconds.  Harm: a replica that is not whole knows of few jobs, and
+    would tell that one waits where six do, or keep callers waiting for a job until
+    it is read.
+    """
+
+    def __init__(self, service: InstanceService) -> None:
+        self._name = service.settings.name
+        self._bus = service.bus
+        self._replica = service.replica
+        self._meters = service.meters
+
+    def serve(self) -> None:
+        """Answer the peers' questions."""
+        self._bus.publish(ServeInstance(PendingAsk, self._serve_pending))
+        self._bus.publish(ServeInstance(JobAsk, self._serve_job))
+
+    # How many jobs wait.
+
+    async def pending(self, queue: Queue) -> int:
+        """Return how many jobs of a queue wait for their first start.
+
+        :raises NotReadyError: if neither this instance nor a peer can tell.
+        """
+        try:
+            reply = await self._count(queue.address)
+            source, kind = self._name, "replica"
+        except NotReadyError:
+            source, reply = await self._ask(PendingAsk(queue.address), PendingReply)
+            kind = "peer" if reply else "refused"
+        self._meters.count("pending_answers", kind)
+        if reply is None:
+            raise NotReadyError("no replica is new enough", retry_after_s=_RETRY_S)
+        log(
+            "pending.answered",
+            queue=queue.name,
+            count=reply.count,
+            source=source,
+            age_s=round(reply.age_s, 2),
+        )
+        return reply.count
+
+    async def _count(self, address: str) -> PendingReply:
+        age_s = await self._bus.ask(ReplicaAge(_PENDING_AGE_S, _READ_ON_S))
+        if age_s > _PENDING_AGE_S:
+            raise NotReadyError("the replica lags", retry_after_s=_RETRY_S)
+        return PendingReply(self._replica.pending(address), age_s)
+
+    async def _serve_pending(self, msg: PendingAsk) -> PendingReply:
+        return await self._count(msg.queue)
+
+    # Where a job stands.
+
+    def known(self, queue: Queue, team: str, job_id: str) -> JobView | None:
+        """Return a job of a queue and a team, if the replica has it."""
+        job = self._replica.find(job_id)
+        if job is None or job.accepted is None:
+            return None
+        accepted = job.accepted
+        mine = _is_of(queue, team, accepted.queue.address, accepted.team)
+        return job if mine else None
+
+    async def status(self, queue: Queue, team: str, job_id: str) -> JobStatus:
+        """Return where a job stands.
+
+        It may have been accepted by another instance a moment ago; so "no such
+        job" is said only by one that has read the log to the end that it has now.
+
+        :raises JobGoneError: if there is no such job.
+        :raises NotReadyError: if neither this instance nor a peer can tell.
+        """
+        age_s = await self._bus.ask(ReplicaAge())
+        job = self.known(queue, team, job_id)
+        if job is not None and (job.status.ended or age_s <= _STATUS_AGE_S):
+            return job.status
+        if job is None and age_s < math.inf and await self._caught_up():
+            job = self.known(queue, team, job_id)
+            if job is None:
+                raise JobGoneError(job_id)
+            return job.status
+        _, reply = await self._ask(JobAsk(job_id), JobReply)
+        self._meters.count("status_answers", "peer" if reply else "unanswered")
+        if reply is not None:
+            if not reply.found or not _is_of(queue, team, reply.queue, reply.team):
+                raise JobGoneError(job_id)
+            return JobStatus(reply.status)
+        if job is not None and age_s < math.inf:
+            # It stood so when the log was last read to its end.
+            return job.status
+        raise NotReadyError("no replica is new enough", retry_after_s=_RETRY_S)
+
+    async def _caught_up(self) -> bool:
+        """Read to the end that the log has now; return whether that was done."""
+        reading = self._bus.ask(CatchUp(CALLERS_PARTITIONS))
+        try:
+            await asyncio.wait_for(reading, _CATCH_UP_S)
+        except (TimeoutError, FirhookError) as exc:
+            log("replica.catch_up_failed", level="debug", error=repr(exc))
+            return False
+        return True
+
+    async def _serve_job(self, msg: JobAsk) -> JobReply:
+        age_s = await self._bus.ask(ReplicaAge(_STATUS_AGE_S, _READ_ON_S))
+        if age_s > _STATUS_AGE_S:
+            raise NotReadyError("the replica lags", retry_after_s=_RETRY_S)
+        job = self._replica.find(msg.job_id)
+        if job is None:
+            if not await self._caught_up():
+                raise NotReadyError("the replica lags", retry_after_s=_RETRY_S)
+            job = self._replica.find(msg.job_id)
+        if job is None or job.accepted is None:
+            return JobReply(False)
+        accepted = job.accepted
+        return JobReply(True, int(job.status), accepted.queue.address, accepted.team)
+
+    # Peers.
+
+    async def _ask(self, message: Any, reply: type[R]) -> tuple[str, R | None]:
+        """Ask peers; return who answered and what, or ``None``.
+
+        The next one is asked beside those that have not answered after a while: the
+        first may be gone, or its link may be full.
+        """
+        lead = await self._bus.ask(HeardLead())
+        peers = [
+            Candidate(peer.name, peer.zone, peer.strength)
+            for peer in self._replica.peers.values()
+        ]
+        names = whom_to_ask(self._name, lead, peers)
+        until = boot_time() + _ASK_S
+        asking: set[asyncio.Task[tuple[str, Any]]] = set()
+        try:
+            while names or asking:
+                if names:
+                    asking.add(asyncio.create_task(self._ask_one(names[0], message)))
+                    names = names[1:]
+                left_s = until - boot_time()
+                if left_s <= 0:
+                    break
+                done, asking = await asyncio.wait(
+                    asking,
+                    timeout=min(_HEDGE_S, left_s) if names else left_s,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for name, answer in (task.result() for task in done):
+                    if isinstance(answer, reply):
+                        return name, answer
+        finally:
+            for task in asking:
+                task.cancel()
+        return "", None
+
+    async def _ask_one(self, name: str, message: Any) -> tuple[str, Any]:
+        try:
+            return name, await self._bus.ask(AskInstance(name, message, _ASK_S))
+        except PeerUnreachableError as exc:
+            log("lookup.ask_failed", level="debug", peer=name, error=exc.detail)
+            return name, None
+
+
+def _is_of(queue: Queue, team: str, address: str, owner: str) -> bool:
+    """Return whether a job with this address and owner is one of the caller's."""
+    return address == queue.address and (queue.anonymous or owner == team)
--- /dev/null
+++ b/tests/services/test_lookups.py
@@ -0,0 +1,118 @@
+"""What callers are told by an instance that has not read all jobs yet."""
+
+import pytest
+
+from firhook._peer_messages import RecordsPush
+from standins.model import ModelCell, ModelRequest, now, pause, run_virtual
+
+
+def step(count=2, cpu_m=1000, **more):
+    return {"count": count, "millicpus": cpu_m, "task_memory_mb": 100, **more}
+
+
+async def cell_with_a_slow_reader(workers=1):
+    """Return a cell, and an instance that has just begun to read its jobs."""
+    cell = ModelCell(instances=4, workers=workers)
+    await cell.begin()
+    cell.jobs = [await cell.submit([step(8)], work_s=30.0) for _ in range(4)]
+    behind = next(n for n in cell.instances if n != cell.lead_name())
+    cell.kill(behind)
+    cell.store.transfer_s[behind, 1] = 12.0
+    await cell.restart(behind)
+    cell.instances[behind].instance.services["mesh"].handlers.pop(RecordsPush)
+    await pause(1.0)
+    return cell, cell.instances[behind]
+
+
+@pytest.mark.parametrize("lead", [True, False])
+def test_count_of_an_instance_that_still_reads_the_jobs_is_what_a_peer_knows(lead):
+    """With and without a lead that could be asked."""
+
+    async def play():
+        cell, found = await cell_with_a_slow_reader()
+        if not lead:
+            cell.kill(cell.lead_name())
+        began = now()
+        status, body = await found.call(ModelRequest("GET", "/plan/"))
+        assert (status, body["pending"]) == (200, 3)
+        assert now() - began <= 1.0
+
+    run_virtual(play())
+
+
+def test_count_is_refused_while_nobody_can_tell_it():
+    async def play():
+        cell, found = await cell_with_a_slow_reader()
+        name = found.instance.settings.name
+        cell.cuts += [{name, other} for other in cell.instances if other != name]
+        began = now()
+        status, body = await found.call(ModelRequest("GET", "/plan/"))
+        assert (status, body["ran"]) == (503, "no")
+        assert body["retry_after"] > 0
+        assert now() - began <= 1.0
+
+    run_virtual(play())
+
+
+def test_job_is_found_at_once_by_an_instance_that_still_reads_the_jobs():
+    """A caller who waits for the reading to end gets no answer in time."""
+
+    async def play():
+        cell, found = await cell_with_a_slow_reader()
+        for job, _ in cell.jobs:
+            began = now()
+            state = await cell.status(job, found)
+            assert state == await cell.status(job, cell.lead())
+            assert now() - began < 0.1
+        assert await cell.status("00000000000000ff", found) == "410"
+
+    run_virtual(play())
+
+
+def test_job_of_another_team_is_not_told_by_way_of_a_peer():
+    async def play():
+        cell, found = await cell_with_a_slow_reader()
+        teams = [
+            {"name": "a", "api_keys": ["key-of-a"], "weight": 1, "upper_limit": {}},
+            {"name": "b", "api_keys": ["key-of-b"], "weight": 1, "upper_limit": {}},
+        ]
+        cell.configure(2, tenants=teams)
+        await pause(2.5)
+        path = f"/plan/{cell.jobs[0][0]}"
+        status, _ = await found.call(ModelRequest("GET", path, key="key-of-b"))
+        assert status == 410
+        status, _ = await found.call(ModelRequest("GET", path))
+        assert status == 200
+
+    run_virtual(play())
+
+
+def test_job_is_cancelled_through_an_instance_that_still_reads_the_jobs():
+    async def play():
+        cell, found = await cell_with_a_slow_reader()
+        job, _ = cell.jobs[-1]
+        status, body = await found.call(ModelRequest("DELETE", f"/plan/{job}"))
+        assert (status, body["state"]) == (200, "cancelled")
+        await pause(0.5)
+        assert await cell.status(job, cell.lead()) == "cancelled"
+
+    run_virtual(play())
+
+
+def test_instance_whose_own_reading_stopped_tells_the_state_that_the_lead_knows():
+    """Without it a job would be told to run seconds after it has ended."""
+
+    async def play():
+        cell = ModelCell(instances=4)
+        await cell.begin()
+        behind = next(n for n in cell.instances if n != cell.lead_name())
+        found = cell.instances[behind]
+        job, _ = await cell.submit([step(1)], work_s=1.0)
+        await cell.until(lambda: found.instance.replica.find(job), 1.0)
+        cell.store.mode[behind] = "silent"
+        found.instance.services["mesh"].handlers.pop(RecordsPush)
+        await cell.until(lambda: cell.ended(job), 5.0)
+        await pause(2.0)
+        assert await cell.status(job, found) == "completed"
+
+    run_virtual(play())
