A job that had ended is not told as cancelled

Callers saw: a job that was completed is answered as cancelled when it is cancelled afterwards, while every later question tells that it is completed.

Cause: the answer to a cancelling named what was asked for and not what holds, the same class as the counts of waiting jobs. Now a job that has ended is answered as it ended. The test fails before on the first instance asked.

--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -231,10 +231,11 @@
         self, req: web.BaseRequest, queue: Queue, team: str, job_id: str
     ) -> web.Response:
         status = await self._lookups.status(queue, team, job_id)
-        if not status.ended:
-            record = KeyedRecord(CANCEL_PREFIX + job_id, b"\x01")
-            offset = await self.bus.ask(Record(record, self._until(req)))
-            log("job.cancelled", job=job_id, offset=offset)
+        if status.ended:
+            return _json(encode_status(status))
+        record = KeyedRecord(CANCEL_PREFIX + job_id, b"\x01")
+        offset = await self.bus.ask(Record(record, self._until(req)))
+        log("job.cancelled", job=job_id, offset=offset)
         return _json(encode_status(JobStatus.CANCELLED))
 
     def _until(self, req: web.BaseRequest) -> float:
--- a/tests/services/test_lookups.py
+++ b/tests/services/test_lookups.py
@@ -116,3 +116,19 @@
         assert await cell.status(job, found) == "completed"
 
     run_virtual(play())
+
+
+def test_cancelling_a_job_that_has_ended_is_not_told_as_cancelled():
+    """A caller would hand in again what is done already."""
+
+    async def play():
+        cell = ModelCell()
+        await cell.begin()
+        job, _ = await cell.submit([step(1)], work_s=0.2)
+        await cell.all_done(5.0)
+        await pause(0.03)
+        for found in cell.instances.values():
+            status, body = await found.call(ModelRequest("DELETE", f"/plan/{job}"))
+            assert (status, body["state"]) == (200, "completed")
+
+    run_virtual(play())
