A job is queued until a worker says that it began one of its tasks

Callers were told that a job runs, and it was left out of the count of waiting jobs, from its first assignment on, though no worker had begun anything of it: with all workers cut off as it was assigned, and with the lead lost between the append and the order, every instance said running and 0 waiting (the two red tests). Starts that are refused (ticket, room, busy, old) looked the same.

The cause: Book.plan set the status, so that the intent was stored as the fact. Now a start answered TAKEN sets it, or a look that lists a run of the job as going on or as ended, also a run that was given up. OLD tells nothing: the run may have been stopped before it came. No end proves that nothing began, since a worker lists only ends of what it took; a gang's member that waited in vain counts as begun, as its answered start does. Once running, a job stays so if the run is lost.

That a job began is stored with the next state of that job, or with all other such jobs once the oldest has waited for 0.25 s (BEGUN_WAIT_S); the control loop wakes at least every 0.1 s, and the count may be 2 s old. A new lead restores such a job as queued with its runs, and a look that lists one of them makes it running.

Ruled out by reading: nothing else goes by the status RUNNING. What is stored of steps and restored goes by each task's last run, forgetting and the term only by whether a job ended, and only callers' answers tell queued from running. States that an older lead wrote as running stay so.

--- a/src/firhook/cell/_book.py
+++ b/src/firhook/cell/_book.py
@@ -3,7 +3,8 @@
 The book is the lead's memory.  It is built from the records when an instance
 takes the lead, and every change to it is stored before it has an effect
 outside: an assignment before the start is sent, an end before the worker is
-told to forget it.
+told to forget it.  That a job began has no effect outside but what callers are
+told, so that it may be stored a little later, with other changes.
 """
 
 import math
@@ -29,6 +30,9 @@
 _TELLING_PERCENT = 5.0
 #: An order that got no answer may be carried out up to 12 s later.
 LATE_ORDER_S = 12.5
+#: That a job began waits for so long to be stored together with others.  Callers'
+#: count of waiting jobs may be 2 s old, and an append for each start is spared.
+BEGUN_WAIT_S = 0.25
 #: Workers that the adviser is asked about when a job's chain is estimated; the
 #: objectives of jobs allow for one call about so many.
 _ADVISED_WORKERS = 30
@@ -192,6 +196,7 @@
 
     :param accepted_at: on the lead's boot clock.
     :param queue: its queue as it is configured now, or was last.
+    :ivar status: queued until a worker has said that it began a task of it.
     """
 
     accepted: AcceptedJob
@@ -299,6 +304,8 @@
         self.ends: list[tuple[Run, End]] = []
         self.voided: list[tuple[Run, str]] = []
         self._dirty: dict[str, Job] = {}
+        # When each job began of which that is not stored, the oldest first.
+        self._begun_at: dict[str, float] = {}
         self._timed: dict[str, Job] = {}
 
     # Jobs come and change.
@@ -459,6 +466,8 @@
     ) -> list[Run]:
         """Assign tasks to workers; the members of a gang get one number.
 
+        The job counts as begun only by :meth:`note_begun`.
+
         :param tasks: each with its worker's name and life.
         """
         chosen = list(tasks)
@@ -473,8 +482,6 @@
             step.idle.pop(task.index, None)
         if not step.idle:
             self.open_steps.pop(step.name, None)
-        if step.job.status == JobStatus.QUEUED:
-            step.job.status = JobStatus.RUNNING
         self._dirty[step.job.id] = step.job
         self.planned += runs
         return runs
@@ -610,6 +617,12 @@
 
     # What workers say.
 
+    def note_begun(self, job: Job, now: float) -> None:
+        """Take note that a worker began a task of a job; that holds for good."""
+        if job.status == JobStatus.QUEUED:
+            job.status = JobStatus.RUNNING
+            self._begun_at[job.id] = now
+
     def take_look(
         self, worker: str, look: Look, sent_at: float, now: float, unix_now: float
     ) -> list[tuple[str, int]]:
@@ -621,11 +634,19 @@
         runs = self.worker_runs.get(worker, {})
         listed = {(row.task, row.run): row for row in look.running}
         ended = {(row.task, row.run): row for row in look.ended}
+        # Runs that were given up, and that the worker began all the same.
+        for task, _ in (listed.keys() | ended.keys()) - runs.keys():
+            job = self.jobs.get(task.partition(".")[0])
+            if job is not None:
+                self.note_begun(job, now)
         for run in list(runs.values()):
             if run.key in ended and run.life <= look.life:
+                # However it ended: what a worker never began, it does not list.
+                self.note_begun(run.task.step.job, now)
                 self._take_end(run, ended[run.key], now, unix_now)
             elif run.key in listed:
                 run.life = look.life
+                self.note_begun(run.task.step.job, now)
                 run.note_progress(listed[run.key], now)
             else:
                 self._take_absence(run, look, sent_at, now)
@@ -666,11 +687,20 @@
 
     # What is to be stored and sent.
 
-    def take_dirty(self) -> list[Job]:
-        """Return the jobs that changed since the last call."""
-        dirty = list(self._dirty.values())
-        self._dirty = {}
-        return dirty
+    def take_dirty(self, now: float) -> list[Job]:
+        """Return the jobs to store: those that changed since the last call.
+
+        A job of which no more is new than that it began waits for another change
+        of it, until the oldest such job has waited for :data:`BEGUN_WAIT_S`.
+        """
+        dirty, self._dirty = self._dirty, {}
+        for job_id in dirty:
+            self._begun_at.pop(job_id, None)
+        oldest = next(iter(self._begun_at.values()), math.inf)
+        if now - oldest >= BEGUN_WAIT_S:
+            dirty.update((job_id, self.jobs[job_id]) for job_id in self._begun_at)
+            self._begun_at = {}
+        return list(dirty.values())
 
     def take_planned(self) -> list[Run]:
         """Return the runs that were assigned since the last call."""
--- a/src/firhook/cell/_records.py
+++ b/src/firhook/cell/_records.py
@@ -47,7 +47,11 @@
 
 
 class JobStatus(enum.IntEnum):
-    """Where a job stands; the numbers are on the log."""
+    """Where a job stands; the numbers are on the log.
+
+    A job is queued until a worker has said that it began one of its tasks, and
+    running from then on, whatever becomes of that task.
+    """
 
     QUEUED = 0
     RUNNING = 1
--- a/src/firhook/cell/_replica.py
+++ b/src/firhook/cell/_replica.py
@@ -140,7 +140,7 @@
                 yield job_id, job
 
     def pending(self, address: str) -> int:
-        """Return how many jobs of a queue wait for their first task to start.
+        """Return how many jobs of a queue wait for a worker to begin a task.
 
         :param address: host and path of the queue.
         """
--- a/src/firhook/services/_orders.py
+++ b/src/firhook/services/_orders.py
@@ -164,6 +164,7 @@
         run.confirmed = True
         now = boot_time()
         run.begun_at = now
+        self._term.book.note_begun(run.task.step.job, now)
         self._meters.time("start", "", now - began)
         log(
             "run.started",
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -490,7 +490,7 @@
 
     async def _store_changes(self) -> None:
         planned = self.book.take_planned()
-        jobs = self.book.take_dirty()
+        jobs = self.book.take_dirty(boot_time())
         acks = [
             (link, link.processed)
             for link in self.links.values()
--- a/tests/services/test_pending.py
+++ b/tests/services/test_pending.py
@@ -1,5 +1,8 @@
 """Which jobs callers are told that wait: those of which no worker began anything."""
 
+import pytest
+
+from firhook.cell import OrderOutcome
 from standins.model import ModelCell, ModelRequest, now, pause, run_virtual
 
 
@@ -71,3 +74,92 @@
         assert cell.checks.broken == []
 
     run_virtual(play())
+
+
+REFUSALS = [
+    OrderOutcome.NO_TICKET,
+    OrderOutcome.NO_ROOM,
+    OrderOutcome.BUSY,
+    OrderOutcome.OLD,
+]
+
+
+@pytest.mark.parametrize("outcome", REFUSALS)
+def test_job_whose_starts_are_all_refused_is_not_said_to_run(outcome):
+    async def play():
+        cell = ModelCell()
+        await cell.begin()
+        asked = []
+        for worker in cell.workers.values():
+
+            def refuse(order, worker=worker):
+                asked.append(order)
+                return worker._answer(outcome)
+
+            worker.start = refuse
+        job, _ = await cell.submit([step(1)])
+        await cell.until(lambda: asked, 1.0)
+        asked_until = now() + 3.0
+        while now() < asked_until:
+            assert await told(cell, job) == {("queued", 1)}
+            await pause(0.2)
+        for worker in cell.workers.values():
+            del worker.start
+        await cell.all_done(20.0)
+        assert cell.checks.broken == []
+
+    run_virtual(play())
+
+
+def test_job_whose_lead_is_lost_just_after_a_worker_began_it_is_said_to_run():
+    async def play():
+        cell = ModelCell()
+        await cell.begin()
+        first = cell.lead_name()
+        job, _ = await cell.submit([step(1)], work_s=8.0)
+        await cell.until(lambda: cell.checks.last_start, 1.0)
+        await pause(0.01)
+        cell.kill(first)
+        await cell.until(lambda: cell.lead() and cell.lead_name() != first, 5.0)
+        await pause(1.0)
+        assert await told(cell, job) == {("running", 0)}
+        await cell.all_done(20.0)
+        assert cell.checks.broken == []
+
+    run_virtual(play())
+
+
+def test_job_whose_begun_run_is_lost_with_its_worker_is_not_said_to_wait_again():
+    async def play():
+        cell = ModelCell(workers=1)
+        await cell.begin()
+        job, _ = await cell.submit([step(1)], work_s=2.0)
+        await cell.until(lambda: cell.checks.last_start, 1.0)
+        await pause(0.1)
+        cell.workers["w0"].crash()
+        await pause(15.0)
+        assert await told(cell, job) == {("running", 0)}
+        cell.workers["w0"].restart()
+        await cell.all_done(20.0)
+        assert cell.checks.broken == []
+
+    run_virtual(play())
+
+
+def test_job_that_a_worker_began_without_an_answer_is_said_to_run_once_it_is_listed():
+    async def play():
+        cell = ModelCell()
+        await cell.begin()
+        for worker in cell.workers.values():
+            worker.mode = "mute"
+        job, _ = await cell.submit([step(1)], work_s=8.0)
+        await cell.until(lambda: cell.checks.last_start, 1.0)
+        await pause(2.0)
+        for worker in cell.workers.values():
+            worker.mode = "up"
+        await pause(2.0)
+        assert await told(cell, job) == {("running", 0)}
+        await cell.all_done(20.0)
+        assert cell.checks.broken == []
+
+    run_virtual(play())
