--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -130,7 +130,10 @@
 
 @attrs.frozen(slots=True)
 class Following(Query[bool]):
-    """Whether the replica is whole and was read to the end lately."""
+    """Whether all was read once, and the store answered a reading lately.
+
+    It says nothing of how old the replica is; see :class:`ReplicaAge`.
+    """
 
 
 @attrs.frozen(slots=True)
