Two tests that fail: work that waits for ever, and an append that is nowhere

A gang is accepted while a new lead has heard one worker that may run it. The adviser is asked about that one alone, says yes, and is never asked about any other: nine more workers are heard a moment later and stand idle.

An append of the lead gets no answer, and its repeat is refused for the moment. What was under its number is forgotten, the number is used again, and the store takes the next append for the repeat: its records are nowhere.

--- /dev/null
+++ b/tests/services/test_stuck.py
@@ -0,0 +1,84 @@
+"""Accepted work that waits although it could run."""
+
+from firhook.platform.store import CELL_TOPIC, KeyedRecord, encode_keyed
+from firhook.services._fenced_writer import FencedWriter
+from standins.model import ModelCell, ModelStore, pause, run_virtual
+
+
+async def lose_all_power(cell):
+    """Restart all instances and workers at once."""
+    names = list(cell.instances)
+    for name in names:
+        cell.kill(name)
+    for worker in cell.workers.values():
+        worker.restart()
+        cell.register(worker.name)
+    await pause(1.0)
+    for name in names:
+        await cell.restart(name)
+
+
+def gang_step(count, cpu_m):
+    return {
+        "count": count,
+        "millicpus": cpu_m,
+        "task_memory_mb": 100,
+        "all_or_nothing": True,
+    }
+
+
+def test_gang_accepted_before_a_new_lead_has_heard_most_workers_starts():
+    """The adviser is asked about the one worker that is heard, which cannot hold it."""
+
+    async def play():
+        cell = ModelCell(workers=10, advised=True)
+        await cell.begin()
+        await lose_all_power(cell)
+        job_id = cell.new_job_id()
+        step = f"{job_id}.0.0"
+        heard = next(w for w in cell.workers if cell.adviser.may_run(step, w))
+        others = [w for name, w in cell.workers.items() if name != heard]
+        for worker in others:
+            worker.mode = "cut"
+        await cell.submit([gang_step(6, 4000)], job_id=job_id)
+        await cell.until(lambda: cell.adviser.calls > 0, 10.0)
+        for worker in others:
+            worker.mode = "up"
+        await cell.all_done(20.0)
+        assert cell.checks.broken == []
+
+    run_virtual(play())
+
+
+def test_a_repeat_that_is_refused_does_not_swallow_the_next_append():
+    """An append's answer is lost, and its repeat is refused for the moment."""
+
+    async def play():
+        store = ModelStore()
+        writer = FencedWriter(store.client("i"), 1000, lambda sent_at: None)
+        await writer.set_epoch()
+        store.lost_share = 1.0
+        await writer.prove([record("first")])
+        store.lost_share, store.mode["*"] = 0.0, "busy"
+        await pause(1.1)
+        await writer.prove([record("proof")])
+        store.mode.clear()
+        await pause(1.1)
+        await writer.append([record("next")])
+        assert "next" in stored(store)
+
+    run_virtual(play())
+
+
+def record(name):
+    return encode_keyed(KeyedRecord(name, b"x"))
+
+
+def stored(store):
+    """Return the keys on all partitions of the cell's topic."""
+    return [
+        content[1 : 1 + content[0]].decode()
+        for (topic, _), part in sorted(store.partitions.items())
+        if topic == CELL_TOPIC
+        for content in part.records
+    ]
