An append of the lead without an answer is kept until it has one

Callers would see a job that ended run once more, or an end that they were told of undone, after the lead changed: what the lead had written was nowhere.

Cause: an append that got no answer has to be repeated under its number before anything else is appended to that partition. It was forgotten before the repeat was answered. When the store refused the repeat for the moment (429, 503, no connection), the number stayed and the next append was sent under it; the store, which had carried out the first, took that for the repeat and answered with the first one's offset. The records were lost, and were told to all instances at a wrong offset, so that these passed over as many that they had not read.

Class: a number that is used again while the outcome of its first use is open.

Evidence: the model's store loses one answer, refuses for 1.1 s and serves again; the test failed before (the record on no partition) and passes now. Ruled out: the same in the callers' appends, which carry no number.

--- a/src/firhook/services/_fenced_writer.py
+++ b/src/firhook/services/_fenced_writer.py
@@ -118,9 +118,15 @@
 
         What it wrote is older than what was written elsewhere meanwhile, and
         says so by its version.
+
+        It is kept until it is answered.  Forgotten when the store refuses the
+        repeat for the moment, it would leave its number to the next append, which
+        the store takes for the repeat if the first was carried out.
         """
-        contents, part.unanswered = part.unanswered, []
-        return await self._try(part, contents) is not None
+        if await self._try(part, part.unanswered) is None:
+            return False
+        part.unanswered = []
+        return True
 
     async def _try(self, part: _Partition, contents: list[bytes]) -> int | None:
         """Append once; return the offset, or ``None`` if it failed."""
