A step is asked about more workers when those permitted cannot take it

Cause: once the adviser had permitted a worker, a step was only ever asked about those permitted again. A new lead's first question is about the workers that it has heard by then, which may be one or two of 350. If what it is permitted cannot hold the step (a gang of six tasks of 4,950 millicores has no room on one worker of 16,000), it waits for ever, with the question never asked again and all others idle. A gang wider than what may run it of the hundred that one question takes fares alike, without any takeover.

Class: an answer about a part taken for the answer about all.

Change: a step that finds no room asks about workers that were not asked about yet: at once if its questions were about fewer than a hundred so far, otherwise if those permitted could not hold it even with all on them ended that ends. It is looked at once a second while there are no others. Of more than a hundred permitted workers, those that have room are asked about first.

The recorded job fits in all that is known of it (accepted when the lead had just begun, a queue whose jobs are gangs, three in ten workers permitted); its log was not kept, so that this is the likely cause and not a proven one.

Ruled out by reading: a job accepted during a takeover (read and taken in without a pause between), one whose state is restored, seats that failed, questions put off.

--- a/src/firhook/decide/_schedule.py
+++ b/src/firhook/decide/_schedule.py
@@ -10,7 +10,13 @@
 import attrs
 
 from firhook.cell import Book, Resources, Run, Step, StepSpec, Task
-from firhook.decide.tickets import AdviceWish, TicketBook, wish_for
+from firhook.decide.tickets import (
+    MAX_ASKED,
+    AdviceWish,
+    TicketBook,
+    wish_for,
+    wish_for_others,
+)
 
 #: Gangs for which room is kept in a round.  Each keeps other work off some
 #: workers until its room is together; many at once would leave most of the
@@ -28,6 +34,8 @@
 #: Work that ends before a gang's room is together may use the room meanwhile;
 #: estimates are off, so that it must end well before.
 _BACKFILL_FACTOR = 1.25
+#: How often it is looked at whether a step that waits should ask about others.
+_OTHERS_EVERY_S = 1.0
 
 
 @attrs.define(slots=True, eq=False)
@@ -205,6 +213,8 @@
         if not advice.asking:
             has_room = any(w.free.covers(step.spec.held) for w in permitted)
             candidates = permitted or suitable
+            if len(permitted) > MAX_ASKED:
+                candidates.sort(key=lambda w: not w.free.covers(step.spec.held))
             asked = [(w.name, w.life) for w in candidates]
             wish = wish_for(step, advice, asked, has_room, self._now)
             if wish is not None:
@@ -213,6 +223,49 @@
             w for w in permitted if advice.ticket(w.name, w.life, self._now) is not None
         ]
 
+    def _ask_on(self, step: Step, suitable: list[WorkerView]) -> None:
+        """Ask about more workers for a step that those known cannot take now.
+
+        A first question that was about few is made up for at once.  After that
+        more are asked about only if those that may run the step could not hold it
+        even with nothing else on them: each answer takes the adviser's time.
+        """
+        if step.job.queue.advice is None:
+            return
+        advice = self._tickets.of(step)
+        if advice.asking or self._wishes_for(step) or self._now < advice.others_at:
+            return
+        wish = None
+        first_was_short = advice.known_count() < MAX_ASKED
+        if first_was_short or not self._could_hold(step, self._may_run(step, suitable)):
+            asked = [(w.name, w.life) for w in suitable]
+            wish = wish_for_others(step, advice, asked, self._now)
+        if wish is None:
+            advice.others_at = self._now + _OTHERS_EVERY_S
+        else:
+            self.result.wishes.append(wish)
+
+    def _wishes_for(self, step: Step) -> bool:
+        """Return whether this round wishes to ask about the step at hand."""
+        wishes = self.result.wishes
+        return bool(wishes) and wishes[-1].step is step
+
+    def _could_hold(self, step: Step, workers: list[WorkerView]) -> bool:
+        """Return whether workers hold a step once all that ends there has ended."""
+        spec = step.spec
+        wanted = spec.count if spec.gang else 1
+        most = spec.per_worker or spec.count
+        slots = 0
+        for worker in workers:
+            room = worker.free
+            for run in self._book.worker_runs.get(worker.name, {}).values():
+                if not run.task.step.spec.lasting:
+                    room = room.plus(run.task.step.spec.held)
+            slots += room.copies(spec.held, most)
+            if slots >= wanted:
+                return True
+        return False
+
     def _may_run(self, step: Step, suitable: list[WorkerView]) -> list[WorkerView]:
         """Return those that the step may run on, with or without a ticket now."""
         if step.job.queue.advice is None:
@@ -226,7 +279,7 @@
         suitable = self._suitable(step)
         usable = self._advised(step, suitable)
         permitted = self._permitted(step)
-        if not usable or not permitted:
+        if not permitted:
             return
         on_worker = _count_by_worker(step.runs()) if step.spec.per_worker else {}
         chosen: list[tuple[Task, str, int]] = []
@@ -239,7 +292,10 @@
             if step.spec.per_worker:
                 on_worker[worker.name] = on_worker.get(worker.name, 0) + 1
             chosen.append((task, worker.name, worker.life))
-        self._choose(step, chosen)
+        if chosen:
+            self._choose(step, chosen)
+        else:
+            self._ask_on(step, suitable)
 
     def _best(
         self,
@@ -285,8 +341,6 @@
         return not spec.lasting and self._in_time(worker, spec)
 
     def _choose(self, step: Step, chosen: list[tuple[Task, str, int]]) -> None:
-        if not chosen:
-            return
         team = step.job.team
         used = self._team_use.get(team, Resources())
         self._team_use[team] = used.plus(step.spec.need, len(chosen))
@@ -305,6 +359,7 @@
             rows = [(t, w.name, w.life) for t, w in zip(tasks, chosen, strict=True)]
             self._choose(step, rows)
             return
+        self._ask_on(step, suitable)
         if self._reserved < RESERVED_GANGS:
             self._reserve(step, self._may_run(step, suitable))
 
--- a/src/firhook/decide/_tickets.py
+++ b/src/firhook/decide/_tickets.py
@@ -1,5 +1,6 @@
 """What the adviser said of each step, and when to ask it again."""
 
+import math
 from collections.abc import Container, Iterable
 
 import attrs
@@ -37,12 +38,14 @@
     :ivar no: the workers that may not.
     :ivar asking: whether an answer is on its way.
     :ivar wished: whether the next question is waiting for an instance to ask it.
+    :ivar others_at: when to look next whether to ask about more workers.
     """
 
     yes: dict[str, Ticket] = attrs.field(factory=dict)
     no: set[str] = attrs.field(factory=set)
     asking: bool = False
     wished: bool = False
+    others_at: float = -math.inf
 
     def ticket(self, worker: str, life: int, now: float) -> Ticket | None:
         """Return a ticket that can still be used."""
@@ -61,6 +64,10 @@
         """Return whether the adviser has answered for a worker."""
         return worker in self.yes or worker in self.no
 
+    def known_count(self) -> int:
+        """Return for how many workers the adviser has answered."""
+        return len(self.yes) + len(self.no)
+
     def take(
         self,
         asked: Iterable[tuple[str, int]],
@@ -163,6 +170,20 @@
     return _wish(step, usable, now) if due else None
 
 
+def wish_for_others(
+    step: Step, advice: StepAdvice, workers: Iterable[tuple[str, int]], now: float
+) -> AdviceWish | None:
+    """Return the question about workers that were not asked about yet, if any are.
+
+    Load: a new lead asks about a gang when it has heard a few of the workers, or a
+    gang is wider than what may run it of those that one question takes.  Harm: with
+    only those asked about again that may run it, it waits for room on them for ever,
+    while all others stand idle.
+    """
+    unknown = [w for w in workers if not advice.known(w[0])][:MAX_ASKED]
+    return _wish(step, unknown, now)
+
+
 def _until(advice: StepAdvice, worker: tuple[str, int]) -> float:
     ticket = advice.yes[worker[0]]
     return ticket.until if ticket.life == worker[1] else 0.0
