Questions about jobs cost no calls while the store cannot answer them

Callers would see, while the store is away, each question for a job that is known held for half a second; and each question, also for a count while one partition of four is away, made three peers read on at the store: 1,187 calls for 100 questions at a store that answers 503, 411 at one without a partition (model, five instances).

Cause: a replica that was too old was read on for each question, although its own readings had just failed; peers that were asked did the same.

Change: nothing is read on that did not answer just now. A peer tells of a job that it knows by the age of its replica alone. An end at any age is told only if the lead stored it: that a cancelling was recorded is not yet an end. No question waits for longer than its caller. The list of candidates is made in one place.

Both tests fail before.

--- a/src/firhook/decide/_asking.py
+++ b/src/firhook/decide/_asking.py
@@ -4,15 +4,16 @@
 
 from firhook.decide._election import Candidate, line_of_succession
 
-#: Instances that are asked at most, one after the other.
+#: Instances that are asked one question at most.
 MOST_ASKED = 3
 
 
 def whom_to_ask(name: str, lead: str, candidates: Sequence[Candidate]) -> list[str]:
     """Return the instances to ask, the first one first.
 
-    The lead hears of every record first.  Strong instances come next, as they are
-    the first to have read the log; zones take turns, since they fail together.
+    The lead is told of every record that is appended.  Strong instances come next,
+    as they are the first to have read the log; zones take turns, since they fail
+    together.
 
     :param name: of the instance that asks.
     :param lead: the name of the lead, or empty if none is heard.
--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -171,17 +171,18 @@
             raise QueueUnknownError(f"{host}{path[:100]}")
         team = _team_name(config, queue, req)
         job_id = path[len(queue.prefix) :]
+        until = self._until(req)
         if not job_id and req.method == "GET":
-            return _json(encode_pending(await self._lookups.pending(queue)))
+            return _json(encode_pending(await self._lookups.pending(queue, until)))
         if not JOB_ID.fullmatch(job_id):
             raise QueueUnknownError(f"{path[:100]}: no job id of 16 hex digits")
         if req.method == "POST":
             return await self._submit(req, config, queue, team, job_id)
         if req.method == "GET":
-            status = await self._lookups.status(queue, team, job_id)
+            status = await self._lookups.status(queue, team, job_id, until)
             return _json(encode_status(status))
         if req.method == "DELETE":
-            return await self._cancel(req, queue, team, job_id)
+            return await self._cancel(queue, team, job_id, until)
         raise RequestMalformedError(f"{req.method}: use POST, GET or DELETE")
 
     def _fresh_config(self) -> CellConfig:
@@ -228,18 +229,18 @@
         return _json(b"{}")
 
     async def _cancel(
-        self, req: web.BaseRequest, queue: Queue, team: str, job_id: str
+        self, queue: Queue, team: str, job_id: str, until: float
     ) -> web.Response:
-        status = await self._lookups.status(queue, team, job_id)
+        status = await self._lookups.status(queue, team, job_id, until)
         if status.ended:
             return _json(encode_status(status))
         record = KeyedRecord(CANCEL_PREFIX + job_id, b"\x01")
-        offset = await self.bus.ask(Record(record, self._until(req)))
+        offset = await self.bus.ask(Record(record, until))
         log("job.cancelled", job=job_id, offset=offset)
         return _json(encode_status(JobStatus.CANCELLED))
 
     def _until(self, req: web.BaseRequest) -> float:
-        """Return until when the log may be tried for a request."""
+        """Return until when a request may wait for the log or for peers."""
         wait_s = _DEFAULT_WAIT_S
         given = req.headers.get("Deadline-Ms", "")
         if given.isascii() and given.isdigit():
--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -155,8 +155,9 @@
 
     It is infinite until every partition of the cell's topic was read to its end.
 
-    :param wanted_s: what was read longer ago than this is read on first.
-    :param within_s: how long that may take.
+    :param wanted_s: what was read to its end longer ago than this is read on first,
+        unless the store did not answer just now or all is still read from the start.
+    :param within_s: how long that may take; what is not read by then stays as it is.
     """
 
     wanted_s: float = math.inf
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -92,7 +92,7 @@
     :ivar next_offset: all records before it were applied.
     :ivar whole: whether the newest record of each key is known.
     :ivar reachable: whether the last read was answered.
-    :ivar whole_at: when the last read was sent that left nothing unread.
+    :ivar read_to_end_at: when the last read was sent that left nothing unread.
     :ivar asked: whether it is to be read at once.
     """
 
@@ -103,7 +103,7 @@
         self.next_offset = 0
         self.whole = False
         self.answered_at = float("-inf")
-        self.whole_at = float("-inf")
+        self.read_to_end_at = float("-inf")
         self.gap = asyncio.Event()
         self.asked = False
         self.rebuilding = asyncio.Lock()
@@ -116,7 +116,7 @@
 
     def age_s(self) -> float:
         """Return how long ago the last read was sent that left nothing unread."""
-        return boot_time() - self.whole_at
+        return boot_time() - self.read_to_end_at
 
     @property
     def has_gap(self) -> bool:
@@ -301,15 +301,18 @@
 
     async def _age(self, query: ReplicaAge) -> float:
         late = [r for r in self._readers.values() if r.age_s() > query.wanted_s]
-        # A partition that is still read from the start takes longer than that.
-        if late and all(reader.whole for reader in late):
-            reading = asyncio.gather(*(self._catch_up_one(r) for r in late))
+        # A partition that does not answer is tried anyway, and one that is read
+        # from the start takes longer: another reading would cost and tell nothing.
+        if late and self._reachable and all(r.whole and r.reachable for r in late):
             try:
-                await asyncio.wait_for(reading, query.within_s)
+                await asyncio.wait_for(self._read_on(late), query.within_s)
             except (TimeoutError, FirhookError) as exc:
                 log("replica.read_on_failed", level="debug", error=repr(exc))
         return max(reader.age_s() for reader in self._readers.values())
 
+    async def _read_on(self, readers: list[_Reader]) -> None:
+        await asyncio.gather(*(self._catch_up_one(reader) for reader in readers))
+
     async def _following(self, query: Following) -> bool:
         readers = self._readers.values()
         last = max(reader.answered_at for reader in readers)
@@ -421,7 +424,7 @@
         reader.answered_at = max(reader.answered_at, sent_at)
         left = max(part.end - reader.next_offset, 0)
         if not left:
-            reader.whole_at = max(reader.whole_at, sent_at)
+            reader.read_to_end_at = max(reader.read_to_end_at, sent_at)
         return left
 
     def _apply(
@@ -464,8 +467,7 @@
         return reader.next_offset
 
     async def _catch_up(self, query: CatchUp) -> None:
-        readers = [self._readers[number] for number in query.partitions]
-        await asyncio.gather(*(self._catch_up_one(reader) for reader in readers))
+        await self._read_on([self._readers[number] for number in query.partitions])
 
     async def _catch_up_one(self, reader: _Reader) -> None:
         # A reading that is under way may have been answered before the record
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -17,7 +17,6 @@
 from firhook.cell.records import LEAD_KEY, encode_record, state_version
 from firhook.clock import boot_time
 from firhook.decide.election import (
-    Candidate,
     Election,
     line_of_succession,
     much_stronger,
@@ -41,6 +40,7 @@
     TellInstance,
     TellInstances,
 )
+from firhook.services._members import candidates
 from firhook.services._term import PROOF_S, Term
 
 #: How often an instance looks whether the lead is its own business.
@@ -177,12 +177,6 @@
             return ""
         return name
 
-    def _candidates(self) -> list[Candidate]:
-        return [
-            Candidate(peer.name, peer.zone, peer.strength)
-            for peer in self.replica.peers.values()
-        ]
-
     async def _ready(self) -> bool:
         """Return whether this instance could lead.
 
@@ -219,7 +213,7 @@
                 self._keep(self.term, now)
             return
         offered, self._offered = self._offered, False
-        if offered or self._election.stands(self._candidates(), now):
+        if offered or self._election.stands(candidates(self.replica), now):
             await self._stand(offered)
         else:
             self._offer_strength(now)
@@ -349,7 +343,7 @@
                 # A takeover is six calls in turn.  While the store is 36 times
                 # slower than usual nothing would start for a second.
                 return False
-        line = line_of_succession(self._candidates(), self.settings.name)
+        line = line_of_succession(candidates(self.replica), self.settings.name)
         names = [c.name for c, _ in line if c.name != self.settings.name]
         for name in names[:_OFFERS]:
             term = self.term
--- a/src/firhook/services/_lookups.py
+++ b/src/firhook/services/_lookups.py
@@ -8,7 +8,6 @@
 from firhook.cell import JobStatus, JobView, Queue
 from firhook.clock import boot_time
 from firhook.decide.asking import whom_to_ask
-from firhook.decide.election import Candidate
 from firhook.errors import (
     FirhookError,
     JobGoneError,
@@ -25,15 +24,19 @@
     ReplicaAge,
     ServeInstance,
 )
+from firhook.services._members import candidates
 
-#: Callers may be told a count that is two seconds old.  A replica this old, the
-#: time to read on and the time to ask a peer come to that.
+#: The oldest replica that is counted.  Callers may be told a count that is two
+#: seconds old, and a peer's count is on its way for ``_ASK_S`` at most.
 _PENDING_AGE_S = 1.0
-_READ_ON_S = 0.5
-_ASK_S = 0.5
+#: How long a replica that is older may be read on for one count.
+_READ_ON_S = 0.4
+#: How long peers are asked.  It is more than ``_READ_ON_S``, which a peer may take.
+_ASK_S = 0.6
 #: A peer that has not answered by then is not waited for alone.
 _HEDGE_S = 0.15
-#: Jobs change all the time; a replica is read to its end every two seconds.
+#: The oldest replica that tells where a job stands: the partitions that are read
+#: least often are read every two seconds.
 _STATUS_AGE_S = 2.5
 #: How long the log is read for one question about a job that is not known.
 _CATCH_UP_S = 1.0
@@ -47,9 +50,8 @@
     """Answers from the replica if it is new enough, else from a peer's.
 
     Load: all instances start at once, some on links that the cell's records fill
-    for many seconds.  Harm: a replica that is not whole knows of few jobs, and
-    would tell that one waits where six do, or keep callers waiting for a job until
-    it is read.
+    for seconds.  Harm: a replica that is not whole knows few of the jobs; it would
+    tell a count far too low, or keep callers waiting for a job until it is read.
     """
 
     def __init__(self, service: InstanceService) -> None:
@@ -65,16 +67,18 @@
 
     # How many jobs wait.
 
-    async def pending(self, queue: Queue) -> int:
+    async def pending(self, queue: Queue, until: float) -> int:
         """Return how many jobs of a queue wait for their first start.
 
+        :param until: on the boot clock, until when the caller can wait.
         :raises NotReadyError: if neither this instance nor a peer can tell.
         """
         try:
             reply = await self._count(queue.address)
             source, kind = self._name, "replica"
         except NotReadyError:
-            source, reply = await self._ask(PendingAsk(queue.address), PendingReply)
+            message = PendingAsk(queue.address)
+            source, reply = await self._ask(message, PendingReply, until)
             kind = "peer" if reply else "refused"
         self._meters.count("pending_answers", kind)
         if reply is None:
@@ -108,50 +112,56 @@
         mine = _is_of(queue, team, accepted.queue.address, accepted.team)
         return job if mine else None
 
-    async def status(self, queue: Queue, team: str, job_id: str) -> JobStatus:
+    async def status(
+        self, queue: Queue, team: str, job_id: str, until: float
+    ) -> JobStatus:
         """Return where a job stands.
 
         It may have been accepted by another instance a moment ago; so "no such
         job" is said only by one that has read the log to the end that it has now.
+        If no instance has a new replica, as while the store is away, a job that is
+        known stands where it did when the log was last read.
 
+        :param until: on the boot clock, until when the caller can wait.
         :raises JobGoneError: if there is no such job.
         :raises NotReadyError: if neither this instance nor a peer can tell.
         """
         age_s = await self._bus.ask(ReplicaAge())
         job = self.known(queue, team, job_id)
-        if job is not None and (job.status.ended or age_s <= _STATUS_AGE_S):
+        if job is not None and (_ended_for_good(job) or age_s <= _STATUS_AGE_S):
             return job.status
-        if job is None and age_s < math.inf and await self._caught_up():
+        if job is None and age_s < math.inf and await self._caught_up(until):
             job = self.known(queue, team, job_id)
             if job is None:
                 raise JobGoneError(job_id)
             return job.status
-        _, reply = await self._ask(JobAsk(job_id), JobReply)
-        self._meters.count("status_answers", "peer" if reply else "unanswered")
+        _, reply = await self._ask(JobAsk(job_id), JobReply, until)
         if reply is not None:
+            self._meters.count("status_answers", "peer")
             if not reply.found or not _is_of(queue, team, reply.queue, reply.team):
                 raise JobGoneError(job_id)
             return JobStatus(reply.status)
         if job is not None and age_s < math.inf:
-            # It stood so when the log was last read to its end.
+            self._meters.count("status_answers", "old_replica")
             return job.status
+        self._meters.count("status_answers", "refused")
         raise NotReadyError("no replica is new enough", retry_after_s=_RETRY_S)
 
-    async def _caught_up(self) -> bool:
+    async def _caught_up(self, until: float = math.inf) -> bool:
         """Read to the end that the log has now; return whether that was done."""
         reading = self._bus.ask(CatchUp(CALLERS_PARTITIONS))
         try:
-            await asyncio.wait_for(reading, _CATCH_UP_S)
+            await asyncio.wait_for(reading, min(_CATCH_UP_S, until - boot_time()))
         except (TimeoutError, FirhookError) as exc:
             log("replica.catch_up_failed", level="debug", error=repr(exc))
             return False
         return True
 
     async def _serve_job(self, msg: JobAsk) -> JobReply:
-        age_s = await self._bus.ask(ReplicaAge(_STATUS_AGE_S, _READ_ON_S))
-        if age_s > _STATUS_AGE_S:
-            raise NotReadyError("the replica lags", retry_after_s=_RETRY_S)
+        age_s = await self._bus.ask(ReplicaAge())
         job = self._replica.find(msg.job_id)
+        if age_s > _STATUS_AGE_S and not (job and _ended_for_good(job)):
+            raise NotReadyError("the replica lags", retry_after_s=_RETRY_S)
         if job is None:
             if not await self._caught_up():
                 raise NotReadyError("the replica lags", retry_after_s=_RETRY_S)
@@ -163,19 +173,17 @@
 
     # Peers.
 
-    async def _ask(self, message: Any, reply: type[R]) -> tuple[str, R | None]:
+    async def _ask(
+        self, message: Any, reply: type[R], until: float
+    ) -> tuple[str, R | None]:
         """Ask peers; return who answered and what, or ``None``.
 
         The next one is asked beside those that have not answered after a while: the
         first may be gone, or its link may be full.
         """
         lead = await self._bus.ask(HeardLead())
-        peers = [
-            Candidate(peer.name, peer.zone, peer.strength)
-            for peer in self._replica.peers.values()
-        ]
-        names = whom_to_ask(self._name, lead, peers)
-        until = boot_time() + _ASK_S
+        names = whom_to_ask(self._name, lead, candidates(self._replica))
+        until = min(until, boot_time() + _ASK_S)
         asking: set[asyncio.Task[tuple[str, Any]]] = set()
         try:
             while names or asking:
@@ -206,6 +214,11 @@
             return name, None
 
 
+def _ended_for_good(job: JobView) -> bool:
+    """Return whether the lead stored an end, after which nothing changes."""
+    return job.state is not None and job.state.status.ended
+
+
 def _is_of(queue: Queue, team: str, address: str, owner: str) -> bool:
     """Return whether a job with this address and owner is one of the caller's."""
     return address == queue.address and (queue.anonymous or owner == team)
--- a/tests/services/test_lookups.py
+++ b/tests/services/test_lookups.py
@@ -121,6 +121,62 @@
     run_virtual(play())
 
 
+async def ask_often(cell, question):
+    """Ask every instance 20 times; return the time and the readings it took."""
+    began, reads = now(), cell.store.reads
+    await pause(1.0)
+    idle_a_second = (cell.store.reads - reads) / (now() - began)
+    began, reads = now(), cell.store.reads
+    for found in cell.instances.values():
+        for _ in range(20):
+            await question(found)
+    took_s = now() - began
+    return took_s, cell.store.reads - reads - idle_a_second * took_s
+
+
+@pytest.mark.parametrize("mode", ["silent", "busy"])
+def test_known_job_is_told_at_once_and_without_a_call_while_the_store_is_away(mode):
+    """Each question would wait for a store that answers nobody, and cost calls."""
+
+    async def play():
+        cell = ModelCell(instances=5)
+        await cell.begin()
+        job, _ = await cell.submit([step(1)], work_s=60.0)
+        await cell.until(lambda: cell.checks.last_start, 2.0)
+        await pause(1.0)
+        cell.store.mode["*"] = mode
+        await pause(2.0)
+
+        async def question(found):
+            assert await cell.status(job, found) == "running"
+
+        took_s, reads = await ask_often(cell, question)
+        assert took_s < 100 * 0.02
+        assert reads < 100 * 0.1
+
+    run_virtual(play())
+
+
+def test_count_is_refused_at_once_and_without_a_call_while_a_partition_is_away():
+    """Jobs may lie there that nobody can see."""
+
+    async def play():
+        cell = ModelCell(instances=5)
+        await cell.begin()
+        cell.store.partly_down = {3}
+        await pause(4.0)
+
+        async def question(found):
+            status, _ = await found.call(ModelRequest("GET", "/plan/"))
+            assert status == 503
+
+        took_s, reads = await ask_often(cell, question)
+        assert took_s < 100 * 0.02
+        assert reads < 100 * 0.1
+
+    run_virtual(play())
+
+
 def test_cancelling_a_job_that_has_ended_is_not_told_as_cancelled():
     """A caller would hand in again what is done already."""
 
