A recorded cancelling is not told as the job's state

Callers were told that a job is cancelled as soon as their cancelling was recorded, and later that it is completed: an end that the lead stored first goes first.

The answer to a cancelling that was recorded carries no state now; a job that had ended is answered as it ended.

--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -12,7 +12,7 @@
     problem_response,
     wait_let_go,
 )
-from firhook.cell import AcceptedJob, CellConfig, JobStatus, Queue
+from firhook.cell import AcceptedJob, CellConfig, Queue
 from firhook.cell.records import CANCEL_PREFIX, JOB_PREFIX, encode_record
 from firhook.clock import boot_time, unix_time
 from firhook.errors import (
@@ -237,7 +237,8 @@
         record = KeyedRecord(CANCEL_PREFIX + job_id, b"\x01")
         offset = await self.bus.ask(Record(record, until))
         log("job.cancelled", job=job_id, offset=offset)
-        return _json(encode_status(JobStatus.CANCELLED))
+        # Whether it ends as cancelled is not known yet: an end may come first.
+        return _json(b"{}")
 
     def _until(self, req: web.BaseRequest) -> float:
         """Return until when a request may wait for the log or for peers."""
