The lead tells why its oldest steps wait

An on-call engineer who sees accepted work that does not start could not learn from the logs what it waits for: nothing is written of a step before its first run.

A round notes why each step that it could not start waits: no worker takes new work, the team is at its limit, a question to the adviser is due or under way, nobody is permitted, or no room. Of the steps whose turn came over three seconds ago and of which nothing runs, as far as the lead knows, it logs the five oldest, at most once a second, as steps.waiting: the reason, what is left, for how many workers the adviser has answered and how many may run it. Two reasons are found beside the rounds: runs that are bound to workers which were not heard to run them, with their names, and a step that no round has looked at, which would be a fault of the book.

Tests: each reason as the round finds it, the runs bound, at most five however many wait, and on the model at most one line a second.

--- a/src/firhook/decide/_schedule.py
+++ b/src/firhook/decide/_schedule.py
@@ -6,6 +6,7 @@
 
 import heapq
 from collections.abc import Iterable
+from enum import StrEnum
 
 import attrs
 
@@ -38,6 +39,27 @@
 _OTHERS_EVERY_S = 1.0
 
 
+class Wait(StrEnum):
+    """Why a step does not start."""
+
+    #: No worker of its pool and label takes new work.
+    NO_WORKER = "no_worker"
+    #: Its team may not have more running.
+    TEAM_LIMIT = "team_limit"
+    #: A question to the adviser waits for an instance that is free.
+    ADVICE_DUE = "advice_due"
+    #: The adviser's answer is waited for.
+    ADVICE_ASKED = "advice_asked"
+    #: The adviser permits none of the workers that it was asked about.
+    NOT_PERMITTED = "not_permitted"
+    #: Those that may run it have no room, or none that is not kept for others.
+    NO_ROOM = "no_room"
+    #: All that is left of it is assigned, to workers that were not heard to run it.
+    RUNS_BOUND = "runs_bound"
+    #: No round has looked at it.
+    NOT_LOOKED_AT = "not_looked_at"
+
+
 @attrs.define(slots=True, eq=False)
 class WorkerView:
     """A worker in a round.
@@ -86,10 +108,14 @@
 
 @attrs.define(slots=True)
 class RoundResult:
-    """What a round decided."""
+    """What a round decided.
+
+    :ivar waits: why steps that could not start wait, by the step's name.
+    """
 
     placements: list[Placement] = attrs.field(factory=list)
     wishes: list[AdviceWish] = attrs.field(factory=list)
+    waits: dict[str, Wait] = attrs.field(factory=dict)
 
 
 def urgency(step: Step, now: float) -> tuple[int, int, float]:
@@ -266,6 +292,23 @@
                 return True
         return False
 
+    def _note_wait(self, step: Step, why: Wait) -> None:
+        self.result.waits[step.name] = why
+
+    def _lacks(self, step: Step, suitable: list[WorkerView]) -> Wait:
+        """Return what a step lacks that found no worker."""
+        if not suitable:
+            return Wait.NO_WORKER
+        if step.job.queue.advice is not None:
+            advice = self._tickets.of(step)
+            if advice.asking:
+                return Wait.ADVICE_ASKED
+            if self._wishes_for(step):
+                return Wait.ADVICE_DUE
+            if not advice.yes:
+                return Wait.NOT_PERMITTED
+        return Wait.NO_ROOM
+
     def _may_run(self, step: Step, suitable: list[WorkerView]) -> list[WorkerView]:
         """Return those that the step may run on, with or without a ticket now."""
         if step.job.queue.advice is None:
@@ -280,6 +323,7 @@
         usable = self._advised(step, suitable)
         permitted = self._permitted(step)
         if not permitted:
+            self._note_wait(step, Wait.TEAM_LIMIT)
             return
         on_worker = _count_by_worker(step.runs()) if step.spec.per_worker else {}
         chosen: list[tuple[Task, str, int]] = []
@@ -296,6 +340,7 @@
             self._choose(step, chosen)
         else:
             self._ask_on(step, suitable)
+            self._note_wait(step, self._lacks(step, suitable))
 
     def _best(
         self,
@@ -352,6 +397,7 @@
         suitable = self._suitable(step)
         usable = self._advised(step, suitable)
         if self._permitted(step) < step.spec.count:
+            self._note_wait(step, Wait.TEAM_LIMIT)
             return
         chosen = self._gang_workers(step, usable)
         if chosen is not None:
@@ -360,6 +406,7 @@
             self._choose(step, rows)
             return
         self._ask_on(step, suitable)
+        self._note_wait(step, self._lacks(step, suitable))
         if self._reserved < RESERVED_GANGS:
             self._reserve(step, self._may_run(step, suitable))
 
--- a/src/firhook/decide/schedule.py
+++ b/src/firhook/decide/schedule.py
@@ -3,6 +3,7 @@
 from firhook.decide._schedule import (
     Placement,
     RoundResult,
+    Wait,
     WorkerView,
     place_round,
     urgency,
@@ -12,6 +13,7 @@
 __all__ = [
     "Placement",
     "RoundResult",
+    "Wait",
     "WorkerView",
     "place_round",
     "urgency",
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -24,11 +24,12 @@
     state_version,
 )
 from firhook.clock import boot_time, unix_time
-from firhook.decide.schedule import WorkerView, place_round, urgent_room_m
+from firhook.decide.schedule import Wait, WorkerView, place_round, urgent_room_m
 from firhook.decide.speeds import SpeedBook
 from firhook.decide.stalls import standing_still
 from firhook.decide.suspicion import dark_zones
 from firhook.decide.tickets import TicketBook
+from firhook.decide.waiting import longest_waiting
 from firhook.errors import (
     FirhookError,
     LogFencedError,
@@ -75,6 +76,8 @@
 #: The weight of the newest urgent step in the mean of what they need: the last
 #: twenty or so count.
 _URGENT_WEIGHT = 0.1
+#: How often the lead tells what has waited longest.
+_TELL_EVERY_S = 1.0
 
 
 class Term:
@@ -120,6 +123,8 @@
         self._ready = False
         self._urgent_need_m = 0
         self._forgotten: list[str] = []
+        self._waits: dict[str, Wait] = {}
+        self._told_at = float("-inf")
         self._orders = Orders(
             self, self._bounds, self._meters, self._spawn, self._wake.set
         )
@@ -397,6 +402,9 @@
             self._lapse_orphans()
             if self.may_act():
                 self._place()
+            else:
+                self._waits = {}
+            self._tell_waiting(boot_time())
             for run in self.book.take_to_stop():
                 self._spawn(self._orders.stop(run))
             self._log_voided()
@@ -442,6 +450,7 @@
 
     def _place(self) -> None:
         now = boot_time()
+        self._waits = {}
         if not self.book.open_steps:
             return
         views = self._views(now)
@@ -455,11 +464,34 @@
             if not step.occurrence and step.number == 0:
                 queue = step.job.queue.name
                 self._meters.time("wait_for_room", queue, now - step.job.accepted_at)
+        self._waits = result.waits
         self._advising.ask_all(result.wishes, now)
         self.tickets.keep_only(self.book.jobs)
         took_s = boot_time() - now
         self._meters.time("round", "", took_s)
 
+    def _tell_waiting(self, now: float) -> None:
+        """Log what has waited longest, and why."""
+        if now - self._told_at < _TELL_EVERY_S:
+            return
+        self._told_at = now
+        answering = {n for n, link in self.links.items() if not link.doubted}
+        waiting = longest_waiting(self.book, self._waits, self.tickets, answering, now)
+        if waiting:
+            rows = [
+                {
+                    "step": row.step.name,
+                    "why": row.why.value,
+                    "ready_s": round(row.ready_s, 2),
+                    "left": row.step.left,
+                    "workers": row.workers,
+                    "asked": row.asked,
+                    "permitted": row.permitted,
+                }
+                for row in waiting
+            ]
+            log("steps.waiting", steps=rows)
+
     def _note_urgent(self, cpu_m: int) -> None:
         """Keep a running mean of what urgent tasks need."""
         self._urgent_need_m += int((cpu_m - self._urgent_need_m) * _URGENT_WEIGHT)
--- a/tests/decide/test_waiting.py
+++ b/tests/decide/test_waiting.py
@@ -1,9 +1,11 @@
 """What a waiting step waits for, and that it does not wait in vain."""
 
 import attrs
+import pytest
 
-from firhook.cell import Advice, AdvicePolicy, Resources, StepSpec
-from firhook.decide.schedule import WorkerView, place_round
+from firhook.cell import Advice, AdvicePolicy, Resources, StepSpec, Team
+from firhook.decide.schedule import Wait, WorkerView, place_round
+from firhook.decide.waiting import longest_waiting
 from tests.decide.test_schedule import PLAN, World
 
 ADVISED = attrs.evolve(PLAN, prefix="/advised/", advice=AdvicePolicy(0.4, 0.006, 1.5))
@@ -16,6 +18,11 @@
         super().__init__(workers)
         self.heard = workers if heard is None else heard
 
+    def told(self, result, answering=()):
+        """Return what is told of the steps that wait, four seconds later."""
+        at = self.now + 4.0
+        return longest_waiting(self.book, result.waits, self.tickets, answering, at)
+
     def play_round(self):
         """Play a round, and return what it decided."""
         views = {
@@ -90,3 +97,89 @@
     first, *others = world.play(3.0)
     assert first == 100
     assert set(others) == {34}
+
+
+def single(cpu_m=4000, **more):
+    return StepSpec(1, Resources(cpu_m, 100), 1.0, **more)
+
+
+def permit_none(world, step):
+    advice = world.tickets.of(step)
+    advice.take([(name, 1) for name in world.names], Advice({}, 1.5), world.now)
+
+
+def be_asking(world, step):
+    world.tickets.of(step).asking = True
+
+
+@pytest.mark.parametrize(
+    ("queue", "spec", "prepare", "why"),
+    [
+        (PLAN, single(label="none"), None, Wait.NO_WORKER),
+        (PLAN, single(cpu_m=9000), None, Wait.NO_ROOM),
+        (PLAN, gang(40), None, Wait.NO_ROOM),
+        (PLAN, single(cpu_m=8000, label="kind"), None, None),
+        (ADVISED, single(), None, Wait.ADVICE_DUE),
+        (ADVISED, single(), be_asking, Wait.ADVICE_ASKED),
+        (ADVISED, single(), permit_none, Wait.NOT_PERMITTED),
+    ],
+)
+def test_step_that_does_not_start_has_the_reason_that_the_round_found(
+    queue, spec, prepare, why
+):
+    world = AdvisedWorld(4)
+    job = world.submit(queue, spec)
+    step = job.steps[0, 0]
+    if prepare is not None:
+        prepare(world, step)
+    result = world.play_round()
+    assert result.waits.get(step.name) == why
+
+
+@pytest.mark.parametrize("spec", [single(), gang(2)])
+def test_step_of_a_team_at_its_limit_waits_for_that(spec):
+    world = AdvisedWorld(4)
+    limit = Team("a", frozenset(), limit=Resources(1000))
+    world.book.set_config(attrs.evolve(world.book.config, teams=(limit,)))
+    world.submit(PLAN, spec)
+    assert [row.why for row in world.told(world.play_round())] == [Wait.TEAM_LIMIT]
+
+
+def test_waiting_step_is_told_of_with_what_the_adviser_said():
+    world = AdvisedWorld(9)
+    world.submit(ADVISED, gang(40))
+    world.play(1.0)
+    (row,) = world.told(world.play_round())
+    assert (row.asked, row.permitted) == (9, 3)
+
+
+def test_step_whose_run_no_worker_confirms_names_the_worker():
+    world = AdvisedWorld(1)
+    job = world.submit(PLAN, single())
+    result = world.play_round()
+    (row,) = world.told(result, answering={"w0"})
+    assert (row.why, row.workers) == (Wait.RUNS_BOUND, ("w0",))
+    (run,) = job.runs()
+    run.confirmed = True
+    assert world.told(result, answering={"w0"}) == []
+    (row,) = world.told(result, answering=())
+    assert row.workers == ("w0",)
+
+
+def test_as_many_steps_are_told_of_however_many_wait():
+    world = AdvisedWorld(1)
+    jobs = []
+    for _ in range(30):
+        jobs.append(world.submit(PLAN, single(cpu_m=9000)))
+        world.now += 0.1
+    told = world.told(world.play_round())
+    assert [row.step.job for row in told] == jobs[:5]
+    assert world.book.jobs.keys() == {job.id for job in jobs}
+
+
+def test_step_that_no_round_looked_at_is_told_of_as_such():
+    world = AdvisedWorld(1)
+    job = world.submit(PLAN, single())
+    world.book.open_steps.clear()
+    (row,) = world.told(world.play_round())
+    assert (row.step.job, row.why) == (job, Wait.NOT_LOOKED_AT)
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -50,6 +50,24 @@
     run_virtual(play())
 
 
+def test_lead_tells_once_a_second_why_the_oldest_steps_wait(caplog):
+    """Step after step waits for room that no worker has."""
+
+    async def play():
+        cell = ModelCell(workers=2)
+        await cell.begin()
+        for _ in range(8):
+            await cell.submit([{"count": 1, "millicpus": 9000, "task_memory_mb": 1}])
+        await pause(10.0)
+
+    with caplog.at_level("INFO", logger="firhook.events"):
+        run_virtual(play())
+    told = [r for r in caplog.records if r.message == "steps.waiting"]
+    assert 6 <= len(told) <= 8
+    for line in told:
+        assert [row["why"] for row in line.steps] == ["no_room"] * 5
+
+
 def test_a_repeat_that_is_refused_does_not_swallow_the_next_append():
     """An append's answer is lost, and its repeat is refused for the moment."""
 
