An end says whether its run was of a gang

Of many completed jobs the log tells the end of some runs after the end of the job, mostly by milliseconds, up to seconds, and reads as if the lead took steps for done before their tasks are.

One member's end stands for its gang; those of the others are listed by their own workers, later if a worker does not answer. No end was told twice by one lead.

Change: run.ended carries whether the run was of a gang. A test has one worker list its member's end late.

--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -341,6 +341,7 @@
             run=run.number,
             worker=link.name,
             end=end.value,
+            gang=step.spec.gang,
             ran_ms=round((now - run.begun_at) * 1000),
         )
         if end is End.DONE:
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -68,6 +68,28 @@
         assert [row["why"] for row in line.steps] == ["no_room"] * 5
 
 
+def test_ends_that_follow_the_end_of_their_job_are_told_as_those_of_a_gang(caplog):
+    """One member's end stands for all, whose own are listed a moment later."""
+
+    async def play():
+        cell = ModelCell(workers=6)
+        await cell.begin()
+        job_id, _ = await cell.submit([gang_step(6, 8000)])
+        await cell.until(lambda: all(w.runs for w in cell.workers.values()), 3.0)
+        cell.workers["w0"].mode = "mute"
+        await cell.all_done(10.0)
+        cell.workers["w0"].mode = "up"
+        await pause(3.0)
+        return job_id
+
+    with caplog.at_level("INFO", logger="firhook.events"):
+        job_id = run_virtual(play())
+    told = [r for r in caplog.records if r.message in ("run.ended", "job.ended")]
+    assert [r.message for r in told] == ["run.ended"] * 5 + ["job.ended", "run.ended"]
+    assert told[-1].task.startswith(job_id)
+    assert told[-1].gang
+
+
 def test_a_repeat_that_is_refused_does_not_swallow_the_next_append():
     """An append's answer is lost, and its repeat is refused for the moment."""
 
