An id that another team's or queue's job has is refused

A team that submitted a job under an id that another team's job had got 200, and the first team, asking for its own job, got 410 from then on. The same between two queues of one team.

Cause: submissions are kept by id alone. One was taken for a repeat only if owner and queue agreed, and was otherwise recorded over the other's.

Class: a key that is unique within its owner's jobs used across all.

Change: such a submission is refused with 409, `job.id_taken`, and nothing is recorded. The answer names the remedy, another id, and not whose job it is.

Open: two such posts at the same moment at two instances remain a race, as does one at an instance that has not heard of the first yet; the later record of a partition holds then.

Evidence: the test, for another team and for another queue, failed before (200 in place of 409) and passes now. A repeat of a team's own submission is taken as before, and is not recorded again.

Tests of services, decisions, cell, platform and pages: 400 passed. Formatter, linter and contracts ran.

--- a/src/firhook/_errors.py
+++ b/src/firhook/_errors.py
@@ -204,6 +204,13 @@
     "No such job is kept in this queue",
     "Check the id; ended jobs are kept for a limited time only.",
 )
+JobIdTakenError = _kind(
+    "JobIdTakenError",
+    "job.id_taken",
+    409,
+    "The id belongs to another job",
+    "Choose another id and submit the job under it; nothing was recorded.",
+)
 SubmissionUnknownError = _kind(
     "SubmissionUnknownError",
     "job.submission_unknown",
--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -18,6 +18,7 @@
 from firhook.errors import (
     BodyTooLargeError,
     FirhookError,
+    JobIdTakenError,
     KeyMissingError,
     KeyRefusedError,
     LogOutcomeUnknownError,
@@ -204,6 +205,8 @@
         until = self._until(req)
         if self._lookups.known(queue, team, job_id) is not None:
             return _json(b"{}")
+        if self.replica.find(job_id) is not None:
+            raise JobIdTakenError(job_id)
         spec = decode_job(await _body(req, config.max_body_bytes))
         accepted = AcceptedJob(job_id, team, queue, unix_time(), spec)
         value = encode_record(accepted)
