A test of a post that is started too late to end in time

Callers of the long rolling restart got endpoint.timeout (ran: unknown) for single posts: an installer cannot tell whether the entry is recorded.

Cause: a post is given a slot with whatever time is left, if the mean of its kind fits. Posts of one kind take 20 ms and 3.5 s in the test, so the mean says little. Ruled out: the stop cutting an exchange (the runner ended each of these posts after 3.5 s, and counted it as run), a slow runner or machine (no post ran over its time). The new test shows the same at a gateway before fake runners; it is known red.

--- a/tests/roles/test_gateway.py
+++ b/tests/roles/test_gateway.py
@@ -273,6 +273,43 @@
     in_world(scenario, room=0)
 
 
+def after_a_slow_one(method, headers=None):
+    """Send a request that gets its turn when a post of 3.5 s ends before it.
+
+    Its deadline is 6 s and the post came just before it.  Return its answer and
+    the methods that the runners got.
+    """
+
+    async def scenario(world):
+        loop = asyncio.get_running_loop()
+        first = asyncio.create_task(world.call("POST", data=b"1"))
+        while not world.runners.sent:
+            await asyncio.sleep(0.01)
+        call = world.call(method, headers=headers, data=b"2")
+        second = asyncio.create_task(call)
+        while not len(world.gateway._services["svc"].queue):
+            await asyncio.sleep(0.01)
+        world.kernel.clock = lambda: loop.time() + 3.5
+        held.set()
+        assert (await first).body == b"fine"
+        return await second, [sent.method for sent in world.runners.sent]
+
+    held = asyncio.Event()
+    return in_world(scenario, held, room=1, default_deadline_s=6.0)
+
+
+def test_post_is_not_started_so_late_that_its_outcome_would_be_unknown():
+    """A logbook entry waits while its team has no room, and has 2.5 s left when
+    its turn comes; the entry before it took 3.5 s.  Sent all the same, it may be
+    recorded after its installer has been told that nobody knows.
+    """
+    answer, sent = after_a_slow_one("POST")
+    assert sent == ["POST"]
+    assert answer.problem["code"] == "queue.deadline"
+    assert answer.problem["ran"] == "no"
+    assert answer.problem["retry_after"] > 0
+
+
 def test_request_waiting_at_the_stop_is_refused_as_not_run():
     """An instance stops while a request waits that cannot be served in time.  Its
     caller is told to come back at once: the balancer picks another instance.
