A post is not sent with less time left than the longest of its kind takes

Callers got endpoint.timeout (ran: unknown) for a logbook entry that had waited, was sent, and could not end in time. Whether it is recorded they could not tell.

Cause: what a request needs was the mean of its kind. Where most take 20 ms and some 3.5 s, that lets one of 3.5 s start with any time left. Change: a request that its caller cannot safely repeat (no idempotent method, no key) is refused as queue.deadline, ran: no, with a time to come back, on arrival, while it waits or at its turn, if less is left than the longest of the last 32 of its kind took and a tenth more. At most three quarters of its time are kept, times that do not fit its whole time do not count, silence makes the longest doubtful as it does the mean, and one that runs for longer than all that ended is taken to run for as long again. A kind of which nothing ended or runs is sent as before: refused, it would never be known. Quotes and keyed charges are served with whatever time is left. A request whose deadline passes between two looks through the queue is not sent either; until now it was, for a caller who had left.

--- a/bench/_virtual.py
+++ b/bench/_virtual.py
@@ -18,6 +18,7 @@
 from firhook.decide.admit import (
     REBALANCE_S,
     Dispatcher,
+    GivenUp,
     Placed,
     QueueLimits,
     expected_item,
@@ -214,8 +215,11 @@
         req.code = exc.code
 
     def _pump(self) -> None:
-        while (placed := self.dispatcher.take(self.fleet.clock.now)) is not None:
-            self._send(placed)
+        while (got := self.dispatcher.take(self.fleet.clock.now)) is not None:
+            if isinstance(got, GivenUp):
+                self._refuse(got.item.token, got.exc)
+            else:
+                self._send(got)
 
     def _send(self, placed: Placed) -> None:
         fleet = self.fleet
--- a/src/firhook/_calls.py
+++ b/src/firhook/_calls.py
@@ -50,6 +50,11 @@
         """Whether running it twice does no harm."""
         return self.method in IDEMPOTENT
 
+    @property
+    def repeatable(self) -> bool:
+        """Whether its caller can repeat it if its outcome is unknown."""
+        return self.idempotent or bool(self.once_key)
+
     @property
     def gone(self) -> bool:
         """Whether the caller has closed its connection."""
--- a/src/firhook/decide/_admit.py
+++ b/src/firhook/decide/_admit.py
@@ -129,6 +129,7 @@
         self.running = 0
         self.weights: dict[str, float] = {}
         self._long_running = 0
+        self._placed: dict[tuple[str, ...], dict[Placed, None]] = {}
         self._capacity = 0
         self._short_seen = -math.inf
         self._short_load = 0.0
@@ -191,6 +192,7 @@
                 retry_after_s=back_s,
             )
         need_s = _WAIT_MARGIN * wait_s + _SERVICE_MARGIN * item.needs_s
+        need_s = max(need_s, wait_s + self._keep_s(item, now))
         if now + need_s > item.deadline:
             raise DeadlineUnmeetableError(
                 f"it would wait {wait_s:.2f} s and run {item.needs_s:.2f} s",
@@ -198,6 +200,13 @@
             )
         self.queue.push(item)
 
+    def _keep_s(self, item: Waiting, now: float) -> float:
+        if not item.allowed_s:
+            return 0.0
+        running = self._placed.get(item.kind)
+        running_s = now - next(iter(running)).started if running else 0.0
+        return self.times.keep_s(item.kind, item.allowed_s, running_s, now)
+
     def expected_wait_s(self, item: Waiting, now: float) -> float:
         """Return how long a new request would wait for its turn."""
         if not len(self.queue) and self.running < self._capacity:
@@ -225,13 +234,20 @@
 
     # -- dispatch ---------------------------------------------------------
 
-    def take(self, now: float) -> Placed | None:
-        """Give the next request a slot; ``None`` if none can have one."""
+    def take(self, now: float, jitter: float = 0.5) -> Placed | GivenUp | None:
+        """Give the next request a slot, or give it up if its turn came too late.
+
+        :return: ``None`` if none can have a slot.
+        """
         blocked: set[str] = set()
         while len(self.queue):
             item = self.queue.pop(self.weights, blocked, self._long_ok(now))
             if item is None:
                 return None
+            if now + self._keep_s(item, now) > item.deadline:
+                self._put_back(item)
+                self.queue.remove(item)
+                return GivenUp(item, self._too_late(item, jitter))
             if not self._account.take(item.team):
                 self._put_back(item)
                 blocked.add(item.team)
@@ -250,7 +266,10 @@
                 continue
             self.running += 1
             self._long_running += item.long
-            return Placed(item, view, now)
+            placed = Placed(item, view, now)
+            # In order of their start: the first is the oldest.
+            self._placed.setdefault(item.kind, {})[placed] = None
+            return placed
         return None
 
     def _put_back(self, item: Waiting) -> None:
@@ -293,6 +312,10 @@
         """Count a request as ended for certain, or as past the bound."""
         self.running -= 1
         self._long_running -= placed.item.long
+        of_kind = self._placed[placed.item.kind]
+        del of_kind[placed]
+        if not of_kind:
+            del self._placed[placed.item.kind]
         self.router.done(placed.view)
         self._account.give_back(placed.item.team)
         self.queue.settle(placed.item, now - placed.started, self.weights)
@@ -347,8 +370,12 @@
         service_s = _SERVICE_MARGIN * item.needs_s
         end = now + outlook.ahead_s / outlook.rate + service_s
         slack = _GIVE_UP_SLACK * (item.deadline - item.arrived)
-        if now + service_s <= item.deadline and end <= item.deadline + slack:
+        least_s = max(service_s, self._keep_s(item, now))
+        if now + least_s <= item.deadline and end <= item.deadline + slack:
             return None
+        return self._too_late(item, jitter)
+
+    def _too_late(self, item: Waiting, jitter: float) -> FirhookError:
         back_s = _come_back(self._drain_s(item.team), jitter)
         return DeadlineUnmeetableError(
             "its turn would come too late", retry_after_s=back_s
@@ -389,4 +416,6 @@
     # Bulk work of a kind not seen yet is likelier long than not.
     long = long or (klass == "bulk" and not times.knows(kind))
     needs_s = times.at_least(kind, now)
-    return Waiting(team, klass, now, deadline, token, expected_s, needs_s, long)
+    return Waiting(
+        team, klass, now, deadline, token, expected_s, needs_s, long, kind=kind
+    )
--- a/src/firhook/decide/_queue.py
+++ b/src/firhook/decide/_queue.py
@@ -26,6 +26,9 @@
     :param long: whether it would hold a slot long enough for short requests
         to feel it.
     :param tried: keys of runners that failed it already.
+    :param kind: what requests that take about as long have in common.
+    :param allowed_s: how long it had when it came, if its caller cannot safely
+        repeat it; else 0.
     """
 
     team: str
@@ -37,6 +40,8 @@
     needs_s: float = 0.0
     long: bool = False
     tried: list[str] = attrs.field(factory=list)
+    kind: tuple[str, ...] = ()
+    allowed_s: float = 0.0
     queued: bool = False
 
 
--- a/src/firhook/decide/_times.py
+++ b/src/firhook/decide/_times.py
@@ -1,6 +1,6 @@
 """How long requests hold a slot, learnt from those that ended."""
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 
 import attrs
 
@@ -20,6 +20,17 @@
 #: refused because of it.  Requests refused teach nothing: taken at full weight
 #: for good, one slow minute would have a kind refused ever after.
 _DOUBT_S = 2.0
+#: Times of a kind remembered one by one.  What is longer than all of them comes
+#: less than about once in so many requests.
+_RECENT = 32
+#: Times vary from one request to the next, and by the load of the machine.
+_KEEP_MARGIN = 1.1
+#: One that runs for longer than all that ended may run for as long again.  An
+#: instance that has just started knows the short ones of a kind first.
+_OUTLASTS = 2.0
+#: A request may wait for the rest of its time at least, however long its kind
+#: takes; else the shortest wait would have it refused.
+_KEEP_MOST = 0.75
 
 
 @attrs.define(slots=True)
@@ -28,6 +39,7 @@
 
     mean_s: float
     learnt_at: float
+    recent_s: deque[float] = attrs.field(factory=lambda: deque(maxlen=_RECENT))
 
 
 class ServiceTimes:
@@ -59,6 +71,40 @@
             return 0.0
         return known.mean_s * 0.5 ** ((now - known.learnt_at) / _DOUBT_S)
 
+    def keep_s(
+        self, kind: tuple[str, ...], allowed_s: float, running_s: float, now: float
+    ) -> float:
+        """Return how much time must be left when a request is sent.
+
+        Made for requests that must not run twice, of kinds whose times differ
+        widely.  The mean says little of the one that takes a hundred times as
+        long; sent too late, it ends after its caller was told that its outcome
+        is unknown.  Not sent, it can come back with all of its time.
+
+        Times that would not fit the whole time do not count, since coming back
+        would not help.  Nothing is kept for a kind never seen: refused, it would
+        never be known.
+
+        :param allowed_s: how long the request had when it came.
+        :param running_s: how long the oldest one of the kind has been running.
+        """
+        longest_s = self._longest_s(kind, allowed_s, now)
+        if longest_s < running_s <= allowed_s:
+            longest_s = _OUTLASTS * running_s
+        return min(_KEEP_MARGIN * longest_s, _KEEP_MOST * allowed_s)
+
+    def _longest_s(self, kind: tuple[str, ...], most_s: float, now: float) -> float:
+        """Return the longest time up to ``most_s``, doubted if none ended lately."""
+        known = self._kinds.get(kind)
+        if known is None:
+            return 0.0
+        longest_s = max(known.recent_s)
+        if longest_s > most_s:
+            longest_s = max((t for t in known.recent_s if t <= most_s), default=0.0)
+        # Silence for as long as one takes says nothing: one may be running.
+        silent_s = max(now - known.learnt_at - longest_s, 0.0)
+        return longest_s * 0.5 ** (silent_s / _DOUBT_S)
+
     def knows(self, kind: tuple[str, ...]) -> bool:
         """Return whether a request of the kind has ended before."""
         return kind in self._kinds
@@ -73,5 +119,6 @@
         self._kinds[kind] = known
         known.mean_s += _ALPHA * (took_s - known.mean_s)
         known.learnt_at = now
+        known.recent_s.append(took_s)
         self._count += 1
         self.mean_s += max(_MEAN_ALPHA, 1 / self._count) * (took_s - self.mean_s)
--- a/src/firhook/roles/_gateway.py
+++ b/src/firhook/roles/_gateway.py
@@ -14,6 +14,7 @@
 from firhook.decide.admit import (
     REBALANCE_S,
     Dispatcher,
+    GivenUp,
     Placed,
     QueueLimits,
     expected_item,
@@ -60,6 +61,7 @@
         self._late: set[asyncio.Task[Any]] = set()
         self._late_keys: set[str] = set()
         self._balanced = -1e9
+        self._jitter = 0.5
         self._runner: Any = None
         self._site: Any = None
         self.stats = self.kernel.stats
@@ -159,11 +161,15 @@
     async def _run(self, call: Call, once_key: str = "") -> Exchange:
         """Queue, send and, where that is safe, try again."""
         service = self._service(call.service)
+        allowed_s = 0.0
+        if not call.repeatable:
+            # Its body has come: a repeat would have no more time than this.
+            allowed_s = call.deadline - self.kernel.clock()
         tried: list[str] = []
         may_have_run = False
         while True:
             try:
-                placed = await self._wait_for_slot(service, call, tried)
+                placed = await self._wait_for_slot(service, call, tried, allowed_s)
                 return await self._send(service, call, placed, once_key)
             except FirhookError as exc:
                 # Whatever a later try met, an earlier one may have been run,
@@ -187,7 +193,7 @@
         return service
 
     async def _wait_for_slot(
-        self, service: Dispatcher, call: Call, tried: list[str]
+        self, service: Dispatcher, call: Call, tried: list[str], allowed_s: float
     ) -> Placed:
         now = self.kernel.clock()
         waiter = _Waiter(call, asyncio.get_running_loop().create_future())
@@ -195,6 +201,7 @@
             service.times, call.kind, call.team, call.klass, now, call.deadline, waiter
         )
         item.tried = list(tried)
+        item.allowed_s = allowed_s
         service.admit(item, now, random.random())
         self._pump()
         placed = await waiter.fut
@@ -292,9 +299,11 @@
         """Give free slots to waiting requests."""
         now = self.kernel.clock()
         for service in self._services.values():
-            while (placed := service.take(now)) is not None:
+            while (placed := service.take(now, self._jitter)) is not None:
                 waiter = placed.item.token
-                if waiter.call.gone or waiter.fut.done():
+                if isinstance(placed, GivenUp):
+                    _refuse(waiter.fut, placed.exc)
+                elif waiter.call.gone or waiter.fut.done():
                     service.end(placed, now)
                     _refuse(waiter.fut, CallerGoneError("its turn had come"))
                 else:
@@ -321,7 +330,8 @@
                 if item.token.call.gone:
                     service.queue.remove(item)
                     _refuse(item.token.fut, CallerGoneError("it was waiting"))
-            for given_up in service.sweep(now, random.random()):
+            self._jitter = random.random()
+            for given_up in service.sweep(now, self._jitter):
                 _refuse(given_up.item.token.fut, given_up.exc)
         self._fleet.note(
             self.kernel.account, self._services.values(), self.kernel.load, now
--- a/tests/decide/test_requests.py
+++ b/tests/decide/test_requests.py
@@ -6,7 +6,13 @@
 import pytest
 
 from bench._virtual import Fleet, Req, Stream, make_all, percentile
-from firhook.decide.admit import Dispatcher, QueueLimits, expected_item
+from firhook.decide.admit import (
+    Dispatcher,
+    GivenUp,
+    Placed,
+    QueueLimits,
+    expected_item,
+)
 from firhook.decide.limits import Account
 from firhook.decide.parts import FleetUse
 from firhook.decide.queue import FairQueue, Waiting
@@ -34,10 +40,11 @@
     return result
 
 
-def admit(disp, now=0.0, deadline=30.0, team="a", expected_s=None):
+def admit(disp, now=0.0, deadline=30.0, team="a", expected_s=None, allowed_s=0.0):
     item = expected_item(disp.times, (team,), team, "standard", now, deadline)
     if expected_s is not None:
         item.expected_s = expected_s
+    item.allowed_s = allowed_s
     disp.admit(item, now, 0.5)
     return item
 
@@ -254,3 +261,104 @@
     assert admit(disp, now=20.0, deadline=21.0).queued
     assert disp.take(20.0) is not None
     assert admit(disp, now=20.0, deadline=20.01, team="b").queued
+
+
+def unequal(longest_s=3.5):
+    """Return a dispatcher of a kind that seldom takes long, at time 0."""
+    disp = dispatcher(runner("r"))
+    for took_s in [longest_s, *[0.02] * 30]:
+        disp.times.learn(("a",), took_s, 0.0)
+    return disp
+
+
+def test_entry_whose_turn_leaves_too_little_time_is_given_up_unsent():
+    """One logbook entry in thirty takes 3.5 s, and this one's turn comes with 3 s
+    left.  Sent, it may end after its installer was told that nobody knows.
+    """
+    disp = unequal()
+    admit(disp, deadline=6.0, allowed_s=6.0)
+    got = disp.take(3.0)
+    assert isinstance(got, GivenUp)
+    assert isinstance(got.exc, DeadlineUnmeetableError)
+    assert got.exc.ran == "no" and got.exc.retry_after_s > 0
+    assert len(disp.queue) == disp.running == 0
+    assert disp.take(3.0) is None
+
+
+def test_request_is_not_sent_once_its_deadline_has_passed():
+    """A quote's deadline passes just before its turn, between two looks through
+    the queue.  Sent, it would take a slot for a caller who has left.
+    """
+    disp = dispatcher(runner("r"))
+    admit(disp, deadline=1.0)
+    assert isinstance(disp.take(1.01), GivenUp)
+
+
+def test_entry_that_waits_too_long_is_told_before_its_turn():
+    disp = unequal()
+    admit(disp, deadline=6.0, allowed_s=6.0)
+    assert disp.sweep(2.0, 0.5) == []
+    assert [g.exc.code for g in disp.sweep(3.0, 0.5)] == ["queue.deadline"]
+
+
+def test_entry_whose_wait_would_leave_too_little_time_is_refused_on_arrival():
+    disp = unequal()
+    for _ in range(20):
+        admit(disp, expected_s=2.0)
+    while disp.take(0.0) is not None:
+        pass
+    assert admit(disp, deadline=6.0).queued
+    with pytest.raises(DeadlineUnmeetableError):
+        admit(disp, deadline=6.0, allowed_s=6.0)
+
+
+def test_entry_with_time_for_the_longest_is_sent():
+    disp = unequal()
+    admit(disp, deadline=6.0, allowed_s=6.0)
+    assert isinstance(disp.take(2.0), Placed)
+
+
+def test_entry_that_need_not_wait_is_sent_however_long_its_kind_takes():
+    """One in thirty takes nearly the whole time that callers give.  Coming back
+    would give it no more time than it has now.
+    """
+    disp = unequal(longest_s=5.9)
+    admit(disp, deadline=6.0, allowed_s=6.0)
+    assert isinstance(disp.take(1.0), Placed)
+
+
+def test_entry_whose_caller_has_no_time_for_the_longest_is_sent():
+    """Its caller gives a second in all.  Refused because some take 3.5 s, it would
+    be refused each time, though nearly all of its kind take 20 ms.
+    """
+    disp = unequal()
+    admit(disp, deadline=1.0, allowed_s=1.0)
+    assert isinstance(disp.take(0.8), Placed)
+
+
+def test_kind_given_up_for_its_longest_is_not_given_up_for_good():
+    """The fleet stays full, and each entry has waited 3 s when its turn comes.
+    Those that are given up teach nothing of how long they would have taken.
+    """
+    disp = unequal()
+    admit(disp, deadline=6.0, allowed_s=6.0)
+    assert isinstance(disp.take(3.0), GivenUp)
+    admit(disp, now=9.0, deadline=15.0, allowed_s=6.0)
+    assert isinstance(disp.take(12.0), Placed)
+
+
+def test_entry_behind_one_that_outlasts_all_others_is_given_up():
+    """An instance has just started and knows entries of 20 ms only; one that came
+    first has been running for 2.5 s.  This one may take as long, or longer.
+    """
+    disp = unequal(longest_s=0.02)
+    admit(disp, deadline=6.0, allowed_s=6.0)
+    assert isinstance(disp.take(0.0), Placed)
+    admit(disp, deadline=6.0, allowed_s=6.0)
+    assert isinstance(disp.take(2.5), GivenUp)
+
+
+def test_entry_of_a_kind_never_seen_is_sent():
+    disp = dispatcher(runner("r"))
+    admit(disp, deadline=6.0, allowed_s=6.0)
+    assert isinstance(disp.take(5.9), Placed)
--- a/tests/roles/test_gateway.py
+++ b/tests/roles/test_gateway.py
@@ -310,6 +310,18 @@
     assert answer.problem["retry_after"] > 0
 
 
+def test_request_that_can_be_repeated_is_served_with_whatever_time_is_left():
+    """A quote, and a charge that has a key, wait as long.  Their callers lose
+    nothing if the outcome stays unknown, since they may ask again; refused, they
+    would lose an answer that most likely comes in time.
+    """
+    keyed = {"Idempotency-Key": "k"}
+    for method, headers in (("PUT", {}), ("POST", keyed)):
+        answer, sent = after_a_slow_one(method, headers)
+        assert answer.body == b"fine"
+        assert sent == ["POST", method]
+
+
 def test_request_waiting_at_the_stop_is_refused_as_not_run():
     """An instance stops while a request waits that cannot be served in time.  Its
     caller is told to come back at once: the balancer picks another instance.
