A caller at an instance that has just started is answered from a short log

Cause: since questions about jobs go to peers, an instance that has not read the log gave up when no peer answered. The new test, an instance alone in its cell, fails before.

--- a/src/firhook/services/_lookups.py
+++ b/src/firhook/services/_lookups.py
@@ -130,23 +130,31 @@
         job = self.known(queue, team, job_id)
         if job is not None and (_ended_for_good(job) or age_s <= _STATUS_AGE_S):
             return job.status
-        if job is None and age_s < math.inf and await self._caught_up(until):
-            job = self.known(queue, team, job_id)
-            if job is None:
-                raise JobGoneError(job_id)
-            return job.status
+        whole = age_s < math.inf
+        if job is None and whole and await self._caught_up(until):
+            return self._status_as_read(queue, team, job_id)
         _, reply = await self._ask(JobAsk(job_id), JobReply, until)
         if reply is not None:
             self._meters.count("status_answers", "peer")
             if not reply.found or not _is_of(queue, team, reply.queue, reply.team):
                 raise JobGoneError(job_id)
             return JobStatus(reply.status)
-        if job is not None and age_s < math.inf:
+        if job is not None and whole:
             self._meters.count("status_answers", "old_replica")
             return job.status
+        # A log that is short is read within the time that callers wait.
+        if not whole and await self._caught_up(until):
+            return self._status_as_read(queue, team, job_id)
         self._meters.count("status_answers", "refused")
         raise NotReadyError("no replica is new enough", retry_after_s=_RETRY_S)
 
+    def _status_as_read(self, queue: Queue, team: str, job_id: str) -> JobStatus:
+        """Return where a job stands by a log that was read to its end just now."""
+        job = self.known(queue, team, job_id)
+        if job is None:
+            raise JobGoneError(job_id)
+        return job.status
+
     async def _caught_up(self, until: float = math.inf) -> bool:
         """Read to the end that the log has now; return whether that was done."""
         reading = self._bus.ask(CatchUp(CALLERS_PARTITIONS))
--- a/tests/services/test_lookups.py
+++ b/tests/services/test_lookups.py
@@ -1,5 +1,7 @@
 """What callers are told by an instance that has not read all jobs yet."""
 
+import asyncio
+
 import pytest
 
 from firhook._peer_messages import RecordsPush
@@ -72,6 +74,26 @@
     run_virtual(play())
 
 
+def test_job_is_told_by_an_instance_that_has_just_started_and_has_no_peer():
+    """All instances start at once, and a caller is there before the log is read."""
+
+    async def play():
+        cell = ModelCell(instances=1)
+        await cell.begin()
+        job, _ = await cell.submit([step(1)], work_s=30.0)
+        cell.kill("i0")
+        cell.store.transfer_s["i0", 1] = 0.2
+        await cell.restart("i0")
+        await pause(0.1)
+        asked = [
+            cell.status(j, cell.instances["i0"]) for j in (job, "00000000000000ff")
+        ]
+        assert (await asyncio.gather(*asked))[1] == "410"
+        assert await cell.status(job, cell.instances["i0"]) in ("queued", "running")
+
+    run_virtual(play())
+
+
 def test_job_of_another_team_is_not_told_by_way_of_a_peer():
     async def play():
         cell, found = await cell_with_a_slow_reader()
