Forgetting takes what it needs and not the lead; a request's deadline is read once

Read again after the fact: forgetting old jobs took the whole lead for its replica and one bound, and imported it back in a circle for its type; a submission worked out anew until when it may wait, which its caller had just done. No behaviour changes.

--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -178,7 +178,7 @@
         if not JOB_ID.fullmatch(job_id):
             raise QueueUnknownError(f"{path[:100]}: no job id of 16 hex digits")
         if req.method == "POST":
-            return await self._submit(req, config, queue, team, job_id)
+            return await self._submit(req, config, queue, team, job_id, until)
         if req.method == "GET":
             status = await self._lookups.status(queue, team, job_id, until)
             return _json(encode_status(status))
@@ -202,8 +202,8 @@
         queue: Queue,
         team: str,
         job_id: str,
+        until: float,
     ) -> web.Response:
-        until = self._until(req)
         if self._lookups.known(queue, team, job_id) is not None:
             return _json(b"{}")
         if self.replica.find(job_id) is not None:
--- a/src/firhook/services/_forgetting.py
+++ b/src/firhook/services/_forgetting.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
 
 from firhook.cell import Replica
 from firhook.cell.records import CANCEL_PREFIX, JOB_PREFIX, STATE_PREFIX
@@ -10,9 +9,6 @@
 from firhook.errors import FirhookError
 from firhook.logs import log
 
-if TYPE_CHECKING:
-    from firhook.services._lead import Lead
-
 Drop = Callable[[int, list[str]], Awaitable[bool]]
 
 #: Ended jobs are kept for so many times as long as is promised, since their
@@ -24,22 +20,22 @@
 
 
 async def forget_old_jobs(
-    lead: "Lead", drop: Drop, forgotten: Callable[[str], None]
+    replica: Replica, status_s: float, drop: Drop, forgotten: Callable[[str], None]
 ) -> None:
     """Drop the records of jobs that ended long ago, some at a time.
 
     The store keeps the newest record of each key for good, and refuses to take
     any more once it is full.
 
+    :param status_s: how long callers may ask for a job that has ended.
     :param drop: drops keys on one partition; returns whether the store took it.
     :param forgotten: called with a job's id once its submission is dropped.
         Without that its state means nothing, so that the state goes last.
     """
-    keep_s = lead.settings.bounds.status_s * _KEPT_FACTOR
-    replica = lead.replica
+    keep_s = status_s * _KEPT_FACTOR
     while True:
         await asyncio.sleep(_EVERY_S)
-        job_ids = _old_jobs(lead, unix_time() - keep_s)[:_AT_ONCE]
+        job_ids = _old_jobs(replica, unix_time() - keep_s)[:_AT_ONCE]
         try:
             for prefix in (CANCEL_PREFIX, JOB_PREFIX, STATE_PREFIX):
                 keys = {job_id: prefix + job_id for job_id in job_ids}
@@ -66,10 +62,10 @@
             left[key] = left[key][1:] if taken else []
 
 
-def _old_jobs(lead: "Lead", before: float) -> list[str]:
+def _old_jobs(replica: Replica, before: float) -> list[str]:
     return [
         job_id
-        for job_id, job in lead.replica.jobs.items()
+        for job_id, job in replica.jobs.items()
         if job.state is not None
         and job.status.ended
         and job.state.over
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -230,7 +230,11 @@
             took_ms=round((boot_time() - self._begun_at) * 1000, 1),
         )
         self._meters.time("takeover", "", boot_time() - self._begun_at)
-        self._spawn(forget_old_jobs(self._lead, self._drop, self._known.discard))
+        self._spawn(
+            forget_old_jobs(
+                self._replica, self._bounds.status_s, self._drop, self._known.discard
+            )
+        )
         self._spawn(self._keep_proving())
         self._spawn(WorkerList(self._store, self._on_worker).run())
 
