Ports of instances that are still starting are not given to others

Its log had instance.starting and two crashes with "Session is closed", and for 30 s another instance refused GET /-/readiness with queue.unknown on its callers' port.

Cause: free_ports looked for ports on which nobody listens at that moment. A process listens about a second after it was given its ports, so the next instance of the play, or of another test beside it, could draw the same one. Here the readiness port of i1 was the callers' port of i0. Played by hand: with the readiness port taken, an instance logs exactly these three lines and ends with 1; with one of its other ports taken it logs more.

Ruled out: load (the instance ended in its first second and no time ran out before), and a change of firhook (the probe of i1 was answered by i0).

Change: a port is bound by a socket that does not listen for as long as its play lasts. A second reservation cannot bind it, and the daemon, which sets SO_REUSEADDR, can.

--- a/standins/model/__init__.py
+++ b/standins/model/__init__.py
@@ -10,6 +10,7 @@
 from standins.model._checks import Broken, Checks
 from standins.model._faults import FIRST_KINDS, Outcome, Trouble
 from standins.model._http import HttpModel
+from standins.model._ports import ReservedPorts
 from standins.model._processes import KEY, Process, Processes, until
 from standins.model._store import ModelStore
 from standins.model._time import VirtualLoop, now, pause
@@ -30,6 +31,7 @@
     "Outcome",
     "Process",
     "Processes",
+    "ReservedPorts",
     "TaskPlan",
     "Trouble",
     "VirtualLoop",
--- a/standins/model/_processes.py
+++ b/standins/model/_processes.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import os
-import secrets
 import signal
-import socket
 import sys
 from pathlib import Path
 from typing import Any
@@ -13,33 +11,11 @@
 import msgspec
 
 from standins.model._http import HttpModel
+from standins.model._ports import ReservedPorts
 
 SRC = str(Path(__file__).parent.parent.parent / "src")
 KEY = {"Authorization": "Bearer key-of-a", "Host": "jobs.example"}
 LIMIT_S = 40.0
-#: Below 32768, from where Linux takes ports for outgoing connections.
-_LISTENING_PORTS = range(12000, 32000)
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens on now.
-
-    They are below those that the kernel gives to outgoing connections; one of
-    these could take a port in the moment between here and the listening.
-    """
-    socks: list[socket.socket] = []
-    while len(socks) < count:
-        sock = socket.socket()
-        try:
-            sock.bind(("127.0.0.1", secrets.choice(_LISTENING_PORTS)))
-        except OSError:
-            sock.close()
-            continue
-        socks.append(sock)
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
 
 
 async def until(holds: Any, limit_s: float = LIMIT_S) -> None:
@@ -115,6 +91,7 @@
     def __init__(self, folder: Path, count: int) -> None:
         self.model = HttpModel()
         self._folder, self._count = folder, count
+        self._ports = ReservedPorts()
         self.all: list[Process] = []
 
     async def __aenter__(self) -> "Processes":
@@ -122,7 +99,7 @@
         await self.model.start()
         self.session = aiohttp.ClientSession()
         for i in range(self._count):
-            ports = tuple(free_ports(3))
+            ports = self._ports.take(3)
             path = self.model.settings(self._folder, f"i{i}", ports)
             process = Process(path, ports)
             await process.start()
@@ -135,6 +112,7 @@
         await self.session.close()
         for process in self.all:
             await process.end()
+        self._ports.close()
         await self.model.stop()
 
     async def serving(self) -> bool:
--- a/standins/soak/_fleet.py
+++ b/standins/soak/_fleet.py
@@ -7,8 +7,7 @@
 import attrs
 
 from standins.links import Link
-from standins.model import HttpModel, Process
-from standins.model._processes import free_ports
+from standins.model import HttpModel, Process, ReservedPorts
 
 #: The platform kills a process that was told to stop after this, in seconds.
 GRACE_S = 6.0
@@ -54,6 +53,7 @@
         self.worker_links: dict[str, Link] = {}
         self.members: list[Member] = []
         self._folder, self._count = folder, count
+        self._ports = ReservedPorts()
 
     async def start(self) -> None:
         """Put every worker behind a link, and start the instances."""
@@ -69,7 +69,7 @@
             "store": await _linked(self.model.addresses["store"]),
             "adviser": await _linked(await self.model.add_adviser(name)),
         }
-        ports = tuple(free_ports(3))
+        ports = self._ports.take(3)
         path = self.model.settings(
             self._folder, name, ports, links["store"].address, links["adviser"].address
         )
@@ -121,6 +121,7 @@
                 await link.close()
         for link in self.worker_links.values():
             await link.close()
+        self._ports.close()
 
 
 async def _linked(target: str) -> Link:
