An address that cannot be bound is named as the reason of a failed start

Seen: an instance whose readiness port was taken logged two crashes of its services with "Session is closed", ended with 1, and wrote the reason to its error output only, as a traceback. With its callers' or peers' port taken the log had an errno without the address. An operator could not tell what to do.

Cause: an error while the services start left the daemon without a line, and the session was closed while services that had begun were still calling.

Change: AddressUnusableError (address.unusable) names the address and the remedy; it ends the start as instance.crashed, and the services are stopped before the session is closed.

--- a/src/firhook/_early.py
+++ b/src/firhook/_early.py
@@ -7,6 +7,7 @@
 from types import FrameType
 
 from firhook._sockets import BACKLOG, bound_socket
+from firhook.errors import AddressUnusableError
 from firhook.platform.early import callers_address
 
 
@@ -40,9 +41,9 @@
             return None
         try:
             sock = bound_socket(*address)
-        except OSError as exc:
+        except AddressUnusableError as exc:
             # Tried again, and told as the reason of a failed start, by who serves.
-            print(f"{address[0]}:{address[1]}: {exc}", file=sys.stderr)
+            print(exc, file=sys.stderr)
             return None
         sock.listen(BACKLOG)
         return sock
--- a/src/firhook/_errors.py
+++ b/src/firhook/_errors.py
@@ -91,6 +91,13 @@
     "Settings are not valid",
     "Mend the options named and run firhookd --check again.",
 )
+AddressUnusableError = _kind(
+    "AddressUnusableError",
+    "address.unusable",
+    500,
+    "Cannot listen at an address",
+    "End the process that listens there, or change the address in the settings.",
+)
 ListInvalidError = _kind(
     "ListInvalidError",
     "list.invalid",
--- a/src/firhook/_instance_daemon.py
+++ b/src/firhook/_instance_daemon.py
@@ -62,7 +62,13 @@
             settings, connections, listening=early.listening if early else None
         )
         log("instance.starting", incarnation=instance.incarnation)
-        await instance.start()
+        try:
+            await instance.start()
+        except Exception as exc:
+            log("instance.crashed", level="error", error=str(exc) or repr(exc))
+            # Services that began would report the closed session as their crash.
+            await instance.stop()
+            return EXIT_CRASHED
         log("instance.started", incarnation=instance.incarnation)
         watching = asyncio.create_task(_watch(path, settings, changed))
         crashed = asyncio.create_task(instance.wait_until_stopped())
@@ -70,7 +76,7 @@
         await asyncio.wait({crashed, waiting}, return_when=asyncio.FIRST_COMPLETED)
         watching.cancel()
         if not told.is_set():
-            error = repr(instance.crash_reason)
+            error = str(instance.crash_reason) or repr(instance.crash_reason)
             log("instance.crashed", level="error", error=error)
             return EXIT_CRASHED
         await instance.drain()
--- a/src/firhook/_mesh.py
+++ b/src/firhook/_mesh.py
@@ -20,6 +20,7 @@
 from firhook._peer_messages import PeerError
 from firhook._settings import Address
 from firhook.errors import (
+    AddressUnusableError,
     FirhookError,
     FrameMalformedError,
     OverloadedError,
@@ -150,7 +151,10 @@
         self.counts = MeshCounts()
 
     def bind(self, address: Address) -> Address:
-        """Bind the server socket and return the address it got."""
+        """Bind the server socket and return the address it got.
+
+        :raises AddressUnusableError: if it cannot be bound there.
+        """
         self._auth.start()
         self._auth.configure_curve_callback(
             domain="*", credentials_provider=_Allowed(self._public.decode())
@@ -158,7 +162,12 @@
         router = self._ctx.socket(zmq.ROUTER)
         self._configure(router)
         router.curve_server = True
-        router.bind(f"tcp://{address.host}:{address.port or '*'}")
+        try:
+            router.bind(f"tcp://{address.host}:{address.port or '*'}")
+        except zmq.ZMQError as exc:
+            router.close()
+            detail = f"{address.host}:{address.port}: {exc.strerror}"
+            raise AddressUnusableError(detail) from exc
         endpoint = router.getsockopt_string(zmq.LAST_ENDPOINT)
         self._router = router
         return Address(address.host, int(endpoint.rpartition(":")[2]))
--- a/src/firhook/_sockets.py
+++ b/src/firhook/_sockets.py
@@ -2,6 +2,8 @@
 
 import socket
 
+from firhook.errors import AddressUnusableError
+
 #: Connections that may wait to be accepted; a burst beyond it is retried by
 #: the callers' kernels after a second.
 BACKLOG = 512
@@ -10,10 +12,15 @@
 def bound_socket(host: str, port: int) -> socket.socket:
     """Return a socket that is bound and ready to listen.
 
-    :raises OSError: if somebody else has the port.
+    :raises AddressUnusableError: if another process has the port, or this host
+        does not have the address.
     """
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.setblocking(False)
-    sock.bind((host, port))
+    try:
+        sock.bind((host, port))
+    except OSError as exc:
+        sock.close()
+        raise AddressUnusableError(f"{host}:{port}: {exc.strerror}") from exc
     return sock
--- a/src/firhook/services/_metrics.py
+++ b/src/firhook/services/_metrics.py
@@ -14,6 +14,7 @@
 
 from firhook._sockets import bound_socket
 from firhook.clock import boot_time
+from firhook.errors import AddressUnusableError
 from firhook.instance import Instance, InstanceService, register_service
 from firhook.logs import log
 from firhook.services._events import ReplicaAge
@@ -86,9 +87,9 @@
         await self._runner.setup()
         try:
             sock = bound_socket(self.settings.ip, METRICS_PORT)
-        except OSError as exc:
+        except AddressUnusableError as exc:
             # An instance without metrics serves; one that ended here would not.
-            log("metrics.unavailable", level="error", error=repr(exc))
+            log("metrics.unavailable", level="error", error=str(exc))
             return
         await web.SockSite(self._runner, sock).start()
 
--- a/tests/failures/test_ports.py
+++ b/tests/failures/test_ports.py
@@ -1,8 +1,11 @@
 """Processes that want a port which another process has."""
 
+import asyncio
 import socket
 
-from standins.model import ReservedPorts, _ports
+import pytest
+
+from standins.model import HttpModel, Process, ReservedPorts, _ports
 
 
 def test_port_reserved_for_a_process_not_yet_listening_is_not_given_again(monkeypatch):
@@ -19,3 +22,31 @@
     finally:
         first.close()
         second.close()
+
+
+@pytest.mark.parametrize("listener", ["callers", "probe", "peers"])
+def test_taken_port_is_named_as_the_only_reason_of_a_failed_start(tmp_path, listener):
+    """The log told of closed sessions and not of the port that was taken."""
+
+    async def play():
+        model, reserved = HttpModel(), ReservedPorts()
+        await model.start()
+        ports = reserved.take(3)
+        port = ports[("callers", "probe", "peers").index(listener)]
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(("127.0.0.1", port))
+            sock.listen()
+            process = Process(model.settings(tmp_path, "i0", ports), ports)
+            await process.start()
+            status = await asyncio.wait_for(process.process.wait(), 15.0)
+        await process.end()
+        reserved.close()
+        await model.stop()
+        assert status == 1
+        errors = [line for line in process.lines if line["level"] == "ERROR"]
+        assert errors[-1]["event"] == "instance.crashed"
+        assert f"127.0.0.1:{port}: Address already in use" in errors[-1]["error"]
+        assert not any("Session is closed" in str(line) for line in errors)
+
+    asyncio.run(play())
