Messages between instances are read in bursts, without several turns of the loop each

Cause: a follower gets some 50 messages a second from the lead, and zmq.asyncio takes a readiness callback, a future, a task and further checks of the socket for each; the lead sends 1,700 a second, each through a future, and every tell was a service's task as well.

Change: LoopSocket reads a plain zmq socket when it is signalled, until it is empty or a hundred messages were taken, and sends without waiting. A handler may answer at once, which pushes of records and the lead's sign of life do; only the others get a task. A message that is too long to send is an error of who sends it, as before.

test_message_that_came_while_another_was_sent_is_taken fails if the socket's state is not looked at after sending: the signal is given once, and sending takes it.

--- a/src/firhook/_mesh.py
+++ b/src/firhook/_mesh.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-import contextlib
+import inspect
 import zlib
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -17,6 +17,7 @@
 from zmq.auth.asyncio import AsyncioAuthenticator
 
 from firhook._codec import decode_message, encode_message
+from firhook._loop_socket import LoopSocket
 from firhook._peer_messages import PeerError
 from firhook._settings import Address
 from firhook.errors import (
@@ -131,20 +132,21 @@
 
     :param public: the cell's CURVE public key, in Z85.
     :param secret: its secret key.
-    :param serve: handles a message and returns the answer to it, if any.
+    :param serve: handles a message and returns the answer to it, if any; or an
+        awaitable of it, if the answer takes a while.
     """
 
     def __init__(
-        self, public: str, secret: str, serve: Callable[[Any], Awaitable[Any]]
+        self, public: str, secret: str, serve: Callable[[Any], Awaitable[Any] | Any]
     ) -> None:
         self._public = public.encode()
         self._secret = secret.encode()
         self._serve = serve
         self._ctx = zmq.asyncio.Context()
         self._auth = AsyncioAuthenticator(self._ctx)
-        self._router: zmq.asyncio.Socket | None = None
-        self._dealers: dict[str, zmq.asyncio.Socket] = {}
-        self._readers: dict[str, asyncio.Task[None]] = {}
+        self._plain_ctx: zmq.Context[Any] = zmq.Context.shadow(self._ctx)
+        self._router: LoopSocket | None = None
+        self._dealers: dict[str, LoopSocket] = {}
         self._asked: dict[bytes, asyncio.Future[Any]] = {}
         self._serving: set[asyncio.Task[None]] = set()
         self._count = 0
@@ -159,7 +161,7 @@
         self._auth.configure_curve_callback(
             domain="*", credentials_provider=_Allowed(self._public.decode())
         )
-        router = self._ctx.socket(zmq.ROUTER)
+        router = self._plain_ctx.socket(zmq.ROUTER)
         self._configure(router)
         router.curve_server = True
         try:
@@ -169,10 +171,10 @@
             detail = f"{address.host}:{address.port}: {exc.strerror}"
             raise AddressUnusableError(detail) from exc
         endpoint = router.getsockopt_string(zmq.LAST_ENDPOINT)
-        self._router = router
+        self._router = LoopSocket(router, self._take)
         return Address(address.host, int(endpoint.rpartition(":")[2]))
 
-    def _configure(self, sock: zmq.asyncio.Socket) -> None:
+    def _configure(self, sock: zmq.Socket[Any]) -> None:
         sock.linger = 0
         sock.heartbeat_ivl = _HEARTBEAT_MS
         sock.heartbeat_timeout = _SILENT_MS
@@ -186,21 +188,20 @@
         """Connect to a peer, unless connected already."""
         if address in self._dealers:
             return
-        dealer = self._ctx.socket(zmq.DEALER)
+        dealer = self._plain_ctx.socket(zmq.DEALER)
         self._configure(dealer)
         dealer.curve_serverkey = self._public
         dealer.reconnect_ivl = 100
         dealer.reconnect_ivl_max = 400
         dealer.connect_timeout = _CONNECT_MS
         dealer.connect(f"tcp://{address}")
-        self._dealers[address] = dealer
-        self._readers[address] = asyncio.create_task(self._read_answers(dealer))
+        self._dealers[address] = LoopSocket(dealer, self._take_answer)
+        self._dealers[address].start()
 
     def disconnect(self, address: str) -> None:
         """Forget a peer that the platform no longer lists."""
         dealer = self._dealers.pop(address, None)
         if dealer is not None:
-            self._readers.pop(address).cancel()
             dealer.close()
 
     @property
@@ -218,15 +219,15 @@
         """The peers connected to."""
         return set(self._dealers)
 
-    async def tell(self, address: str, msg: Any) -> None:
+    def tell(self, address: str, msg: Any) -> None:
         """Send a one-way message; it is dropped if the peer is away."""
-        await self._send(address, ONE_WAY, pack_frame(msg))
+        self._send(address, ONE_WAY, pack_frame(msg))
 
-    async def tell_all(self, msg: Any) -> int:
+    def tell_all(self, msg: Any) -> int:
         """Send a one-way message to every peer and return its size in bytes."""
         frame = pack_frame(msg)
-        for address in list(self._dealers):
-            await self._send(address, ONE_WAY, frame)
+        for address in self._dealers:
+            self._send(address, ONE_WAY, frame)
         return len(frame)
 
     async def ask(self, address: str, msg: Any, timeout_s: float) -> Any:
@@ -239,7 +240,7 @@
         fut = asyncio.get_running_loop().create_future()
         self._asked[tag] = fut
         try:
-            if not await self._send(address, tag, pack_frame(msg)):
+            if not self._send(address, tag, pack_frame(msg)):
                 raise PeerUnreachableError(f"{address}: not connected", ran="no")
             answer = await asyncio.wait_for(fut, timeout_s)
         except TimeoutError as exc:
@@ -252,93 +253,97 @@
             raise PeerUnreachableError(f"{address}: {answer.code}: {answer.detail}")
         return answer
 
-    async def _send(self, address: str, tag: bytes, frame: bytes) -> bool:
+    def _send(self, address: str, tag: bytes, frame: bytes) -> bool:
         dealer = self._dealers.get(address)
-        if dealer is None:
-            return False
-        try:
-            await dealer.send_multipart([tag, frame], flags=zmq.NOBLOCK)
-        except zmq.ZMQError:
+        if dealer is None or not dealer.send([tag, frame]):
             return False
         self.counts.sent_bytes += len(frame)
         self.counts.sent += 1
         return True
 
-    async def _read_answers(self, dealer: zmq.asyncio.Socket) -> None:
-        while True:
-            frames = await dealer.recv_multipart()
-            if len(frames) != 2:
-                self.counts.malformed += 1
-                continue
-            self.counts.received_bytes += len(frames[1])
-            self.counts.received += 1
-            fut = self._asked.get(frames[0])
-            if fut is None or fut.done():
-                # The asker gave up; the tag keeps this late answer from
-                # reaching whoever asks next.
-                continue
-            try:
-                fut.set_result(unpack_frame(frames[1]))
-            except FrameMalformedError as exc:
-                self.counts.malformed += 1
-                fut.set_exception(exc)
+    def _take_answer(self, frames: list[bytes]) -> None:
+        if len(frames) != 2:
+            self.counts.malformed += 1
+            return
+        self.counts.received_bytes += len(frames[1])
+        self.counts.received += 1
+        fut = self._asked.get(frames[0])
+        if fut is None or fut.done():
+            # The asker gave up; the tag keeps this late answer from
+            # reaching whoever asks next.
+            return
+        try:
+            fut.set_result(unpack_frame(frames[1]))
+        except FrameMalformedError as exc:
+            self.counts.malformed += 1
+            fut.set_exception(exc)
 
     async def run(self) -> None:
         """Serve messages until cancelled."""
         assert self._router is not None
-        while True:
-            frames = await self._router.recv_multipart()
-            if len(frames) != 3 or len(frames[1]) not in (0, _TAG_BYTES):
-                await self._refuse_frames(frames)
-                continue
-            self.counts.received_bytes += len(frames[2])
-            self.counts.received += 1
-            if len(self._serving) >= MAX_SERVING:
-                self.counts.overrun += 1
-                exc = OverloadedError("too many messages are being served")
-                await self._answer(frames[0], frames[1], _error(exc))
-                continue
-            task = asyncio.create_task(self._serve_one(*frames))
-            self._serving.add(task)
-            task.add_done_callback(self._serving.discard)
-
-    async def _refuse_frames(self, frames: list[bytes]) -> None:
+        self._router.start()
+        await asyncio.get_running_loop().create_future()
+
+    def _take(self, frames: list[bytes]) -> None:
+        if len(frames) != 3 or len(frames[1]) not in (0, _TAG_BYTES):
+            self._refuse_frames(frames)
+            return
+        identity, tag, frame = frames
+        self.counts.received_bytes += len(frame)
+        self.counts.received += 1
+        if len(self._serving) >= MAX_SERVING:
+            self.counts.overrun += 1
+            exc = OverloadedError("too many messages are being served")
+            self._answer(identity, tag, _error(exc))
+            return
+        try:
+            answer = self._serve(unpack_frame(frame))
+        except Exception as exc:
+            answer = self._failed(exc)
+        if not inspect.isawaitable(answer):
+            self._answer(identity, tag, answer)
+            return
+        task = asyncio.ensure_future(self._answer_later(identity, tag, answer))
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+
+    def _refuse_frames(self, frames: list[bytes]) -> None:
         self.counts.malformed += 1
         log("peer.malformed", level="warning", frames=len(frames))
         if len(frames) >= 2 and 0 < len(frames[1]) <= _TAG_BYTES:
             exc = FrameMalformedError(f"{len(frames) - 1} frames; give a tag and one")
-            await self._answer(frames[0], frames[1], _error(exc))
-
-    async def _serve_one(self, identity: bytes, tag: bytes, frame: bytes) -> None:
-        await self._answer(identity, tag, await self._handled(frame))
+            self._answer(frames[0], frames[1], _error(exc))
 
-    async def _handled(self, frame: bytes) -> Any:
+    async def _answer_later(
+        self, identity: bytes, tag: bytes, answer: Awaitable[Any]
+    ) -> None:
         try:
-            msg = unpack_frame(frame)
-        except FrameMalformedError as exc:
+            self._answer(identity, tag, await answer)
+        except Exception as exc:
+            self._answer(identity, tag, self._failed(exc))
+
+    def _failed(self, exc: Exception) -> PeerError:
+        """Count and log why a message was not served; return what to answer."""
+        if isinstance(exc, FrameMalformedError):
             self.counts.malformed += 1
             log("peer.malformed", level="warning", code=exc.code, detail=exc.detail)
             return _error(exc)
-        try:
-            return await self._serve(msg)
-        except FirhookError as exc:
+        if isinstance(exc, FirhookError):
             self.counts.refused += 1
             log("peer.refused", level="debug", code=exc.code, detail=exc.detail)
             return _error(exc)
-        except Exception as exc:
-            self.counts.failed += 1
-            log("peer.failed", level="error", error=repr(exc))
-            return PeerError("internal", repr(exc))
+        self.counts.failed += 1
+        log("peer.failed", level="error", error=repr(exc))
+        return PeerError("internal", repr(exc))
 
-    async def _answer(self, identity: bytes, tag: bytes, answer: Any) -> None:
+    def _answer(self, identity: bytes, tag: bytes, answer: Any) -> None:
         if tag == ONE_WAY or answer is None or self._router is None:
             return
         try:
             reply = pack_frame(answer)
         except FrameMalformedError as exc:
             reply = pack_frame(_error(exc))
-        with contextlib.suppress(zmq.ZMQError):
-            await self._router.send_multipart([identity, tag, reply], flags=zmq.NOBLOCK)
+        if self._router.send([identity, tag, reply]):
             self.counts.sent_bytes += len(reply)
             self.counts.sent += 1
 
--- a/src/firhook/roles/_members.py
+++ b/src/firhook/roles/_members.py
@@ -163,7 +163,7 @@
 
     async def _gossip_once(self) -> None:
         assert self._mesh is not None
-        size = await self._mesh.tell_all(await self._word()) + TRANSPORT_BYTES
+        size = self._mesh.tell_all(await self._word()) + TRANSPORT_BYTES
         peers = len(self._mesh.addresses)
         self._every_s = gossip_every(size, peers, self.cfg.gossip_s, GOSSIP_BYTES_PER_S)
 
--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -122,7 +122,10 @@
 
 @attrs.frozen(slots=True)
 class ServeInstance:
-    """Registers the handler of a kind of peer message."""
+    """Registers the handler of a kind of peer message.
+
+    :ivar handler: returns the answer, if any, or an awaitable of it.
+    """
 
     kind: type
     handler: Callable[[Any], Any]
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -245,7 +245,7 @@
         else:
             self.bus.publish(TellInstances(RecordsPush((batch,))))
 
-    async def _on_push(self, msg: RecordsPush) -> None:
+    def _on_push(self, msg: RecordsPush) -> None:
         fresh = []
         for batch in msg.batches:
             records = tuple(KeyedRecord(r.key, r.value) for r in batch.records)
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -161,7 +161,7 @@
         if event.partition == LEAD_PARTITIONS[0]:
             self._election.note_listening(boot_time())
 
-    async def _on_alive(self, msg: LeadAlive) -> None:
+    def _on_alive(self, msg: LeadAlive) -> None:
         self._election.hear(msg.epoch, msg.name, msg.newest, boot_time())
         self._yield_to(msg.epoch)
 
--- a/src/firhook/services/_mesh.py
+++ b/src/firhook/services/_mesh.py
@@ -66,12 +66,12 @@
 
     def _on_tell(self, event: TellInstances) -> None:
         if self._mesh is not None:
-            self.add_future(self._mesh.tell_all(event.body))
+            self._mesh.tell_all(event.body)
 
     def _on_tell_one(self, event: TellInstance) -> None:
         address = self._connected.get(event.peer)
         if self._mesh is not None and address is not None:
-            self.add_future(self._mesh.tell(address, event.body))
+            self._mesh.tell(address, event.body)
 
     def _on_serve(self, event: ServeInstance) -> None:
         self._handlers[event.kind] = event.handler
@@ -155,11 +155,11 @@
             raise PeerUnreachableError(f"{query.peer}: not connected", ran="no")
         return await self._mesh.ask(address, query.body, query.timeout_s)
 
-    async def _serve(self, msg: Any) -> Any:
+    def _serve(self, msg: Any) -> Any:
         handler = self._handlers.get(type(msg))
         if handler is None:
             raise FrameMalformedError(f"{type(msg).__name__}: nobody serves it")
-        return await handler(msg)
+        return handler(msg)
 
     async def on_stop(self) -> None:
         """Close all sockets."""
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import inspect
 import random
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -144,7 +145,9 @@
         handler: Callable[[Any], Any], body: Any, after_s: float
     ) -> None:
         await pause(after_s)
-        await handler(body)
+        answer = handler(body)
+        if inspect.isawaitable(answer):
+            await answer
 
     def _on_serve(self, event: ServeInstance) -> None:
         self.handlers[event.kind] = event.handler
--- a/tests/golden/sessions.py
+++ b/tests/golden/sessions.py
@@ -412,7 +412,7 @@
             return None
         return self.session.meshes.get(address)
 
-    async def tell(self, address: str, msg: Any) -> None:
+    def tell(self, address: str, msg: Any) -> None:
         """Send a one-way message."""
         self._write(address, msg, "->")
         peer = self._reaches(address)
@@ -421,10 +421,10 @@
                 NET_S, lambda: asyncio.ensure_future(peer.serve(msg))
             )
 
-    async def tell_all(self, msg: Any) -> int:
+    def tell_all(self, msg: Any) -> int:
         """Send a one-way message to every peer and return its size in bytes."""
         for address in sorted(self.connected):
-            await self.tell(address, msg)
+            self.tell(address, msg)
         return len(encode_message(msg))
 
     async def ask(self, address: str, msg: Any, timeout_s: float) -> Any:
