An instance on the users' platform loads nothing of the older path

Callers saw: a start took longer than it need before the addresses were bound.

Cause: three modules that both paths share named the older one. The package firhook.platform re-exported the interfaces of the older log and workers, so that whoever imported any part of the adapter, the early start first of all, imported them and the orders; _web asked for keys by way of queries, which imports every record and message; and the type of an address lay in the older daemon's settings.

Change: those interfaces are firhook.platform.clients, the question whose key came with a request is _principal, the address is firhook.address.

Ruled out: that a test lost its object; none was changed but for its imports.

--- a/bench/capacity_process.py
+++ b/bench/capacity_process.py
@@ -13,7 +13,7 @@
 from bench._registry import measure
 from bench._slope import points
 from firhook.model import Endpoint, running_digest
-from firhook.platform import Order, Report, StartOrder
+from firhook.platform.clients import Order, Report, StartOrder
 from firhook.platform.http import http_platform
 from standins.cluster import Cluster, Proc
 
--- a/bench/members.py
+++ b/bench/members.py
@@ -13,7 +13,13 @@
 from firhook.errors import NotReadyError
 from firhook.events import Append
 from firhook.model import Endpoint, Row, RowsChanged
-from firhook.platform import InstanceList, LogEntry, LogPage, LogService, Platform
+from firhook.platform.clients import (
+    InstanceList,
+    LogEntry,
+    LogPage,
+    LogService,
+    Platform,
+)
 from firhook.roles._members import TRANSPORT_BYTES
 
 TEAMS = 120
--- a/src/firhook/_calls.py
+++ b/src/firhook/_calls.py
@@ -8,11 +8,12 @@
 from multidict import CIMultiDict
 
 from firhook._bus import Bus
-from firhook._web import REQUEST_KEY, principal
+from firhook._principal import principal
+from firhook._web import REQUEST_KEY
 from firhook.decide.queue import CLASSES
 from firhook.decide.retry import IDEMPOTENT
 from firhook.errors import FirhookError, NotPermittedError, RequestMalformedError
-from firhook.platform import Exchange
+from firhook.platform.clients import Exchange
 from firhook.queries import CheckFresh
 
 PREFIX = "/r/"
--- a/src/firhook/_kernel.py
+++ b/src/firhook/_kernel.py
@@ -16,7 +16,7 @@
 from firhook.decide.grants import GrantBook
 from firhook.decide.limits import Account
 from firhook.logs import log
-from firhook.platform import CountedLog, Platform
+from firhook.platform.clients import CountedLog, Platform
 from firhook.state import States
 from firhook.stats import Stats
 
--- a/src/firhook/_lane.py
+++ b/src/firhook/_lane.py
@@ -29,7 +29,7 @@
     decode_envelope,
     encode_envelope,
 )
-from firhook.platform import LogEntry, LogPage, LogService
+from firhook.platform.clients import LogEntry, LogPage, LogService
 from firhook.state import Rebuild, Snapshot, StreamState
 
 _BACKOFF_S = 0.3
--- a/src/firhook/_settings.py
+++ b/src/firhook/_settings.py
@@ -7,22 +7,11 @@
 
 import attrs
 
+from firhook._address import Address
 from firhook._errors import SettingsInvalidError
 from firhook._jobs import check_name
 
 
-@attrs.frozen(slots=True)
-class Address:
-    """An IP number and a port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return it as ``host:port``."""
-        return f"{self.host}:{self.port}"
-
-
 def _name(value: str) -> str:
     """A name."""
     problems: list[str] = []
--- a/src/firhook/_web.py
+++ b/src/firhook/_web.py
@@ -1,4 +1,4 @@
-"""What all HTTP routes share: problem documents, request ids, bodies, keys."""
+"""What all HTTP routes share: problem documents, request ids, bodies, ports."""
 
 import asyncio
 import math
@@ -10,16 +10,13 @@
 import msgspec
 from aiohttp import web
 
-from firhook._bus import Bus
 from firhook._sockets import BACKLOG, bound_socket
 from firhook.errors import (
     BodyTooLargeError,
     FirhookError,
-    NotPermittedError,
     RequestMalformedError,
 )
 from firhook.logs import log
-from firhook.queries import Authenticate, Principal
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -110,22 +107,6 @@
     )
 
 
-async def principal(bus: Bus, req: web.Request) -> Principal:
-    """Return whose key came with the request."""
-    return await bus.ask(Authenticate(req.headers.get("Authorization", "")))
-
-
-async def require_operator(bus: Bus, req: web.Request) -> Principal:
-    """Return the operator whose key came with the request.
-
-    :raises NotPermittedError: if it is a team's key.
-    """
-    who = await principal(bus, req)
-    if not who.operator:
-        raise NotPermittedError("this needs an operator's key")
-    return who
-
-
 class DrainedSite(web.SockSite):
     """A listening socket that closes without cutting who has connected.
 
--- /dev/null
+++ b/src/firhook/address.py
@@ -0,0 +1,5 @@
+"""Where something listens."""
+
+from firhook._address import Address
+
+__all__ = ["Address"]
--- a/src/firhook/ops/_config.py
+++ b/src/firhook/ops/_config.py
@@ -5,7 +5,8 @@
 import msgspec
 from aiohttp import web
 
-from firhook._web import json_response, read_json, require_operator
+from firhook._principal import require_operator
+from firhook._web import json_response, read_json
 from firhook.errors import ListInvalidError, RequestMalformedError
 from firhook.events import Members
 from firhook.model import Row, parse_list, render_list
--- a/src/firhook/ops/_events.py
+++ b/src/firhook/ops/_events.py
@@ -10,7 +10,8 @@
 import msgspec
 from aiohttp import web
 
-from firhook._web import REQUEST_ID, REQUEST_KEY, require_operator
+from firhook._principal import require_operator
+from firhook._web import REQUEST_ID, REQUEST_KEY
 from firhook.errors import RequestMalformedError
 from firhook.events import RecordApplied
 from firhook.kernel import Kernel
--- a/src/firhook/ops/_health.py
+++ b/src/firhook/ops/_health.py
@@ -5,7 +5,8 @@
 from aiohttp import web
 
 from firhook import __version__
-from firhook._web import json_response, require_operator
+from firhook._principal import require_operator
+from firhook._web import json_response
 from firhook.events import InstancesListed, LeadView, Members
 from firhook.logs import log
 from firhook.model import Endpoint, to_builtins
--- a/src/firhook/ops/_reports.py
+++ b/src/firhook/ops/_reports.py
@@ -5,8 +5,9 @@
 import msgspec
 from aiohttp import web
 
+from firhook._principal import require_operator
 from firhook._report import BurnReport, burn_report
-from firhook._web import json_response, require_operator
+from firhook._web import json_response
 from firhook.errors import PeerUnreachableError
 from firhook.events import AskPeer, Members, ServePeer
 from firhook.logs import log
--- a/src/firhook/platform/_instance.py
+++ b/src/firhook/platform/_instance.py
@@ -6,9 +6,9 @@
 
 import attrs
 
+from firhook.address import Address
 from firhook.errors import SettingsInvalidError
 from firhook.platform._fields import FieldError, number, table, text, whole
-from firhook.settings import Address
 
 
 @attrs.frozen(slots=True)
--- a/src/firhook/platform/_store.py
+++ b/src/firhook/platform/_store.py
@@ -9,6 +9,7 @@
 import aiohttp
 import attrs
 
+from firhook.address import Address
 from firhook.errors import (
     FirhookError,
     LogFencedError,
@@ -21,7 +22,6 @@
 )
 from firhook.platform._client import Answer, NoAnswerError, NotSentError, call
 from firhook.platform._fields import FieldError, number, parse_json, rows, whole
-from firhook.settings import Address
 
 #: The cell's own records.  A topic whose name begins so keeps the newest record
 #: of each key for good.
--- a/src/firhook/platform/_workers.py
+++ b/src/firhook/platform/_workers.py
@@ -8,6 +8,7 @@
 import attrs
 import msgspec
 
+from firhook.address import Address
 from firhook.cell import (
     Advice,
     End,
@@ -33,7 +34,6 @@
     texts,
     whole,
 )
-from firhook.settings import Address
 
 #: A look waits so much longer for its answer than it asks the worker to wait.
 _LOOK_SLACK_S = 1.0
--- a/src/firhook/queries.py
+++ b/src/firhook/queries.py
@@ -4,7 +4,7 @@
 
 from firhook._bus import Query
 from firhook.model import Row
-from firhook.platform import Exchange
+from firhook.platform.clients import Exchange
 
 
 @attrs.frozen(slots=True)
--- a/src/firhook/roles/_adopter.py
+++ b/src/firhook/roles/_adopter.py
@@ -23,7 +23,7 @@
     Verdict,
     decode_envelope,
 )
-from firhook.platform import LogService
+from firhook.platform.clients import LogService
 from firhook.state import Rebuild, Snapshot, ZoneState
 
 #: Attempts in one record, about 50 kB.
--- a/src/firhook/roles/_cell.py
+++ b/src/firhook/roles/_cell.py
@@ -6,7 +6,8 @@
 import msgspec
 from aiohttp import web
 
-from firhook._web import json_response, principal, read_json
+from firhook._principal import principal
+from firhook._web import json_response, read_json
 from firhook.decide.place import Need, Room
 from firhook.errors import (
     FirhookError,
--- a/src/firhook/roles/_gateway.py
+++ b/src/firhook/roles/_gateway.py
@@ -32,7 +32,7 @@
 from firhook.kernel import Role, register_role
 from firhook.logs import log
 from firhook.model import Endpoint, Gossip
-from firhook.platform import Exchange
+from firhook.platform.clients import Exchange
 from firhook.queries import (
     OnceBegin,
     OnceFinish,
--- a/src/firhook/roles/_once.py
+++ b/src/firhook/roles/_once.py
@@ -26,7 +26,7 @@
     OnceReleased,
     Verdict,
 )
-from firhook.platform import Exchange
+from firhook.platform.clients import Exchange
 from firhook.queries import (
     OnceBegin,
     OnceFinish,
--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -12,6 +12,7 @@
     problem_response,
     wait_let_go,
 )
+from firhook.address import Address
 from firhook.cell import AcceptedJob, CellConfig, Queue
 from firhook.cell.records import CANCEL_PREFIX, JOB_PREFIX, encode_record
 from firhook.clock import boot_time, unix_time
@@ -42,7 +43,6 @@
     Record,
 )
 from firhook.services._lookups import Lookups
-from firhook.settings import Address
 
 #: What a caller's whole request may take if it does not say.
 _DEFAULT_WAIT_S = 3.0
--- a/src/firhook/services/_mesh.py
+++ b/src/firhook/services/_mesh.py
@@ -7,6 +7,7 @@
 import zmq
 
 from firhook._mesh import Mesh
+from firhook.address import Address
 from firhook.cell import MeshKeys, PeerRecord
 from firhook.cell.records import MESH_KEY, PEER_PREFIX, encode_record
 from firhook.clock import boot_time
@@ -24,7 +25,6 @@
     TellInstances,
 )
 from firhook.services._members import read_members
-from firhook.settings import Address
 
 #: Between tries when the store does not answer.
 _RETRY_S = 0.2
--- a/src/firhook/settings.py
+++ b/src/firhook/settings.py
@@ -1,7 +1,6 @@
 """The settings of a daemon, read from INI and checked."""
 
 from firhook._settings import (
-    Address,
     Option,
     Settings,
     describe_options,
@@ -10,7 +9,6 @@
 )
 
 __all__ = [
-    "Address",
     "Option",
     "Settings",
     "describe_options",
--- a/standins/fakes.py
+++ b/standins/fakes.py
@@ -11,7 +11,7 @@
 import zmq
 
 from firhook.model import Endpoint
-from firhook.platform import (
+from firhook.platform.clients import (
     EndpointClient,
     Exchange,
     InstanceList,
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -12,6 +12,7 @@
 
 from firhook._instance import Instance, InstanceService, load_services
 from firhook._peer_messages import RecordsPush
+from firhook.address import Address
 from firhook.cell import JobStatus, PeerRecord, Resources
 from firhook.cell.records import PEER_PREFIX, encode_record
 from firhook.clock import boot_time, set_clocks
@@ -33,7 +34,6 @@
     TellInstances,
 )
 from firhook.services._members import read_members
-from firhook.settings import Address
 from standins.model._adviser import ModelAdviser
 from standins.model._checks import Checks
 from standins.model._store import ModelStore
--- a/tests/decide/test_adopt.py
+++ b/tests/decide/test_adopt.py
@@ -16,7 +16,7 @@
     TasksCarried,
     encode_envelope,
 )
-from firhook.platform import LogEntry, LogPage, LogService
+from firhook.platform.clients import LogEntry, LogPage, LogService
 from firhook.roles._adopter import read_zone
 from firhook.state import ZoneState
 
--- a/tests/fakelog.py
+++ b/tests/fakelog.py
@@ -12,7 +12,7 @@
     LogUnavailableError,
 )
 from firhook.model import Envelope, encode_envelope
-from firhook.platform import LogEntry, LogPage, LogService
+from firhook.platform.clients import LogEntry, LogPage, LogService
 
 
 @attrs.define(eq=False)
--- a/tests/golden/sessions.py
+++ b/tests/golden/sessions.py
@@ -25,6 +25,7 @@
 from aiohttp.test_utils import make_mocked_request
 
 from firhook._web import problems
+from firhook.address import Address
 from firhook.errors import (
     LogUnavailableError,
     NoEndpointError,
@@ -36,7 +37,7 @@
 from firhook.kernel import Kernel
 from firhook.logs import _LOGGER
 from firhook.model import Endpoint, decode_envelope, encode_message, to_builtins
-from firhook.platform import (
+from firhook.platform.clients import (
     EndpointClient,
     Exchange,
     InstanceList,
@@ -47,7 +48,7 @@
     Report,
     WorkerClient,
 )
-from firhook.settings import Address, parse_settings
+from firhook.settings import parse_settings
 from standins.cluster import OPERATOR_KEY, render_ini
 from standins.model import VirtualLoop
 from standins.worker import Worker
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,10 +5,10 @@
 import msgspec
 import pytest
 
+from firhook.address import Address
 from firhook.errors import LogOutcomeUnknownError
 from firhook.platform._client import new_session
 from firhook.platform.store import HttpStore
-from firhook.settings import Address
 
 TIMEOUT_S = 0.2
 PAGE = {"items": [{"key": "job/1", "value": "eA==", "offset": 4}], "end": 5}
--- a/tests/roles/mini.py
+++ b/tests/roles/mini.py
@@ -6,11 +6,12 @@
 import attrs
 
 from firhook._bus import Bus
-from firhook._settings import Address, Settings
+from firhook._settings import Settings
+from firhook.address import Address
 from firhook.errors import PeerUnreachableError
 from firhook.events import AskPeer, LogAge, Member, Members, ServePeer
 from firhook.model import Gossip, LeadClaimed, decode_message, encode_message
-from firhook.platform import Platform
+from firhook.platform.clients import Platform
 from firhook.roles._config import Config, digest_of
 from firhook.roles._journal import Journal
 from firhook.roles._once import Once
--- a/tests/roles/test_gateway.py
+++ b/tests/roles/test_gateway.py
@@ -9,7 +9,8 @@
 
 from firhook._bus import Bus
 from firhook._kernel import Load
-from firhook._settings import Address, Settings
+from firhook._settings import Settings
+from firhook.address import Address
 from firhook.decide.limits import Account
 from firhook.errors import (
     EndpointFailedError,
@@ -18,7 +19,7 @@
 )
 from firhook.events import InstancesListed, RoomChanged, RoomWanted
 from firhook.model import Endpoint, parse_list
-from firhook.platform import Exchange
+from firhook.platform.clients import Exchange
 from firhook.queries import (
     Authenticate,
     CheckFresh,
--- a/tests/roles/test_once.py
+++ b/tests/roles/test_once.py
@@ -13,7 +13,7 @@
 )
 from firhook.events import Append
 from firhook.model import OnceClaimed, OnceDone, OnceReleased, decode_envelope
-from firhook.platform import Exchange
+from firhook.platform.clients import Exchange
 from firhook.queries import (
     OnceBegin,
     OnceFinish,
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -7,7 +7,7 @@
 import zmq
 
 from firhook._mesh import MAX_FRAME_BYTES, Mesh, pack_frame, unpack_frame
-from firhook._settings import Address
+from firhook.address import Address
 from firhook.errors import (
     FrameMalformedError,
     NotLeadError,
