The parts of a lead's term know their owner by a protocol only

_term, _lead, _orders and _advising imported each other in a circle, for types. Each could be read only with the three others at hand, and nothing kept the circle from growing.

Change: Orders and Term name what they need of their owner (OrderOwner, TermOwner), as WorkerLink does; Advising is given the instance, which is all that it used the lead for. Nothing else moves.

--- a/src/firhook/services/_advising.py
+++ b/src/firhook/services/_advising.py
@@ -1,7 +1,7 @@
 """Asking the adviser, through whichever instance it answers first."""
 
 from collections.abc import Callable, Coroutine
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from firhook._peer_messages import AdviceAsk, AdviceReply
 from firhook.cell import Advice
@@ -9,12 +9,10 @@
 from firhook.decide.seats import AdviserSeat, SeatPlan, choose_seat
 from firhook.decide.tickets import AdviceWish, TicketBook
 from firhook.errors import PeerUnreachableError
+from firhook.instance import Instance
 from firhook.logs import log
 from firhook.services._events import AskInstance
 
-if TYPE_CHECKING:
-    from firhook.services._lead import Lead
-
 #: An answer of the adviser is waited for so much longer than it should take.  An
 #: instance that is gone costs a quote this much of its half second; answers
 #: through a peer come within 5 ms of when they should.
@@ -31,12 +29,12 @@
 
     def __init__(
         self,
-        lead: "Lead",
+        instance: Instance,
         tickets: TicketBook,
         spawn: Callable[[Coroutine[Any, Any, None]], None],
         answered: Callable[[], None],
     ) -> None:
-        self._lead = lead
+        self._instance = instance
         self._tickets = tickets
         self._spawn = spawn
         self._answered = answered
@@ -67,7 +65,7 @@
         self._spawn(self._ask(wish, seat))
 
     def _current_seats(self) -> list[AdviserSeat]:
-        names = set(self._lead.replica.peers)
+        names = set(self._instance.replica.peers)
         if names != set(self._seats):
             self._seats = {n: self._seats.get(n) or AdviserSeat(n) for n in names}
         return list(self._seats.values())
@@ -90,18 +88,19 @@
             seat.answered()
             advice.take(wish.workers, answer, now)
             queue = wish.step.job.queue.name
-            self._lead.meters.time("advice", queue, now - began)
+            self._instance.meters.time("advice", queue, now - began)
         self._answered()
 
     async def _ask_through(
         self, instance: str, step: str, workers: tuple[str, ...], timeout_s: float
     ) -> Advice | None:
-        if instance == self._lead.settings.name:
-            if self._lead.adviser is None:
+        if instance == self._instance.settings.name:
+            adviser = self._instance.platform.adviser
+            if adviser is None:
                 return None
-            return await self._lead.adviser.ask(step, workers, timeout_s)
+            return await adviser.ask(step, workers, timeout_s)
         try:
-            reply = await self._lead.bus.ask(
+            reply = await self._instance.bus.ask(
                 AskInstance(instance, AdviceAsk(step, workers, timeout_s), timeout_s)
             )
         except PeerUnreachableError as exc:
--- a/src/firhook/services/_orders.py
+++ b/src/firhook/services/_orders.py
@@ -1,19 +1,18 @@
 """The orders of a lead's term to the workers: starts and stops of runs."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable, Coroutine, Mapping
+from typing import Any, Protocol
 
-from firhook.cell import OrderAnswer, OrderOutcome, Run, StartOrder
+from firhook.cell import Book, OrderAnswer, OrderOutcome, Run, StartOrder
 from firhook.cell.book import LATE_ORDER_S
 from firhook.clock import boot_time
+from firhook.decide.tickets import TicketBook
 from firhook.logs import log
 from firhook.meters import Meters
 from firhook.platform.instance import Bounds
-
-if TYPE_CHECKING:
-    from firhook.services._term import Term
-    from firhook.services._worker_link import WorkerLink
+from firhook.platform.workers import Workers
+from firhook.services._worker_link import WorkerLink
 
 #: An order that got no answer is repeated after this.
 _ORDER_RETRY_S = 0.1
@@ -27,6 +26,30 @@
 _TRIED_AGAIN = (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT, OrderOutcome.LATE)
 
 
+class OrderOwner(Protocol):
+    """What orders need of the lead's term.
+
+    :ivar fence: the fencing token of every order.
+    :ivar lost: whether another lead has been seen.
+    """
+
+    fence: int
+    lost: bool
+    book: Book
+    tickets: TicketBook
+    workers: Workers
+
+    @property
+    def links(self) -> Mapping[str, WorkerLink]:
+        """The workers that are known, by name."""
+
+    def may_act(self) -> bool:
+        """Return whether orders may be given at this moment."""
+
+    def on_fenced(self, worker: str) -> None:
+        """Take note that a worker has seen a higher fencing token."""
+
+
 class Orders:
     """Carries out what the book says, each order until it is settled.
 
@@ -36,7 +59,7 @@
 
     def __init__(
         self,
-        term: "Term",
+        term: OrderOwner,
         bounds: Bounds,
         meters: Meters,
         spawn: Callable[[Coroutine[Any, Any, Any]], None],
@@ -49,7 +72,7 @@
         self._wake = wake
         self._unanswered: dict[str, dict[tuple[str, int], float]] = {}
 
-    def stop_late_starts(self, link: "WorkerLink", now: float) -> None:
+    def stop_late_starts(self, link: WorkerLink, now: float) -> None:
         """Stop in a worker's new life what may yet arrive from before.
 
         A start that got no answer was stopped, or outlived its lease, in the
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Coroutine, Iterable
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from firhook.cell import (
     NOTHING,
@@ -36,6 +36,7 @@
     LogSequenceError,
     RecordMalformedError,
 )
+from firhook.instance import Instance
 from firhook.logs import log
 from firhook.platform.store import KeyedRecord, encode_keyed
 from firhook.services._advising import Advising
@@ -51,9 +52,6 @@
 from firhook.services._worker_link import WorkerLink
 from firhook.services._worker_list import WorkerList
 
-if TYPE_CHECKING:
-    from firhook.services._lead import Lead
-
 #: Changes are gathered for so long before a round, so that ends which come
 #: together are stored together.
 _GATHER_S = 0.004
@@ -80,6 +78,24 @@
 _TELL_EVERY_S = 1.0
 
 
+class TermOwner(Protocol):
+    """What a term needs of the service that stands for the lead."""
+
+    instance: Instance
+
+    def may_act(self) -> bool:
+        """Return whether this instance leads, as far as it can know now."""
+
+    def note_proof(self, sent_at: float) -> None:
+        """Take note that the store took an append under the term's epoch."""
+
+    def unproven_for(self) -> float:
+        """Return how long ago the last append was sent that the store took."""
+
+    def speak(self) -> None:
+        """Tell the others that this instance leads."""
+
+
 class Term:
     """Leads the cell.
 
@@ -91,23 +107,24 @@
     :ivar doing: what the takeover waits for.
     """
 
-    def __init__(self, lead: "Lead", epoch: int) -> None:
+    def __init__(self, lead: TermOwner, epoch: int) -> None:
         self.fence = epoch
         self.lost = False
         self.lost_by = ""
         self.begun = False
         self.doing = "epoch"
         self._lead = lead
-        self._instance = lead.instance
-        self._store = lead.store
-        self._replica = lead.replica
-        self._meters = lead.meters
-        self._bounds = lead.settings.bounds
-        self.workers = lead.instance.platform.workers(self.may_act)
+        instance = lead.instance
+        self._instance = instance
+        self._store = instance.store
+        self._replica = instance.replica
+        self._meters = instance.meters
+        self._bounds = instance.settings.bounds
+        self.workers = instance.platform.workers(self.may_act)
         self.links: dict[str, WorkerLink] = {}
         self.tickets = TicketBook()
         self.speeds = SpeedBook()
-        config = lead.instance.config.config
+        config = instance.config.config
         assert config is not None
         self.book = Book(config)
         self._known: set[str] = set()
@@ -115,7 +132,7 @@
         self._versions = 0
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._advising = Advising(lead, self.tickets, self._spawn, self._wake.set)
+        self._advising = Advising(instance, self.tickets, self._spawn, self._wake.set)
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._renew_until = 0.0
         self._paused_until = float("-inf")
@@ -208,7 +225,7 @@
         self.doing = "log"
         while True:
             try:
-                await self._lead.bus.ask(CatchUp(LEAD_PARTITIONS))
+                await self._instance.bus.ask(CatchUp(LEAD_PARTITIONS))
                 break
             except FirhookError as exc:
                 log("lead.catch_up_retry", level="debug", error=repr(exc))
@@ -390,7 +407,7 @@
 
     def _sign_of_life(self) -> KeyedRecord:
         """Return the record that tells who leads, and that it lives."""
-        name, incarnation = self._lead.settings.name, self._instance.incarnation
+        name, incarnation = self._instance.settings.name, self._instance.incarnation
         mine = LeadRecord(name, incarnation, self.fence, self._version())
         return KeyedRecord(LEAD_KEY, encode_record(mine))
 
@@ -569,20 +586,20 @@
 
         :raises LogFencedError: if another lead has begun.
         """
-        most = self._lead.settings.store_limits.append_bytes
+        most = self._instance.settings.store_limits.append_bytes
         for chunk in split_records(list(records), most):
             partition, offset = await self._writer.append(
                 [encode_keyed(r) for r in chunk]
             )
             event = RecordsAppended(partition, offset, tuple(chunk))
-            self._lead.bus.publish(event)
+            self._instance.bus.publish(event)
 
     async def _drop(self, partition: int, keys: list[str]) -> bool:
         """Drop keys on one partition; return whether the store took it.
 
         :raises LogFencedError: if another lead has begun.
         """
-        most = self._lead.settings.store_limits.append_bytes
+        most = self._instance.settings.store_limits.append_bytes
         for chunk in split_records([KeyedRecord(key, None) for key in keys], most):
             offset = await self._writer.append_to(
                 partition, [encode_keyed(r) for r in chunk]
@@ -590,5 +607,5 @@
             if offset is None:
                 return False
             event = RecordsAppended(partition, offset, tuple(chunk))
-            self._lead.bus.publish(event)
+            self._instance.bus.publish(event)
         return True
