--- a/tests/services/test_fenced_writer.py
+++ b/tests/services/test_fenced_writer.py
@@ -121,3 +121,23 @@
             await writer.append_to(2, [record("fourth")])
 
     run_virtual(play())
+
+
+def test_a_repeat_that_is_refused_does_not_swallow_the_next_append():
+    """An append's answer is lost, and its repeat is refused for the moment."""
+
+    async def play():
+        store = ModelStore()
+        writer = FencedWriter(store.client("i"), 1000, lambda sent_at: None)
+        await writer.set_epoch()
+        store.lost_share = 1.0
+        await writer.prove([record("first")])
+        store.lost_share, store.mode["*"] = 0.0, "busy"
+        await pause(1.1)
+        await writer.prove([record("proof")])
+        store.mode.clear()
+        await pause(1.1)
+        await writer.append([record("next")])
+        assert "next" in stored(store)
+
+    run_virtual(play())
--- a/tests/services/test_forgetting.py
+++ b/tests/services/test_forgetting.py
@@ -14,8 +14,9 @@
 from firhook.services._forgetting import _drop_everywhere
 from firhook.services._members import read_members
 from standins.model import ModelCell, ModelRequest, pause, run_virtual
+from tests.services.scenes import step
 
-STEP = {"count": 1, "millicpus": 1000, "task_memory_mb": 100}
+STEP = step(1)
 
 
 def kept(cell, job):
--- a/tests/services/test_lead.py
+++ b/tests/services/test_lead.py
@@ -8,10 +8,7 @@
 from firhook._peer_messages import RecordsPush
 from firhook.platform.instance import Bounds
 from standins.model import ModelCell, ModelRequest, now, pause, run_virtual
-
-
-def step(count=2, cpu_m=1000, **more):
-    return {"count": count, "millicpus": cpu_m, "task_memory_mb": 100, **more}
+from tests.services.scenes import step
 
 
 def test_job_runs_to_its_end_and_every_instance_says_so():
--- a/tests/services/test_lookups.py
+++ b/tests/services/test_lookups.py
@@ -6,15 +6,12 @@
 
 from firhook._peer_messages import RecordsPush
 from standins.model import ModelCell, ModelRequest, now, pause, run_virtual
+from tests.services.scenes import step
 
 #: Operators are told that a count may be so old.
 OLDEST_S = 2.0
 
 
-def step(count=2, cpu_m=1000, **more):
-    return {"count": count, "millicpus": cpu_m, "task_memory_mb": 100, **more}
-
-
 async def cell_with_a_slow_reader(workers=1):
     """Return a cell, and an instance that has just begun to read its jobs."""
     cell = ModelCell(instances=4, workers=workers)
--- a/tests/services/test_pending.py
+++ b/tests/services/test_pending.py
@@ -3,11 +3,10 @@
 import pytest
 
 from firhook.cell import OrderOutcome
-from standins.model import ModelCell, ModelRequest, now, pause, run_virtual
+from standins.model import ModelRequest, now, pause
+from tests.services.scenes import play, step
 
-
-def step(count=1, cpu_m=1000, **more):
-    return {"count": count, "millicpus": cpu_m, "task_memory_mb": 100, **more}
+WAITING, RUNNING = ("queued", 1), ("running", 0)
 
 
 async def told(cell, job):
@@ -21,39 +20,64 @@
     return said
 
 
+async def check_waits(cell, job, seconds):
+    """Check that the job is said to wait at every moment of some seconds."""
+    until = now() + seconds
+    while now() < until:
+        assert await told(cell, job) == {WAITING}
+        await pause(0.2)
+
+
+async def check_runs(cell, job):
+    """Check that the job is said to run, and comes to its end."""
+    assert await told(cell, job) == {RUNNING}
+    await cell.all_done(20.0)
+
+
+async def check_begins(cell, job):
+    """Check that a worker begins the job, which is then said to run."""
+    await cell.until(lambda: cell.checks.last_start, 20.0)
+    await pause(1.0)
+    await check_runs(cell, job)
+
+
+async def submit_begun(cell, work_s):
+    """Submit a job and wait until a worker began it."""
+    job, _ = await cell.submit([step(1)], work_s=work_s)
+    await cell.until(lambda: cell.checks.last_start, 1.0)
+    return job
+
+
+def set_mode(cell, mode):
+    """Let all workers behave in one way."""
+    for worker in cell.workers.values():
+        worker.mode = mode
+
+
 def assigned(cell, job):
     """Return whether the log names a run of the job."""
     views = [i.instance.replica.find(job) for i in cell.instances.values() if i.alive]
     return all(v and v.state and not v.state.over for v in views)
 
 
+def led_by_another(cell, first):
+    return cell.lead() and cell.lead_name() != first
+
+
 def test_job_whose_workers_are_cut_off_as_it_is_assigned_is_not_said_to_run():
-    async def play():
-        cell = ModelCell()
-        await cell.begin()
-        for worker in cell.workers.values():
-            worker.mode = "cut"
+    async def scene(cell):
+        set_mode(cell, "cut")
         job, _ = await cell.submit([step(2)], work_s=5.0)
         await cell.until(lambda: assigned(cell, job), 1.0)
-        cut_until = now() + 5.0
-        while now() < cut_until:
-            assert await told(cell, job) == {("queued", 1)}
-            await pause(0.2)
-        for worker in cell.workers.values():
-            worker.mode = "up"
-        await cell.until(lambda: cell.checks.last_start, 20.0)
-        await pause(1.0)
-        assert await told(cell, job) == {("running", 0)}
-        await cell.all_done(20.0)
-        assert cell.checks.broken == []
+        await check_waits(cell, job, 5.0)
+        set_mode(cell, "up")
+        await check_begins(cell, job)
 
-    run_virtual(play())
+    play(scene)
 
 
 def test_job_whose_lead_was_lost_between_assignment_and_order_is_not_said_to_run():
-    async def play():
-        cell = ModelCell()
-        await cell.begin()
+    async def scene(cell):
         first = cell.lead_name()
         # The successor reaches no worker, so that it can only tell what is stored.
         for worker in cell.workers.values():
@@ -61,19 +85,15 @@
         orders = cell.instances[first].lead.term._orders
         orders.begin = lambda run: cell.kill(first)
         job, _ = await cell.submit([step(1)], work_s=5.0)
-        await cell.until(lambda: cell.lead() and cell.lead_name() != first, 5.0)
+        await cell.until(lambda: led_by_another(cell, first), 5.0)
         await pause(0.5)
         assert assigned(cell, job)
-        assert await told(cell, job) == {("queued", 1)}
+        assert await told(cell, job) == {WAITING}
         for worker in cell.workers.values():
             worker.cut_from.clear()
-        await cell.until(lambda: cell.checks.last_start, 20.0)
-        await pause(1.0)
-        assert await told(cell, job) == {("running", 0)}
-        await cell.all_done(20.0)
-        assert cell.checks.broken == []
+        await check_begins(cell, job)
 
-    run_virtual(play())
+    play(scene)
 
 
 REFUSALS = [
@@ -86,9 +106,7 @@
 
 @pytest.mark.parametrize("outcome", REFUSALS)
 def test_job_whose_starts_are_all_refused_is_not_said_to_run(outcome):
-    async def play():
-        cell = ModelCell()
-        await cell.begin()
+    async def scene(cell):
         asked = []
         for worker in cell.workers.values():
 
@@ -99,67 +117,47 @@
             worker.start = refuse
         job, _ = await cell.submit([step(1)])
         await cell.until(lambda: asked, 1.0)
-        asked_until = now() + 3.0
-        while now() < asked_until:
-            assert await told(cell, job) == {("queued", 1)}
-            await pause(0.2)
+        await check_waits(cell, job, 3.0)
         for worker in cell.workers.values():
             del worker.start
         await cell.all_done(20.0)
-        assert cell.checks.broken == []
 
-    run_virtual(play())
+    play(scene)
 
 
 def test_job_whose_lead_is_lost_just_after_a_worker_began_it_is_said_to_run():
-    async def play():
-        cell = ModelCell()
-        await cell.begin()
+    async def scene(cell):
         first = cell.lead_name()
-        job, _ = await cell.submit([step(1)], work_s=8.0)
-        await cell.until(lambda: cell.checks.last_start, 1.0)
+        job = await submit_begun(cell, 8.0)
         await pause(0.01)
         cell.kill(first)
-        await cell.until(lambda: cell.lead() and cell.lead_name() != first, 5.0)
+        await cell.until(lambda: led_by_another(cell, first), 5.0)
         await pause(1.0)
-        assert await told(cell, job) == {("running", 0)}
-        await cell.all_done(20.0)
-        assert cell.checks.broken == []
+        await check_runs(cell, job)
 
-    run_virtual(play())
+    play(scene)
 
 
 def test_job_whose_begun_run_is_lost_with_its_worker_is_not_said_to_wait_again():
-    async def play():
-        cell = ModelCell(workers=1)
-        await cell.begin()
-        job, _ = await cell.submit([step(1)], work_s=2.0)
-        await cell.until(lambda: cell.checks.last_start, 1.0)
+    async def scene(cell):
+        job = await submit_begun(cell, 2.0)
         await pause(0.1)
         cell.workers["w0"].crash()
         await pause(15.0)
-        assert await told(cell, job) == {("running", 0)}
+        assert await told(cell, job) == {RUNNING}
         cell.workers["w0"].restart()
         await cell.all_done(20.0)
-        assert cell.checks.broken == []
 
-    run_virtual(play())
+    play(scene, workers=1)
 
 
 def test_job_that_a_worker_began_without_an_answer_is_said_to_run_once_it_is_listed():
-    async def play():
-        cell = ModelCell()
-        await cell.begin()
-        for worker in cell.workers.values():
-            worker.mode = "mute"
-        job, _ = await cell.submit([step(1)], work_s=8.0)
-        await cell.until(lambda: cell.checks.last_start, 1.0)
+    async def scene(cell):
+        set_mode(cell, "mute")
+        job = await submit_begun(cell, 8.0)
         await pause(2.0)
-        for worker in cell.workers.values():
-            worker.mode = "up"
+        set_mode(cell, "up")
         await pause(2.0)
-        assert await told(cell, job) == {("running", 0)}
-        await cell.all_done(20.0)
-        assert cell.checks.broken == []
+        await check_runs(cell, job)
 
-    run_virtual(play())
+    play(scene)
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -1,8 +1,7 @@
 """Accepted work that waits although it could run."""
 
-from firhook.platform.store import CELL_TOPIC, KeyedRecord, encode_keyed
-from firhook.services._fenced_writer import FencedWriter
-from standins.model import ModelCell, ModelStore, pause, run_virtual
+from standins.model import ModelCell, pause, run_virtual
+from tests.services.scenes import step
 
 
 async def lose_all_power(cell):
@@ -18,15 +17,6 @@
         await cell.restart(name)
 
 
-def gang_step(count, cpu_m):
-    return {
-        "count": count,
-        "millicpus": cpu_m,
-        "task_memory_mb": 100,
-        "all_or_nothing": True,
-    }
-
-
 def test_gang_accepted_before_a_new_lead_has_heard_most_workers_starts():
     """The adviser is asked about the one worker that is heard, which cannot hold it."""
 
@@ -35,12 +25,12 @@
         await cell.begin()
         await lose_all_power(cell)
         job_id = cell.new_job_id()
-        step = f"{job_id}.0.0"
-        heard = next(w for w in cell.workers if cell.adviser.may_run(step, w))
+        gang = f"{job_id}.0.0"
+        heard = next(w for w in cell.workers if cell.adviser.may_run(gang, w))
         others = [w for name, w in cell.workers.items() if name != heard]
         for worker in others:
             worker.mode = "cut"
-        await cell.submit([gang_step(6, 4000)], job_id=job_id)
+        await cell.submit([step(6, 4000, all_or_nothing=True)], job_id=job_id)
         await cell.until(lambda: cell.adviser.calls > 0, 10.0)
         for worker in others:
             worker.mode = "up"
@@ -74,7 +64,7 @@
     async def play():
         cell = ModelCell(workers=6)
         await cell.begin()
-        job_id, _ = await cell.submit([gang_step(6, 8000)])
+        job_id, _ = await cell.submit([step(6, 8000, all_or_nothing=True)])
         await cell.until(lambda: all(w.runs for w in cell.workers.values()), 3.0)
         cell.workers["w0"].mode = "mute"
         await cell.all_done(10.0)
@@ -88,37 +78,3 @@
     assert [r.message for r in told] == ["run.ended"] * 5 + ["job.ended", "run.ended"]
     assert told[-1].task.startswith(job_id)
     assert told[-1].gang
-
-
-def test_a_repeat_that_is_refused_does_not_swallow_the_next_append():
-    """An append's answer is lost, and its repeat is refused for the moment."""
-
-    async def play():
-        store = ModelStore()
-        writer = FencedWriter(store.client("i"), 1000, lambda sent_at: None)
-        await writer.set_epoch()
-        store.lost_share = 1.0
-        await writer.prove([record("first")])
-        store.lost_share, store.mode["*"] = 0.0, "busy"
-        await pause(1.1)
-        await writer.prove([record("proof")])
-        store.mode.clear()
-        await pause(1.1)
-        await writer.append([record("next")])
-        assert "next" in stored(store)
-
-    run_virtual(play())
-
-
-def record(name):
-    return encode_keyed(KeyedRecord(name, b"x"))
-
-
-def stored(store):
-    """Return the keys on all partitions of the cell's topic."""
-    return [
-        content[1 : 1 + content[0]].decode()
-        for (topic, _), part in sorted(store.partitions.items())
-        if topic == CELL_TOPIC
-        for content in part.records
-    ]
--- a/tests/services/test_submissions.py
+++ b/tests/services/test_submissions.py
@@ -5,8 +5,9 @@
 
 from firhook.platform.store import CELL_TOPIC
 from standins.model import ModelCell, ModelRequest, pause, run_virtual
+from tests.services.scenes import step
 
-STEP = {"count": 1, "millicpus": 1000, "task_memory_mb": 100}
+STEP = step(1)
 BODY = msgspec.json.encode({"specification": "other", "steps": [STEP]})
 TEAMS = [
     {"name": "team-a", "api_keys": ["key-of-a"], "weight": 1, "upper_limit": {}},
