An append whose asker has left is given up, and its outcome logged

Callers saw nothing of it.

Cause: whoever asks for a record to be appended waits for a future of its own. Cancelled while it waits, as at the stop of an instance or of the mesh, or by the model when a peer's time for an answer is over, it left the future behind among the records that wait. These were tried on, and the failure was set on a future that nobody reads. Which record it was, and whether it may have been written, was in no line of ours.

Change: an asker that leaves takes its record back. It is tried no more, and "append.abandoned" says which record it was and what is known of it. A failure of the same moment is in that line as well.

Ruled out: readings, which have a callback that logs their failure; gathered calls, whose later failures asyncio takes itself.

--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -164,6 +164,19 @@
             error = LogUnavailableError(exc.detail, retry_after_s=exc.retry_after_s)
             self.done.set_exception(error)
 
+    def abandon(self) -> None:
+        """Take note that the asker waits no longer, and try no more.
+
+        Nobody would be told what becomes of the record; so the log is.
+        """
+        if self.done.cancel():
+            outcome = "unknown" if self.tried else "not_sent"
+        else:
+            exc = self.done.exception()
+            outcome = "recorded" if exc is None else repr(exc)
+        key = self.record.key
+        log("append.abandoned", level="warning", key=key, outcome=outcome)
+
 
 @register_service("follower")
 class Follower(InstanceService):
@@ -531,11 +544,14 @@
         pending = _Pending(query.record, query.until, done)
         self._pending.append(pending)
         self._has_pending.set()
-        while not done.done():
-            await asyncio.wait({done}, timeout=_REACH_EVERY_S)
-            if not done.done() and not self._reachable:
-                await self._settle_elsewhere(pending)
-                break
+        try:
+            while not done.done():
+                await asyncio.wait({done}, timeout=_REACH_EVERY_S)
+                if not done.done() and not self._reachable:
+                    await self._settle_elsewhere(pending)
+        except BaseException:
+            pending.abandon()
+            raise
         return await done
 
     async def _settle_elsewhere(self, pending: _Pending) -> None:
