A peer's answer that cannot be read is no answer, and not the asker's fault

Seen: nothing by a caller; found by reading who sets failures on futures. An instance that got an answer it cannot read, as from a peer of another version, raised FrameMalformedError at whoever had asked: "a message from a peer cannot be understood", 400, with the promise that nothing ran. Lookups and the relay of a submission handle PeerUnreachableError only, so that this went on to the caller, and the next peer was not asked. A job that the lead had taken would have been reported as not run.

Change: it is a PeerUnreachableError, whose outcome is unknown; the message says what was wrong with the answer, which is counted as malformed as before.

Evidence: the new test of the mesh fails before with FrameMalformedError.

--- a/src/firhook/_mesh.py
+++ b/src/firhook/_mesh.py
@@ -281,7 +281,9 @@
                 fut.set_result(unpack_frame(frames[1]))
             except FrameMalformedError as exc:
                 self.counts.malformed += 1
-                fut.set_exception(exc)
+                # Not the asker's own message is at fault, and the peer may have
+                # done what it was asked.
+                fut.set_exception(PeerUnreachableError(exc.detail))
 
     async def run(self) -> None:
         """Serve messages until cancelled."""
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -136,6 +136,27 @@
     asyncio.run(scenario())
 
 
+def test_answer_that_cannot_be_understood_is_no_answer():
+    """A peer of another version answers, and may have done what it was asked.
+
+    The asker was told that its own message was malformed, and that nothing ran.
+    """
+
+    async def scenario():
+        async with Pair(echo) as pair:
+
+            async def rubbish(identity, tag, answer):
+                await pair.b._router.send_multipart([identity, tag, b"rubbish"])
+
+            pair.b._answer = rubbish
+            with pytest.raises(PeerUnreachableError) as caught:
+                await pair.ask()
+            assert caught.value.ran == "unknown"
+            assert pair.a.counts.malformed == 1
+
+    asyncio.run(scenario())
+
+
 def test_frame_over_the_limit_is_refused_before_it_is_sent():
     async def scenario():
         async with Pair(echo) as pair:
