Failures of tasks that nobody waits for are logged where they happen

Seen: nothing; found by going through every place that starts a task, shields or gathers one. Where the asker may have left, or nobody asks, a failure was told by the loop when the task was forgotten, without the event's name, or not at all:

- a wave of cancellations whose callers gave up: what is shielded fails in silence;
- the lead's offer to others, and the reading of a peer's answers: kept in an attribute, they are forgotten only at the end;
- answers to peers, orders and outcomes of the lasting roles, and connections that are accepted at a stop: one line of asyncio, not one of our events.

Change: one callback, log_failure, at each of these. The follower and the lead's term had one each of their own; both are gone. Readings keep their event and level. On paths taken for each message it is made once.

Left as they are, with the reason: calls under gather whose first failure is raised, since each goes through one of these or is told by the first one; calls that are cancelled and waited for.

--- a/src/firhook/_mesh.py
+++ b/src/firhook/_mesh.py
@@ -27,6 +27,7 @@
     PeerUnreachableError,
 )
 from firhook.logs import log
+from firhook.tasks import log_failure
 
 #: Larger frames are refused by libzmq, so that no peer can fill the memory.
 MAX_FRAME_BYTES = 4 << 20
@@ -44,6 +45,8 @@
 _CONNECT_MS = 500
 ONE_WAY = b""
 _TAG_BYTES = 8
+#: For each message that is served.
+_NOTE_UNANSWERED = log_failure("peer.unanswered")
 #: Shorter frames gain nothing by compression.
 COMPRESS_FROM_BYTES = 300
 #: First byte of what zlib writes; no encoded message begins with it.
@@ -194,7 +197,9 @@
         dealer.connect_timeout = _CONNECT_MS
         dealer.connect(f"tcp://{address}")
         self._dealers[address] = dealer
-        self._readers[address] = asyncio.create_task(self._read_answers(dealer))
+        reader = asyncio.create_task(self._read_answers(dealer))
+        reader.add_done_callback(log_failure("peer.unheard", address=address))
+        self._readers[address] = reader
 
     def disconnect(self, address: str) -> None:
         """Forget a peer that the platform no longer lists."""
@@ -303,6 +308,7 @@
             task = asyncio.create_task(self._serve_one(*frames))
             self._serving.add(task)
             task.add_done_callback(self._serving.discard)
+            task.add_done_callback(_NOTE_UNANSWERED)
 
     async def _refuse_frames(self, frames: list[bytes]) -> None:
         self.counts.malformed += 1
--- a/src/firhook/_web.py
+++ b/src/firhook/_web.py
@@ -20,6 +20,7 @@
 )
 from firhook.logs import log
 from firhook.queries import Authenticate, Principal
+from firhook.tasks import log_failure
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -164,6 +165,7 @@
             )
             self._accepted.add(task)
             task.add_done_callback(self._accepted.discard)
+            task.add_done_callback(log_failure("caller.not_accepted", level="warning"))
 
 
 async def wait_let_go(runner: web.BaseRunner, most_s: float) -> None:
--- a/src/firhook/roles/_fold.py
+++ b/src/firhook/roles/_fold.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from firhook.tasks import log_failure
+
 #: How long the first of a wave waits for others.
 WINDOW_S = 0.1
 #: Names in one record, about 20 kB.
@@ -29,6 +31,7 @@
         if self._wave is None or len(self._names) >= MAX_FOLDED:
             self._names = []
             self._wave = asyncio.ensure_future(self._carry(self._names))
+            self._wave.add_done_callback(log_failure("wave.failed", level="warning"))
         self._names.append(name)
         await asyncio.shield(self._wave)
 
--- a/src/firhook/roles/_once.py
+++ b/src/firhook/roles/_once.py
@@ -35,6 +35,7 @@
     OnceSending,
 )
 from firhook.state import OnceEntry
+from firhook.tasks import log_failure
 
 #: Longer bodies are not stored: each would be in the log and in the memory of
 #: every instance.  A repeat then gets the status and is told so.
@@ -292,6 +293,7 @@
         task = asyncio.create_task(coro)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(log_failure("once.task_failed"))
 
 
 def _repeated(answer: Exchange) -> Exchange:
--- a/src/firhook/roles/_zone_lead.py
+++ b/src/firhook/roles/_zone_lead.py
@@ -43,6 +43,7 @@
     ZoneFenced,
 )
 from firhook.roles._adopter import Adopter
+from firhook.tasks import log_failure
 
 #: Records of a round are split into batches of about so many tasks, so that
 #: one lost answer leaves little in doubt.
@@ -309,6 +310,7 @@
                 task = asyncio.create_task(self._talk(term, name))
                 self._talking[name] = task
                 task.add_done_callback(lambda _, name=name: self._talking.pop(name))
+                task.add_done_callback(log_failure("worker.talk_failed", worker=name))
 
     async def _talk(self, term: LeadTerm, name: str) -> None:
         view = term.workers.get(name)
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -46,6 +46,7 @@
     TellInstance,
     TellInstances,
 )
+from firhook.tasks import log_failure
 
 #: How often the store is read although the peers push what they append.  A push
 #: that is lost is made up for by then.
@@ -84,6 +85,8 @@
 #: answers 60 times slower than its 5 ms is waited for: repeats would only make
 #: its queue longer.
 _APPEND_S = 1.5
+#: The askers of a reading may have given up waiting when it fails.
+_NOTE_FAILED_READING = log_failure("replica.reading_failed", level="debug")
 
 
 class _Reader:
@@ -493,7 +496,7 @@
             await asyncio.wait({under_way})
         if under_way is None or self._catching_up[reader.number].done():
             task = asyncio.create_task(self._read_all(reader))
-            task.add_done_callback(_note_failed_reading)
+            task.add_done_callback(_NOTE_FAILED_READING)
             self._catching_up[reader.number] = task
         await asyncio.shield(self._catching_up[reader.number])
 
@@ -675,12 +678,6 @@
         return rest
 
 
-def _note_failed_reading(task: asyncio.Task[None]) -> None:
-    """Log why a reading failed, whose askers may have given up waiting."""
-    if not task.cancelled() and task.exception() is not None:
-        log("replica.reading_failed", level="debug", error=repr(task.exception()))
-
-
 def _unexpired(batch: list[_Pending], exc: FirhookError) -> list[_Pending]:
     """Give up the records whose time is up; return the others."""
     now = boot_time()
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -42,6 +42,7 @@
 )
 from firhook.services._members import candidates
 from firhook.services._term import PROOF_S, Term
+from firhook.tasks import log_failure
 
 #: How often an instance looks whether the lead is its own business.
 _TICK_S = 0.1
@@ -330,6 +331,7 @@
             return
         self._offered_at = now
         self._offering = asyncio.create_task(self._offer_around(reason))
+        self._offering.add_done_callback(log_failure("lead.offer_failed"))
 
     async def _offer_around(self, reason: str) -> bool:
         """Offer the lead to the next in line; return whether one takes it."""
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -50,6 +50,7 @@
 from firhook.services._orders import Orders
 from firhook.services._worker_link import WorkerLink
 from firhook.services._worker_list import WorkerList
+from firhook.tasks import log_failure
 
 if TYPE_CHECKING:
     from firhook.services._lead import Lead
@@ -76,6 +77,8 @@
 #: The weight of the newest urgent step in the mean of what they need: the last
 #: twenty or so count.
 _URGENT_WEIGHT = 0.1
+#: For each order and question of a term.
+_NOTE_FAILURE = log_failure("term.task_failed")
 #: How often the lead tells what has waited longest.
 _TELL_EVERY_S = 1.0
 
@@ -145,12 +148,8 @@
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._done)
-
-    def _done(self, task: asyncio.Task[Any]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log("term.task_failed", level="error", error=repr(task.exception()))
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(_NOTE_FAILURE)
 
     def may_act(self) -> bool:
         """Return whether orders may be given at this moment."""
--- a/tests/services/test_left_askers.py
+++ b/tests/services/test_left_askers.py
@@ -8,7 +8,7 @@
 from firhook.clock import boot_time
 from firhook.errors import LogOutcomeUnknownError
 from firhook.platform.store import CELL_TOPIC, KeyedRecord
-from firhook.services._events import Record
+from firhook.services._events import Record, StoreTime
 from standins.model import ModelCell, ModelRequest, pause, run_virtual
 
 JOB = b'{"specification":"x","steps":[{"count":1,"millicpus":1000}]}'
@@ -124,3 +124,25 @@
     [(key, outcome)] = abandoned(caplog)
     assert key == "cancel/x"
     assert outcome.startswith("LogUnavailableError")
+
+
+def test_offer_of_the_lead_that_fails_is_logged(caplog):
+    """A lead that is told to stop offers the cell, which fails otherwise than
+    by a peer that does not answer.
+    """
+
+    async def play():
+        cell = ModelCell(instances=2, workers=0)
+        await cell.begin()
+        lead = cell.lead().lead
+
+        async def fail(query):
+            raise RuntimeError("on purpose")
+
+        lead.bus._handlers[StoreTime] = fail
+        lead._offer("stopping", boot_time())
+        await pause(0.1)
+
+    assert play_unheard(play) == []
+    [failed] = [r for r in caplog.records if r.message == "lead.offer_failed"]
+    assert "on purpose" in failed.error
