A worker is looked at again after taking note of its silence has failed

The lead's link to a worker survives any failure of a look, but not one while it takes note that the worker is silent, as when the worker's lease is found to have lapsed. The link's task ended, was kept, and so nothing was logged: the worker's lease was neither renewed nor ever found to have lapsed, its tasks waited for good, and it got no new ones, until the lead changed.

Change: what handles a failed look is inside the same guard; link.failed says what happened, and the worker is looked at again.

Evidence: the new test fails before (the job does not end in 20 s).

--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -158,17 +158,27 @@
         """Look at the worker until cancelled."""
         while True:
             try:
-                await self._look_once()
-            except WorkerUnreachableError as exc:
-                self._note_silence(exc)
-                await asyncio.sleep(_RETRY_S)
-            except WorkerFencedError:
-                self._owner.on_fenced(self.name)
-                await asyncio.sleep(_RETRY_S)
+                answered = await self._answered()
             except Exception as exc:
+                # Ended by it, the link would neither renew the worker's lease nor
+                # ever find that it lapsed, and its tasks would wait for good.
                 log("link.failed", level="error", worker=self.name, error=repr(exc))
+                answered = False
+            if not answered:
                 await asyncio.sleep(_RETRY_S)
 
+    async def _answered(self) -> bool:
+        """Look once, and return whether the worker answered as it should."""
+        try:
+            await self._look_once()
+        except WorkerUnreachableError as exc:
+            self._note_silence(exc)
+            return False
+        except WorkerFencedError:
+            self._owner.on_fenced(self.name)
+            return False
+        return True
+
     async def _look_once(self) -> None:
         sent_at = boot_time()
         # The tasks of a worker that is gone are free again only when the last
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -2,6 +2,7 @@
 
 from firhook.platform.store import CELL_TOPIC, KeyedRecord, encode_keyed
 from firhook.services._fenced_writer import FencedWriter
+from firhook.services._term import Term
 from standins.model import ModelCell, ModelStore, pause, run_virtual
 
 
@@ -122,3 +123,37 @@
         if topic == CELL_TOPIC
         for content in part.records
     ]
+
+
+def test_worker_is_looked_at_again_after_a_failure_in_the_middle_of_its_silence(
+    caplog, monkeypatch
+):
+    """A worker falls silent, and taking note of that fails once.
+
+    Nothing told so; the worker was never looked at again, and a task on it
+    neither ended nor ran elsewhere.
+    """
+    failures = [RuntimeError("once")]
+    on_dark = Term.on_dark
+
+    def fail_once(self, link):
+        if failures:
+            raise failures.pop()
+        on_dark(self, link)
+
+    monkeypatch.setattr(Term, "on_dark", fail_once)
+
+    async def play():
+        cell = ModelCell(instances=1, workers=1)
+        await cell.begin()
+        await cell.submit([{"count": 1, "millicpus": 1000}], work_s=2.0)
+        await cell.until(lambda: cell.checks.last_start, 1.0)
+        cell.workers["w0"].mode = "cut"
+        await pause(1.5)
+        cell.workers["w0"].mode = "up"
+        await cell.all_done(20.0)
+        assert cell.checks.broken == []
+
+    run_virtual(play())
+    [failed] = [r for r in caplog.records if r.message == "link.failed"]
+    assert "once" in failed.error
