--- a/src/firhook/_mesh.py
+++ b/src/firhook/_mesh.py
@@ -28,6 +28,7 @@
     PeerUnreachableError,
 )
 from firhook.logs import log
+from firhook.tasks import log_failure
 
 #: Larger frames are refused by libzmq, so that no peer can fill the memory.
 MAX_FRAME_BYTES = 4 << 20
@@ -45,6 +46,8 @@
 _CONNECT_MS = 500
 ONE_WAY = b""
 _TAG_BYTES = 8
+#: For each message that is served.
+_NOTE_UNANSWERED = log_failure("peer.unanswered")
 #: Shorter frames gain nothing by compression.
 COMPRESS_FROM_BYTES = 300
 #: First byte of what zlib writes; no encoded message begins with it.
@@ -276,7 +279,9 @@
             fut.set_result(unpack_frame(frames[1]))
         except FrameMalformedError as exc:
             self.counts.malformed += 1
-            fut.set_exception(exc)
+            # Not the asker's own message is at fault, and the peer may have
+            # done what it was asked.
+            fut.set_exception(PeerUnreachableError(exc.detail))
 
     async def run(self) -> None:
         """Serve messages until cancelled."""
@@ -306,6 +311,7 @@
         task = asyncio.ensure_future(self._answer_later(identity, tag, answer))
         self._serving.add(task)
         task.add_done_callback(self._serving.discard)
+        task.add_done_callback(_NOTE_UNANSWERED)
 
     def _refuse_frames(self, frames: list[bytes]) -> None:
         self.counts.malformed += 1
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -46,6 +46,7 @@
     TellInstance,
     TellInstances,
 )
+from firhook.tasks import log_failure
 
 #: How often the store is read although the peers push what they append.  A push
 #: that is lost is made up for by then.
@@ -84,6 +85,8 @@
 #: answers 60 times slower than its 5 ms is waited for: repeats would only make
 #: its queue longer.
 _APPEND_S = 1.5
+#: The askers of a reading may have given up waiting when it fails.
+_NOTE_FAILED_READING = log_failure("replica.reading_failed", level="debug")
 
 
 class _Reader:
@@ -164,6 +167,19 @@
             error = LogUnavailableError(exc.detail, retry_after_s=exc.retry_after_s)
             self.done.set_exception(error)
 
+    def abandon(self) -> None:
+        """Take note that the asker waits no longer, and try no more.
+
+        Nobody would be told what becomes of the record; so the log is.
+        """
+        if self.done.cancel():
+            outcome = "unknown" if self.tried else "not_sent"
+        else:
+            exc = self.done.exception()
+            outcome = "recorded" if exc is None else repr(exc)
+        key = self.record.key
+        log("append.abandoned", level="warning", key=key, outcome=outcome)
+
 
 @register_service("follower")
 class Follower(InstanceService):
@@ -480,7 +496,7 @@
             await asyncio.wait({under_way})
         if under_way is None or self._catching_up[reader.number].done():
             task = asyncio.create_task(self._read_all(reader))
-            task.add_done_callback(_note_failed_reading)
+            task.add_done_callback(_NOTE_FAILED_READING)
             self._catching_up[reader.number] = task
         await asyncio.shield(self._catching_up[reader.number])
 
@@ -531,11 +547,14 @@
         pending = _Pending(query.record, query.until, done)
         self._pending.append(pending)
         self._has_pending.set()
-        while not done.done():
-            await asyncio.wait({done}, timeout=_REACH_EVERY_S)
-            if not done.done() and not self._reachable:
-                await self._settle_elsewhere(pending)
-                break
+        try:
+            while not done.done():
+                await asyncio.wait({done}, timeout=_REACH_EVERY_S)
+                if not done.done() and not self._reachable:
+                    await self._settle_elsewhere(pending)
+        except BaseException:
+            pending.abandon()
+            raise
         return await done
 
     async def _settle_elsewhere(self, pending: _Pending) -> None:
@@ -659,12 +678,6 @@
         return rest
 
 
-def _note_failed_reading(task: asyncio.Task[None]) -> None:
-    """Log why a reading failed, whose askers may have given up waiting."""
-    if not task.cancelled() and task.exception() is not None:
-        log("replica.reading_failed", level="debug", error=repr(task.exception()))
-
-
 def _unexpired(batch: list[_Pending], exc: FirhookError) -> list[_Pending]:
     """Give up the records whose time is up; return the others."""
     now = boot_time()
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -1,5 +1,6 @@
 """Accepted work that waits although it could run."""
 
+from firhook.services._term import Term
 from standins.model import ModelCell, pause, run_virtual
 from tests.services.scenes import step
 
@@ -78,3 +79,37 @@
     assert [r.message for r in told] == ["run.ended"] * 5 + ["job.ended", "run.ended"]
     assert told[-1].task.startswith(job_id)
     assert told[-1].gang
+
+
+def test_worker_is_looked_at_again_after_a_failure_in_the_middle_of_its_silence(
+    caplog, monkeypatch
+):
+    """A worker falls silent, and taking note of that fails once.
+
+    Nothing told so; the worker was never looked at again, and a task on it
+    neither ended nor ran elsewhere.
+    """
+    failures = [RuntimeError("once")]
+    on_dark = Term.on_dark
+
+    def fail_once(self, link):
+        if failures:
+            raise failures.pop()
+        on_dark(self, link)
+
+    monkeypatch.setattr(Term, "on_dark", fail_once)
+
+    async def play():
+        cell = ModelCell(instances=1, workers=1)
+        await cell.begin()
+        await cell.submit([{"count": 1, "millicpus": 1000}], work_s=2.0)
+        await cell.until(lambda: cell.checks.last_start, 1.0)
+        cell.workers["w0"].mode = "cut"
+        await pause(1.5)
+        cell.workers["w0"].mode = "up"
+        await cell.all_done(20.0)
+        assert cell.checks.broken == []
+
+    run_virtual(play())
+    [failed] = [r for r in caplog.records if r.message == "link.failed"]
+    assert "once" in failed.error
