Records go through the lead while appends to the store wait for each other

Cause: a partition does its appends one after the other, 62 ms each then, 16 a second. Each of 39 instances had one call under way there, so that a call waited for 2 s, or was turned away since over 2 s was waiting. 15 calls a second carried jobs, 2.4 in each.

Ruled out: the time that an answer takes (0.25 s), since the quickest submissions took that; the lead, whose own appends go to another partition; too few jobs in a call, since each call carried what had come to its instance meanwhile.

Change: an instance that sees an append take longer than 0.1 s, or still wait after that, hands its records to the lead, as one that the store turns away does already. The lead appends those of all in one call after the other, on a partition of their own, and says how long that took; once it is quick, instances append themselves again. A lead that does not append, or does not say, is left alone for a second. The rule is a decision of its own (decide/appends); appending moves out of the follower (services/_appends). The model of the store does its appends in turn while it is slow.

test_jobs_at_many_instances_are_accepted_while_the_store_is_slow failed before. The test of an append whose asker waits no longer looked for a line of an abandoned append at the lead; the lead now answers within the asker's time that it does not know, and logs that (relay.unknown), which the test checks.

--- a/src/firhook/_peer_messages.py
+++ b/src/firhook/_peer_messages.py
@@ -110,18 +110,26 @@
 @message
 @attrs.frozen(slots=True)
 class AppendAsk:
-    """Ask an instance to append a record, for one that the store turns away."""
+    """Ask an instance to append a record, for one that the store turns away.
+
+    :ivar within_s: how long the asker waits for the answer.
+    """
 
     record: PushedRecord
+    within_s: float
 
 
 @message
 @attrs.frozen(slots=True)
 class AppendReply:
-    """Where the record lies now; not ``taken`` if it certainly was not appended."""
+    """Where the record lies now; not ``taken`` if it certainly was not appended.
+
+    :ivar took_s: how long the append took, with the wait for those before it.
+    """
 
     taken: bool
     offset: int = 0
+    took_s: float = 0.0
 
 
 @message
--- /dev/null
+++ b/src/firhook/decide/_appends.py
@@ -0,0 +1,51 @@
+"""Whether an instance appends callers' records itself or through the lead."""
+
+#: An append that took longer waited behind those of other instances.
+CROWDED_S = 0.1
+#: A lead that did not take a record is left alone for so long, in seconds.
+_REST_S = 1.0
+
+
+class AppendRoute:
+    """Sends records through the lead while appends wait for each other.
+
+    Load: a store that is 60 times slower than usual does 16 appends a second on a
+    partition, and each of 39 instances makes its own.  Harm: each waits for two
+    seconds behind the others or is turned away, and nine in ten callers get no
+    answer in time.  The lead appends the records of all in one call.
+
+    An instance that sees an append take long goes through the lead until the
+    lead's own appends are quick again, which the lead tells with each answer.  How
+    long the way to the lead takes is left out, as on a thin link that says nothing
+    of the store.
+    """
+
+    def __init__(self) -> None:
+        self._crowded = False
+        self._sent_at: float | None = None
+        self._rests_until = float("-inf")
+
+    def own_sent(self, now: float) -> None:
+        """Take note that this instance sent an append."""
+        self._sent_at = now
+
+    def own_ended(self, now: float) -> None:
+        """Take note that its append was answered, refused or given up."""
+        if self._sent_at is not None:
+            self._crowded = now - self._sent_at > CROWDED_S
+        self._sent_at = None
+
+    def lead_took(self, seconds: float) -> None:
+        """Take note of how long the lead needed to append."""
+        self._crowded = seconds > CROWDED_S
+
+    def lead_failed(self, now: float) -> None:
+        """Take note that the lead did not append, or did not say so."""
+        self._rests_until = now + _REST_S
+
+    def through_lead(self, now: float) -> bool:
+        """Return whether records should go through the lead now."""
+        if now < self._rests_until:
+            return False
+        waits = self._sent_at is not None and now - self._sent_at > CROWDED_S
+        return self._crowded or waits
--- /dev/null
+++ b/src/firhook/services/_appends.py
@@ -0,0 +1,190 @@
+"""Appends callers' records to the cell's topic, many in one call."""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+
+from firhook.clock import boot_time
+from firhook.decide.appends import AppendRoute
+from firhook.decide.reach import StoreReach
+from firhook.errors import FirhookError, LogOutcomeUnknownError, LogUnavailableError
+from firhook.logs import log
+from firhook.platform.store import CELL_TOPIC, KeyedRecord, Store, encode_keyed
+from firhook.services._batches import split_records
+from firhook.services._events import RecordsAppended
+
+#: Between tries when the store does not answer.
+_RETRY_S = 0.15
+#: A partition that failed is tried again after this; the other one serves
+#: meanwhile.
+_AVOID_S = 1.0
+#: Records that are to go through the lead are looked at again after this.
+_HELD_S = 0.05
+#: The longest that one append is waited for before it is repeated; the record
+#: is the whole value of its key, so that a repeat changes nothing.  A store that
+#: answers 60 times slower than its 5 ms is waited for: repeats would only make
+#: its queue longer.
+APPEND_S = 1.5
+
+
+@attrs.define(slots=True, eq=False)
+class PendingAppend:
+    """A record that waits to be appended.
+
+    :ivar until: when its asker gives up, on the boot clock.
+    :ivar done: its offset.
+    :ivar tried: whether an append of it is under way, or got no answer.
+    """
+
+    record: KeyedRecord
+    until: float
+    done: asyncio.Future[int] = attrs.field(
+        factory=lambda: asyncio.get_running_loop().create_future()
+    )
+    tried: bool = False
+
+    def settle(self, offset: int) -> None:
+        """Take note of where the record lies, unless that is known."""
+        if not self.done.done():
+            self.done.set_result(offset)
+
+    def expire(self, exc: FirhookError) -> None:
+        """Give up, and say whether it may have been recorded."""
+        if self.done.done():
+            return
+        if self.tried:
+            self.done.set_exception(LogOutcomeUnknownError(exc.detail))
+        else:
+            error = LogUnavailableError(exc.detail, retry_after_s=exc.retry_after_s)
+            self.done.set_exception(error)
+
+    def abandon(self) -> None:
+        """Take note that the asker waits no longer, and try no more.
+
+        Nobody would be told what becomes of the record; so the log is.
+        """
+        if self.done.cancel():
+            outcome = "unknown" if self.tried else "not_sent"
+        else:
+            exc = self.done.exception()
+            outcome = "recorded" if exc is None else repr(exc)
+        key = self.record.key
+        log("append.abandoned", level="warning", key=key, outcome=outcome)
+
+
+class AppendQueue:
+    """Records that wait to be appended, in one call at a time.
+
+    A partition takes its appends one after the other.  While the store is 60 times
+    slower than usual, single appends for 20 jobs a second are more than it takes;
+    its queue grows to seconds.
+
+    :param partitions: to append to, the preferred one first.
+    :param most_bytes: of one call.
+    :param route: is told how long calls take.
+    :param held: whether records that wait are to be appended by another instance.
+    :param appended: is told what was appended, and where.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        reach: StoreReach,
+        partitions: tuple[int, ...],
+        most_bytes: int,
+        route: AppendRoute,
+        held: Callable[[], bool],
+        appended: Callable[[RecordsAppended], None],
+    ) -> None:
+        self._store = store
+        self._reach = reach
+        self._partitions = partitions
+        self._most_bytes = most_bytes
+        self._route = route
+        self._held = held
+        self._appended = appended
+        self._failed_at: dict[int, float] = {}
+        self.pending: list[PendingAppend] = []
+        self._added = asyncio.Event()
+
+    def add(self, pending: PendingAppend) -> None:
+        """Have a record appended."""
+        self.pending.append(pending)
+        self._added.set()
+
+    async def run(self) -> None:
+        """Append what waits, until cancelled."""
+        while True:
+            await self._added.wait()
+            self._added.clear()
+            while self.pending:
+                if self._held():
+                    await asyncio.sleep(_HELD_S)
+                    self.pending = [r for r in self.pending if not r.done.done()]
+                    continue
+                batch, self.pending = self.pending, []
+                self.pending = await self._append(batch) + self.pending
+
+    def _partition(self) -> int:
+        """Return the partition to append to: the first, unless it failed lately.
+
+        Of those that failed the one that did so the longest ago is tried.
+        """
+        now = boot_time()
+        for number in self._partitions:
+            if now - self._failed_at.get(number, float("-inf")) > _AVOID_S:
+                return number
+        return min(self._partitions, key=lambda number: self._failed_at[number])
+
+    async def _append(self, batch: list[PendingAppend]) -> list[PendingAppend]:
+        """Append records; return those that are to be tried again."""
+        batch = [row for row in batch if not row.done.done()]
+        if not batch:
+            return []
+        count = len(split_records([row.record for row in batch], self._most_bytes)[0])
+        batch, rest = batch[:count], batch[count:]
+        left_s = max(row.until for row in batch) - boot_time()
+        partition = self._partition()
+        untried = [row for row in batch if not row.tried]
+        for row in batch:
+            row.tried = True
+        call = self._reach.sent(partition, boot_time())
+        self._route.own_sent(boot_time())
+        try:
+            done = await self._store.append(
+                CELL_TOPIC,
+                partition,
+                [encode_keyed(row.record) for row in batch],
+                timeout_s=min(max(left_s, 0.05), APPEND_S),
+            )
+        except LogOutcomeUnknownError as exc:
+            self._failed_at[partition] = boot_time()
+            self._reach.failed(partition, call)
+            return _unexpired(batch, exc) + rest
+        except FirhookError as exc:
+            self._failed_at[partition] = boot_time()
+            self._reach.failed(partition, call)
+            for row in untried:
+                row.tried = False
+            batch = _unexpired(batch, exc)
+            if batch:
+                await asyncio.sleep(_RETRY_S)
+            return batch + rest
+        finally:
+            self._route.own_ended(boot_time())
+        self._reach.answered(partition, call, boot_time())
+        records = tuple(row.record for row in batch)
+        self._appended(RecordsAppended(partition, done.offset, records))
+        for i, row in enumerate(batch):
+            row.settle(done.offset + i)
+        return rest
+
+
+def _unexpired(batch: list[PendingAppend], exc: FirhookError) -> list[PendingAppend]:
+    """Give up the records whose time is up; return the others."""
+    now = boot_time()
+    for row in batch:
+        if row.until - now < _RETRY_S:
+            row.expire(exc)
+    return [row for row in batch if not row.done.done()]
--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -16,6 +16,8 @@
 #: partitions for seconds, in which without the others no task would start.
 LEAD_PARTITIONS = (0, 2, 1, 3)
 CALLERS_PARTITIONS = (1, 3, 0, 2)
+#: Of what the lead appends for other instances.
+GATHERED_PARTITIONS = (3, 1, 0, 2)
 
 
 @attrs.frozen(slots=True)
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import math
-
-import attrs
+from asyncio import FIRST_COMPLETED
+from collections.abc import Callable
 
 from firhook._peer_messages import (
     AppendAsk,
@@ -14,6 +14,7 @@
 )
 from firhook.cell.records import LEAD_KEY, STATE_PREFIX, epoch_of
 from firhook.clock import boot_time
+from firhook.decide.appends import AppendRoute
 from firhook.decide.reach import StoreReach
 from firhook.errors import (
     FirhookError,
@@ -25,10 +26,11 @@
 )
 from firhook.instance import InstanceService, register_service
 from firhook.logs import log
-from firhook.platform.store import CELL_TOPIC, KeyedRecord, encode_keyed
-from firhook.services._batches import split_records
+from firhook.platform.store import CELL_TOPIC, KeyedRecord
+from firhook.services._appends import APPEND_S, AppendQueue, PendingAppend
 from firhook.services._events import (
     CALLERS_PARTITIONS,
+    GATHERED_PARTITIONS,
     LEAD_PARTITIONS,
     AskInstance,
     CatchUp,
@@ -69,9 +71,6 @@
 #: So often a partition is read anew for one question if its records expire
 #: meanwhile; the platform keeps them for many seconds, and once is the rule.
 _REBUILDS = 3
-#: A partition that failed is tried again after this; the other one serves
-#: meanwhile.
-_AVOID_S = 1.0
 #: When callers should come back to a store that is away for all, and to one that
 #: may be away from this instance alone: another one serves them then.
 _AWAY_RETRY_S = 2.0
@@ -80,13 +79,14 @@
 _REACH_EVERY_S = 0.1
 #: How long the lead may take to append for an instance that cannot.
 _RELAY_S = 0.4
-#: The longest that one append is waited for before it is repeated; the record
-#: is the whole value of its key, so that a repeat changes nothing.  A store that
-#: answers 60 times slower than its 5 ms is waited for: repeats would only make
-#: its queue longer.
-_APPEND_S = 1.5
+#: The lead answers so long before the time that it was given is over.
+_ANSWER_S = 0.05
+#: With less time left a record is not handed to the lead any more.
+_LEAST_S = 0.1
 #: The askers of a reading may have given up waiting when it fails.
 _NOTE_FAILED_READING = log_failure("replica.reading_failed", level="debug")
+#: A record may be settled before the lead's answer to it has come.
+_NOTE_UNHEARD_RELAY = log_failure("relay.unheard", level="debug")
 
 
 class _Reader:
@@ -145,42 +145,6 @@
             self.next_offset = max(self.next_offset, self._ahead.pop(start))
 
 
-@attrs.define(slots=True, eq=False)
-class _Pending:
-    """A record that waits to be appended.
-
-    :ivar tried: whether an append of it is under way, or got no answer.
-    """
-
-    record: KeyedRecord
-    until: float
-    done: asyncio.Future[int]
-    tried: bool = False
-
-    def expire(self, exc: FirhookError) -> None:
-        """Give up, and say whether it may have been recorded."""
-        if self.done.done():
-            return
-        if self.tried:
-            self.done.set_exception(LogOutcomeUnknownError(exc.detail))
-        else:
-            error = LogUnavailableError(exc.detail, retry_after_s=exc.retry_after_s)
-            self.done.set_exception(error)
-
-    def abandon(self) -> None:
-        """Take note that the asker waits no longer, and try no more.
-
-        Nobody would be told what becomes of the record; so the log is.
-        """
-        if self.done.cancel():
-            outcome = "unknown" if self.tried else "not_sent"
-        else:
-            exc = self.done.exception()
-            outcome = "recorded" if exc is None else repr(exc)
-        key = self.record.key
-        log("append.abandoned", level="warning", key=key, outcome=outcome)
-
-
 @register_service("follower")
 class Follower(InstanceService):
     """Keeps the replica up to date."""
@@ -195,11 +159,14 @@
             for number in sorted(CALLERS_PARTITIONS)
         }
         self._catching_up: dict[int, asyncio.Task[None]] = {}
-        self._failed_at: dict[int, float] = {}
         self._reach = StoreReach(self._readers)
         self._reachable = True
-        self._pending: list[_Pending] = []
-        self._has_pending = asyncio.Event()
+        self._quiet = True
+        self._route = AppendRoute()
+        self._own = self._queue(
+            CALLERS_PARTITIONS, self._route, lambda: self._through_lead()
+        )
+        self._gathered = self._queue(GATHERED_PARTITIONS, AppendRoute(), lambda: False)
         self._outbox: list[PushedBatch] = []
         self._has_outbox = asyncio.Event()
         self.bus.answer(CatchUp, self._catch_up)
@@ -210,13 +177,27 @@
         self.bus.answer(Following, self._following)
         self.bus.subscribe(RecordsAppended, self._on_appended)
 
+    def _queue(
+        self, partitions: tuple[int, ...], route: AppendRoute, held: Callable[[], bool]
+    ) -> AppendQueue:
+        return AppendQueue(
+            self.store,
+            self._reach,
+            partitions,
+            self.settings.store_limits.append_bytes // 2,
+            route,
+            held,
+            self.bus.publish,
+        )
+
     async def on_started(self) -> None:
         """Begin to follow."""
         self.bus.publish(ServeInstance(RecordsPush, self._on_push))
         self.bus.publish(ServeInstance(AppendAsk, self._serve_append))
         for reader in self._readers.values():
             self.add_future(self._follow(reader))
-        self.add_future(self._append_pending())
+        self.add_future(self._own.run())
+        self.add_future(self._gathered.run())
         self.add_future(self._push_on())
         self.add_future(self._watch_reach())
 
@@ -231,8 +212,8 @@
         while not self.should_stop:
             await asyncio.sleep(_REACH_EVERY_S)
             now = boot_time()
-            quiet = not self._leads() and not await self.bus.ask(HeardLead())
-            if quiet or self._reach.doubtful(now):
+            self._quiet = not self._leads() and not await self.bus.ask(HeardLead())
+            if self._quiet or self._reach.doubtful(now):
                 for reader in self._readers.values():
                     if now - reader.answered_at > self._reach.limit_s():
                         reader.ask()
@@ -536,55 +517,93 @@
         sent at all, it can be refused truly and at once, with the time to come
         back; the lead, which reaches the store, may append it even so.
         """
-        if not self._reachable:
-            offset = await self._relay(query.record)
-            if offset is not None:
-                return offset
-            raise LogUnavailableError(
-                "the store is out of reach", retry_after_s=_ELSEWHERE_RETRY_S
-            )
-        done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-        pending = _Pending(query.record, query.until, done)
-        self._pending.append(pending)
-        self._has_pending.set()
+        pending = PendingAppend(query.record, query.until)
         try:
-            while not done.done():
-                await asyncio.wait({done}, timeout=_REACH_EVERY_S)
-                if not done.done() and not self._reachable:
+            if not self._reachable:
+                await self._settle_elsewhere(pending)
+            elif self._through_lead():
+                await self._append_through_lead(pending)
+            if not pending.done.done():
+                self._own.add(pending)
+            while not pending.done.done():
+                await asyncio.wait({pending.done}, timeout=_REACH_EVERY_S)
+                if pending.done.done():
+                    break
+                if not self._reachable:
                     await self._settle_elsewhere(pending)
+                elif self._through_lead():
+                    await self._append_through_lead(pending)
         except BaseException:
             pending.abandon()
             raise
-        return await done
+        return await pending.done
+
+    def _through_lead(self) -> bool:
+        """Return whether records are to go through the lead, and one is heard."""
+        return not self._quiet and self._route.through_lead(boot_time())
 
-    async def _settle_elsewhere(self, pending: _Pending) -> None:
+    async def _settle_elsewhere(self, pending: PendingAppend) -> None:
         """End the wait for a store that is out of reach."""
         try:
-            offset = await self._relay(pending.record)
+            reply = await self._relay(pending.record, _RELAY_S)
         except LogOutcomeUnknownError:
-            pending.tried, offset = True, None
-        if pending.done.done():
-            return
-        if offset is not None:
-            pending.done.set_result(offset)
-            return
+            pending.tried, reply = True, None
+        if reply is not None:
+            pending.settle(reply.offset)
         pending.expire(
             LogUnavailableError(
                 "the store is out of reach", retry_after_s=_ELSEWHERE_RETRY_S
             )
         )
 
-    async def _relay(self, record: KeyedRecord) -> int | None:
-        """Have the lead append a record; return its offset, or ``None`` if not.
+    async def _append_through_lead(self, pending: PendingAppend) -> None:
+        """Have the lead append a record with those of other instances.
+
+        An append of this instance that is under way may still be the first to
+        settle it.
+        """
+        left_s = pending.until - boot_time()
+        if left_s < _LEAST_S:
+            pending.expire(
+                LogUnavailableError("the store is slow", retry_after_s=_AWAY_RETRY_S)
+            )
+            return
+        if self._leads():
+            self._gathered.add(pending)
+            began = boot_time()
+            await asyncio.wait({pending.done}, timeout=left_s)
+            self._route.lead_took(boot_time() - began)
+            return
+        relaying = asyncio.create_task(
+            self._relay(pending.record, min(left_s, APPEND_S))
+        )
+        relaying.add_done_callback(_NOTE_UNHEARD_RELAY)
+        try:
+            await asyncio.wait({relaying, pending.done}, return_when=FIRST_COMPLETED)
+            if not relaying.done():
+                return
+            reply = relaying.result()
+        except LogOutcomeUnknownError:
+            pending.tried, reply = True, None
+        finally:
+            relaying.cancel()
+        if reply is None:
+            self._route.lead_failed(boot_time())
+            return
+        self._route.lead_took(reply.took_s)
+        pending.settle(reply.offset)
+
+    async def _relay(self, record: KeyedRecord, within_s: float) -> AppendReply | None:
+        """Have the lead append a record; return ``None`` if it did not.
 
         :raises LogOutcomeUnknownError: if the lead did not say.
         """
         lead = await self.bus.ask(HeardLead())
         if not lead:
             return None
-        pushed = PushedRecord(record.key, record.value)
+        body = AppendAsk(PushedRecord(record.key, record.value), within_s)
         try:
-            reply = await self.bus.ask(AskInstance(lead, AppendAsk(pushed), _RELAY_S))
+            reply = await self.bus.ask(AskInstance(lead, body, within_s))
         except PeerUnreachableError as exc:
             if exc.ran == "no":
                 return None
@@ -594,94 +613,27 @@
         if not isinstance(reply, AppendReply) or not reply.taken:
             return None
         self.meters.count("relayed", lead)
-        return reply.offset
+        return reply
 
     async def _serve_append(self, msg: AppendAsk) -> AppendReply:
-        """Append for an instance that the store turns away."""
+        """Append for an instance that the store turns away, or whose appends wait."""
         if not self._reachable:
             return AppendReply(False)
         record = KeyedRecord(msg.record.key, msg.record.value)
+        began = boot_time()
+        pending = PendingAppend(record, began + msg.within_s - _ANSWER_S)
+        self._gathered.add(pending)
         try:
-            offset = await self._record(Record(record, boot_time() + _RELAY_S))
+            await asyncio.wait({pending.done}, timeout=pending.until - boot_time())
+            pending.expire(LogUnavailableError("not in time"))
+            offset = await pending.done
         except LogUnavailableError as exc:
             log("relay.refused", level="warning", key=record.key, error=exc.detail)
             return AppendReply(False)
-        return AppendReply(True, offset)
-
-    async def _append_pending(self) -> None:
-        """Append what waits, in one call at a time.
-
-        A partition takes its appends one after the other.  While the store is
-        60 times slower than usual, single appends for 20 jobs a second are more
-        than it takes; its queue grows to seconds, and the lead's own appends
-        wait in it.  With one call at a time the queue is as long as there are
-        instances.
-        """
-        while not self.should_stop:
-            await self._has_pending.wait()
-            self._has_pending.clear()
-            while self._pending:
-                batch, self._pending = self._pending, []
-                self._pending = await self._append_batch(batch) + self._pending
-
-    def _callers_partition(self) -> int:
-        """Return the partition to append to: the first, unless it failed lately.
-
-        Of two that failed the one that did so longer ago is tried.
-        """
-        now = boot_time()
-        for number in CALLERS_PARTITIONS:
-            if now - self._failed_at.get(number, float("-inf")) > _AVOID_S:
-                return number
-        return min(CALLERS_PARTITIONS, key=lambda number: self._failed_at[number])
-
-    async def _append_batch(self, batch: list[_Pending]) -> list[_Pending]:
-        """Append records; return those that are to be tried again."""
-        batch = [row for row in batch if not row.done.done()]
-        if not batch:
-            return []
-        most = self.settings.store_limits.append_bytes // 2
-        count = len(split_records([row.record for row in batch], most)[0])
-        batch, rest = batch[:count], batch[count:]
-        left_s = max(row.until for row in batch) - boot_time()
-        partition = self._callers_partition()
-        untried = [row for row in batch if not row.tried]
-        for row in batch:
-            row.tried = True
-        call = self._reach.sent(partition, boot_time())
-        try:
-            done = await self.store.append(
-                CELL_TOPIC,
-                partition,
-                [encode_keyed(row.record) for row in batch],
-                timeout_s=min(max(left_s, 0.05), _APPEND_S),
-            )
         except LogOutcomeUnknownError as exc:
-            self._failed_at[partition] = boot_time()
-            self._reach.failed(partition, call)
-            return _unexpired(batch, exc) + rest
-        except FirhookError as exc:
-            self._failed_at[partition] = boot_time()
-            self._reach.failed(partition, call)
-            for row in untried:
-                row.tried = False
-            batch = _unexpired(batch, exc)
-            if batch:
-                await asyncio.sleep(_RETRY_S)
-            return batch + rest
-        self._reach.answered(partition, call, boot_time())
-        records = tuple(row.record for row in batch)
-        self.bus.publish(RecordsAppended(partition, done.offset, records))
-        for i, row in enumerate(batch):
-            if not row.done.done():
-                row.done.set_result(done.offset + i)
-        return rest
-
-
-def _unexpired(batch: list[_Pending], exc: FirhookError) -> list[_Pending]:
-    """Give up the records whose time is up; return the others."""
-    now = boot_time()
-    for row in batch:
-        if row.until - now < _RETRY_S:
-            row.expire(exc)
-    return [row for row in batch if not row.done.done()]
+            log("relay.unknown", level="warning", key=record.key, error=exc.detail)
+            raise
+        except asyncio.CancelledError:
+            pending.abandon()
+            raise
+        return AppendReply(True, offset, boot_time() - began)
--- a/standins/model/_faults.py
+++ b/standins/model/_faults.py
@@ -226,7 +226,7 @@
 
     async def fault_store_slow(self) -> None:
         """Slow the store down."""
-        self.cell.store.slow = 60.0
+        self.cell.store.slow, self.cell.store.in_turn = 60.0, True
         self.later(3, setattr, self.cell.store, "slow", 1.0)
 
     async def fault_store_forgets(self) -> None:
--- a/standins/model/_store.py
+++ b/standins/model/_store.py
@@ -28,6 +28,8 @@
 #: An answer of the calm store, and how long an append takes there.
 ANSWER_S = 0.004
 APPEND_S = 0.001
+#: An append is turned away if it would wait for so long behind others.
+APPEND_QUEUE_S = 2.0
 #: How long callers wait for an answer that does not come.
 SILENCE_S = 1.5
 
@@ -40,7 +42,10 @@
 
 @attrs.define(eq=False)
 class _Partition:
-    """The records of one partition, and who may append."""
+    """The records of one partition, and who may append.
+
+    :ivar busy_until: when the appends that it has taken on are done.
+    """
 
     records: list[bytes] = attrs.field(factory=list)
     first: int = 0
@@ -48,6 +53,7 @@
     epoch: int = -1
     sequence: int = -1
     answers: dict[int, Appended] = attrs.field(factory=dict)
+    busy_until: float = 0.0
     grew: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @property
@@ -76,6 +82,8 @@
         (nothing is done and no answer comes), by instance; ``*`` for all.
     :ivar partly_down: partitions of every topic that answer nothing useful.
     :ivar slow: a factor on its times.
+    :ivar in_turn: whether a partition does its appends one after the other, and
+        turns away those that would wait for long.
     :ivar lost_share: the share of writes that are done and not answered.
     :ivar transfer_s: how long an instance's link takes for an answer to a reading
         of a partition, by both.
@@ -87,6 +95,7 @@
         self.mode: dict[str, str] = {}
         self.partly_down: set[int] = set()
         self.slow = 1.0
+        self.in_turn = False
         self.lost_share = 0.0
         self.late_share = 0.0
         self.transfer_s: dict[tuple[str, int], float] = {}
@@ -165,11 +174,19 @@
             )
             await pause(SILENCE_S)
             raise LogOutcomeUnknownError("late")
-        await pause(APPEND_S * self._store.slow)
+        await self._take_turn(self._store.partition(topic, partition))
         done = self._add(topic, partition, records, producer, expected_end)
         await self._leave(wrote=True)
         return done
 
+    async def _take_turn(self, part: _Partition) -> None:
+        if not self._store.in_turn:
+            part.busy_until = now()
+        if part.busy_until - now() > APPEND_QUEUE_S:
+            raise LogUnavailableError("busy", retry_after_s=0.5)
+        part.busy_until = max(part.busy_until, now()) + APPEND_S * self._store.slow
+        await pause(part.busy_until - now())
+
     def _late(self, topic, partition, records, producer, expected_end) -> None:
         try:
             self._add(topic, partition, records, producer, expected_end)
--- a/standins/soak/_faults.py
+++ b/standins/soak/_faults.py
@@ -179,7 +179,7 @@
 
     async def _store_slow(self, member: Member, lasts_s: float) -> None:
         self._disturb(self.fleet.members, lasts_s)
-        self.fleet.model.store.slow = 30.0
+        self.fleet.model.store.slow, self.fleet.model.store.in_turn = 30.0, True
         await asyncio.sleep(lasts_s)
         self.fleet.model.store.slow = 1.0
 
--- /dev/null
+++ b/tests/decide/test_appends.py
@@ -0,0 +1,49 @@
+"""Records go through the lead while appends wait for each other."""
+
+import pytest
+
+from firhook.decide.appends import CROWDED_S, AppendRoute
+
+LONG, QUICK = 2 * CROWDED_S, CROWDED_S / 10
+
+
+def appended(route, took_s, at=0.0):
+    route.own_sent(at)
+    route.own_ended(at + took_s)
+
+
+def test_quick_appends_are_the_instances_own():
+    route = AppendRoute()
+    assert not route.through_lead(0.0)
+    appended(route, QUICK)
+    assert not route.through_lead(1.0)
+
+
+def test_append_that_takes_long_sends_what_follows_through_the_lead():
+    route = AppendRoute()
+    appended(route, LONG)
+    assert route.through_lead(1.0)
+    assert route.through_lead(100.0)
+
+
+def test_append_that_is_still_under_way_after_long_counts_too():
+    route = AppendRoute()
+    route.own_sent(10.0)
+    assert not route.through_lead(10.0 + QUICK)
+    assert route.through_lead(10.0 + LONG)
+
+
+@pytest.mark.parametrize(("took_s", "through"), [(LONG, True), (QUICK, False)])
+def test_the_leads_own_time_decides_when_instances_append_again(took_s, through):
+    route = AppendRoute()
+    appended(route, LONG)
+    route.lead_took(took_s)
+    assert route.through_lead(2.0) is through
+
+
+def test_lead_that_does_not_append_is_left_alone_for_a_while():
+    route = AppendRoute()
+    appended(route, LONG)
+    route.lead_failed(1.0)
+    assert not route.through_lead(1.5)
+    assert route.through_lead(2.5)
--- a/tests/services/test_left_askers.py
+++ b/tests/services/test_left_askers.py
@@ -68,7 +68,8 @@
         await pause(2.0)
 
     assert play_unheard(play) == []
-    assert (f"job/{job}", "unknown") in abandoned(caplog)
+    told = [r.key for r in caplog.records if r.message == "relay.unknown"]
+    assert told == [f"job/{job}"]
 
 
 @pytest.mark.parametrize(
@@ -113,9 +114,9 @@
         cell.store.mode["*"] = "silent"
         record = KeyedRecord("cancel/x", b"\x01")
         asking = asyncio.create_task(bus.ask(Record(record, boot_time() + 9.0)))
-        while not follower._pending:
+        while not follower._own.pending:
             await asyncio.sleep(0)
-        follower._pending[0].expire(LogOutcomeUnknownError("silent"))
+        follower._own.pending[0].expire(LogOutcomeUnknownError("silent"))
         asking.cancel()
         await asyncio.wait({asking})
         assert asking.cancelled()
--- /dev/null
+++ b/tests/services/test_slow_store.py
@@ -0,0 +1,61 @@
+"""What callers get while the store is slow, or takes few appends."""
+
+import asyncio
+
+import pytest
+
+from standins.model import now, pause
+from tests.services.scenes import play, step
+
+
+async def submit_all(cell, per_s, lasts_s):
+    """Submit jobs at any instances; return status and seconds of each."""
+    got = []
+
+    async def one():
+        began = now()
+        _, status = await cell.submit([step(1, 10)], work_s=0.2)
+        got.append((status, now() - began))
+
+    asking = []
+    for _ in range(int(per_s * lasts_s)):
+        asking.append(asyncio.create_task(one()))
+        await pause(1 / per_s)
+    await asyncio.gather(*asking)
+    return got
+
+
+def test_jobs_at_many_instances_are_accepted_while_the_store_is_slow():
+    """Each instance's appends waited in one queue behind those of all others."""
+
+    async def scene(cell):
+        cell.store.slow, cell.store.in_turn = 60.0, True
+        await pause(0.5)
+        got = await submit_all(cell, 50, 5.0)
+        late = [(status, s) for status, s in got if status != 200 or s > 1.5]
+        assert len(late) < len(got) * 0.1, f"{len(late)} of {len(got)}: {late[:5]}"
+        cell.store.slow = 1.0
+        await pause(1.0)
+        assert {s for s, _ in await submit_all(cell, 20, 0.5)} == {200}
+
+    play(scene, instances=30, workers=4)
+
+
+@pytest.mark.parametrize("trouble", ["cut_off", "turned_away"])
+def test_jobs_are_accepted_from_a_slow_store_though_the_lead_does_not_append(trouble):
+    """An instance waits for a lead that cannot help, until its callers have left."""
+
+    async def scene(cell):
+        lead = cell.lead_name()
+        others = {name for name in cell.instances if name != lead}
+        cell.store.slow, cell.store.in_turn = 60.0, True
+        await pause(0.5)
+        if trouble == "cut_off":
+            cell.cuts += [{lead, name} for name in others]
+        else:
+            cell.store.mode[lead] = "busy"
+        got = await submit_all(cell, 5, 3.0)
+        accepted = [status for status, _ in got if status == 200]
+        assert len(accepted) > len(got) * 0.9, got
+
+    play(scene, instances=4, workers=4)
