A lead that is told to stop as ends were stored comes to rest

Callers would see: an instance that leads and is told to stop does not end by itself; the platform kills it after its time, and what it still answers is cut.

Cause: under Python 3.11 asyncio.wait_for returns the result, and loses the cancelling, if what it waits for was done in the moment of the cancelling. A link waits so for the ends of its worker to be stored. Cancelled in the two turns of the loop between the two, it looked at its worker for ever, and Lead.drain waited for it for ever.

Change: the links, the term's rounds and the lead's steps wait under asyncio.timeout, which does not lose it.

Not seen on a real process. Ruled out: a slow end of the worker's call, since the link was found asleep after it.

Left: the same form in services/_follower (_pause), which looks whether it is to stop after each wait.

--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -198,7 +198,8 @@
             except Exception as exc:
                 log("lead.failed", level="error", error=repr(exc))
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._woken.wait(), _TICK_S)
+                async with asyncio.timeout(_TICK_S):
+                    await self._woken.wait()
             self._woken.clear()
 
     async def _step(self) -> None:
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -414,7 +414,8 @@
     async def _control(self) -> None:
         while not self.lost:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._wake.wait(), _IDLE_S)
+                async with asyncio.timeout(_IDLE_S):
+                    await self._wake.wait()
             await asyncio.sleep(_GATHER_S)
             self._wake.clear()
             if self._paused:
--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -211,14 +211,18 @@
     async def _in_time(self, looking: Coroutine[Any, Any, Look]) -> Look:
         """Wait for a look; not for long if the last one was not answered."""
         try:
-            return await asyncio.wait_for(looking, _PROBE_S if self._failed else None)
+            async with asyncio.timeout(_PROBE_S if self._failed else None):
+                return await looking
         except TimeoutError as exc:
             raise WorkerUnreachableError(f"{self.name}: no answer") from exc
 
     async def _wait_stored(self) -> None:
         self._stored.clear()
         try:
-            await asyncio.wait_for(self._stored.wait(), _UNSTORED_WAIT_S)
+            # Unlike wait_for, this does not lose a cancelling that comes in the
+            # moment in which the event is set: the link would never end.
+            async with asyncio.timeout(_UNSTORED_WAIT_S):
+                await self._stored.wait()
         except TimeoutError:
             log("worker.ends_unstored", level="debug", worker=self.name)
 
