A paused lead that resumes is shown on processes of the cell

Change: test_lead_paused_past_its_proof_starts_nothing_when_it_resumes, with SIGSTOP and SIGCONT on firhookd over the model; twelve jobs, four of them accepted while the lead stands still. It runs with make proof, as the older one does.

--- a/tests/failures/test_instances.py
+++ b/tests/failures/test_instances.py
@@ -3,6 +3,8 @@
 import asyncio
 import signal
 
+import pytest
+
 from standins.model import KEY, Processes, until
 
 
@@ -30,6 +32,46 @@
     asyncio.run(play())
 
 
+@pytest.mark.row(2)
+@pytest.mark.proof
+def test_lead_paused_past_its_proof_starts_nothing_when_it_resumes(tmp_path):
+    """The machine of the lead stands still in the middle of its work, and resumes.
+
+    By then another instance leads.  What the old lead still believes and sends must
+    not run a task a second time, and no job may be missing.
+    """
+
+    async def play():
+        async with Processes(tmp_path, 3) as fleet:
+            fleet.model.work_s = 2.0
+            jobs = [f"{i:016x}" for i in range(12)]
+            for job in jobs[:8]:
+                await fleet.submit(job)
+            lead = next(p for p in fleet.all if p.leads())
+            await stop_for_a_while(fleet, lead, jobs[8:])
+            await until(lambda: fleet.completed(jobs))
+            assert any(line["event"] == "lead.ended" for line in lead.lines)
+            assert fleet.model.checks.broken == []
+
+    async def stop_for_a_while(fleet, lead, jobs):
+        fleet.all.remove(lead)
+        lead.signal(signal.SIGSTOP)
+        try:
+
+            async def replaced():
+                return any(p.leads() for p in fleet.all)
+
+            await until(replaced)
+            for job in jobs:
+                await fleet.submit(job)
+            await asyncio.sleep(4.0)
+        finally:
+            lead.signal(signal.SIGCONT)
+            fleet.all.append(lead)
+
+    asyncio.run(play())
+
+
 def test_a_stopped_instance_finishes_what_it_was_asked_and_ends_with_0(tmp_path):
     """An instance is told to stop while callers are connected to it.
 
