Placing is a part of its own beside the lead's term

services/_term.py held the life of a term, its takeover, what comes in, the rounds, what is stored and how workers are shown to the decision. The last, with what waits and why, is services/_placing.py now; moved as it was, the term calls place, rest and tell_waiting.

The tests of the lead, of waiting steps, of what survives and of defects put in on purpose pass unchanged.

--- /dev/null
+++ b/src/firhook/services/_placing.py
@@ -0,0 +1,125 @@
+"""Placing: which worker gets which task of a lead's term, round by round."""
+
+from collections.abc import Mapping
+
+from firhook.cell import NOTHING, Book
+from firhook.clock import boot_time
+from firhook.decide.schedule import Wait, WorkerView, place_round, urgent_room_m
+from firhook.decide.speeds import SpeedBook
+from firhook.decide.suspicion import dark_zones
+from firhook.decide.tickets import TicketBook
+from firhook.decide.waiting import longest_waiting
+from firhook.logs import log
+from firhook.meters import Meters
+from firhook.services._advising import Advising
+from firhook.services._worker_link import WorkerLink
+
+#: The weight of the newest urgent step in the mean of what they need: the last
+#: twenty or so count.
+_URGENT_WEIGHT = 0.1
+#: How often the lead tells what has waited longest.
+_TELL_EVERY_S = 1.0
+
+
+class Placing:
+    """Holds rounds: shows the workers to the decision, and carries out what it says.
+
+    :param links: the workers that are known, by name.
+    """
+
+    def __init__(
+        self,
+        book: Book,
+        links: Mapping[str, WorkerLink],
+        speeds: SpeedBook,
+        tickets: TicketBook,
+        advising: Advising,
+        meters: Meters,
+    ) -> None:
+        self._book = book
+        self._links = links
+        self._speeds = speeds
+        self._tickets = tickets
+        self._advising = advising
+        self._meters = meters
+        self._urgent_need_m = 0
+        self._waits: dict[str, Wait] = {}
+        self._told_at = float("-inf")
+
+    def rest(self) -> None:
+        """Place nothing in a round; why steps wait is not known then."""
+        self._waits = {}
+
+    def place(self, now: float) -> None:
+        """Assign the tasks that may run now, and ask for the advice that is missing."""
+        self._waits = {}
+        if not self._book.open_steps:
+            return
+        views = self._views(now)
+        result = place_round(self._book, views, self._tickets, now)
+        for placement in result.placements:
+            step = placement.step
+            for run in self._book.plan(step, placement.tasks, now):
+                run.ticket = self._tickets.text(step, run.worker)
+            if step.job.queue.priority == 0:
+                self._note_urgent(step.spec.held.cpu_m)
+            if not step.occurrence and step.number == 0:
+                queue = step.job.queue.name
+                self._meters.time("wait_for_room", queue, now - step.job.accepted_at)
+        self._waits = result.waits
+        self._advising.ask_all(result.wishes, now)
+        self._tickets.keep_only(self._book.jobs)
+        took_s = boot_time() - now
+        self._meters.time("round", "", took_s)
+
+    def tell_waiting(self, now: float) -> None:
+        """Log what has waited longest, and why."""
+        if now - self._told_at < _TELL_EVERY_S:
+            return
+        self._told_at = now
+        answering = {n for n, link in self._links.items() if not link.doubted}
+        waiting = longest_waiting(
+            self._book, self._waits, self._tickets, answering, now
+        )
+        if waiting:
+            rows = [
+                {
+                    "step": row.step.name,
+                    "why": row.why.value,
+                    "ready_s": round(row.ready_s, 2),
+                    "left": row.step.left,
+                    "workers": row.workers,
+                    "asked": row.asked,
+                    "permitted": row.permitted,
+                }
+                for row in waiting
+            ]
+            log("steps.waiting", steps=rows)
+
+    def _note_urgent(self, cpu_m: int) -> None:
+        """Keep a running mean of what urgent tasks need."""
+        self._urgent_need_m += int((cpu_m - self._urgent_need_m) * _URGENT_WEIGHT)
+
+    def _views(self, now: float) -> dict[str, WorkerView]:
+        views = {}
+        dark = dark_zones(
+            (link.entry.zone, link.answers.late_since(now))
+            for link in self._links.values()
+        )
+        for name, link in self._links.items():
+            if not link.usable(now):
+                continue
+            if link.answered_at < dark.get(link.entry.zone, link.answered_at):
+                continue
+            running = len(self._book.worker_runs.get(name, ()))
+            if not link.health.accepts(running, now):
+                continue
+            entry = link.entry
+            free = entry.capacity.minus(self._book.worker_use.get(name, NOTHING))
+            view = WorkerView(
+                name, link.life, entry.pool, entry.rack, entry.labels, free
+            )
+            view.slow = self._speeds.slow(name)
+            view.urgent_cpu_m = urgent_room_m(entry.capacity.cpu_m, self._urgent_need_m)
+            views[name] = view
+        return views
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -6,7 +6,6 @@
 from typing import Any, Protocol
 
 from firhook.cell import (
-    NOTHING,
     Book,
     CellConfig,
     End,
@@ -24,12 +23,9 @@
     state_version,
 )
 from firhook.clock import boot_time, unix_time
-from firhook.decide.schedule import Wait, WorkerView, place_round, urgent_room_m
 from firhook.decide.speeds import SpeedBook
 from firhook.decide.stalls import standing_still
-from firhook.decide.suspicion import dark_zones
 from firhook.decide.tickets import TicketBook
-from firhook.decide.waiting import longest_waiting
 from firhook.errors import (
     FirhookError,
     LogFencedError,
@@ -49,6 +45,7 @@
 from firhook.services._fenced_writer import FencedWriter
 from firhook.services._forgetting import forget_old_jobs
 from firhook.services._orders import Orders
+from firhook.services._placing import Placing
 from firhook.services._worker_link import WorkerLink
 from firhook.services._worker_list import WorkerList
 
@@ -71,11 +68,6 @@
 _OLD_LEASE_FACTOR = 1.03
 #: How often the lead looks whether it can still prove that it leads.
 _PROVE_EVERY_S = 0.2
-#: The weight of the newest urgent step in the mean of what they need: the last
-#: twenty or so count.
-_URGENT_WEIGHT = 0.1
-#: How often the lead tells what has waited longest.
-_TELL_EVERY_S = 1.0
 
 
 class TermOwner(Protocol):
@@ -132,15 +124,15 @@
         self._versions = 0
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
-        self._advising = Advising(instance, self.tickets, self._spawn, self._wake.set)
+        advising = Advising(instance, self.tickets, self._spawn, self._wake.set)
+        self._placing = Placing(
+            self.book, self.links, self.speeds, self.tickets, advising, self._meters
+        )
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._renew_until = 0.0
         self._paused_until = float("-inf")
         self._begun_at = boot_time()
         self._ready = False
-        self._urgent_need_m = 0
-        self._waits: dict[str, Wait] = {}
-        self._told_at = float("-inf")
         self._orders = Orders(
             self, self._bounds, self._meters, self._spawn, self._wake.set
         )
@@ -423,10 +415,10 @@
             self.book.tick(boot_time(), unix_time())
             self._lapse_orphans()
             if self.may_act():
-                self._place()
+                self._placing.place(boot_time())
             else:
-                self._waits = {}
-            self._tell_waiting(boot_time())
+                self._placing.rest()
+            self._placing.tell_waiting(boot_time())
             for run in self.book.take_to_stop():
                 self._spawn(self._orders.stop(run))
             self._log_voided()
@@ -464,78 +456,6 @@
         longest_s = self._bounds.lease_s * _OLD_LEASE_FACTOR
         return self._begun_at + PROOF_S + RENEW_BLIND_S + longest_s
 
-    def _place(self) -> None:
-        now = boot_time()
-        self._waits = {}
-        if not self.book.open_steps:
-            return
-        views = self._views(now)
-        result = place_round(self.book, views, self.tickets, now)
-        for placement in result.placements:
-            step = placement.step
-            for run in self.book.plan(step, placement.tasks, now):
-                run.ticket = self.tickets.text(step, run.worker)
-            if step.job.queue.priority == 0:
-                self._note_urgent(step.spec.held.cpu_m)
-            if not step.occurrence and step.number == 0:
-                queue = step.job.queue.name
-                self._meters.time("wait_for_room", queue, now - step.job.accepted_at)
-        self._waits = result.waits
-        self._advising.ask_all(result.wishes, now)
-        self.tickets.keep_only(self.book.jobs)
-        took_s = boot_time() - now
-        self._meters.time("round", "", took_s)
-
-    def _tell_waiting(self, now: float) -> None:
-        """Log what has waited longest, and why."""
-        if now - self._told_at < _TELL_EVERY_S:
-            return
-        self._told_at = now
-        answering = {n for n, link in self.links.items() if not link.doubted}
-        waiting = longest_waiting(self.book, self._waits, self.tickets, answering, now)
-        if waiting:
-            rows = [
-                {
-                    "step": row.step.name,
-                    "why": row.why.value,
-                    "ready_s": round(row.ready_s, 2),
-                    "left": row.step.left,
-                    "workers": row.workers,
-                    "asked": row.asked,
-                    "permitted": row.permitted,
-                }
-                for row in waiting
-            ]
-            log("steps.waiting", steps=rows)
-
-    def _note_urgent(self, cpu_m: int) -> None:
-        """Keep a running mean of what urgent tasks need."""
-        self._urgent_need_m += int((cpu_m - self._urgent_need_m) * _URGENT_WEIGHT)
-
-    def _views(self, now: float) -> dict[str, WorkerView]:
-        views = {}
-        dark = dark_zones(
-            (link.entry.zone, link.answers.late_since(now))
-            for link in self.links.values()
-        )
-        for name, link in self.links.items():
-            if not link.usable(now):
-                continue
-            if link.answered_at < dark.get(link.entry.zone, link.answered_at):
-                continue
-            running = len(self.book.worker_runs.get(name, ()))
-            if not link.health.accepts(running, now):
-                continue
-            entry = link.entry
-            free = entry.capacity.minus(self.book.worker_use.get(name, NOTHING))
-            view = WorkerView(
-                name, link.life, entry.pool, entry.rack, entry.labels, free
-            )
-            view.slow = self.speeds.slow(name)
-            view.urgent_cpu_m = urgent_room_m(entry.capacity.cpu_m, self._urgent_need_m)
-            views[name] = view
-        return views
-
     async def _store_changes(self) -> None:
         planned = self.book.take_planned()
         jobs = self.book.take_dirty(boot_time())
