A late exchange settles its key however it fails, and whoever left it

(1) An exchange that outlasts its caller's deadline and then fails otherwise than by an error of ours left its key "in progress" for ever: repeats were neither told the outcome nor that it is lost. Its failures were not logged, foreseen or not. (2) A handler that was cut off at the stop left its exchange behind: the runner's answer, though it still came, was not kept, and a failure was heard by nobody.

Change: any failure of a late exchange is logged and gives its key up as lost; an exchange whose handler is cut off goes on as a late one.

Evidence: both new tests fail before (no outcome is kept or given up in 10 s). Run: the linter, the tests of roles, services, cell, instances and of keyed requests.

--- a/src/firhook/roles/_gateway.py
+++ b/src/firhook/roles/_gateway.py
@@ -40,6 +40,7 @@
     OnceLost,
     OnceSending,
 )
+from firhook.tasks import log_failure
 
 #: How often waiting requests are looked through for those to give up.
 _TICK_S = 0.05
@@ -220,18 +221,26 @@
         """
         exchange = asyncio.create_task(self._exchange(service, call, placed, once_key))
         left_s = max(call.deadline - self.kernel.clock(), 0.0)
-        done, _ = await asyncio.wait({exchange}, timeout=left_s)
+        try:
+            done, _ = await asyncio.wait({exchange}, timeout=left_s)
+        except asyncio.CancelledError:
+            self._keep_late(exchange, once_key)
+            raise
         if done:
             return exchange.result()
-        self._late_keys.add(once_key)
-        late = asyncio.create_task(self._finish_late(exchange, once_key))
-        self._late.add(late)
-        late.add_done_callback(self._late.discard)
+        self._keep_late(exchange, once_key)
         raise EndpointTimeoutError(
             f"{placed.view.endpoint.name}: no answer in time",
             retry_after_s=1.0,
         )
 
+    def _keep_late(self, exchange: "asyncio.Task[Exchange]", once_key: str) -> None:
+        self._late_keys.add(once_key)
+        late = asyncio.create_task(self._finish_late(exchange, once_key))
+        self._late.add(late)
+        late.add_done_callback(self._late.discard)
+        late.add_done_callback(log_failure("exchange.not_settled"))
+
     async def _finish_late(
         self, exchange: "asyncio.Task[Exchange]", once_key: str
     ) -> None:
@@ -242,7 +251,8 @@
         """
         try:
             answer = await exchange
-        except FirhookError:
+        except Exception as exc:
+            log("exchange.late_failure", level="warning", error=repr(exc))
             if once_key:
                 self.bus.publish(OnceLost(once_key))
         else:
--- a/tests/roles/test_gateway.py
+++ b/tests/roles/test_gateway.py
@@ -25,12 +25,14 @@
     OnceBegin,
     OnceFinish,
     OnceGiveBack,
+    OnceLost,
     OnceSending,
     Principal,
 )
 from firhook.roles._gateway import Gateway
 from firhook.state import States
 from firhook.stats import Stats
+from tests.fakelog import until
 
 RUNNERS = tuple(
     Endpoint(f"r{i}", "runner", "z", f"10.0.0.{i}:80", service="svc") for i in (1, 2)
@@ -253,6 +255,60 @@
     in_world(scenario, held)
 
 
+def test_keyed_charge_that_ends_after_its_handler_was_cut_off_is_kept():
+    """An instance cuts its last requests off at a stop while a runner works.
+
+    The runner's answer is still worth keeping: the caller's repeat asks for it.
+    """
+
+    async def scenario(world):
+        headers = {"Idempotency-Key": "k1"}
+        asking = asyncio.create_task(world.call("POST", headers=headers))
+        while not world.runners.sent:
+            await asyncio.sleep(0.01)
+        [conn] = world.gateway._runner.server.connections
+        conn._task_handler.cancel()
+        await asyncio.gather(asking, return_exceptions=True)
+        assert "OnceFinish" not in world.kinds()
+        held.set()
+        await until(lambda: "OnceFinish" in world.kinds())
+
+    held = asyncio.Event()
+    in_world(scenario, held)
+
+
+def test_failure_that_nobody_foresaw_after_the_deadline_leaves_no_key_in_progress(
+    caplog,
+):
+    """A late exchange fails otherwise than by an error of ours.
+
+    Repeats of the request were told that it is in progress, for ever.
+    """
+
+    async def scenario(world):
+        headers = {"Idempotency-Key": "k1", "X-Deadline-Ms": "100"}
+        answer = await world.call("POST", headers=headers)
+        assert answer.status == 504
+        assert lost == []
+        held.set()
+        await until(lambda: lost)
+
+    class Held(asyncio.Event):
+        async def wait(self):
+            await super().wait()
+            raise RuntimeError("on purpose")
+
+    async def run():
+        async with World(held) as world:
+            world.kernel.bus.subscribe(OnceLost, lost.append)
+            await scenario(world)
+
+    held, lost = Held(), []
+    asyncio.run(run())
+    [line] = [r for r in caplog.records if r.message == "exchange.late_failure"]
+    assert "on purpose" in line.error
+
+
 def test_caller_that_goes_away_frees_its_place_and_is_never_run():
     """A page is closed while its quote waits for room.  Its place in the queue
     belongs to those who still wait.
