What a lead decides by can be replaced, without I/O

Change: the lead's class names what places waiting tasks (place) and what keeps seats at the adviser (seat_plan); both are the shipped decisions. A round ranks its steps by a method of its own, and Round is public in decide.schedule. Nothing is decided otherwise.

test_lead_decides_by_what_its_class_says.

--- a/src/firhook/decide/_schedule.py
+++ b/src/firhook/decide/_schedule.py
@@ -180,16 +180,17 @@
 
     def run(self) -> RoundResult:
         """Place what can start now."""
-        steps = sorted(
-            self._book.open_steps.values(), key=lambda s: urgency(s, self._now)
-        )
-        for step in steps:
+        for step in sorted(self._book.open_steps.values(), key=self._rank):
             if step.spec.gang:
                 self._place_gang(step)
             else:
                 self._place_tasks(step)
         return self.result
 
+    def _rank(self, step: Step) -> tuple[float, ...]:
+        """Return the place of a step in the order of the round."""
+        return urgency(step, self._now)
+
     # What a step may use.
 
     def _suitable(self, step: Step) -> list[WorkerView]:
--- a/src/firhook/decide/schedule.py
+++ b/src/firhook/decide/schedule.py
@@ -2,6 +2,7 @@
 
 from firhook.decide._schedule import (
     Placement,
+    Round,
     RoundResult,
     Wait,
     WorkerView,
@@ -12,6 +13,7 @@
 
 __all__ = [
     "Placement",
+    "Round",
     "RoundResult",
     "Wait",
     "WorkerView",
--- a/src/firhook/services/_advising.py
+++ b/src/firhook/services/_advising.py
@@ -6,7 +6,7 @@
 from firhook._peer_messages import AdviceAsk, AdviceReply
 from firhook.cell import Advice
 from firhook.clock import boot_time
-from firhook.decide.seats import AdviserSeat, SeatPlan, choose_seat
+from firhook.decide.seats import AdviserSeat, choose_seat
 from firhook.decide.tickets import AdviceWish, TicketBook
 from firhook.errors import PeerUnreachableError
 from firhook.logs import log
@@ -41,7 +41,7 @@
         self._spawn = spawn
         self._answered = answered
         self._seats: dict[str, AdviserSeat] = {}
-        self._plan = SeatPlan()
+        self._plan = lead.seat_plan()
 
     def ask_all(self, wishes: list[AdviceWish], now: float) -> None:
         """Ask what is wished for, as far as instances are free to."""
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -21,6 +21,8 @@
     line_of_succession,
     much_stronger,
 )
+from firhook.decide.schedule import place_round
+from firhook.decide.seats import SeatPlan
 from firhook.errors import FirhookError, LogMovedError, PeerUnreachableError
 from firhook.instance import InstanceService, StopBegun, register_service
 from firhook.logs import log
@@ -82,7 +84,14 @@
 
 @register_service("lead")
 class Lead(InstanceService):
-    """Stands for the lead when it is due, and leads the cell."""
+    """Stands for the lead when it is due, and leads the cell.
+
+    :cvar place: decides which waiting tasks start, and where.
+    :cvar seat_plan: makes what keeps seats at the adviser for fast questions.
+    """
+
+    place = staticmethod(place_round)
+    seat_plan = SeatPlan
 
     def wire(self) -> None:
         """Take in what the lead goes by."""
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -24,7 +24,7 @@
     state_version,
 )
 from firhook.clock import boot_time, unix_time
-from firhook.decide.schedule import Wait, WorkerView, place_round, urgent_room_m
+from firhook.decide.schedule import Wait, WorkerView, urgent_room_m
 from firhook.decide.speeds import SpeedBook
 from firhook.decide.stalls import standing_still
 from firhook.decide.suspicion import dark_zones
@@ -452,7 +452,7 @@
         if not self.book.open_steps:
             return
         views = self._views(now)
-        result = place_round(self.book, views, self.tickets, now)
+        result = self._lead.place(self.book, views, self.tickets, now)
         for placement in result.placements:
             step = placement.step
             for run in self.book.plan(step, placement.tasks, now):
--- a/standins/model/_adviser.py
+++ b/standins/model/_adviser.py
@@ -29,6 +29,10 @@
         number = int("".join(c for c in worker if c.isdigit()) or 0)
         return (first + number) % 5 < 5 * self.good
 
+    def takes_s(self, step: str, workers: int) -> float:
+        """Return how long an answer about so many workers takes."""
+        return self.base_s + self.per_worker_s * workers
+
     def client(self, instance: str) -> "ModelAdviserClient":
         """Return the adviser as an instance reaches it."""
         return ModelAdviserClient(self, instance)
@@ -39,7 +43,7 @@
         """Answer in turn."""
         self.calls += 1
         begins = max(now(), self._free_at.get(instance, 0.0))
-        ends = begins + self.base_s + self.per_worker_s * len(workers)
+        ends = begins + self.takes_s(step, len(workers))
         self._free_at[instance] = ends
         await pause(ends - now())
         good = {w: f"{step}/{w}" for w in workers if self.may_run(step, w)}
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -340,20 +340,19 @@
         body = config_body(version, **changes)
         if self.advised:
             for queue in body["routes"]:
-                queue["recommendation"] = {
-                    "decision_ms": 50,
-                    "per_item_ms": 1,
-                    "validity_ms": 2000,
-                }
+                plain = {"decision_ms": 50, "per_item_ms": 1, "validity_ms": 2000}
+                queue.setdefault("recommendation", plain)
         self.store.put(OPERATOR_TOPIC, "config", msgspec.json.encode(body))
 
-    def add_worker(self, name: str, rack: str, cpu_m: int = 8000) -> ModelWorker:
+    def add_worker(
+        self, name: str, rack: str, cpu_m: int = 8000, zone: str = "z0"
+    ) -> ModelWorker:
         """Add a worker and register it."""
         worker = ModelWorker(
             name,
             Resources(cpu_m, 65536),
             rack,
-            "z0",
+            zone,
             self.plan_of,
             self.checks,
             self._gangs,
@@ -377,12 +376,23 @@
         step = task.rpartition(".")[0]
         return self.plans[step]
 
-    async def add_instance(self, name: str) -> ModelInstance:
+    def services(self) -> dict[str, type[InstanceService]]:
+        """Return the services that an instance runs, in the order of their start."""
+        shipped = load_services()
+        return {
+            "follower": shipped["follower"],
+            "operator": shipped["operator"],
+            "mesh": type("_Mesh", (ModelMesh,), {"cell": self}),
+            "lead": shipped["lead"],
+            "callers": ModelCallers,
+        }
+
+    async def add_instance(self, name: str, zone: str = "z0") -> ModelInstance:
         """Start an instance."""
         address = Address("10.0.0.1", 1)
         settings = InstanceSettings(
             name=name,
-            zone="z0",
+            zone=zone,
             ip="10.0.0.1",
             callers=address,
             probe=address,
@@ -396,16 +406,9 @@
             store_limits=StoreLimits(),
         )
         gate = _Gate()
-        mesh = type("_Mesh", (ModelMesh,), {"cell": self})
-        shipped = load_services()
-        services = {
-            "follower": shipped["follower"],
-            "operator": shipped["operator"],
-            "mesh": mesh,
-            "lead": shipped["lead"],
-            "callers": ModelCallers,
-        }
-        instance = Instance(settings, ModelConnections(self, name, gate), services)
+        instance = Instance(
+            settings, ModelConnections(self, name, gate), self.services()
+        )
         made = ModelInstance(instance, gate)
         self.instances[name] = made
         await instance.start()
--- a/tests/services/test_lead.py
+++ b/tests/services/test_lead.py
@@ -5,7 +5,9 @@
 import attrs
 import pytest
 
+from firhook._instance import load_services
 from firhook._peer_messages import RecordsPush
+from firhook.decide.schedule import RoundResult
 from firhook.platform.instance import Bounds
 from standins.model import ModelCell, ModelRequest, now, pause, run_virtual
 
@@ -30,6 +32,26 @@
     run_virtual(play())
 
 
+def test_lead_decides_by_what_its_class_says():
+    """Decisions are compared by cells whose leads differ in nothing else."""
+
+    class IdleLead(load_services()["lead"]):
+        place = staticmethod(lambda book, workers, tickets, now: RoundResult())
+
+    class IdleCell(ModelCell):
+        def services(self):
+            return {**super().services(), "lead": IdleLead}
+
+    async def play(cell):
+        await cell.begin()
+        job, status = await cell.submit([step()])
+        await pause(3.0)
+        return status, await cell.status(job)
+
+    assert run_virtual(play(ModelCell())) == (200, "completed")
+    assert run_virtual(play(IdleCell())) == (200, "queued")
+
+
 def test_tasks_of_a_worker_that_is_gone_for_good_run_elsewhere_under_a_new_lead():
     """A worker dies for good, its entry lapses, and then the lead dies too.
 
