--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,6 +1,7 @@
 """``python -m bench [NAME ...]`` runs the measures, all if none is named.
 
-``python -m bench --list`` prints their names.
+``python -m bench --list`` prints their names, and ``python -m bench lab``
+compares decision policies, see ``python -m bench lab --help``.
 """
 
 import importlib
@@ -9,11 +10,14 @@
 import sys
 
 import bench
+from bench import lab
 from bench._registry import MEASURES
 
 
 def main(names: list[str]) -> int:
     """Run measures and print one JSON line for each result."""
+    if names[:1] == ["lab"]:
+        return lab.main(names[1:])
     for module in pkgutil.iter_modules(bench.__path__):
         if not module.name.startswith("_"):
             importlib.import_module(f"bench.{module.name}")
--- /dev/null
+++ b/bench/_lab/_load.py
@@ -0,0 +1,390 @@
+"""What a day of the lab brings: jobs and faults, drawn from a seed.
+
+The jobs are drawn before anything is decided, each stream by a generator of its
+own, so that all policies meet the same ones.
+"""
+
+import math
+import random
+from collections.abc import Iterator
+
+import attrs
+
+#: Callers give up after so many times their objective.
+GIVE_UP_FACTOR = 3.0
+#: Workers that an objective allows the adviser to be asked about, for each step.
+ALLOWED_ADVICE = 30
+#: For how long callers try to hand a job in.
+PATIENCE_S = 3.0
+ZONES = ("z0", "z1", "z2")
+ACCOUNTS = ("a", "b", "c", "d", "e", "f")
+
+
+@attrs.frozen
+class Spread:
+    """A lognormal quantity.
+
+    :param rel: its standard deviation, as a part of the mean.
+    """
+
+    mean: float
+    rel: float
+    most: float = math.inf
+
+    def draw(self, rng: random.Random) -> float:
+        """Return a value."""
+        sigma = math.sqrt(math.log(1 + self.rel**2))
+        value = self.mean * rng.lognormvariate(-(sigma**2) / 2, sigma)
+        return min(value, self.most)
+
+
+@attrs.frozen
+class JobClass:
+    """Jobs that are alike.
+
+    :param rate: jobs a second, from all accounts together.
+    :param uneven: how far the tasks of one step differ.
+    :param off: how far estimates are off.
+    :param gangs: the share of the steps that are gangs.
+    :param advice_s: what an answer of the adviser takes at least.
+    :param advice_worker_s: what it takes more for each worker asked about.
+    :param good: the share of the workers that may run a step.
+    """
+
+    name: str
+    rate: float
+    work_s: Spread
+    width: Spread
+    cpu_m: Spread
+    memory_mb: Spread
+    steps: Spread
+    priority: int
+    slack_factor: float
+    target_s: float
+    uneven: float
+    off: float
+    gangs: float
+    saves: float
+    advice_s: float
+    advice_worker_s: float
+    good: float
+    valid_s: float = 2.0
+
+    def advice_takes_s(self, workers: int) -> float:
+        """Return how long an answer about so many workers takes."""
+        return self.advice_s + self.advice_worker_s * workers
+
+
+#: Short narrow work that people wait for, wide steps of many processors, and
+#: work by the dozen that has time to spare.
+CLASSES = (
+    JobClass(
+        "urgent",
+        rate=32.0,
+        work_s=Spread(0.6, 0.6, 1.5),
+        width=Spread(2.0, 0.7, 10),
+        cpu_m=Spread(1500, 0.5, 4000),
+        memory_mb=Spread(3000, 0.5, 8000),
+        steps=Spread(1, 0),
+        priority=0,
+        slack_factor=1.6,
+        target_s=0.3,
+        uneven=0.2,
+        off=0.8,
+        gangs=0.25,
+        saves=0.0,
+        advice_s=0.008,
+        advice_worker_s=0.0001,
+        good=0.7,
+    ),
+    JobClass(
+        "wide",
+        rate=0.75,
+        work_s=Spread(3.5, 0.6, 9.0),
+        width=Spread(8.0, 0.6, 30),
+        cpu_m=Spread(4000, 0.5, 8000),
+        memory_mb=Spread(6000, 0.5, 16000),
+        steps=Spread(1.3, 0.4, 3),
+        priority=1,
+        slack_factor=2.0,
+        target_s=1.5,
+        uneven=0.25,
+        off=0.25,
+        gangs=1.0,
+        saves=0.0,
+        advice_s=0.4,
+        advice_worker_s=0.004,
+        good=0.5,
+    ),
+    JobClass(
+        "bulk",
+        rate=2.0,
+        work_s=Spread(2.5, 0.6, 7.0),
+        width=Spread(12.0, 0.7, 50),
+        cpu_m=Spread(1000, 0.5, 3000),
+        memory_mb=Spread(2000, 0.5, 6000),
+        steps=Spread(1.6, 0.4, 4),
+        priority=2,
+        slack_factor=3.5,
+        target_s=4.0,
+        uneven=0.2,
+        off=0.6,
+        gangs=0.0,
+        saves=0.75,
+        advice_s=0.06,
+        advice_worker_s=0.001,
+        good=0.5,
+    ),
+)
+
+
+@attrs.frozen
+class Window:
+    """A time in which more is sent, or something is out of order.
+
+    :param what: a class or an account for more load, or the kind of a fault.
+    :param factor: by how much.
+    :param names: workers or zones that it befalls.
+    """
+
+    what: str
+    at: float
+    for_s: float
+    factor: float = 1.0
+    names: tuple[str, ...] = ()
+
+    @property
+    def end(self) -> float:
+        """When it is over."""
+        return self.at + self.for_s
+
+    def covers(self, at: float) -> bool:
+        """Return whether a moment lies in it."""
+        return self.at <= at < self.end
+
+
+@attrs.frozen
+class Scenario:
+    """What days of a kind have in common; seeds make them differ.
+
+    :param seconds: for how long jobs come.
+    :param load: a factor on all rates.
+    :param step_cpu_m: the most that a step needs at once.  The workers that the
+        adviser permits have to hold it, or its job can never be done.
+    :param bursts: times in which a class or an account sends more.
+    :param faults: the kinds are ``slow``, ``cut`` and ``mute`` for workers, whose
+        share is the factor, and ``zone`` for a zone that is cut off.
+    :param jitter_s: by how much a seed moves each window.
+    """
+
+    seconds: float = 24.0
+    workers: int = 24
+    cpu_m: int = 16000
+    speeds: tuple[float, ...] = (0.8, 1.0, 1.2)
+    instances: int = 7
+    classes: tuple[JobClass, ...] = CLASSES
+    load: float = 1.0
+    step_cpu_m: int = 80_000
+    bursts: tuple[Window, ...] = ()
+    faults: tuple[Window, ...] = ()
+    jitter_s: float = 1.0
+
+
+CALM = Scenario()
+TROUBLE = Scenario(
+    bursts=(
+        Window("urgent", 4.0, 4.0, 4.0),
+        Window("a", 7.0, 6.0, 6.0),
+        Window("wide", 13.0, 4.0, 2.0),
+    ),
+    faults=(
+        Window("slow", 3.0, 6.0, 0.1),
+        Window("cut", 10.0, 4.0, 0.1),
+        Window("mute", 12.0, 3.0, 0.1),
+        Window("zone", 18.0, 5.0),
+    ),
+)
+SCENARIOS = {"calm": CALM, "trouble": TROUBLE}
+
+
+@attrs.frozen
+class Task:
+    """A task: what only the model knows of it.
+
+    :param work_s: on a worker of speed 1.
+    """
+
+    work_s: float
+
+
+@attrs.frozen
+class Step:
+    """A step of a job, whose tasks need the same."""
+
+    tasks: tuple[Task, ...]
+    cpu_m: int
+    memory_mb: int
+    estimate_s: float
+    gang: bool
+    saves: bool
+
+    @property
+    def longest_s(self) -> float:
+        """The work of its longest task."""
+        return max(task.work_s for task in self.tasks)
+
+    @property
+    def core_s(self) -> float:
+        """The processor seconds it takes; members of a gang wait for the longest."""
+        each = [self.longest_s if self.gang else t.work_s for t in self.tasks]
+        return sum(each) * self.cpu_m / 1000
+
+
+@attrs.frozen
+class Job:
+    """A job, whose steps run one after the other.
+
+    :param at: when its caller first sends it.
+    """
+
+    id: str
+    at: float
+    kind: JobClass
+    account: str
+    zone: str
+    steps: tuple[Step, ...]
+
+    @property
+    def work_s(self) -> float:
+        """The longest chain of its work, on workers of speed 1."""
+        return sum(step.longest_s for step in self.steps)
+
+    @property
+    def objective_s(self) -> float:
+        """Within which time it should be done."""
+        advice_s = self.kind.advice_takes_s(ALLOWED_ADVICE) * len(self.steps)
+        factor = self.kind.slack_factor
+        return factor * (self.work_s + advice_s) + self.kind.target_s
+
+    @property
+    def due(self) -> float:
+        """Until when it should be done."""
+        return self.at + self.objective_s
+
+    @property
+    def given_up_at(self) -> float:
+        """When its caller wants it no more."""
+        return self.at + GIVE_UP_FACTOR * self.objective_s
+
+
+@attrs.frozen
+class Day:
+    """A day of the lab.
+
+    :param speeds: of the workers, by name.
+    """
+
+    seed: int
+    scenario: Scenario
+    jobs: tuple[Job, ...]
+    faults: tuple[Window, ...]
+    speeds: dict[str, float]
+
+    @property
+    def end(self) -> float:
+        """When the last caller has given up."""
+        last = max((job.given_up_at for job in self.jobs), default=0.0)
+        return max(last, self.scenario.seconds)
+
+
+def worker_names(scenario: Scenario) -> list[str]:
+    """Return the names of the workers."""
+    return [f"w{i}" for i in range(scenario.workers)]
+
+
+def zone_of(number: int) -> str:
+    """Return the zone of the worker or instance of a number."""
+    return ZONES[number % len(ZONES)]
+
+
+def make_day(scenario: Scenario, seed: int) -> Day:
+    """Draw a day."""
+    rng = random.Random(f"{seed}/day")
+    bursts = [_moved(window, scenario, rng) for window in scenario.bursts]
+    faults = [_moved(window, scenario, rng) for window in scenario.faults]
+    names = worker_names(scenario)
+    befallen = tuple(_befall(fault, names, rng) for fault in faults)
+    speeds = {
+        name: scenario.speeds[i % len(scenario.speeds)]
+        for i, name in enumerate(rng.sample(names, len(names)))
+    }
+    jobs = list(_all_jobs(scenario, seed, bursts))
+    jobs.sort(key=lambda job: job.at)
+    numbered = (attrs.evolve(job, id=f"{i + 1:016x}") for i, job in enumerate(jobs))
+    return Day(seed, scenario, tuple(numbered), befallen, speeds)
+
+
+def _moved(window: Window, scenario: Scenario, rng: random.Random) -> Window:
+    at = window.at + rng.uniform(-1, 1) * scenario.jitter_s
+    return attrs.evolve(window, at=max(at, 0.0))
+
+
+def _befall(fault: Window, names: list[str], rng: random.Random) -> Window:
+    if fault.what == "zone":
+        return attrs.evolve(fault, names=(rng.choice(ZONES),))
+    count = max(round(fault.factor * len(names)), 1)
+    return attrs.evolve(fault, names=tuple(sorted(rng.sample(names, count))))
+
+
+def _all_jobs(scenario: Scenario, seed: int, bursts: list[Window]) -> Iterator[Job]:
+    for kind in scenario.classes:
+        for account in ACCOUNTS:
+            rng = random.Random(f"{seed}/{kind.name}/{account}")
+            heard = [b for b in bursts if b.what in (kind.name, account)]
+            rate = kind.rate * scenario.load / len(ACCOUNTS)
+            yield from _stream(kind, account, rate, heard, scenario, rng)
+
+
+def _stream(
+    kind: JobClass,
+    account: str,
+    rate: float,
+    bursts: list[Window],
+    scenario: Scenario,
+    rng: random.Random,
+) -> Iterator[Job]:
+    """Return the jobs of one class and account, more of them in bursts."""
+    most = math.prod(burst.factor for burst in bursts)
+    now = rng.expovariate(rate * most)
+    while now < scenario.seconds:
+        factor = math.prod(b.factor for b in bursts if b.covers(now))
+        job = _job(kind, account, now, scenario.step_cpu_m, rng)
+        if rng.random() < factor / most:
+            yield job
+        now += rng.expovariate(rate * most)
+
+
+def _job(
+    kind: JobClass, account: str, at: float, step_cpu_m: int, rng: random.Random
+) -> Job:
+    count = max(round(kind.steps.draw(rng)), 1)
+    steps = tuple(_step(kind, step_cpu_m, rng) for _ in range(count))
+    return Job("", at, kind, account, rng.choice(ZONES), steps)
+
+
+def _step(kind: JobClass, most_cpu_m: int, rng: random.Random) -> Step:
+    work_s = max(kind.work_s.draw(rng), 0.05)
+    cpu_m = max(int(kind.cpu_m.draw(rng)), 100)
+    width = max(round(kind.width.draw(rng)), 1)
+    width = min(width, max(most_cpu_m // cpu_m, 1))
+    uneven = Spread(work_s, kind.uneven, kind.work_s.most)
+    tasks = tuple(Task(max(uneven.draw(rng), 0.05)) for _ in range(width))
+    gang = width > 1 and rng.random() < kind.gangs
+    return Step(
+        tasks,
+        cpu_m,
+        max(int(kind.memory_mb.draw(rng)), 100),
+        max(Spread(work_s, kind.off).draw(rng), 0.05),
+        gang,
+        not gang and rng.random() < kind.saves,
+    )
--- /dev/null
+++ b/bench/_lab/_policies.py
@@ -0,0 +1,150 @@
+"""The policies that the lab compares; each registers itself by its name."""
+
+import abc
+from collections.abc import Callable
+from typing import Any, ClassVar
+
+import attrs
+
+from bench._lab._cell import play_day
+from bench._lab._load import Day
+from bench._lab._tally import Figures, tally
+from firhook._instance import load_services
+from firhook.cell import Book, Step
+from firhook.decide.schedule import Round, RoundResult, WorkerView
+from firhook.decide.seats import SeatPlan
+from firhook.decide.tickets import TicketBook
+from firhook.platform.instance import Bounds
+
+POLICIES: dict[str, type["Policy"]] = {}
+#: What is compared if nothing else is asked for.
+SHIPPED = ("present", "first_come", "oracle")
+
+
+class Policy(abc.ABC):
+    """A way to serve a day.
+
+    A subclass that gives its name as a class argument is registered under it.
+
+    :cvar name: what it is called in tables.
+    """
+
+    name: ClassVar[str] = ""
+
+    def __init_subclass__(cls, name: str = "", **kwargs: Any) -> None:
+        super().__init_subclass__(**kwargs)
+        if name:
+            cls.name = name
+            POLICIES[name] = cls
+
+    @abc.abstractmethod
+    def figures(self, day: Day) -> dict[tuple[str, str], Figures]:
+        """Return what the callers of each group get on a day."""
+
+
+class CellPolicy(Policy):
+    """A policy that decides in a cell of the model.
+
+    :cvar bounds: the times that the cell is held to.
+    """
+
+    bounds: ClassVar[Bounds] = Bounds()
+
+    @abc.abstractmethod
+    def decisions(self) -> dict[str, Callable[..., Any]]:
+        """Return what the lead decides by in place of its own, by attribute."""
+
+    def figures(self, day: Day) -> dict[tuple[str, str], Figures]:
+        """Play a day."""
+        changed = {name: staticmethod(func) for name, func in self.decisions().items()}
+        lead = type("_Lead", (load_services()["lead"],), changed)
+        return tally(day, play_day(day, lead, self.bounds))
+
+
+class Present(CellPolicy, name="present"):
+    """What firhook decides."""
+
+    def decisions(self) -> dict[str, Callable[..., Any]]:
+        """See :meth:`CellPolicy.decisions`."""
+        return {}
+
+
+class RoundPolicy(CellPolicy):
+    """A policy with rounds, and seats at the adviser, of classes of its own."""
+
+    round: ClassVar[type[Round]] = Round
+    seat_plan: ClassVar[type[SeatPlan]] = SeatPlan
+
+    def place(
+        self,
+        book: Book,
+        workers: dict[str, WorkerView],
+        tickets: TicketBook,
+        now: float,
+    ) -> RoundResult:
+        """Decide which waiting tasks start now, and where."""
+        return self.round(book, workers, tickets, now).run()
+
+    def decisions(self) -> dict[str, Callable[..., Any]]:
+        """See :meth:`CellPolicy.decisions`."""
+        return {"place": self.place, "seat_plan": self.seat_plan}
+
+
+class _FirstComeRound(Round):
+    """The oldest first, each task on the first worker with room."""
+
+    def run(self) -> RoundResult:
+        """See :meth:`Round.run`; the adviser is asked in order of arrival too."""
+        result = super().run()
+        result.wishes = [
+            attrs.evolve(wish, before=wish.step.job.accepted_at)
+            for wish in result.wishes
+        ]
+        return result
+
+    def _rank(self, step: Step) -> tuple[float, ...]:
+        return (step.job.accepted_at,)
+
+    def _best(
+        self,
+        step: Step,
+        workers: Any,
+        on_worker: dict[str, int],
+        avoid: set[str],
+    ) -> WorkerView | None:
+        for worker in sorted(workers, key=lambda w: w.name):
+            if worker.name not in avoid and worker.free.covers(step.spec.held):
+                return worker
+        return None
+
+    def _fill(self, step: Step, workers: list[WorkerView]) -> list[WorkerView] | None:
+        chosen: list[WorkerView] = []
+        for worker in sorted(workers, key=lambda w: w.name):
+            left = step.spec.count - len(chosen)
+            chosen += [worker] * worker.free.copies(step.spec.held, left)
+        if len(chosen) < step.spec.count:
+            return None
+        for worker in chosen:
+            worker.take(step.spec.held)
+        return chosen
+
+    def _reserve(self, step: Step, workers: list[WorkerView]) -> None:
+        """Keep no room."""
+
+
+class OpenSeats(SeatPlan):
+    """Keeps no seat for any question."""
+
+    def kept(self, cost_s: float, seats: int, now: float) -> int:
+        """See :meth:`SeatPlan.kept`."""
+        return 0
+
+
+class FirstCome(RoundPolicy, name="first_come"):
+    """First come, first fit: no order by urgency, and no room or seat kept.
+
+    What does not fit is passed over; the adviser is asked as the platform demands.
+    """
+
+    round = _FirstComeRound
+    seat_plan = OpenSeats
--- /dev/null
+++ b/bench/_lab/_report.py
@@ -0,0 +1,180 @@
+"""Policies on the same seeds, as a table, as JSON and as a plot."""
+
+import json
+import statistics
+from collections.abc import Iterable, Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from bench._lab._load import Scenario, make_day
+from bench._lab._policies import POLICIES
+from bench._lab._tally import Fate, Figures
+
+_IN_TIME = Fate.IN_TIME.value
+_FIELDS = (_IN_TIME, "gain", *(f.value for f in list(Fate)[1:]), "p50_s", "p99_s")
+
+
+_Days = Sequence[dict[tuple[str, str], Figures]]
+
+
+@attrs.frozen
+class Value:
+    """A figure over seeds.
+
+    :param spread: the standard deviation over the seeds; 0 for one seed.
+    """
+
+    mean: float
+    spread: float
+    values: tuple[float, ...]
+
+    @classmethod
+    def of(cls, values: Sequence[float | None]) -> "Value | None":
+        """Return the figure; ``None`` if there is none."""
+        known = tuple(v for v in values if v is not None)
+        if not known:
+            return None
+        spread = statistics.stdev(known) if len(known) > 1 else 0.0
+        return cls(statistics.fmean(known), spread, known)
+
+
+@attrs.frozen
+class Row:
+    """What the callers of a group get under a policy, over all seeds.
+
+    :param jobs: on all days together.
+    :param fields: the figures by column; ``gain`` is by how much more of the jobs
+        are in time than under the first policy on the same day.
+    """
+
+    policy: str
+    kind: str
+    name: str
+    jobs: int
+    fields: dict[str, Value | None]
+
+
+def compare(
+    scenario: Scenario,
+    policies: Iterable[str],
+    seeds: Sequence[int],
+    processes: int = 1,
+) -> list[Row]:
+    """Play each policy on each seed.
+
+    :param processes: how many days are played at a time.
+    """
+    names = list(policies)
+    days = [(scenario, name, seed) for name in names for seed in seeds]
+    if processes > 1:
+        with ProcessPoolExecutor(processes) as pool:
+            played = list(pool.map(_play, days))
+    else:
+        played = [_play(day) for day in days]
+    first = played[: len(seeds)]
+    by_policy = {
+        name: played[i * len(seeds) : (i + 1) * len(seeds)] if i else first
+        for i, name in enumerate(names)
+    }
+    return [row for name in names for row in _rows(name, by_policy[name], first)]
+
+
+def _play(day: tuple[Scenario, str, int]) -> dict[tuple[str, str], Figures]:
+    scenario, policy, seed = day
+    return POLICIES[policy]().figures(make_day(scenario, seed))
+
+
+def _rows(policy: str, days: _Days, first: _Days) -> Iterator[Row]:
+    for key in dict.fromkeys(key for day in days for key in day):
+        pairs = [
+            (day[key], other[key])
+            for day, other in zip(days, first, strict=True)
+            if key in day
+        ]
+        found = [figures for figures, _ in pairs]
+        shares = {
+            fate.value: Value.of([f.shares[fate] for f in found]) for fate in Fate
+        }
+        waits = {
+            "p50_s": Value.of([f.p50_s for f in found]),
+            "p99_s": Value.of([f.p99_s for f in found]),
+        }
+        gain = None
+        if days is not first:
+            gain = Value.of([_gain(figures, other) for figures, other in pairs])
+        jobs = sum(f.jobs for f in found)
+        yield Row(policy, *key, jobs, {**shares, **waits, "gain": gain})
+
+
+def _gain(figures: Figures, other: Figures) -> float | None:
+    one, base = figures.shares[Fate.IN_TIME], other.shares[Fate.IN_TIME]
+    return None if one is None or base is None else one - base
+
+
+def markdown(rows: Iterable[Row]) -> str:
+    """Return the rows as a table: mean and spread of each figure."""
+    ordered = list(rows)
+    groups = list(dict.fromkeys((r.kind, r.name) for r in ordered))
+    ordered.sort(key=lambda r: groups.index((r.kind, r.name)))
+    head = ["group", "policy", "jobs", *_FIELDS]
+    lines = [head, ["---"] * len(head)]
+    for row in ordered:
+        group = row.name if row.kind == "all" else f"{row.kind} {row.name}"
+        cells = [_cell(row.fields[field]) for field in _FIELDS]
+        lines.append([group, row.policy, str(row.jobs), *cells])
+    return "\n".join("| " + " | ".join(line) + " |" for line in lines)
+
+
+def _cell(value: Value | None) -> str:
+    if value is None:
+        return ""
+    return f"{value.mean:.3f} ± {value.spread:.3f}"
+
+
+def to_json(rows: Iterable[Row], **about: Any) -> str:
+    """Return the rows with the values of each seed.
+
+    :param about: what the run was.
+    """
+    return json.dumps({**about, "rows": [attrs.asdict(row) for row in rows]}, indent=1)
+
+
+def plot(rows: Sequence[Row], file: Path) -> None:
+    """Draw the share in time by group and policy, with the spread over seeds."""
+    import matplotlib as mpl
+
+    mpl.use("Agg")
+    mpl.rcParams["svg.hashsalt"] = "lab"
+    from matplotlib import pyplot
+
+    groups = list(dict.fromkeys((r.kind, r.name) for r in rows))
+    policies = list(dict.fromkeys(r.policy for r in rows))
+    size = (9, 0.16 * len(groups) * len(policies) + 1.5)
+    figure, axes = pyplot.subplots(figsize=size, layout="constrained")
+    height = 0.8 / len(policies)
+    for i, policy in enumerate(policies):
+        found = {
+            (r.kind, r.name): r.fields[_IN_TIME] for r in rows if r.policy == policy
+        }
+        places = [n + i * height for n, g in enumerate(groups) if found.get(g)]
+        values = [found[g] for g in groups if found.get(g)]
+        axes.barh(
+            places,
+            [v.mean for v in values],
+            height,
+            xerr=[v.spread for v in values],
+            label=policy,
+        )
+    middle = height * (len(policies) - 1) / 2
+    axes.set_yticks(
+        [n + middle for n in range(len(groups))],
+        [name if kind == "all" else f"{kind} {name}" for kind, name in groups],
+    )
+    axes.invert_yaxis()
+    axes.set_xlabel("share of the jobs that are done within their objective")
+    figure.legend(loc="outside upper center", ncols=4)
+    figure.savefig(file, metadata={"Date": None} if file.suffix == ".svg" else None)
+    pyplot.close(figure)
