--- a/src/firhook/services/_advising.py
+++ b/src/firhook/services/_advising.py
@@ -23,6 +23,7 @@
     """Carries out what the lead wants to know of the adviser.
 
     :param tickets: where answers go.
+    :param plan: keeps seats at the adviser for fast questions.
     :param spawn: runs work beside the caller.
     :param answered: called after each answer, or when none came.
     """
@@ -31,6 +32,7 @@
         self,
         instance: Instance,
         tickets: TicketBook,
+        plan: SeatPlan,
         spawn: Callable[[Coroutine[Any, Any, None]], None],
         answered: Callable[[], None],
     ) -> None:
@@ -39,7 +41,7 @@
         self._spawn = spawn
         self._answered = answered
         self._seats: dict[str, AdviserSeat] = {}
-        self._plan = SeatPlan()
+        self._plan = plan
 
     def ask_all(self, wishes: list[AdviceWish], now: float) -> None:
         """Ask what is wished for, as far as instances are free to."""
--- a/src/firhook/services/_placing.py
+++ b/src/firhook/services/_placing.py
@@ -1,10 +1,10 @@
 """Placing: which worker gets which task of a lead's term, round by round."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from firhook.cell import NOTHING, Book
 from firhook.clock import boot_time
-from firhook.decide.schedule import Wait, WorkerView, place_round, urgent_room_m
+from firhook.decide.schedule import RoundResult, Wait, WorkerView, urgent_room_m
 from firhook.decide.speeds import SpeedBook
 from firhook.decide.suspicion import dark_zones
 from firhook.decide.tickets import TicketBook
@@ -20,11 +20,17 @@
 #: How often the lead tells what has waited longest.
 _TELL_EVERY_S = 1.0
 
+PlaceRound = Callable[
+    [Book, dict[str, WorkerView], TicketBook, float],
+    RoundResult,
+]
+
 
 class Placing:
     """Holds rounds: shows the workers to the decision, and carries out what it says.
 
     :param links: the workers that are known, by name.
+    :param decide: which waiting tasks start, and where.
     """
 
     def __init__(
@@ -35,6 +41,7 @@
         tickets: TicketBook,
         advising: Advising,
         meters: Meters,
+        decide: PlaceRound,
     ) -> None:
         self._book = book
         self._links = links
@@ -42,6 +49,7 @@
         self._tickets = tickets
         self._advising = advising
         self._meters = meters
+        self._decide = decide
         self._urgent_need_m = 0
         self._waits: dict[str, Wait] = {}
         self._told_at = float("-inf")
@@ -56,7 +64,7 @@
         if not self._book.open_steps:
             return
         views = self._views(now)
-        result = place_round(self._book, views, self._tickets, now)
+        result = self._decide(self._book, views, self._tickets, now)
         for placement in result.placements:
             step = placement.step
             for run in self._book.plan(step, placement.tasks, now):
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -23,6 +23,7 @@
     state_version,
 )
 from firhook.clock import boot_time, unix_time
+from firhook.decide.seats import SeatPlan
 from firhook.decide.speeds import SpeedBook
 from firhook.decide.stalls import standing_still
 from firhook.decide.tickets import TicketBook
@@ -45,7 +46,7 @@
 from firhook.services._fenced_writer import FencedWriter
 from firhook.services._forgetting import forget_old_jobs
 from firhook.services._orders import Orders
-from firhook.services._placing import Placing
+from firhook.services._placing import PlaceRound, Placing
 from firhook.services._worker_link import WorkerLink
 from firhook.services._worker_list import WorkerList
 from firhook.tasks import log_failure
@@ -74,9 +75,15 @@
 
 
 class TermOwner(Protocol):
-    """What a term needs of the service that stands for the lead."""
+    """What a term needs of the service that stands for the lead.
+
+    :ivar place: decides which waiting tasks start, and where.
+    :ivar seat_plan: makes what keeps seats at the adviser for fast questions.
+    """
 
     instance: Instance
+    place: PlaceRound
+    seat_plan: type[SeatPlan]
 
     def may_act(self) -> bool:
         """Return whether this instance leads, as far as it can know now."""
@@ -127,9 +134,17 @@
         self._versions = 0
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
-        advising = Advising(instance, self.tickets, self._spawn, self._wake.set)
+        advising = Advising(
+            instance, self.tickets, lead.seat_plan(), self._spawn, self._wake.set
+        )
         self._placing = Placing(
-            self.book, self.links, self.speeds, self.tickets, advising, self._meters
+            self.book,
+            self.links,
+            self.speeds,
+            self.tickets,
+            advising,
+            self._meters,
+            lead.place,
         )
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._renew_until = 0.0
