The stand-in's servers leave no answer to wait for when they stop

Cause: at a stop aiohttp waits for answers that are under way, here for 0.1 s. When the time is over it cancels the future that it waits for, and only a step of the loop later forgets it; a handler that ends in between sets the result of a cancelled future. A handler whose timer is due together with that of the stop does so, as it is on a busy machine, where both are due in one step.

Change: the stand-in cancels what it still answers before it closes, and then waits up to 5 s for requests that come meanwhile, longer than any takes.

Not changed: the instance's own servers wait for 0.3 s after they have been drained, and may log the same line of aiohttp; the answer has been written by then.

--- a/standins/model/_http.py
+++ b/standins/model/_http.py
@@ -41,6 +41,9 @@
     OrderOutcome.NO_ROOM: "room",
     OrderOutcome.NO_TICKET: "ticket",
 }
+#: Requests that come while the sockets are closed are waited for so long; none
+#: takes longer to answer.
+_CLOSE_S = 5.0
 _SETTINGS = """\
 node_name = "{name}"
 ip_address = "127.0.0.1"
@@ -92,6 +95,7 @@
         self._gangs = Gangs()
         self._count = workers
         self._runners: list[web.AppRunner] = []
+        self._handling: set[asyncio.Task[Any]] = set()
 
     async def start(self) -> None:
         """Listen, register the workers and put a configuration in force."""
@@ -102,7 +106,15 @@
         self.configure(1)
 
     async def stop(self) -> None:
-        """Close all sockets."""
+        """Leave what is being answered, and close all sockets.
+
+        A handler that ends in the moment in which aiohttp gives up waiting for it
+        fails within aiohttp.  So none is left to wait for.
+        """
+        for task in self._handling:
+            task.cancel()
+        if self._handling:
+            await asyncio.wait(self._handling)
         for runner in self._runners:
             await runner.cleanup()
 
@@ -142,9 +154,9 @@
         return path
 
     async def _listen(self, routes: list[web.RouteDef]) -> str:
-        app = web.Application(client_max_size=1 << 24)
+        app = web.Application(client_max_size=1 << 24, middlewares=[self._kept])
         app.add_routes(routes)
-        runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        runner = web.AppRunner(app, access_log=None, shutdown_timeout=_CLOSE_S)
         await runner.setup()
         site = web.TCPSite(runner, "127.0.0.1", 0)
         await site.start()
@@ -152,6 +164,15 @@
         host, port = runner.addresses[0][:2]
         return f"{host}:{port}"
 
+    @web.middleware
+    async def _kept(self, req: web.Request, handler: Handler) -> web.StreamResponse:
+        """Keep the task that answers a request, to be cancelled at the stop."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._handling.add(task)
+        task.add_done_callback(self._handling.discard)
+        return await handler(req)
+
     # The store.
 
     def _store_routes(self) -> list[web.RouteDef]:
