The lab leaves the level of logs as it found it

Cause: python -m bench lab raises the level of events to errors, and its tests call its main in the suite's own process; the tests after them saw no warnings.

--- a/bench/lab.py
+++ b/bench/lab.py
@@ -65,6 +65,11 @@
 
 def main(args: Sequence[str]) -> int:
     """Run the lab from the command line."""
+    events = logging.getLogger("firhook.events")
+    level = events.level
     # The instances of the model warn of every fault that they meet.
-    logging.getLogger("firhook.events").setLevel(logging.ERROR)
-    return app(args, result_action="return_value") or 0
+    events.setLevel(logging.ERROR)
+    try:
+        return app(args, result_action="return_value") or 0
+    finally:
+        events.setLevel(level)
