A follower that is cancelled as a gap closes, or an answer comes, is cancelled

Cause: asyncio.wait_for of Python 3.11 returns the result, and loses the cancelling, if what it waits for is done in the same moment. A follower that waits for a gap went on reading after its instance had been stopped. The lead's links had the same.

Change: follower, lookups and the mesh wait under asyncio.timeout, which does not lose it.

--- a/src/firhook/_mesh.py
+++ b/src/firhook/_mesh.py
@@ -245,7 +245,8 @@
         try:
             if not self._send(address, tag, pack_frame(msg)):
                 raise PeerUnreachableError(f"{address}: not connected", ran="no")
-            answer = await asyncio.wait_for(fut, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                answer = await fut
         except TimeoutError as exc:
             raise PeerUnreachableError(
                 f"{address}: no answer in {timeout_s:g} s"
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -302,7 +302,8 @@
         # from the start takes longer: another reading would cost and tell nothing.
         if late and self._reachable and all(r.whole and r.reachable for r in late):
             try:
-                await asyncio.wait_for(self._read_on(late), query.within_s)
+                async with asyncio.timeout(query.within_s):
+                    await self._read_on(late)
             except (TimeoutError, FirhookError) as exc:
                 log("replica.read_on_failed", level="debug", error=repr(exc))
         return max(reader.age_s() for reader in self._readers.values())
@@ -347,7 +348,10 @@
             if not reader.has_gap and not reader.asked:
                 reader.gap.clear()
             try:
-                await asyncio.wait_for(reader.gap.wait(), until - boot_time())
+                # Unlike wait_for, this does not lose a cancelling that comes in the
+                # moment in which the gap does.
+                async with asyncio.timeout(until - boot_time()):
+                    await reader.gap.wait()
             except TimeoutError:
                 return
             if reader.asked:
@@ -407,7 +411,8 @@
         # A call that hangs would hide for a second that the store is back.
         timeout_s = None if self._reachable else 2 * self._reach.limit_s()
         try:
-            part = await asyncio.wait_for(reading, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                part = await reading
         except TimeoutError as exc:
             self._reach.failed(reader.number, call)
             raise LogUnavailableError("no answer to a read") from exc
--- a/src/firhook/services/_lookups.py
+++ b/src/firhook/services/_lookups.py
@@ -159,7 +159,8 @@
         """Read to the end that the log has now; return whether that was done."""
         reading = self._bus.ask(CatchUp(CALLERS_PARTITIONS))
         try:
-            await asyncio.wait_for(reading, min(_CATCH_UP_S, until - boot_time()))
+            async with asyncio.timeout(min(_CATCH_UP_S, until - boot_time())):
+                await reading
         except (TimeoutError, FirhookError) as exc:
             log("replica.catch_up_failed", level="debug", error=repr(exc))
             return False
