Of two owners' jobs under one id the first holds, and the other is told

Seen, on the model: two client accounts, or one at two queues, submit one id at two instances within some 20 ms, before either instance knows of the other's job. Both were told 200. The second one's record took the place of the first one's in the store, which keeps the newest of a key. The lead had taken the first one's in and ran it; every instance told the second account that its job was running, which was the other's, and the first account that there is no such job (410), though it had been accepted and ran. After a change of the lead the second one's steps would have gone on from the first one's state.

Cause: "of submissions the earliest holds" was true across partitions only; within one the newest did.

Change: within a partition the earliest of different owners' submissions holds as well, in whatever order they are read. The lead writes the submission that it took in first once more, to its own partition and as the earliest, so that it holds for replicas which are read anew and whatever the instances' clocks say. The other owner is told 409 job.id_taken when it asks for its job, with the remedy, and 410 when it cancels it. If its instance learns of the first job before it answers, it says 504 "submit the same id again", and the repeat is told; a plain refusal might be untrue while the lead has not said whose job it took in. "job.contested" is the lead's line of it.

Repeats by one owner are as before: the newest record holds.

Weighed: to have each answer wait until all records before its own are read would put up to 20 ms on every submission, or a call; submissions under a key that names the owner change the records' keys for all. So both may still be told 200 within that moment, and the second learns of it when it next asks.

Evidence: 16 cases of the new test (other team, other queue; 0 to 12 ms apart; clocks alike and 2 s apart), through a change of the lead and a restart, all fail before.

--- a/src/firhook/cell/_config.py
+++ b/src/firhook/cell/_config.py
@@ -64,6 +64,10 @@
         """Host and path, which identify the queue to callers."""
         return self.host + self.prefix
 
+    def owner(self, team: str) -> tuple[str, str]:
+        """Return whose a job is that a team submits here: all callers' if anonymous."""
+        return self.address, "" if self.anonymous else team
+
 
 @attrs.frozen(slots=True)
 class Team:
--- a/src/firhook/cell/_records.py
+++ b/src/firhook/cell/_records.py
@@ -82,6 +82,11 @@
     accepted_at: float
     spec: JobSpec
 
+    @property
+    def owner(self) -> tuple[str, str]:
+        """Whose job it is, by queue and team."""
+        return self.queue.owner(self.team)
+
 
 @attrs.frozen(slots=True)
 class RunState:
--- a/src/firhook/cell/_replica.py
+++ b/src/firhook/cell/_replica.py
@@ -34,12 +34,20 @@
 
     :ivar accepted: ``None`` as long as only its cancelling is known.
     :ivar state: what the lead wrote last; ``None`` before it wrote anything.
+    :ivar owners: all who submitted the id, if they are several.
     """
 
     accepted: AcceptedJob | None = None
+    owners: frozenset[tuple[str, str]] = frozenset()
     cancelled: bool = False
     state: StoredState | None = None
 
+    def lost(self, owner: tuple[str, str]) -> bool:
+        """Return whether a submission of this owner came to nothing."""
+        if self.accepted is None or self.accepted.owner == owner:
+            return False
+        return owner in self.owners
+
     @property
     def status(self) -> JobStatus:
         """Where the job stands.
@@ -68,10 +76,14 @@
 
     def is_news(self, offset: int, key: str) -> bool:
         """Return whether a record may say more than what is known."""
-        if offset < self.complete_to or offset < self.dropped.get(key, -1):
+        if not self.is_kept(offset, key):
             return False
         return key not in self.held or offset >= self.held[key][0]
 
+    def is_kept(self, offset: int, key: str) -> bool:
+        """Return whether a key was neither dropped nor listed after a record."""
+        return offset >= self.complete_to and offset >= self.dropped.get(key, -1)
+
     def keep(self, offset: int, key: str, value: Any) -> None:
         """Keep a key's value; ``None`` drops it."""
         self.dropped.pop(key, None)
@@ -131,12 +143,34 @@
             same.
         """
         part = self._partitions.setdefault(partition, _Partition())
-        if not part.is_news(offset, key):
-            return None
         prefix, slash, name = key.partition("/")
-        decoded = _decode(prefix + slash, value) if value else None
-        part.keep(offset, key, decoded)
-        return self._show(key, prefix + slash, name, decoded)
+        prefix += slash
+        news = part.is_news(offset, key)
+        if not news and not (prefix == JOB_PREFIX and part.is_kept(offset, key)):
+            return None
+        decoded = _decode(prefix, value) if value else None
+        if prefix == JOB_PREFIX and self._is_rival(part, key, decoded):
+            # The store keeps the newest; of two owners' the earliest holds.
+            known_at, known = part.held[key]
+            self._note_owners(name, [known, decoded])
+            part.keep(max(known_at, offset), key, _earliest([known, decoded]))
+        elif news:
+            part.keep(offset, key, decoded)
+        return self._show(key, prefix, name, decoded)
+
+    @staticmethod
+    def _is_rival(part: _Partition, key: str, job: AcceptedJob | None) -> bool:
+        """Return whether a partition holds a submission by another owner."""
+        if job is None or key not in part.held:
+            return False
+        return part.held[key][1].owner != job.owner
+
+    def _note_owners(self, job_id: str, values: list[AcceptedJob]) -> None:
+        """Remember who submitted an id, if they are several."""
+        owners = {value.owner for value in values}
+        if len(owners) > 1:
+            job = self.jobs.setdefault(job_id, JobView())
+            job.owners |= owners
 
     def complete(self, partition: int, listed: set[str], end: int) -> list[str]:
         """Drop what a partition holds no more; return the ids of the jobs changed.
@@ -186,7 +220,9 @@
     def _show_job(self, prefix: str, job_id: str, values: list[Any]) -> None:
         job = self.jobs.get(job_id) or JobView()
         if prefix == JOB_PREFIX:
-            job.accepted = _first(values, lambda v: v.accepted_at)
+            job.accepted = _earliest(values)
+            if len(values) > 1:
+                self._note_owners(job_id, values)
         elif prefix == STATE_PREFIX:
             job.state = _first(values, lambda v: -v.version)
         else:
@@ -225,7 +261,12 @@
         )
 
 
-def _first(values: list[Any], rank: Callable[[Any], float]) -> Any:
+def _earliest(values: list[AcceptedJob]) -> AcceptedJob | None:
+    """Return the submission of an id that holds: the same at every instance."""
+    return _first(values, lambda v: (v.accepted_at, v.owner))
+
+
+def _first(values: list[Any], rank: Callable[[Any], Any]) -> Any:
     """Return the value of the lowest rank; ``None`` if there is none."""
     if len(values) == 1:
         return values[0]
--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -18,6 +18,7 @@
 from firhook.errors import (
     BodyTooLargeError,
     FirhookError,
+    JobGoneError,
     JobIdTakenError,
     KeyMissingError,
     KeyRefusedError,
@@ -220,6 +221,13 @@
             )
         except LogOutcomeUnknownError as exc:
             raise SubmissionUnknownError(exc.detail, retry_after_s=_RETRY_S) from exc
+        stored = self.replica.find(job_id)
+        if stored is not None and stored.lost(accepted.owner):
+            # The lead may have taken this one in first; it says so within a moment.
+            raise SubmissionUnknownError(
+                "another job was submitted under this id at the same moment",
+                retry_after_s=_RETRY_S,
+            )
         log(
             "job.accepted",
             job=job_id,
@@ -234,7 +242,11 @@
     async def _cancel(
         self, queue: Queue, team: str, job_id: str, until: float
     ) -> web.Response:
-        status = await self._lookups.status(queue, team, job_id, until)
+        try:
+            status = await self._lookups.status(queue, team, job_id, until)
+        except JobIdTakenError as exc:
+            # There is nothing to cancel, and no other answer would end the asking.
+            raise JobGoneError(job_id) from exc
         if status.ended:
             return _json(encode_status(status))
         record = KeyedRecord(CANCEL_PREFIX + job_id, b"\x01")
--- a/src/firhook/services/_lookups.py
+++ b/src/firhook/services/_lookups.py
@@ -11,6 +11,7 @@
 from firhook.errors import (
     FirhookError,
     JobGoneError,
+    JobIdTakenError,
     NotReadyError,
     PeerUnreachableError,
 )
@@ -124,10 +125,15 @@
 
         :param until: on the boot clock, until when the caller can wait.
         :raises JobGoneError: if there is no such job.
+        :raises JobIdTakenError: if it came to nothing, as its id was submitted by
+            another team or to another queue a moment before.
         :raises NotReadyError: if neither this instance nor a peer can tell.
         """
         age_s = await self._bus.ask(ReplicaAge())
         job = self.known(queue, team, job_id)
+        found = self._replica.find(job_id)
+        if job is None and found is not None and found.lost(queue.owner(team)):
+            raise JobIdTakenError(job_id)
         if job is not None and (_ended_for_good(job) or age_s <= _STATUS_AGE_S):
             return job.status
         whole = age_s < math.inf
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -5,6 +5,8 @@
 from collections.abc import Coroutine, Iterable
 from typing import TYPE_CHECKING, Any
 
+import attrs
+
 from firhook.cell import (
     NOTHING,
     Book,
@@ -18,6 +20,7 @@
     WorkerEntry,
 )
 from firhook.cell.records import (
+    JOB_PREFIX,
     LEAD_KEY,
     STATE_PREFIX,
     encode_record,
@@ -79,6 +82,8 @@
 _URGENT_WEIGHT = 0.1
 #: For each order and question of a term.
 _NOTE_FAILURE = log_failure("term.task_failed")
+#: A submission that is to hold is written as so much earlier than its rival.
+_EARLIER_S = 0.001
 #: How often the lead tells what has waited longest.
 _TELL_EVERY_S = 1.0
 
@@ -116,6 +121,8 @@
         self._known: set[str] = set()
         self._writer = FencedWriter(self._store, epoch, lead.note_proof)
         self._versions = 0
+        self._settled: dict[str, frozenset[tuple[str, str]]] = {}
+        self._submissions: list[KeyedRecord] = []
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._advising = Advising(lead, self.tickets, self._spawn, self._wake.set)
@@ -217,6 +224,7 @@
         for job_id, job in list(self._replica.unended()):
             self._known.add(job_id)
             self._add_job(job_id, job, now, unix)
+            self._settle_owner(job_id, job)
         # From here on changes are taken in as they are read.  Without a pause in
         # between: a job that is accepted in such a pause would be in neither.
         self._ready = True
@@ -246,6 +254,7 @@
         view = self._replica.jobs.get(job_id)
         if view is None or view.accepted is None:
             return
+        contested = self._settle_owner(job_id, view)
         if job_id not in self._known:
             # A job that ended in this term is known as well.  Its last record
             # may not have been read back yet when a late repeat of its
@@ -255,7 +264,7 @@
                 self._add_job(job_id, view, boot_time(), unix_time())
         elif view.cancelled:
             self.book.cancel(job_id, unix_time())
-        else:
+        elif not contested:
             # The lead's own record of a state, read back: nothing to decide.
             return
         self._wake.set()
@@ -273,6 +282,29 @@
         if view.cancelled:
             self.book.cancel(job_id, unix)
 
+    def _settle_owner(self, job_id: str, view: JobView) -> bool:
+        """Have the submission that the lead took in hold; return if it was contested.
+
+        Load: two client accounts submit one id at two instances, neither of which
+        knows of the other's yet; both are appended.  Harm: the store keeps the
+        newest record of a key only.  The first one's job, which may be running,
+        would become the second one's, and the first be told that there is no such
+        job.  Written again elsewhere as the earliest, it holds for all.
+        """
+        if not view.owners or view.owners == self._settled.get(job_id):
+            return False
+        self._settled[job_id] = view.owners
+        job, shown = self.book.jobs.get(job_id), view.accepted
+        assert shown is not None
+        holder = job.accepted if job is not None else shown
+        if holder.owner != shown.owner:
+            earlier = min(holder.accepted_at, shown.accepted_at - _EARLIER_S)
+            holder = attrs.evolve(holder, accepted_at=earlier)
+        log("job.contested", level="warning", job=job_id, owners=len(view.owners))
+        record = KeyedRecord(JOB_PREFIX + job_id, encode_record(holder))
+        self._submissions.append(record)
+        return True
+
     def on_config(self, config: CellConfig) -> None:
         """Go by another version of the configuration."""
         self.book.set_config(config)
@@ -525,6 +557,9 @@
             for link in self.links.values()
             if link.processed > link.ack
         ]
+        submissions, self._submissions = self._submissions, []
+        if submissions:
+            await self._append(submissions)
         if jobs:
             began = boot_time()
             records = [
--- a/tests/cell/test_replica.py
+++ b/tests/cell/test_replica.py
@@ -97,6 +97,25 @@
     return b"garbage"
 
 
+@given(st.permutations(range(3)), st.integers(0, 1))
+def test_of_one_ids_submissions_the_earliest_holds_in_whatever_order(order, other):
+    """Two teams submit one id at once; instances read of them in another order."""
+    records = [
+        (0, 10, attrs.evolve(JOB, team="a", accepted_at=5.0)),
+        (0, 11, attrs.evolve(JOB, team="b", accepted_at=4.0)),
+        (other, 13, attrs.evolve(JOB, team="a", accepted_at=3.0)),
+    ]
+    replica = Replica()
+    for i in order:
+        partition, offset, job = records[i]
+        replica.apply(offset, f"job/{job.id}", encode_record(job), partition)
+    view = replica.jobs[JOB.id]
+    assert view.accepted == records[2][2]
+    assert view.lost(QUEUE.owner("b"))
+    assert not view.lost(QUEUE.owner("a"))
+    assert not view.lost(QUEUE.owner("c"))
+
+
 @given(
     st.lists(st.sampled_from(KEYS), min_size=1, max_size=12),
     st.randoms(use_true_random=False),
--- a/tests/services/test_submissions.py
+++ b/tests/services/test_submissions.py
@@ -1,10 +1,15 @@
 """Which submissions are refused because their id belongs to another job."""
 
+import asyncio
+
 import msgspec
 import pytest
 
+from firhook.cell import Resources
+from firhook.clock import unix_time
 from firhook.platform.store import CELL_TOPIC
-from standins.model import ModelCell, ModelRequest, pause, run_virtual
+from firhook.services import _callers
+from standins.model import ModelCell, ModelRequest, TaskPlan, pause, run_virtual
 
 STEP = {"count": 1, "millicpus": 1000, "task_memory_mb": 100}
 BODY = msgspec.json.encode({"specification": "other", "steps": [STEP]})
@@ -68,3 +73,98 @@
         assert stored(cell, job) == before
 
     run_virtual(play())
+
+
+FIRST, OTHER_TEAM, OTHER_QUEUE = (
+    ("/plan/", "key-of-a"),
+    ("/plan/", "key-of-b"),
+    ("/quote/", "key-of-a"),
+)
+
+
+async def submit_at_once(cell, job, second, gap_s):
+    """Submit one id at two instances, the second a moment after the first."""
+    cell.configure(2, tenants=TEAMS)
+    await pause(2.5)
+    cell.plans[f"{job}.0.0"] = TaskPlan(6.0, Resources(1000, 100))
+    one, other, *_ = cell.instances.values()
+
+    async def post(found, path, key, wait_s):
+        body = {"specification": f"{path} {key}", "steps": [STEP]}
+        await pause(wait_s)
+        req = ModelRequest("POST", path + job, msgspec.json.encode(body), key)
+        return (await found.call(req))[0]
+
+    return await asyncio.gather(post(one, *FIRST, 0), post(other, *second, gap_s))
+
+
+async def told(cell, job, path, key):
+    """Return what the instances that live say of a job."""
+    said = set()
+    for found in cell.instances.values():
+        if found.alive:
+            status, body = await found.call(ModelRequest("GET", path + job, key=key))
+            said.add((status, body.get("state") or body["code"]))
+    return said
+
+
+def note_texts(worker, texts):
+    """Note what a worker is told to run."""
+    start = worker.start
+
+    def noted(order):
+        texts.add(order.text)
+        return start(order)
+
+    worker.start = noted
+
+
+@pytest.mark.parametrize("second", [OTHER_TEAM, OTHER_QUEUE])
+@pytest.mark.parametrize("gap_s", [0.0, 0.003, 0.006, 0.012])
+@pytest.mark.parametrize("behind_s", [0.0, 2.0])
+def test_of_two_jobs_under_one_id_at_once_the_first_runs_and_the_other_is_told(
+    monkeypatch, second, gap_s, behind_s
+):
+    """Two instances append one id for two owners before either knows of the other.
+
+    Both were told that their job was accepted.  The second one's took the place of
+    the first one's, which ran on: its owner was told that there is no such job.
+    """
+    clocks = [0.0, behind_s]
+    monkeypatch.setattr(_callers, "unix_time", lambda: unix_time() - clocks.pop(0))
+    job = f"{9:016x}"
+    texts = set()
+
+    async def play():
+        cell = ModelCell(instances=4)
+        cell.drops = 0.0
+        await cell.begin()
+        for worker in cell.workers.values():
+            note_texts(worker, texts)
+        statuses = await submit_at_once(cell, job, second, gap_s)
+        assert statuses[0] == 200
+        assert statuses[1] in (200, 504)
+        await pause(0.5)
+        assert await told(cell, job, *FIRST) == {(200, "running")}
+        assert await told(cell, job, *second) == {(409, "job.id_taken")}
+        assert texts == {" ".join(FIRST)}
+        lead = cell.lead_name()
+        cell.kill(lead)
+        await pause(2.0)
+        await cell.restart(lead)
+        await pause(1.0)
+        assert await told(cell, job, *FIRST) == {(200, "running")}
+        assert await told(cell, job, *second) == {(409, "job.id_taken")}
+        cell.accepted[job] = FIRST[0]
+        await cell.all_done(20.0)
+        await pause(0.5)
+        assert await told(cell, job, *FIRST) == {(200, "completed")}
+        assert await told(cell, job, *second) == {(409, "job.id_taken")}
+        path, key = second
+        for found in cell.instances.values():
+            for method, expected in (("POST", 409), ("DELETE", 410)):
+                req = ModelRequest(method, path + job, BODY, key)
+                assert (await found.call(req))[0] == expected
+        assert cell.checks.broken == []
+
+    run_virtual(play())
