--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -5,6 +5,8 @@
 from collections.abc import Coroutine, Iterable
 from typing import Any, Protocol
 
+import attrs
+
 from firhook.cell import (
     Book,
     CellConfig,
@@ -17,6 +19,7 @@
     WorkerEntry,
 )
 from firhook.cell.records import (
+    JOB_PREFIX,
     LEAD_KEY,
     STATE_PREFIX,
     encode_record,
@@ -72,6 +75,8 @@
 _PROVE_EVERY_S = 0.2
 #: For each order and question of a term.
 _NOTE_FAILURE = log_failure("term.task_failed")
+#: A submission that is to hold is written as so much earlier than its rival.
+_EARLIER_S = 0.001
 
 
 class TermOwner(Protocol):
@@ -132,6 +137,8 @@
         self._known: set[str] = set()
         self._writer = FencedWriter(self._store, epoch, lead.note_proof)
         self._versions = 0
+        self._settled: dict[str, frozenset[tuple[str, str]]] = {}
+        self._submissions: list[KeyedRecord] = []
         self._wake = asyncio.Event()
         self._tasks: set[asyncio.Task[Any]] = set()
         advising = Advising(
@@ -241,6 +248,7 @@
         for job_id, job in list(self._replica.unended()):
             self._known.add(job_id)
             self._add_job(job_id, job, now, unix)
+            self._settle_owner(job_id, job)
         # From here on changes are taken in as they are read.  Without a pause in
         # between: a job that is accepted in such a pause would be in neither.
         self._ready = True
@@ -270,6 +278,7 @@
         view = self._replica.jobs.get(job_id)
         if view is None or view.accepted is None:
             return
+        contested = self._settle_owner(job_id, view)
         if job_id not in self._known:
             # A job that ended in this term is known as well.  Its last record
             # may not have been read back yet when a late repeat of its
@@ -279,7 +288,7 @@
                 self._add_job(job_id, view, boot_time(), unix_time())
         elif view.cancelled:
             self.book.cancel(job_id, unix_time())
-        else:
+        elif not contested:
             # The lead's own record of a state, read back: nothing to decide.
             return
         self._wake.set()
@@ -297,6 +306,29 @@
         if view.cancelled:
             self.book.cancel(job_id, unix)
 
+    def _settle_owner(self, job_id: str, view: JobView) -> bool:
+        """Have the submission that the lead took in hold; return if it was contested.
+
+        Load: two client accounts submit one id at two instances, neither of which
+        knows of the other's yet; both are appended.  Harm: the store keeps the
+        newest record of a key only.  The first one's job, which may be running,
+        would become the second one's, and the first be told that there is no such
+        job.  Written again elsewhere as the earliest, it holds for all.
+        """
+        if not view.owners or view.owners == self._settled.get(job_id):
+            return False
+        self._settled[job_id] = view.owners
+        job, shown = self.book.jobs.get(job_id), view.accepted
+        assert shown is not None
+        holder = job.accepted if job is not None else shown
+        if holder.owner != shown.owner:
+            earlier = min(holder.accepted_at, shown.accepted_at - _EARLIER_S)
+            holder = attrs.evolve(holder, accepted_at=earlier)
+        log("job.contested", level="warning", job=job_id, owners=len(view.owners))
+        record = KeyedRecord(JOB_PREFIX + job_id, encode_record(holder))
+        self._submissions.append(record)
+        return True
+
     def on_config(self, config: CellConfig) -> None:
         """Go by another version of the configuration."""
         self.book.set_config(config)
@@ -478,6 +510,9 @@
             for link in self.links.values()
             if link.processed > link.ack
         ]
+        submissions, self._submissions = self._submissions, []
+        if submissions:
+            await self._append(submissions)
         if jobs:
             began = boot_time()
             records = [
