The adviser is not asked through an instance that still reads the cell's records

Cause: at its start an instance on a link of 5 Mbit/s reads the cell's records for nine seconds, which fill the link. It registers at once, so that others find it, and the lead takes its seat at the adviser for free: 257 questions through such instances were lost between 44 and 50 s, and each step waited for its timeout before it was asked elsewhere.

Ruled out: the adviser (the strong instances' questions were answered), and the lead, which had begun at 43.96 s.

Change: the record of an instance says whether it has read everything; it registers again once it has. The lead asks through the others, and itself. Of an instance's two records the later one holds in whatever order they come, also on two partitions. Registering moves from the mesh to services/_members, where the model of the mesh uses it as well.

test_adviser_is_not_asked_through_an_instance_whose_link_its_start_fills fails without the change of the lead: 33 questions. A test of refused starts looked at counts before the job was known everywhere, which a replica of at most a second may not tell; it waits for the job's state at all instances, as its neighbours do.

--- a/src/firhook/cell/_records.py
+++ b/src/firhook/cell/_records.py
@@ -153,6 +153,8 @@
     :param incarnation: unique for each run of the process.
     :param address: where it listens for its peers.
     :param strength: its processors, in cores.
+    :param reading: whether it has not read the cell's records to their end yet; its
+        link may be full of them.
     """
 
     name: str
@@ -160,6 +162,7 @@
     address: str
     zone: str
     strength: float = 1.0
+    reading: bool = False
 
 
 @attrs.frozen(slots=True)
--- a/src/firhook/cell/_replica.py
+++ b/src/firhook/cell/_replica.py
@@ -210,7 +210,7 @@
             if not values:
                 self.peers.pop(name, None)
             elif latest is not None or self.peers.get(name) not in values:
-                self.peers[name] = latest or values[0]
+                self.peers[name] = _newest_peer(latest or values[0], values)
         elif key == LEAD_KEY:
             self.lead = max(values, key=lambda v: (v.epoch, v.version), default=None)
         elif key == MESH_KEY and values:
@@ -266,6 +266,16 @@
     return _first(values, lambda v: (v.accepted_at, v.owner))
 
 
+def _newest_peer(applied: PeerRecord, values: list[PeerRecord]) -> PeerRecord:
+    """Return the record of an instance that holds.
+
+    Its two records may lie on two partitions, and be applied in any order; the one
+    that it wrote once it had read everything is the later one.
+    """
+    later = (v for v in values if v.incarnation == applied.incarnation)
+    return next((v for v in later if not v.reading), applied)
+
+
 def _first(values: list[Any], rank: Callable[[Any], Any]) -> Any:
     """Return the value of the lowest rank; ``None`` if there is none."""
     if len(values) == 1:
--- a/src/firhook/services/_advising.py
+++ b/src/firhook/services/_advising.py
@@ -67,7 +67,11 @@
         self._spawn(self._ask(wish, seat))
 
     def _current_seats(self) -> list[AdviserSeat]:
-        names = set(self._instance.replica.peers)
+        peers = self._instance.replica.peers.values()
+        # The records that an instance reads at its start fill its link for seconds,
+        # and a question through it is lost in the meantime.
+        names = {peer.name for peer in peers if not peer.reading}
+        names.add(self._instance.settings.name)
         if names != set(self._seats):
             self._seats = {n: self._seats.get(n) or AdviserSeat(n) for n in names}
         return list(self._seats.values())
--- a/src/firhook/services/_members.py
+++ b/src/firhook/services/_members.py
@@ -1,12 +1,29 @@
 """Who the other instances are."""
 
-from firhook.cell import Replica
-from firhook.cell.records import MEMBERS_AFTER, MEMBERS_UNTIL
+import asyncio
+import math
+
+from firhook.cell import PeerRecord, Replica
+from firhook.cell.records import (
+    MEMBERS_AFTER,
+    MEMBERS_UNTIL,
+    PEER_PREFIX,
+    encode_record,
+)
+from firhook.clock import boot_time
 from firhook.decide.election import Candidate
-from firhook.errors import RecordMalformedError
+from firhook.errors import FirhookError, RecordMalformedError
+from firhook.instance import InstanceService
 from firhook.logs import log
-from firhook.platform.store import CELL_TOPIC, Store
-from firhook.services._events import CALLERS_PARTITIONS
+from firhook.platform.store import CELL_TOPIC, KeyedRecord, Store
+from firhook.services._events import CALLERS_PARTITIONS, Record, ReplicaAge
+
+#: How long one try to register may take.
+_REGISTER_S = 2.0
+#: Between tries when the store does not answer.
+_RETRY_S = 0.2
+#: How often it is looked whether everything was read.
+_LOOK_S = 0.05
 
 
 async def read_members(store: Store, replica: Replica) -> int:
@@ -28,6 +45,58 @@
     return newest.end
 
 
+class Registration:
+    """Tells the other instances of this one, and of when it has read everything.
+
+    :param address: where it listens for its peers.
+    """
+
+    def __init__(self, service: InstanceService, address: str) -> None:
+        self._service = service
+        self._address = address
+
+    async def run(self) -> None:
+        """Register, and again once everything was read."""
+        reading = await self._reading()
+        await self._register(reading)
+        if not reading:
+            return
+        while await self._reading():
+            await asyncio.sleep(_LOOK_S)
+        if not self._service.instance.stopping:
+            await self._register(False)
+
+    async def _reading(self) -> bool:
+        return await self._service.bus.ask(ReplicaAge()) == math.inf
+
+    async def _register(self, reading: bool) -> None:
+        settings = self._service.settings
+        mine = PeerRecord(
+            settings.name,
+            self._service.instance.incarnation,
+            self._address,
+            settings.zone,
+            settings.strength,
+            reading,
+        )
+        record = KeyedRecord(PEER_PREFIX + mine.name, encode_record(mine))
+        while True:
+            try:
+                await self._service.bus.ask(Record(record, boot_time() + _REGISTER_S))
+                return
+            except FirhookError as exc:
+                log("mesh.register_retry", level="debug", error=repr(exc))
+                await asyncio.sleep(_RETRY_S)
+
+    async def withdraw(self) -> None:
+        """Tell the others that this instance answers no more questions soon."""
+        record = KeyedRecord(PEER_PREFIX + self._service.settings.name, None)
+        try:
+            await self._service.bus.ask(Record(record, boot_time() + _REGISTER_S))
+        except FirhookError as exc:
+            log("mesh.unregister_failed", level="warning", error=repr(exc))
+
+
 def candidates(replica: Replica) -> list[Candidate]:
     """Return the registered instances, as those that may lead or be asked."""
     return [
--- a/src/firhook/services/_mesh.py
+++ b/src/firhook/services/_mesh.py
@@ -8,9 +8,8 @@
 
 from firhook._mesh import Mesh
 from firhook.address import Address
-from firhook.cell import MeshKeys, PeerRecord
-from firhook.cell.records import MESH_KEY, PEER_PREFIX, encode_record
-from firhook.clock import boot_time
+from firhook.cell import MeshKeys
+from firhook.cell.records import MESH_KEY, encode_record
 from firhook.errors import FirhookError, FrameMalformedError, PeerUnreachableError
 from firhook.instance import InstanceService, StopBegun, register_service
 from firhook.logs import log
@@ -19,19 +18,16 @@
     CALLERS_PARTITIONS,
     AskInstance,
     CatchUp,
-    Record,
     ServeInstance,
     TellInstance,
     TellInstances,
 )
-from firhook.services._members import read_members
+from firhook.services._members import Registration, read_members
 
 #: Between tries when the store does not answer.
 _RETRY_S = 0.2
 #: How often the peers in the replica are compared with the connections.
 _REVIEW_S = 0.25
-#: How long one try to register may take.
-_REGISTER_S = 2.0
 
 
 @register_service("mesh")
@@ -45,6 +41,7 @@
     def wire(self) -> None:
         """Offer questions to peers."""
         self._mesh: Mesh | None = None
+        self._registration: Registration | None = None
         self._handlers: dict[type, Callable[[Any], Any]] = {}
         self._connected: dict[str, str] = {}
         self.bus.answer(AskInstance, self._ask)
@@ -54,15 +51,8 @@
         self.bus.subscribe(StopBegun, self._on_stop_begun)
 
     def _on_stop_begun(self, event: StopBegun) -> None:
-        self.add_future(self._unregister())
-
-    async def _unregister(self) -> None:
-        """Tell the others that this instance answers no more questions soon."""
-        record = KeyedRecord(PEER_PREFIX + self.settings.name, None)
-        try:
-            await self.bus.ask(Record(record, boot_time() + _REGISTER_S))
-        except FirhookError as exc:
-            log("mesh.unregister_failed", level="warning", error=repr(exc))
+        if self._registration is not None:
+            self.add_future(self._registration.withdraw())
 
     def _on_tell(self, event: TellInstances) -> None:
         if self._mesh is not None:
@@ -86,7 +76,8 @@
         bound = mesh.bind(Address(self.settings.ip, self.settings.peer_port))
         self._mesh = mesh
         self.add_future(mesh.run())
-        await self._register(str(bound))
+        self._registration = Registration(self, str(bound))
+        self.add_future(self._registration.run())
         while not self.should_stop:
             self._review()
             await asyncio.sleep(_REVIEW_S)
@@ -115,23 +106,6 @@
                 log("mesh.keys_retry", level="debug", error=repr(exc))
                 await asyncio.sleep(_RETRY_S)
 
-    async def _register(self, address: str) -> None:
-        mine = PeerRecord(
-            self.settings.name,
-            self.instance.incarnation,
-            address,
-            self.settings.zone,
-            self.settings.strength,
-        )
-        record = KeyedRecord(PEER_PREFIX + mine.name, encode_record(mine))
-        while True:
-            try:
-                await self.bus.ask(Record(record, boot_time() + _REGISTER_S))
-                return
-            except FirhookError as exc:
-                log("mesh.register_retry", level="debug", error=repr(exc))
-                await asyncio.sleep(_RETRY_S)
-
     def _review(self) -> None:
         """Connect to the peers that are registered, and to no others."""
         assert self._mesh is not None
--- a/standins/model/_adviser.py
+++ b/standins/model/_adviser.py
@@ -1,6 +1,7 @@
 """The service that knows which workers may run a step."""
 
 import hashlib
+from collections import Counter
 
 from firhook.cell import Advice
 from firhook.platform.workers import Adviser
@@ -11,6 +12,8 @@
     """Answers each instance's questions one after the other.
 
     :param good: the share of workers that may run a step.
+    :ivar calls: how often it was asked.
+    :ivar asked_through: the same by instance.
     """
 
     def __init__(
@@ -19,6 +22,7 @@
         self.base_s, self.per_worker_s = base_s, per_worker_s
         self.valid_s, self.good = valid_s, good
         self.calls = 0
+        self.asked_through: Counter[str] = Counter()
         self.down = False
         self._free_at: dict[str, float] = {}
 
@@ -42,6 +46,7 @@
     ) -> Advice:
         """Answer in turn."""
         self.calls += 1
+        self.asked_through[instance] += 1
         begins = max(now(), self._free_at.get(instance, 0.0))
         ends = begins + self.takes_s(step, len(workers))
         self._free_at[instance] = ends
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -14,27 +14,24 @@
 from firhook._instance import Instance, InstanceService, load_services
 from firhook._peer_messages import RecordsPush
 from firhook.address import Address
-from firhook.cell import JobStatus, PeerRecord, Resources
-from firhook.cell.records import PEER_PREFIX, encode_record
-from firhook.clock import boot_time, set_clocks
+from firhook.cell import JobStatus, Resources
+from firhook.clock import set_clocks
 from firhook.errors import FirhookError, PeerUnreachableError
 from firhook.platform.connections import Connections
 from firhook.platform.instance import Bounds, InstanceSettings, StoreLimits
 from firhook.platform.store import (
     OPERATOR_TOPIC,
     WORKER_TOPIC,
-    KeyedRecord,
 )
 from firhook.platform.workers import Workers
 from firhook.services._callers import Callers
 from firhook.services._events import (
     AskInstance,
-    Record,
     ServeInstance,
     TellInstance,
     TellInstances,
 )
-from firhook.services._members import read_members
+from firhook.services._members import Registration, read_members
 from standins.model._adviser import ModelAdviser
 from standins.model._checks import Checks
 from standins.model._store import ModelStore
@@ -157,21 +154,12 @@
         self.add_future(self._register())
 
     async def _register(self) -> None:
-        name = self.settings.name
-        mine = PeerRecord(
-            name,
-            self.instance.incarnation,
-            name,
-            self.settings.zone,
-            self.settings.strength,
-        )
-        record = KeyedRecord(PEER_PREFIX + name, encode_record(mine))
         while True:
             with contextlib.suppress(FirhookError):
                 await read_members(self.store, self.replica)
-                await self.bus.ask(Record(record, boot_time() + 2.0))
-                return
+                break
             await pause(0.1)
+        await Registration(self, self.settings.name).run()
 
     async def _ask(self, query: AskInstance) -> Any:
         await pause(NET_S)
--- a/tests/services/test_members.py
+++ b/tests/services/test_members.py
@@ -1,11 +1,15 @@
 """How an instance finds the others when it starts."""
 
+import pytest
+
 from firhook._instance import Instance
-from firhook.cell import MeshKeys, PeerRecord
+from firhook.cell import MeshKeys, PeerRecord, Replica
 from firhook.cell.records import MESH_KEY, PEER_PREFIX, encode_record
 from firhook.platform.store import CELL_TOPIC
 from firhook.services._mesh import MeshService
-from standins.model import ModelCell, now, run_virtual
+from standins.model import ModelCell, now, pause, run_virtual
+from tests.services.scenes import play as play_scene
+from tests.services.scenes import step
 
 
 def test_instance_finds_its_peers_before_it_has_read_the_jobs():
@@ -30,3 +34,42 @@
         assert not fresh.replica.jobs
 
     run_virtual(play())
+
+
+def test_adviser_is_not_asked_through_an_instance_whose_link_its_start_fills():
+    """After a loss of power half of the questions were lost at thin links."""
+
+    async def scene(cell):
+        cell.kill("i2")
+        cell.store.transfer_s["i2", 1] = 4.0
+        await pause(1.0)
+        await cell.restart("i2")
+        await pause(0.5)
+        asked = cell.adviser.asked_through["i2"]
+        began = now()
+        while now() - began < 2.5:
+            await cell.submit([step(2)], work_s=0.1)
+            await pause(0.02)
+        assert cell.adviser.asked_through["i2"] == asked
+        cell.store.transfer_s.clear()
+        await pause(6.0)
+        for _ in range(100):
+            await cell.submit([step(2)], work_s=0.1)
+        assert cell.adviser.asked_through["i2"] > asked
+        await cell.all_done(20.0)
+
+    play_scene(scene, instances=3, workers=6, advised=True)
+
+
+@pytest.mark.parametrize("partitions", [(1, 3), (3, 1)])
+def test_instance_that_has_read_everything_is_known_as_such(partitions):
+    """Its two records may lie on two partitions, and come in any order."""
+    early = PeerRecord("p", "1", "a:1", "z0", 1.0, reading=True)
+    late = PeerRecord("p", "1", "a:1", "z0", 1.0, reading=False)
+    replica, key = Replica(), PEER_PREFIX + "p"
+    replica.apply(5, key, encode_record(late), partitions[1])
+    replica.apply(9, key, encode_record(early), partitions[0])
+    assert replica.peers["p"] == late
+    again = PeerRecord("p", "2", "a:1", "z0", 1.0, reading=True)
+    replica.apply(10, key, encode_record(again), partitions[0])
+    assert replica.peers["p"] == again
--- a/tests/services/test_pending.py
+++ b/tests/services/test_pending.py
@@ -116,7 +116,7 @@
 
             worker.start = refuse
         job, _ = await cell.submit([step(1)])
-        await cell.until(lambda: asked, 1.0)
+        await cell.until(lambda: asked and assigned(cell, job), 1.0)
         await check_waits(cell, job, 3.0)
         for worker in cell.workers.values():
             del worker.start
