What the lead hands on at once is split into messages that can be sent

The lead gathers for 15 ms what all instances append, and tells it in one message. Beyond 4 MB that is refused by the mesh with an error, which in work of a service ends the process: 18 jobs of 250 kB from six instances in one moment were 4.5 MB. The next lead ends of the same.

Change: batches beyond 1 MB go in a message of their own. One append takes 2 MB at most, so that a single batch fits.

Ruled out: what instances tell the lead, which is one append each, 1 MB at most; the lead's own states, 2 MB an append.

--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -61,6 +61,9 @@
 #: The lead gathers for so long what it hands on to the other instances.  Callers
 #: see a job's end so much later; a quote has some 500 ms to spare.
 _PUSH_GATHER_S = 0.015
+#: Batches beyond this go in a message of their own.  One append takes 2 MB at most
+#: and a message between instances 4 MB.
+_PUSH_BYTES = 1 << 20
 #: Between tries when the store does not answer.
 _RETRY_S = 0.15
 #: The replica counts as followed if a read was answered so lately: some reads,
@@ -292,8 +295,9 @@
             await self._has_outbox.wait()
             self._has_outbox.clear()
             await asyncio.sleep(_PUSH_GATHER_S)
-            batches, self._outbox = tuple(self._outbox), []
-            self.bus.publish(TellInstances(RecordsPush(batches)))
+            batches, self._outbox = self._outbox, []
+            for push in _pushes(batches):
+                self.bus.publish(TellInstances(push))
 
     def _take(
         self, partition: int, offset: int, records: tuple[KeyedRecord, ...]
@@ -678,6 +682,25 @@
         return rest
 
 
+def _pushes(batches: list[PushedBatch]) -> list[RecordsPush]:
+    """Return messages that hold all batches in order.
+
+    Load: several instances append large jobs at the same moment.  Harm: in one
+    message that is too long to be sent, they ended the lead's process, and after it
+    that of the next lead.
+    """
+    pushes: list[list[PushedBatch]] = [[]]
+    size = 0
+    for batch in batches:
+        length = sum(len(row.key) + len(row.value or b"") for row in batch.records)
+        if pushes[-1] and size + length > _PUSH_BYTES:
+            pushes.append([])
+            size = 0
+        pushes[-1].append(batch)
+        size += length
+    return [RecordsPush(tuple(rows)) for rows in pushes]
+
+
 def _unexpired(batch: list[_Pending], exc: FirhookError) -> list[_Pending]:
     """Give up the records whose time is up; return the others."""
     now = boot_time()
--- a/tests/services/test_lead.py
+++ b/tests/services/test_lead.py
@@ -5,8 +5,12 @@
 import attrs
 import pytest
 
+from firhook._mesh import MAX_FRAME_BYTES, pack_frame
 from firhook._peer_messages import RecordsPush
+from firhook.clock import boot_time
 from firhook.platform.instance import Bounds
+from firhook.platform.store import KeyedRecord
+from firhook.services._events import Record, TellInstances
 from standins.model import ModelCell, ModelRequest, now, pause, run_virtual
 
 
@@ -514,6 +518,38 @@
     run_virtual(play())
 
 
+def test_large_records_of_many_instances_at_once_fit_into_messages():
+    """Six instances append 0.75 MB each for their callers in the same moment.
+
+    The lead gathered all of it in one message, which was too long to be sent; its
+    process ended, and after it that of the next lead.
+    """
+    size = 250_000
+
+    async def play():
+        cell = ModelCell(instances=7, workers=0)
+        cell.drops = 0.0
+        await cell.begin()
+        lead, told = cell.lead(), []
+        lead.instance.bus.subscribe(TellInstances, told.append)
+        others = [i for i in cell.instances.values() if i is not lead]
+        keys = [f"cancel/{n:016x}" for n in range(3 * len(others))]
+        asks = [
+            others[n % len(others)].instance.bus.ask(
+                Record(KeyedRecord(key, bytes(size)), boot_time() + 2.0)
+            )
+            for n, key in enumerate(keys)
+        ]
+        await asyncio.gather(*asks)
+        await pause(0.2)
+        pushes = [e.body for e in told if isinstance(e.body, RecordsPush)]
+        assert all(len(pack_frame(push)) < MAX_FRAME_BYTES for push in pushes)
+        rows = [r for push in pushes for b in push.batches for r in b.records]
+        assert {row.key for row in rows} >= set(keys)
+
+    run_virtual(play())
+
+
 def test_two_instances_that_take_themselves_for_the_lead_do_not_echo_each_other():
     """A lead was cut off, does not know yet that it was replaced, and hears its
     successor again.
