An instance that loses its metrics' port while it binds it goes on serving

An instance ended at its start with `instance.crashed`, "[Errno 98] Address already in use" and no address, when another instance of the host started in the same moment.

Cause: `bound_socket` turned only a failed bind into AddressUnusableError. With SO_REUSEADDR two sockets both bind a port on which nobody listens yet, and the second one's listen fails. For metrics that came later, from `SockSite.start`, outside of the `try` that lets an instance serve without them.

`listening_socket` replaces it: it binds and listens, and says the address in AddressUnusableError for either. The early start listens by it as well.

Evidence: the test lets the other socket listen between this one's bind and its listen.

--- a/src/firhook/_early.py
+++ b/src/firhook/_early.py
@@ -6,7 +6,7 @@
 from socket import socket
 from types import FrameType
 
-from firhook._sockets import BACKLOG, bound_socket
+from firhook._sockets import listening_socket
 from firhook.errors import AddressUnusableError
 from firhook.platform.early import callers_address
 
@@ -40,10 +40,8 @@
         if address is None:
             return None
         try:
-            sock = bound_socket(*address)
+            return listening_socket(*address)
         except AddressUnusableError as exc:
             # Tried again, and told as the reason of a failed start, by who serves.
             print(exc, file=sys.stderr)
             return None
-        sock.listen(BACKLOG)
-        return sock
--- a/src/firhook/_sockets.py
+++ b/src/firhook/_sockets.py
@@ -9,8 +9,11 @@
 BACKLOG = 512
 
 
-def bound_socket(host: str, port: int) -> socket.socket:
-    """Return a socket that is bound and ready to listen.
+def listening_socket(host: str, port: int) -> socket.socket:
+    """Return a socket that listens, not blocking.
+
+    Two processes that start together can both bind a port on which nobody
+    listens yet; the second one's listening fails then.
 
     :raises AddressUnusableError: if another process has the port, or this host
         does not have the address.
@@ -20,6 +23,7 @@
     sock.setblocking(False)
     try:
         sock.bind((host, port))
+        sock.listen(BACKLOG)
     except OSError as exc:
         sock.close()
         raise AddressUnusableError(f"{host}:{port}: {exc.strerror}") from exc
--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from firhook._sockets import bound_socket
+from firhook._sockets import listening_socket
 from firhook._web import (
     DrainedSite,
     problem_response,
@@ -108,7 +108,7 @@
         )
         runner = web.ServerRunner(server, shutdown_timeout=_CUT_OFF_S)
         await runner.setup()
-        sock = sock or bound_socket(address.host, address.port)
+        sock = sock or listening_socket(address.host, address.port)
         await DrainedSite(runner, sock).start()
         self._runners.append(runner)
 
--- a/src/firhook/services/_metrics.py
+++ b/src/firhook/services/_metrics.py
@@ -12,7 +12,7 @@
 )
 from prometheus_client.registry import Collector
 
-from firhook._sockets import bound_socket
+from firhook._sockets import listening_socket
 from firhook.clock import boot_time
 from firhook.errors import AddressUnusableError
 from firhook.instance import Instance, InstanceService, register_service
@@ -86,7 +86,7 @@
         self._runner = web.ServerRunner(web.Server(self._serve, access_log=None))
         await self._runner.setup()
         try:
-            sock = bound_socket(self.settings.ip, METRICS_PORT)
+            sock = listening_socket(self.settings.ip, METRICS_PORT)
         except AddressUnusableError as exc:
             # An instance without metrics serves; one that ended here would not.
             log("metrics.unavailable", level="error", error=str(exc))
--- a/tests/failures/test_ports.py
+++ b/tests/failures/test_ports.py
@@ -3,8 +3,13 @@
 import asyncio
 import socket
 
+import aiohttp
 import pytest
 
+from firhook.instance import Instance
+from firhook.platform.connections import HttpConnections
+from firhook.platform.instance import load_instance_settings, new_session
+from firhook.services import _metrics
 from standins.model import HttpModel, Process, ReservedPorts, _ports
 
 
@@ -50,3 +55,44 @@
         assert not any("Session is closed" in str(line) for line in errors)
 
     asyncio.run(play())
+
+
+def test_two_that_bind_the_metrics_port_at_once_both_serve(
+    tmp_path, monkeypatch, caplog
+):
+    """Of two instances of a host that started together, one ended."""
+
+    async def play():
+        model, reserved = HttpModel(), ReservedPorts()
+        await model.start()
+        ports = reserved.take(3)
+        settings = load_instance_settings(model.settings(tmp_path, "i0", ports))
+        with socket.socket() as other:
+            other.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            other.bind(("127.0.0.1", 0))
+            monkeypatch.setattr(_metrics, "METRICS_PORT", other.getsockname()[1])
+
+            class Second(socket.socket):
+                """A socket that listens where the other one just began to."""
+
+                def listen(self, *backlog):
+                    if self.getsockname() == other.getsockname():
+                        other.listen()
+                    super().listen(*backlog)
+
+            async with new_session() as session:
+                instance = Instance(settings, HttpConnections(settings, session))
+                with monkeypatch.context() as patch:
+                    patch.setattr(socket, "socket", Second)
+                    await instance.start()
+                url = f"http://127.0.0.1:{ports[1]}/-/readiness"
+                async with aiohttp.ClientSession() as http, http.get(url) as resp:
+                    assert resp.status in (200, 503)
+                await instance.stop()
+        reserved.close()
+        await model.stop()
+        return settings.ip, _metrics.METRICS_PORT
+
+    ip, port = asyncio.run(play())
+    [told] = [r for r in caplog.records if r.message == "metrics.unavailable"]
+    assert told.error.startswith(f"{ip}:{port}: Address already in use")
