Callers that connect as an instance closes its sockets are served

A caller cannot tell then whether its job was accepted.

Cause: at its stop an instance accepts whoever has connected, and closes the runner in the same breath. To the runner a connection whose request has not been read yet is an idle one: it is closed, or not even known to the server yet, and the caller, who has just connected, finds it closed as it writes. `drain` waits for connections to end, but those made after that wait met this.

Change: `close_served` closes the listening sockets first, with those accepted made known to the server, waits up to 0.3 s until callers have sent and been answered (with "Connection: close"), and closes the runner only then. The probe's runner is closed as before, now after the callers'.

Remaining: a connection that the kernel completes between the last accept and the close of the listening socket is still reset.

--- a/src/firhook/_web.py
+++ b/src/firhook/_web.py
@@ -130,6 +130,8 @@
         """Accept what waits, and close."""
         self._accept_waiting()
         await super().stop()
+        if self._accepted:
+            await asyncio.wait(self._accepted)
 
     def _accept_waiting(self) -> None:
         loop = asyncio.get_running_loop()
@@ -168,6 +170,22 @@
         waited_s += _LET_GO_STEP_S
 
 
+async def close_served(runner: web.BaseRunner, most_s: float) -> None:
+    """Close a runner without cutting callers who connected just before.
+
+    A connection whose request has not come yet looks idle, and closing the
+    runner would close it while its caller sends.
+
+    :param most_s: callers that have sent nothing after this are cut.
+    """
+    for site in list(runner.sites):
+        await site.stop()
+    # The loop may have accepted connections that the server does not know yet.
+    await asyncio.sleep(_LET_GO_STEP_S)
+    await wait_let_go(runner, most_s)
+    await runner.cleanup()
+
+
 async def serve(routes: list[web.RouteDef], host: str, port: int, max_body: int) -> Any:
     """Start serving routes; return the runner and the port it got."""
     app = web.Application(middlewares=[problems], client_max_size=max_body)
--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -9,6 +9,7 @@
 from firhook._sockets import listening_socket
 from firhook._web import (
     DrainedSite,
+    close_served,
     problem_response,
     wait_let_go,
 )
@@ -67,6 +68,8 @@
 #: Callers' connections wait so long at a start for the first configuration.
 _FIRST_CONFIG_S = 0.5
 _FIRST_CONFIG_STEP_S = 0.01
+#: Callers that connected just before have so long to send, in seconds.
+_LAST_REQUESTS_S = 0.3
 #: Requests that are being answered then have so long, in seconds.
 _CUT_OFF_S = 0.3
 #: An idle connection is kept so long.
@@ -126,7 +129,10 @@
 
     async def on_stop(self) -> None:
         """Close all sockets."""
-        for runner in self._runners:
+        for runner in self._runners[1:]:
+            await close_served(runner, _LAST_REQUESTS_S)
+        # The platform may keep the connections of its probe.
+        for runner in self._runners[:1]:
             await runner.cleanup()
 
     # The platform's probe.
--- a/tests/failures/test_instances.py
+++ b/tests/failures/test_instances.py
@@ -5,7 +5,10 @@
 
 import pytest
 
-from standins.model import KEY, Processes, until
+from firhook.instance import Instance
+from firhook.platform.connections import HttpConnections
+from firhook.platform.instance import load_instance_settings, new_session
+from standins.model import KEY, HttpModel, Processes, ReservedPorts, until
 
 
 def test_jobs_survive_the_lead_being_killed(tmp_path):
@@ -124,6 +127,49 @@
     asyncio.run(play())
 
 
+def test_caller_that_connected_as_the_sockets_close_is_served(tmp_path):
+    """A caller connects when an instance is about to close, and then sends.
+
+    Its connection looked like one that nobody uses and was closed under the
+    request; the user could not tell whether the job was accepted.
+    """
+
+    async def play():
+        model, reserved = HttpModel(), ReservedPorts()
+        await model.start()
+        ports = reserved.take(3)
+        settings = load_instance_settings(model.settings(tmp_path, "i0", ports))
+        async with new_session() as session:
+            instance = Instance(settings, HttpConnections(settings, session))
+            await instance.start()
+            try:
+                reader, writer = await connected(ports[0])
+                instance.stopping = True
+                closing = asyncio.create_task(instance.services["callers"].on_stop())
+                await asyncio.sleep(0.1)
+                writer.write(b"GET /plan/00000000000000aa HTTP/1.1\r\nHost: x\r\n\r\n")
+                answer = await asyncio.wait_for(reader.read(), 3.0)
+                writer.close()
+                await closing
+            finally:
+                await instance.stop()
+        reserved.close()
+        await model.stop()
+        return answer
+
+    async def connected(port):
+        for _ in range(100):
+            try:
+                return await asyncio.open_connection("127.0.0.1", port)
+            except ConnectionRefusedError:
+                await asyncio.sleep(0.05)
+        raise AssertionError("nobody listens")
+
+    answer = asyncio.run(play())
+    assert answer.startswith(b"HTTP/1.1 ")
+    assert b"Connection: close" in answer
+
+
 def test_instance_whose_logs_nobody_reads_goes_on_serving(tmp_path):
     """Whoever collects the logs stalls, and the pipe to it fills up.
 
