A message that came while another was refused is read

Trying to send to a peer whose queue is full takes the socket's only signal that a message came, as sending does, but returned before looking at it: that message waited for the next one.

Change: the socket's state is looked at after a failure too. The new test fails before (not read within 5 s).

--- a/src/firhook/_loop_socket.py
+++ b/src/firhook/_loop_socket.py
@@ -44,12 +44,14 @@
         """
         try:
             self.sock.send_multipart(frames, zmq.NOBLOCK)
+            taken = True
         except zmq.ZMQError:
-            return False
-        # Sending takes the signal that a message came, which is given only once.
+            taken = False
+        # Trying to send takes the signal that a message came, which is given only
+        # once.
         if self._reading and self.sock.getsockopt(zmq.EVENTS) & zmq.POLLIN:
             self._read_soon()
-        return True
+        return taken
 
     def _read_soon(self) -> None:
         if not self._due:
--- a/tests/test_loop_socket.py
+++ b/tests/test_loop_socket.py
@@ -17,8 +17,11 @@
         self.taken = []
         self.ctx = zmq.Context()
         self.peer = self.ctx.socket(zmq.DEALER)
+        self.peer.rcvhwm = 1
         port = self.peer.bind_to_random_port("tcp://127.0.0.1")
         sock = self.ctx.socket(zmq.DEALER)
+        sock.sndhwm = 1
+        sock.linger = 0
         sock.connect(f"tcp://127.0.0.1:{port}")
         self.end = LoopSocket(sock, on_message or self.take)
         self.end.start()
@@ -102,3 +105,18 @@
             await asyncio.sleep(0.01)
 
     play(scenario, on_message)
+
+
+def test_message_that_came_while_another_was_refused_is_taken(play):
+    """A message that cannot be sent takes the only signal just as one that is."""
+
+    async def scenario(ends):
+        full = 0
+        while full < 5:
+            full = 0 if ends.end.send([bytes(1 << 20)]) else full + 1
+            await asyncio.sleep(0.02)
+        ends.send(1)
+        assert not ends.end.send([b"x"])
+        await until_taken(ends, 1)
+
+    play(scenario)
