A caller is told the truth, and in time, of a record that goes two ways to the store

Found in review, each shown by a test that failed before:

- A job was refused with 503 and "not run" though it was recorded.
While the lead had the record, an append of the instance's own was refused and the record given up as not sent; and a refusal cleared what was known of the other way.
A record now counts its appends, here and at the lead, that are under way or got no answer; with one left its outcome is unknown (test_job_that_the_lead_may_be_recording_is_not_refused).
- A caller with 700 ms was answered after 1.5 s: its record was given up only with the call before it, which was for others.
Its own time ends the wait now (test_caller_is_answered_within_its_time_though_others_may_wait_longer).

The wait after a refusal no longer counts as time that the append took, or a store that turns an instance away at once would send its records through the lead.

--- a/src/firhook/services/_appends.py
+++ b/src/firhook/services/_appends.py
@@ -10,7 +10,13 @@
 from firhook.decide.reach import StoreReach
 from firhook.errors import FirhookError, LogOutcomeUnknownError, LogUnavailableError
 from firhook.logs import log
-from firhook.platform.store import CELL_TOPIC, KeyedRecord, Store, encode_keyed
+from firhook.platform.store import (
+    CELL_TOPIC,
+    Appended,
+    KeyedRecord,
+    Store,
+    encode_keyed,
+)
 from firhook.services._batches import split_records
 from firhook.services._events import RecordsAppended
 
@@ -34,7 +40,8 @@
 
     :ivar until: when its asker gives up, on the boot clock.
     :ivar done: its offset.
-    :ivar tried: whether an append of it is under way, or got no answer.
+    :ivar open: its appends, here or at the lead, that are under way or got no
+        answer.
     """
 
     record: KeyedRecord
@@ -42,7 +49,7 @@
     done: asyncio.Future[int] = attrs.field(
         factory=lambda: asyncio.get_running_loop().create_future()
     )
-    tried: bool = False
+    open: int = 0
 
     def settle(self, offset: int) -> None:
         """Take note of where the record lies, unless that is known."""
@@ -53,7 +60,7 @@
         """Give up, and say whether it may have been recorded."""
         if self.done.done():
             return
-        if self.tried:
+        if self.open:
             self.done.set_exception(LogOutcomeUnknownError(exc.detail))
         else:
             error = LogUnavailableError(exc.detail, retry_after_s=exc.retry_after_s)
@@ -65,7 +72,7 @@
         Nobody would be told what becomes of the record; so the log is.
         """
         if self.done.cancel():
-            outcome = "unknown" if self.tried else "not_sent"
+            outcome = "unknown" if self.open else "not_sent"
         else:
             exc = self.done.exception()
             outcome = "recorded" if exc is None else repr(exc)
@@ -146,18 +153,11 @@
         batch, rest = batch[:count], batch[count:]
         left_s = max(row.until for row in batch) - boot_time()
         partition = self._partition()
-        untried = [row for row in batch if not row.tried]
         for row in batch:
-            row.tried = True
+            row.open += 1
         call = self._reach.sent(partition, boot_time())
-        self._route.own_sent(boot_time())
         try:
-            done = await self._store.append(
-                CELL_TOPIC,
-                partition,
-                [encode_keyed(row.record) for row in batch],
-                timeout_s=min(max(left_s, 0.05), APPEND_S),
-            )
+            done = await self._send(partition, batch, left_s)
         except LogOutcomeUnknownError as exc:
             self._failed_at[partition] = boot_time()
             self._reach.failed(partition, call)
@@ -165,14 +165,12 @@
         except FirhookError as exc:
             self._failed_at[partition] = boot_time()
             self._reach.failed(partition, call)
-            for row in untried:
-                row.tried = False
+            for row in batch:
+                row.open -= 1
             batch = _unexpired(batch, exc)
             if batch:
                 await asyncio.sleep(_RETRY_S)
             return batch + rest
-        finally:
-            self._route.own_ended(boot_time())
         self._reach.answered(partition, call, boot_time())
         records = tuple(row.record for row in batch)
         self._appended(RecordsAppended(partition, done.offset, records))
@@ -180,6 +178,20 @@
             row.settle(done.offset + i)
         return rest
 
+    async def _send(
+        self, partition: int, batch: list[PendingAppend], left_s: float
+    ) -> Appended:
+        self._route.own_sent(boot_time())
+        try:
+            return await self._store.append(
+                CELL_TOPIC,
+                partition,
+                [encode_keyed(row.record) for row in batch],
+                timeout_s=min(max(left_s, 0.05), APPEND_S),
+            )
+        finally:
+            self._route.own_ended(boot_time())
+
 
 def _unexpired(batch: list[PendingAppend], exc: FirhookError) -> list[PendingAppend]:
     """Give up the records whose time is up; return the others."""
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -535,10 +535,13 @@
             if not pending.done.done():
                 self._own.add(pending)
             while not pending.done.done():
-                await asyncio.wait({pending.done}, timeout=_REACH_EVERY_S)
+                left_s = max(pending.until - boot_time(), 0.0)
+                await asyncio.wait({pending.done}, timeout=min(left_s, _REACH_EVERY_S))
                 if pending.done.done():
                     break
-                if not self._reachable:
+                if boot_time() >= pending.until:
+                    pending.expire(_not_in_time())
+                elif not self._reachable:
                     await self._settle_elsewhere(pending)
                 elif self._through_lead():
                     await self._append_through_lead(pending)
@@ -553,10 +556,11 @@
 
     async def _settle_elsewhere(self, pending: PendingAppend) -> None:
         """End the wait for a store that is out of reach."""
+        left_s = pending.until - boot_time()
         try:
-            reply = await self._relay(pending.record, _RELAY_S)
+            reply = await self._relay(pending, min(_RELAY_S, left_s))
         except LogOutcomeUnknownError:
-            pending.tried, reply = True, None
+            reply = None
         if reply is not None:
             pending.settle(reply.offset)
         pending.expire(
@@ -573,9 +577,7 @@
         """
         left_s = pending.until - boot_time()
         if left_s < _LEAST_S:
-            pending.expire(
-                LogUnavailableError("the store is slow", retry_after_s=_AWAY_RETRY_S)
-            )
+            pending.expire(_not_in_time())
             return
         if self._leads():
             self._gathered.add(pending)
@@ -583,9 +585,7 @@
             await asyncio.wait({pending.done}, timeout=left_s)
             self._route.lead_took(boot_time() - began)
             return
-        relaying = asyncio.create_task(
-            self._relay(pending.record, min(left_s, APPEND_S))
-        )
+        relaying = asyncio.create_task(self._relay(pending, min(left_s, APPEND_S)))
         relaying.add_done_callback(_NOTE_UNHEARD_RELAY)
         try:
             await asyncio.wait({relaying, pending.done}, return_when=FIRST_COMPLETED)
@@ -593,7 +593,7 @@
                 return
             reply = relaying.result()
         except LogOutcomeUnknownError:
-            pending.tried, reply = True, None
+            reply = None
         finally:
             relaying.cancel()
         if reply is None:
@@ -602,24 +602,33 @@
         self._route.lead_took(reply.took_s)
         pending.settle(reply.offset)
 
-    async def _relay(self, record: KeyedRecord, within_s: float) -> AppendReply | None:
+    async def _relay(
+        self, pending: PendingAppend, within_s: float
+    ) -> AppendReply | None:
         """Have the lead append a record; return ``None`` if it did not.
 
+        The record is open until the lead says so: an append of this instance that
+        is refused meanwhile does not mean that it was not recorded.
+
         :raises LogOutcomeUnknownError: if the lead did not say.
         """
         lead = await self.bus.ask(HeardLead())
         if not lead:
             return None
-        body = AppendAsk(PushedRecord(record.key, record.value), within_s)
+        record = PushedRecord(pending.record.key, pending.record.value)
+        body = AppendAsk(record, within_s)
+        pending.open += 1
         try:
             reply = await self.bus.ask(AskInstance(lead, body, within_s))
         except PeerUnreachableError as exc:
             if exc.ran == "no":
+                pending.open -= 1
                 return None
             raise LogOutcomeUnknownError(
                 f"through {lead}: {exc.detail}", retry_after_s=_ELSEWHERE_RETRY_S
             ) from exc
         if not isinstance(reply, AppendReply) or not reply.taken:
+            pending.open -= 1
             return None
         self.meters.count("relayed", lead)
         return reply
@@ -634,7 +643,7 @@
         self._gathered.add(pending)
         try:
             await asyncio.wait({pending.done}, timeout=pending.until - boot_time())
-            pending.expire(LogUnavailableError("not in time"))
+            pending.expire(_not_in_time())
             offset = await pending.done
         except LogUnavailableError as exc:
             log("relay.refused", level="warning", key=record.key, error=exc.detail)
@@ -648,6 +657,12 @@
         return AppendReply(True, offset, boot_time() - began)
 
 
+def _not_in_time() -> LogUnavailableError:
+    return LogUnavailableError(
+        "the store did not answer in time", retry_after_s=_AWAY_RETRY_S
+    )
+
+
 def _pushes(batches: list[PushedBatch]) -> list[RecordsPush]:
     """Return messages that hold all batches in order.
 
--- /dev/null
+++ b/tests/services/test_appends.py
@@ -0,0 +1,65 @@
+"""What callers are told of records that go more than one way to the store."""
+
+import asyncio
+
+from firhook.platform.store import CELL_TOPIC
+from standins.model import ModelRequest, now, pause
+from tests.services.scenes import play
+
+JOB = b'{"specification":"x","steps":[{"count":1,"millicpus":1000}]}'
+JOB_ID = f"{7:016x}"
+
+
+def other_than_lead(cell):
+    """Return an instance that does not lead, and its name."""
+    name = next(n for n, i in cell.instances.items() if i is not cell.lead())
+    return cell.instances[name], name
+
+
+def is_stored(cell, key):
+    """Return whether any partition of the cell's topic has a value of a key."""
+    parts = [cell.store.partition(CELL_TOPIC, number) for number in range(4)]
+    return any(key in part.newest for part in parts)
+
+
+def test_job_that_the_lead_may_be_recording_is_not_refused():
+    """An instance that was turned away said "not run" of a job on its way to the lead.
+
+    Its own append was refused while the lead had the record; the job ran all the
+    same.
+    """
+
+    async def scene(cell):
+        other, name = other_than_lead(cell)
+        cell.store.slow = 110.0
+        await pause(0.5)
+        cell.store.mode[name] = "busy"
+        req = ModelRequest("POST", f"/plan/{JOB_ID}", JOB, deadline_ms=590)
+        status, body = await other.call(req)
+        await pause(2.0)
+        assert is_stored(cell, f"job/{JOB_ID}")
+        assert status in (200, 504), body
+
+    play(scene, instances=3)
+
+
+def test_caller_is_answered_within_its_time_though_others_may_wait_longer():
+    """A record was given up only once the call before it, for others, had ended."""
+
+    async def scene(cell):
+        other, name = other_than_lead(cell)
+        cell.cuts += [{name, peer} for peer in cell.instances if peer != name]
+        cell.store.slow = 60.0
+        await pause(2.0)
+        cell.store.mode[name] = "silent"
+        path = "/plan/" + "e" * 16
+        patient = asyncio.create_task(other.call(ModelRequest("POST", path, JOB)))
+        await pause(0.05)
+        began = now()
+        req = ModelRequest("POST", f"/plan/{JOB_ID}", JOB, deadline_ms=700)
+        status, _ = await other.call(req)
+        assert now() - began <= 0.7
+        assert status == 503
+        await patient
+
+    play(scene, instances=3)
