An instance that withdraws is listed on no partition

Found in review: the records of an instance may lie on two partitions since some go through the lead. Withdrawn on one, it stayed listed by the other, and was asked for advice; and an instance that starts read the addresses on one partition only.

Change: a withdrawal goes to each partition that holds a record of the instance, and the range of addresses is read on both partitions that registrations go to.

test_instance_that_withdraws_is_listed_on_no_partition fails before.

--- a/src/firhook/services/_members.py
+++ b/src/firhook/services/_members.py
@@ -15,7 +15,7 @@
 from firhook.errors import FirhookError, RecordMalformedError
 from firhook.instance import InstanceService
 from firhook.logs import log
-from firhook.platform.store import CELL_TOPIC, KeyedRecord, Store
+from firhook.platform.store import CELL_TOPIC, KeyedRecord, Store, encode_keyed
 from firhook.services._events import CALLERS_PARTITIONS, Record, ReplicaAge
 
 #: How long one try to register may take.
@@ -27,7 +27,7 @@
 
 
 async def read_members(store: Store, replica: Replica) -> int:
-    """Read the records of instances alone; return where their partition ends.
+    """Read the records of instances alone; return where their first partition ends.
 
     Load: an instance starts on a link that the records of jobs fill for seconds.
     Harm: until all of these are read it would have no way to its peers, and could
@@ -35,7 +35,16 @@
 
     :raises FirhookError: if the store cannot be read.
     """
-    partition = CALLERS_PARTITIONS[0]
+    first, second = CALLERS_PARTITIONS[:2]
+    try:
+        await _read_range(store, replica, second)
+    except FirhookError as exc:
+        # Few lie there: those that registered while the first one was slow or away.
+        log("members.not_read", level="warning", partition=second, error=exc.detail)
+    return await _read_range(store, replica, first)
+
+
+async def _read_range(store: Store, replica: Replica, partition: int) -> int:
     newest = await store.newest(CELL_TOPIC, partition, MEMBERS_AFTER, MEMBERS_UNTIL)
     for row in newest.records:
         try:
@@ -89,10 +98,18 @@
                 await asyncio.sleep(_RETRY_S)
 
     async def withdraw(self) -> None:
-        """Tell the others that this instance answers no more questions soon."""
-        record = KeyedRecord(PEER_PREFIX + self._service.settings.name, None)
+        """Tell the others that this instance answers no more questions soon.
+
+        Its records may lie on several partitions, and each of them would keep it
+        listed.
+        """
+        key = PEER_PREFIX + self._service.settings.name
+        record = KeyedRecord(key, None)
         try:
             await self._service.bus.ask(Record(record, boot_time() + _REGISTER_S))
+            for number in self._service.replica.partitions_of(key):
+                content = [encode_keyed(record)]
+                await self._service.store.append(CELL_TOPIC, number, content)
         except FirhookError as exc:
             log("mesh.unregister_failed", level="warning", error=repr(exc))
 
--- a/tests/services/test_members.py
+++ b/tests/services/test_members.py
@@ -6,6 +6,7 @@
 from firhook.cell import MeshKeys, PeerRecord, Replica
 from firhook.cell.records import MESH_KEY, PEER_PREFIX, encode_record
 from firhook.platform.store import CELL_TOPIC
+from firhook.services._members import Registration
 from firhook.services._mesh import MeshService
 from standins.model import ModelCell, now, pause, run_virtual
 from tests.services.scenes import play as play_scene
@@ -73,3 +74,22 @@
     again = PeerRecord("p", "2", "a:1", "z0", 1.0, reading=True)
     replica.apply(10, key, encode_record(again), partitions[0])
     assert replica.peers["p"] == again
+
+
+def test_instance_that_withdraws_is_listed_on_no_partition():
+    """It had registered on one partition, and withdrew on another; it stayed listed."""
+
+    async def scene(cell):
+        key = PEER_PREFIX + "i2"
+        found = cell.instances["i2"].instance
+        again = encode_record(found.replica.peers["i2"])
+        cell.store.partition(CELL_TOPIC, 3).add(
+            [bytes((len(key),)) + key.encode() + again]
+        )
+        await pause(3.0)
+        await Registration(found.services["mesh"], "i2").withdraw()
+        await pause(3.0)
+        for instance in cell.instances.values():
+            assert "i2" not in instance.instance.replica.peers
+
+    play_scene(scene, instances=3)
