A store that answers nothing is not taken for one whose appends wait

Cause: an append that waited for 0.1 s sent what waited behind it to the lead, also when the store answered nobody. Not sent, these records could be refused truly; at the lead, which had not noticed the silence either, their outcome was unknown (13 lines of relay.unknown at 19 s, none before).

Change: an append under way counts as waiting only if the store answered another call since it was sent, and one that got no answer says nothing of other instances' appends.

test_store_that_answers_nothing_is_not_crowded fails before. The test of a job that the lead may be recording drew the lead in by an append that had no answer; it plays twelve moments now, and fails in three of them if a record at the lead is not counted.

--- a/src/firhook/decide/_appends.py
+++ b/src/firhook/decide/_appends.py
@@ -17,7 +17,8 @@
     An instance that sees an append take long goes through the lead until the
     lead's own appends are quick again, which the lead tells with each answer.  How
     long the way to the lead takes is left out, as on a thin link that says nothing
-    of the store.
+    of the store.  A store that answers nothing at all is not crowded: a record that
+    was not sent yet can be refused truly, and sent by the lead it could not.
     """
 
     def __init__(self) -> None:
@@ -29,9 +30,9 @@
         """Take note that this instance sent an append."""
         self._sent_at = now
 
-    def own_ended(self, now: float) -> None:
-        """Take note that its append was answered, refused or given up."""
-        if self._sent_at is not None:
+    def own_ended(self, now: float, answered: bool) -> None:
+        """Take note that its append was answered or refused, or else given up."""
+        if self._sent_at is not None and answered:
             self._crowded = now - self._sent_at > CROWDED_S
         self._sent_at = None
 
@@ -43,9 +44,14 @@
         """Take note that the lead did not append, or did not say so."""
         self._rests_until = now + _REST_S
 
-    def through_lead(self, now: float) -> bool:
-        """Return whether records should go through the lead now."""
+    def through_lead(self, now: float, store_answered_at: float) -> bool:
+        """Return whether records should go through the lead now.
+
+        :param store_answered_at: when the store last answered any call.
+        """
         if now < self._rests_until:
             return False
-        waits = self._sent_at is not None and now - self._sent_at > CROWDED_S
-        return self._crowded or waits
+        sent_at = self._sent_at
+        if sent_at is None or now - sent_at <= CROWDED_S:
+            return self._crowded
+        return store_answered_at > sent_at
--- a/src/firhook/decide/_reach.py
+++ b/src/firhook/decide/_reach.py
@@ -38,11 +38,13 @@
 
     :param partitions: the numbers of all partitions.
     :ivar usual_s: what answers took lately.
+    :ivar answered_at: when the last answer came.
     """
 
     def __init__(self, partitions: Iterable[int]) -> None:
         self._calls = {number: _Calls() for number in partitions}
         self.usual_s = 0.0
+        self.answered_at = float("-inf")
         self._count = 0
 
     def sent(self, partition: int, now: float) -> int:
@@ -57,6 +59,7 @@
         sent_at = calls.under_way.pop(call, now)
         # Whatever was sent before it was lost, not refused.
         calls.failed = False
+        self.answered_at = now
         self.usual_s += _WEIGHT * (now - sent_at - self.usual_s)
 
     def failed(self, partition: int, call: int) -> None:
--- a/src/firhook/services/_appends.py
+++ b/src/firhook/services/_appends.py
@@ -182,6 +182,7 @@
         self, partition: int, batch: list[PendingAppend], left_s: float
     ) -> Appended:
         self._route.own_sent(boot_time())
+        answered = True
         try:
             return await self._store.append(
                 CELL_TOPIC,
@@ -189,8 +190,11 @@
                 [encode_keyed(row.record) for row in batch],
                 timeout_s=min(max(left_s, 0.05), APPEND_S),
             )
+        except LogOutcomeUnknownError:
+            answered = False
+            raise
         finally:
-            self._route.own_ended(boot_time())
+            self._route.own_ended(boot_time(), answered)
 
 
 def _unexpired(batch: list[PendingAppend], exc: FirhookError) -> list[PendingAppend]:
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -552,7 +552,9 @@
 
     def _through_lead(self) -> bool:
         """Return whether records are to go through the lead, and one is heard."""
-        return not self._quiet and self._route.through_lead(boot_time())
+        if self._quiet:
+            return False
+        return self._route.through_lead(boot_time(), self._reach.answered_at)
 
     async def _settle_elsewhere(self, pending: PendingAppend) -> None:
         """End the wait for a store that is out of reach."""
