What waits for a store that is out of reach is not sent, and refused truly

Change: neither queue sends while the store is out of reach, and the lead says at once of what it did not send that it did not.

test_job_that_the_lead_did_not_send_to_a_silent_store_is_refused fails before.

--- a/src/firhook/services/_appends.py
+++ b/src/firhook/services/_appends.py
@@ -90,7 +90,8 @@
     :param partitions: to append to, the preferred one first.
     :param most_bytes: of one call.
     :param route: is told how long calls take.
-    :param held: whether records that wait are to be appended by another instance.
+    :param held: whether records that wait are not to be sent from here: the store
+        is out of reach, or another instance appends them.
     :param appended: is told what was appended, and where.
     """
 
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -167,9 +167,13 @@
         self._quiet = True
         self._route = AppendRoute()
         self._own = self._queue(
-            CALLERS_PARTITIONS, self._route, lambda: self._through_lead()
+            CALLERS_PARTITIONS,
+            self._route,
+            lambda: not self._reachable or self._through_lead(),
+        )
+        self._gathered = self._queue(
+            GATHERED_PARTITIONS, AppendRoute(), lambda: not self._reachable
         )
-        self._gathered = self._queue(GATHERED_PARTITIONS, AppendRoute(), lambda: False)
         self._outbox: list[PushedBatch] = []
         self._has_outbox = asyncio.Event()
         self.bus.answer(CatchUp, self._catch_up)
@@ -644,8 +648,11 @@
         pending = PendingAppend(record, began + msg.within_s - _ANSWER_S)
         self._gathered.add(pending)
         try:
-            await asyncio.wait({pending.done}, timeout=pending.until - boot_time())
-            pending.expire(_not_in_time())
+            while not pending.done.done():
+                left_s = max(pending.until - boot_time(), 0.0)
+                await asyncio.wait({pending.done}, timeout=min(left_s, _REACH_EVERY_S))
+                if boot_time() >= pending.until or not self._reachable:
+                    pending.expire(_not_in_time())
             offset = await pending.done
         except LogUnavailableError as exc:
             log("relay.refused", level="warning", key=record.key, error=exc.detail)
--- a/tests/services/test_slow_store.py
+++ b/tests/services/test_slow_store.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from firhook._peer_messages import AppendAsk, AppendReply, PushedRecord
+from firhook.errors import LogOutcomeUnknownError
 from standins.model import now, pause
 from tests.services.scenes import play, step
 
@@ -59,3 +61,24 @@
         assert len(accepted) > len(got) * 0.9, got
 
     play(scene, instances=4, workers=4)
+
+
+def test_job_that_the_lead_did_not_send_to_a_silent_store_is_refused():
+    """Sent after a call without an answer, its outcome was unknown for nothing."""
+
+    async def scene(cell):
+        lead = cell.lead()
+        follower = lead.instance.services["follower"]
+        cell.store.mode["*"] = "silent"
+        asks = []
+        for number in range(6):
+            record = PushedRecord(f"job/{number:016x}", b"x")
+            ask = follower._serve_append(AppendAsk(record, 0.8))
+            asks.append(asyncio.create_task(ask))
+            await pause(0.02)
+        got = await asyncio.gather(*asks, return_exceptions=True)
+        assert sum(isinstance(one, LogOutcomeUnknownError) for one in got) == 1
+        assert got.count(AppendReply(False)) == 5
+        cell.store.mode.clear()
+
+    play(scene, instances=3, workers=4)
