Waiting for an append, and splitting by size, stand once

Read again: what an asker does while its record waits stood in _record and in _serve_append, and the loop that fills a message with batches was that which fills an append with records. PendingAppend.wait and split_by_size serve both; when to come back to a store that is away is one constant. No behaviour changes, and no test.

--- a/src/firhook/services/_appends.py
+++ b/src/firhook/services/_appends.py
@@ -32,6 +32,15 @@
 #: answers 60 times slower than its 5 ms is waited for: repeats would only make
 #: its queue longer.
 APPEND_S = 1.5
+#: When callers should come back to a store that is away for all.
+AWAY_RETRY_S = 2.0
+
+
+def not_in_time() -> LogUnavailableError:
+    """Return the error of a record that nobody appended in its asker's time."""
+    return LogUnavailableError(
+        "the store did not answer in time", retry_after_s=AWAY_RETRY_S
+    )
 
 
 @attrs.define(slots=True, eq=False)
@@ -56,6 +65,13 @@
         if not self.done.done():
             self.done.set_result(offset)
 
+    async def wait(self, most_s: float) -> None:
+        """Wait for its outcome for a while; give up once the asker does."""
+        left_s = max(self.until - boot_time(), 0.0)
+        await asyncio.wait({self.done}, timeout=min(left_s, most_s))
+        if boot_time() >= self.until:
+            self.expire(not_in_time())
+
     def expire(self, exc: FirhookError) -> None:
         """Give up, and say whether it may have been recorded."""
         if self.done.done():
--- a/src/firhook/services/_batches.py
+++ b/src/firhook/services/_batches.py
@@ -1,20 +1,37 @@
-"""How many records one append takes."""
+"""How much one append, or one message, takes."""
+
+from collections.abc import Callable, Iterable
+from typing import TypeVar
 
 from firhook.platform.store import KeyedRecord
 
 #: Bytes of a record beside its key and its value.
 _OVERHEAD = 8
 
+T = TypeVar("T")
+
 
 def split_records(records: list[KeyedRecord], most: int) -> list[list[KeyedRecord]]:
     """Split records into appends of at most so many bytes; at least one."""
-    chunks: list[list[KeyedRecord]] = [[]]
-    size = 0
-    for record in records:
-        length = len(record.key) + len(record.value or b"") + _OVERHEAD
-        if chunks[-1] and size + length > most:
+    return split_by_size(
+        records, lambda r: len(r.key) + len(r.value or b"") + _OVERHEAD, most
+    )
+
+
+def split_by_size(
+    items: Iterable[T], size: Callable[[T], int], most: int
+) -> list[list[T]]:
+    """Split items, in order, into chunks of at most so many bytes; at least one.
+
+    What is larger by itself gets a chunk of its own.
+    """
+    chunks: list[list[T]] = [[]]
+    filled = 0
+    for item in items:
+        length = size(item)
+        if chunks[-1] and filled + length > most:
             chunks.append([])
-            size = 0
-        chunks[-1].append(record)
-        size += length
+            filled = 0
+        chunks[-1].append(item)
+        filled += length
     return chunks
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -27,7 +27,14 @@
 from firhook.instance import InstanceService, register_service
 from firhook.logs import log
 from firhook.platform.store import CELL_TOPIC, KeyedRecord
-from firhook.services._appends import APPEND_S, AppendQueue, PendingAppend
+from firhook.services._appends import (
+    APPEND_S,
+    AWAY_RETRY_S,
+    AppendQueue,
+    PendingAppend,
+    not_in_time,
+)
+from firhook.services._batches import split_by_size
 from firhook.services._events import (
     CALLERS_PARTITIONS,
     GATHERED_PARTITIONS,
@@ -74,9 +81,8 @@
 #: So often a partition is read anew for one question if its records expire
 #: meanwhile; the platform keeps them for many seconds, and once is the rule.
 _REBUILDS = 3
-#: When callers should come back to a store that is away for all, and to one that
-#: may be away from this instance alone: another one serves them then.
-_AWAY_RETRY_S = 2.0
+#: When callers should come back to a store that may be away from this instance
+#: alone: another one serves them then.
 _ELSEWHERE_RETRY_S = 1.0
 #: How often the way to the store is looked at.
 _REACH_EVERY_S = 0.1
@@ -516,7 +522,7 @@
                 log("replica.trimmed", level="warning", at=reader.next_offset)
                 reader.whole = False
         raise LogUnavailableError(
-            "the log expires faster than it is read", retry_after_s=_AWAY_RETRY_S
+            "the log expires faster than it is read", retry_after_s=AWAY_RETRY_S
         )
 
     # Appending.
@@ -539,13 +545,10 @@
             if not pending.done.done():
                 self._own.add(pending)
             while not pending.done.done():
-                left_s = max(pending.until - boot_time(), 0.0)
-                await asyncio.wait({pending.done}, timeout=min(left_s, _REACH_EVERY_S))
+                await pending.wait(_REACH_EVERY_S)
                 if pending.done.done():
                     break
-                if boot_time() >= pending.until:
-                    pending.expire(_not_in_time())
-                elif not self._reachable:
+                if not self._reachable:
                     await self._settle_elsewhere(pending)
                 elif self._through_lead():
                     await self._append_through_lead(pending)
@@ -583,7 +586,7 @@
         """
         left_s = pending.until - boot_time()
         if left_s < _LEAST_S:
-            pending.expire(_not_in_time())
+            pending.expire(not_in_time())
             return
         if self._leads():
             self._gathered.add(pending)
@@ -649,10 +652,9 @@
         self._gathered.add(pending)
         try:
             while not pending.done.done():
-                left_s = max(pending.until - boot_time(), 0.0)
-                await asyncio.wait({pending.done}, timeout=min(left_s, _REACH_EVERY_S))
-                if boot_time() >= pending.until or not self._reachable:
-                    pending.expire(_not_in_time())
+                await pending.wait(_REACH_EVERY_S)
+                if not self._reachable:
+                    pending.expire(not_in_time())
             offset = await pending.done
         except LogUnavailableError as exc:
             log("relay.refused", level="warning", key=record.key, error=exc.detail)
@@ -666,12 +668,6 @@
         return AppendReply(True, offset, boot_time() - began)
 
 
-def _not_in_time() -> LogUnavailableError:
-    return LogUnavailableError(
-        "the store did not answer in time", retry_after_s=_AWAY_RETRY_S
-    )
-
-
 def _pushes(batches: list[PushedBatch]) -> list[RecordsPush]:
     """Return messages that hold all batches in order.
 
@@ -679,13 +675,9 @@
     message that is too long to be sent, they ended the lead's process, and after it
     that of the next lead.
     """
-    pushes: list[list[PushedBatch]] = [[]]
-    size = 0
-    for batch in batches:
-        length = sum(len(row.key) + len(row.value or b"") for row in batch.records)
-        if pushes[-1] and size + length > _PUSH_BYTES:
-            pushes.append([])
-            size = 0
-        pushes[-1].append(batch)
-        size += length
-    return [RecordsPush(tuple(rows)) for rows in pushes]
+    chunks = split_by_size(batches, _batch_bytes, _PUSH_BYTES)
+    return [RecordsPush(tuple(rows)) for rows in chunks]
+
+
+def _batch_bytes(batch: PushedBatch) -> int:
+    return sum(len(row.key) + len(row.value or b"") for row in batch.records)
