The mesh takes the type of an address from where it is defined

It came by way of the older daemon's settings, which every instance loaded for it, and the contract had an exception for that. The exception is gone, and the contract holds.

--- a/src/firhook/_mesh.py
+++ b/src/firhook/_mesh.py
@@ -19,7 +19,7 @@
 from firhook._codec import decode_message, encode_message
 from firhook._loop_socket import LoopSocket
 from firhook._peer_messages import PeerError
-from firhook._settings import Address
+from firhook.address import Address
 from firhook.errors import (
     AddressUnusableError,
     FirhookError,
