--- a/tests/cell/test_book_begun.py
+++ b/tests/cell/test_book_begun.py
@@ -76,23 +76,25 @@
     assert stored(book, NOW + 9) == {}
 
 
-def test_begins_with_nothing_to_ride_along_with_are_stored_together_and_in_time():
+def two_begun():
+    """Return a book of two jobs, one of which began 0.2 s after the other."""
     book = a_book("j", "k")
     for job_id, at in (("j", NOW), ("k", NOW + 0.2)):
         run = assign(book, job_id)
         book.take_dirty(at)
         book.note_begun(run.task.step.job, at)
+    return book
+
+
+def test_begins_with_nothing_to_ride_along_with_are_stored_together_and_in_time():
+    book = two_begun()
     assert stored(book, NOW + BEGUN_WAIT_S - 0.01) == {}
     assert stored(book, NOW + BEGUN_WAIT_S) == {"j": "RUNNING", "k": "RUNNING"}
     assert stored(book, NOW + 9) == {}
 
 
 def test_one_job_that_rode_along_does_not_hurry_the_others():
-    book = a_book("j", "k")
-    for job_id, at in (("j", NOW), ("k", NOW + 0.2)):
-        run = assign(book, job_id)
-        book.take_dirty(at)
-        book.note_begun(run.task.step.job, at)
+    book = two_begun()
     assign(book, "j")
     assert stored(book, NOW + 0.2) == {"j": "RUNNING"}
     assert stored(book, NOW + 0.2 + BEGUN_WAIT_S - 0.01) == {}
