Remove a closed job's notes through its owner

Cause: Endings was split off the scheduler and kept using the notes of waiting jobs, an attribute that stayed in the scheduler. closable_jobs raised AttributeError for the first job that could be closed, 300 s after its end, so that the round of the older path's lead failed and the zone's state kept growing.

The scheduler now passes a callback that removes its notes of a closed job.

--- a/src/firhook/decide/_endings.py
+++ b/src/firhook/decide/_endings.py
@@ -1,5 +1,7 @@
 """Consequences of ended attempts: worker quarantine, job ends and retention."""
 
+from collections.abc import Callable
+
 from firhook.decide._failure_tracker import FailureTracker, outcome_of
 from firhook.model import Ending, JobEnd, WorkerMarked
 from firhook.state import CellState, ZoneState
@@ -16,14 +18,20 @@
     """Processes the ended attempts in a zone's log.
 
     :param failures: failures by worker and by job, shared with placement.
+    :param on_closed: called with each job whose attempts are deleted.
     """
 
     def __init__(
-        self, zone: ZoneState, cell: CellState, failures: FailureTracker
+        self,
+        zone: ZoneState,
+        cell: CellState,
+        failures: FailureTracker,
+        on_closed: Callable[[str], None],
     ) -> None:
         self._zone = zone
         self._cell = cell
         self._failures = failures
+        self._on_closed = on_closed
         self._ended_at: dict[str, float] = {}
 
     def record(self, endings: tuple[Ending, ...], now: float) -> None:
@@ -89,5 +97,5 @@
         for key in closed:
             del self._ended_at[key]
             self._failures.remove_job(key)
-            self._told.pop(key, None)
+            self._on_closed(key)
         return tuple(closed)
--- a/src/firhook/decide/_rounds.py
+++ b/src/firhook/decide/_rounds.py
@@ -61,7 +61,7 @@
         self._cell = cell
         self._config = config
         self._failures = FailureTracker()
-        self.endings = Endings(zone, cell, self._failures)
+        self.endings = Endings(zone, cell, self._failures, self._remove_notes)
         self._budget = PreemptBudget()
         self._reserved: dict[str, _Reserved] = {}
         self._used: dict[str, float] = {}
@@ -82,6 +82,9 @@
         """Discard everything derived from the states, after one was replaced."""
         self._fresh = False
 
+    def _remove_notes(self, job_id: str) -> None:
+        self._last_notes.pop(job_id, None)
+
     # -- free resources -------------------------------------------------------
 
     def _refresh(self, term: LeadTerm) -> None:
