Keep new work out of zones that operators drain

Cause: nothing read op/evacuate/ZONE.

The drained zones are a property of the cell beside the configuration (cell DrainedZones). The operator service decodes them from the topic that it reads anyway, before the configuration, so that a new lead knows them before it can be a candidate. Every source states the offset that it reflects, so that a late page, read or copy never undoes a newer one. The placer leaves their workers out of its views; advice, gangs, reservations, copies and moves of stalled runs all work on these views. Starts that were not sent go back; repeats of sent ones end 1.5 s before the bound of the settings, counted from the read before the request appeared.

Tasks that run in the zone run on: the request forbids new work only.

--- a/src/firhook/_instance.py
+++ b/src/firhook/_instance.py
@@ -11,7 +11,7 @@
 from mode import Service
 
 from firhook._bus import Bus
-from firhook.cell import CellConfig, Replica
+from firhook.cell import CellConfig, DrainedZones, Replica
 from firhook.logs import log
 from firhook.meters import Meters
 from firhook.platform.connections import Connections
@@ -59,13 +59,15 @@
     """The configuration as this instance last read it.
 
     :param revocation_s: seconds after which a withdrawn key must be refused.
+    :ivar drained_zones: the zones that operators have drained.
     :ivar read_at: boot-clock time at which the latest read was sent.  The
-        configuration contains every change acknowledged to operators before that
-        time.
+        configuration and the drained zones contain every change acknowledged to
+        operators before that time.
     """
 
     revocation_s: float
     config: CellConfig | None = None
+    drained_zones: DrainedZones = attrs.field(factory=DrainedZones)
     read_at: float = float("-inf")
 
     def is_fresh(self, now: float) -> bool:
--- a/src/firhook/_peer_messages.py
+++ b/src/firhook/_peer_messages.py
@@ -244,7 +244,7 @@
 @message
 @attrs.frozen(slots=True)
 class ConfigAsk:
-    """Request the configuration as the receiver last read it.
+    """Request the configuration and the drained zones as the receiver last read them.
 
     :param version: the version that the sender has.
     """
@@ -252,18 +252,37 @@
     version: int
 
 
+@attrs.frozen(slots=True)
+class DrainRow:
+    """A drained zone.
+
+    :param offset: offset of the operator's record.
+    :param age_s: maximum number of seconds since the record was stored; ``None`` if
+        that is not known.
+    """
+
+    zone: str
+    offset: int
+    age_s: float | None
+
+
 @message
 @attrs.frozen(slots=True)
 class ConfigReply:
-    """The configuration as an instance last read it.
+    """The configuration and the drained zones as an instance last read them.
 
     :param age_s: seconds since that read was sent.
     :param raw: the operators' original text; empty if it is not newer than the
         requested version.
+    :param drains: the drained zones.
+    :param drains_end: offset before which every record is reflected in the drained
+        zones; 0 if the sender does not know them.
     """
 
     age_s: float
     raw: bytes = b""
+    drains: tuple[DrainRow, ...] = ()
+    drains_end: int = 0
 
 
 @message
--- a/src/firhook/cell/__init__.py
+++ b/src/firhook/cell/__init__.py
@@ -8,6 +8,7 @@
     Team,
     key_digest,
 )
+from firhook.cell._drained_zones import DrainedZones, ZoneDrain
 from firhook.cell._job_table import Job, JobTable, Run, Step, Task
 from firhook.cell._records import (
     AcceptedJob,
@@ -41,6 +42,7 @@
     "Advice",
     "AdvicePolicy",
     "CellConfig",
+    "DrainedZones",
     "EndedRow",
     "Job",
     "JobSpec",
@@ -70,5 +72,6 @@
     "TaskState",
     "Team",
     "WorkerEntry",
+    "ZoneDrain",
     "key_digest",
 ]
--- a/src/firhook/platform/_config.py
+++ b/src/firhook/platform/_config.py
@@ -25,6 +25,19 @@
 
 #: Store key of the configuration.
 CONFIG_KEY = "config"
+#: Store keys of the requests to drain a zone start with this; the zone follows.
+_DRAIN_PREFIX = "evacuate/"
+
+
+def decode_drained_zone(key: str) -> str | None:
+    """Return the zone that a key of the operators' topic drains.
+
+    The value of such a record carries no information.
+
+    :return: ``None`` if the key is not that of a request to drain a zone.
+    """
+    zone = key.removeprefix(_DRAIN_PREFIX)
+    return zone if zone and zone != key else None
 
 
 def decode_config(raw: bytes) -> CellConfig:
--- a/src/firhook/platform/_instance.py
+++ b/src/firhook/platform/_instance.py
@@ -38,6 +38,7 @@
     :param config_apply_s: time within which a configuration is in force everywhere.
     :param revocation_s: time within which a withdrawn key is refused everywhere.
     :param drain_s: time after which a draining worker must get no new work.
+    :param zone_drain_s: time after which a drained zone must get no new work.
     :param stop_grace_s: time after which a process that was asked to stop is killed.
     :param lease_s: longest lease that a worker grants.
     :param task_stop_s: time within which a stopped task ends.
@@ -59,6 +60,7 @@
     config_apply_s: float = 2.0
     revocation_s: float = 5.0
     drain_s: float = 2.0
+    zone_drain_s: float = 5.0
     stop_grace_s: float = 6.0
     lease_s: float = 10.0
     task_stop_s: float = 0.4
@@ -89,6 +91,7 @@
     :param machines_api: service that moves and maintains machines; ``None`` if the
         platform has no such service.
     :param strength: CPU capacity in standard cores.
+    :param zones: names of all availability zones; empty if they are not known.
     """
 
     name: str
@@ -104,6 +107,7 @@
     heartbeat_s: float
     bounds: Bounds
     store_limits: StoreLimits
+    zones: frozenset[str] = frozenset()
 
 
 def load_instance_settings(path: Path) -> InstanceSettings:
@@ -144,6 +148,7 @@
         heartbeat_s=get_number(data, "heartbeat_interval_ms", 1500) / 1000,
         bounds=_decode_bounds(get_object(data, "bounds")),
         store_limits=_decode_store_limits(get_object(data, "platform")),
+        zones=frozenset(get_object(data, "zones")),
     )
 
 
@@ -170,6 +175,7 @@
         config_apply_s=seconds("config_apply_ms", defaults.config_apply_s),
         revocation_s=seconds("revocation_ms", defaults.revocation_s),
         drain_s=seconds("drain_ms", defaults.drain_s),
+        zone_drain_s=seconds("evacuation_ms", defaults.zone_drain_s),
         stop_grace_s=seconds("grace_period_s", defaults.stop_grace_s),
         # The longest time that a worker keeps its tasks without a lease renewal.
         lease_s=seconds("max_hold_ms", defaults.lease_s),
--- a/src/firhook/platform/bodies.py
+++ b/src/firhook/platform/bodies.py
@@ -1,6 +1,6 @@
 """Conversion between the platform's JSON bodies and firhook's types."""
 
-from firhook.platform._config import CONFIG_KEY, decode_config
+from firhook.platform._config import CONFIG_KEY, decode_config, decode_drained_zone
 from firhook.platform._fields import FieldError
 from firhook.platform._jobs import (
     JOB_ID,
@@ -15,6 +15,7 @@
     "JOB_ID",
     "FieldError",
     "decode_config",
+    "decode_drained_zone",
     "decode_job",
     "decode_worker",
     "encode_pending",
--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -70,6 +70,11 @@
     config: CellConfig
 
 
+@attrs.frozen(slots=True)
+class DrainedZonesChanged:
+    """A zone was drained or returned to service."""
+
+
 @attrs.frozen(slots=True)
 class CatchUp(Query[None]):
     """Read the cell's records up to the current end of the log.
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -35,6 +35,7 @@
     AnnounceLead,
     AskInstance,
     ConfigApplied,
+    DrainedZonesChanged,
     IsFollowingStore,
     JobChanged,
     LeadRecordSeen,
@@ -122,6 +123,7 @@
         self.adviser = self.instance.platform.adviser
         self.bus.subscribe(JobChanged, self._on_job)
         self.bus.subscribe(ConfigApplied, self._on_config)
+        self.bus.subscribe(DrainedZonesChanged, self._on_drained_zones)
         self.bus.subscribe(LeadRecordSeen, self._on_lead_seen)
         self.bus.subscribe(PartitionRebuilt, self._on_rebuilt)
         self.bus.subscribe(StopBegun, self._on_stop_begun)
@@ -143,6 +145,10 @@
         if self.term is not None:
             self.term.on_config(event.config)
 
+    def _on_drained_zones(self, event: DrainedZonesChanged) -> None:
+        if self.term is not None:
+            self.term.on_drained_zones()
+
     async def _serve_advice(self, msg: AdviceAsk) -> AdviceReply:
         if self.adviser is None:
             return AdviceReply(False)
--- a/src/firhook/services/_metrics.py
+++ b/src/firhook/services/_metrics.py
@@ -71,6 +71,14 @@
         }
         for name, value in sorted(gauges.items()):
             yield GaugeMetricFamily(f"firhook_{name}", name, value=value)
+        drains = GaugeMetricFamily(
+            "firhook_zone_drained_seconds",
+            "Seconds since a zone was drained, at most.",
+            labels=["zone"],
+        )
+        for zone, drain in sorted(view.drained_zones.by_zone.items()):
+            drains.add_metric([zone], min(boot_time() - drain.after, 1e9))
+        yield drains
 
 
 @register_service("metrics")
--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -5,7 +5,14 @@
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, Protocol
 
-from firhook.cell import JobTable, OrderAnswer, OrderOutcome, Run, StartOrder
+from firhook.cell import (
+    DrainedZones,
+    JobTable,
+    OrderAnswer,
+    OrderOutcome,
+    Run,
+    StartOrder,
+)
 from firhook.cell.job_table import MAX_ORDER_DELAY_S
 from firhook.clock import boot_time
 from firhook.decide.tickets import TicketTable
@@ -29,6 +36,9 @@
 #: All members of a gang must have started within this fraction of the time for which
 #: they wait for each other.
 _GANG_START_FRACTION = 0.6
+#: The last repeat of a start to a drained zone is sent this long before no start may
+#: arrive there.  A call to a worker takes up to 0.8 s.
+_DRAIN_MARGIN_S = 1.5
 #: The outcomes after which a start is sent again.
 _RETRIED_OUTCOMES = (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT, OrderOutcome.EXPIRED)
 
@@ -36,10 +46,12 @@
 class OrderOwner(Protocol):
     """What an order sender needs from the lead's term.
 
+    :ivar drained_zones: the zones whose workers get no new work.
     :ivar fence: the fencing token of every order.
     :ivar lost: whether the term is over, or is ending.
     """
 
+    drained_zones: DrainedZones
     fence: int
     lost: bool
     job_table: JobTable
@@ -152,11 +164,29 @@
             if boot_time() - began > limit_s:
                 self._abandon_start(run, "start_unanswered")
                 return
+            if self._is_drained(run):
+                self._abandon_start(run, "zone_drained")
+                return
             answer = await self._send_start(run)
             if self._handle_start_answer(run, answer, began):
                 return
             await asyncio.sleep(_ORDER_RETRY_S)
 
+    def _is_drained(self, run: Run) -> bool:
+        """Return whether a start must not be sent because its zone is drained.
+
+        A start that was sent before may have begun, and the other members of its gang
+        may wait for it.  It is repeated as long as it may still arrive.
+        """
+        zones = self._term.drained_zones
+        zone = self._term.links[run.worker].entry.zone
+        if zone not in zones:
+            return False
+        if not run.unanswered_starts:
+            return True
+        drain_s = self._bounds.zone_drain_s - _DRAIN_MARGIN_S
+        return not zones.may_repeat_start(zone, boot_time(), drain_s)
+
     async def _send_start(self, run: Run) -> OrderAnswer:
         link = self._term.links[run.worker]
         step = run.task.step
--- a/src/firhook/services/_placer.py
+++ b/src/firhook/services/_placer.py
@@ -2,7 +2,13 @@
 
 from collections.abc import Callable, Mapping
 
-from firhook.cell import NO_RESOURCES, JobTable, Resources, WorkerEntry
+from firhook.cell import (
+    NO_RESOURCES,
+    DrainedZones,
+    JobTable,
+    Resources,
+    WorkerEntry,
+)
 from firhook.clock import boot_time
 from firhook.decide.schedule import (
     RoundResult,
@@ -36,6 +42,7 @@
 
     :param links: the known workers, by name.
     :param place_round: decides which waiting tasks start, and on which workers.
+    :param drained_zones: the zones whose workers get no new work.
     """
 
     def __init__(
@@ -47,6 +54,7 @@
         adviser_client: AdviserClient,
         meters: Meters,
         place_round: PlaceRound,
+        drained_zones: DrainedZones,
     ) -> None:
         self._job_table = job_table
         self._links = links
@@ -55,6 +63,7 @@
         self._adviser_client = adviser_client
         self._meters = meters
         self._place_round = place_round
+        self._drained_zones = drained_zones
         self._urgent_need_m = 0
         self._wait_reasons: dict[str, WaitReason] = {}
         self._logged_at = float("-inf")
@@ -131,6 +140,8 @@
             if overdue[name] is not None or not link.usable(now):
                 continue
             entry = link.entry
+            if entry.zone in self._drained_zones:
+                continue
             if cutoffs and link.last_reply_at < cutoffs.get(
                 entry.zone, link.last_reply_at
             ):
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -115,6 +115,7 @@
         higher than that of every earlier lead.
     :ivar lost: whether the term is over, or is ending.
     :ivar lost_reason: why the lead was lost, or an empty string.
+    :ivar drained_zones: the zones that get no new work.
     :ivar taken_over: whether the takeover is complete.
     :ivar takeover_stage: what the takeover waits for.
     """
@@ -139,6 +140,7 @@
         config = instance.config.config
         assert config is not None
         self.job_table = JobTable(config)
+        self.drained_zones = instance.config.drained_zones
         self._known_jobs: set[str] = set()
         self._writer = FencedWriter(self._store, epoch, lead.note_proof)
         self._version_count = 0
@@ -157,6 +159,7 @@
             adviser_client,
             self._meters,
             lead.place,
+            self.drained_zones,
         )
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._renew_until = 0.0
@@ -356,6 +359,10 @@
         self.job_table.set_config(config)
         self._wake.set()
 
+    def on_drained_zones(self) -> None:
+        """Handle that a zone was drained or returned to service."""
+        self._wake.set()
+
     def _on_worker(self, name: str, entry: WorkerEntry | None) -> None:
         link = self.links.get(name)
         now = boot_time()
--- a/src/firhook/services/_topic.py
+++ b/src/firhook/services/_topic.py
@@ -16,6 +16,11 @@
         self._wait_s = wait_s
         self._next_offset: int | None = None
 
+    @property
+    def next_offset(self) -> int:
+        """Offset before which every record was read; 0 before the first read."""
+        return self._next_offset or 0
+
     async def read(self) -> tuple[tuple[StoredRecord, ...], bool]:
         """Return records, and whether these are the newest records of all keys.
 
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -320,6 +320,7 @@
     :param advised: whether workers must be permitted by the adviser before a start.
     :param strengths: CPU capacity in cores by instance; 1 if absent.
     :param zones: zone by instance; the same zone if absent.
+    :param worker_zones: zones of the workers, which take turns.
     :ivar plans: plans of the tasks of a step.
     :ivar cut_links: pairs of instances that cannot reach each other.
     :ivar drop_share: share of one-way messages between instances that are lost.
@@ -342,9 +343,11 @@
         bounds: Bounds | None = None,
         strengths: dict[str, float] | None = None,
         zones: dict[str, str] | None = None,
+        worker_zones: tuple[str, ...] = ("z0",),
     ) -> None:
         self.strengths = strengths or {}
         self.zones = zones or {}
+        self.worker_zones = worker_zones
         self.rng = random.Random(seed)
         self.store = ModelStore(seed)
         self.checks = Checks()
@@ -373,7 +376,8 @@
         """Start the workers and the instances and wait until one leads."""
         self.configure(1)
         for i in range(self._worker_count):
-            self.add_worker(f"w{i}", f"r1-{i // 3}")
+            zone = self.worker_zones[i % len(self.worker_zones)]
+            self.add_worker(f"w{i}", f"r1-{i // 3}", zone=zone)
         for i in range(self._count):
             await self.add_instance(f"i{i}")
         await self.until(lambda: self.lead() is not None, 5.0)
@@ -415,6 +419,16 @@
         """Expire a worker's entry."""
         self.store.put(WORKER_TOPIC, name, None)
 
+    def drain_zone(self, zone: str) -> None:
+        """Drain a zone as operators do."""
+        self.store.put(OPERATOR_TOPIC, f"evacuate/{zone}", b"{}")
+        self.checks.drained_at.setdefault(zone, now())
+
+    def return_zone(self, zone: str) -> None:
+        """Return a drained zone to service."""
+        self.store.put(OPERATOR_TOPIC, f"evacuate/{zone}", None)
+        self.checks.drained_at.pop(zone, None)
+
     def plan_of(self, task: str) -> TaskPlan:
         """Return the plan of a task."""
         step = task.rpartition(".")[0]
--- a/standins/model/_checks.py
+++ b/standins/model/_checks.py
@@ -2,6 +2,9 @@
 
 import attrs
 
+#: Time after the request to drain a zone from which no task may start there.
+ZONE_DRAIN_S = 5.0
+
 
 @attrs.frozen
 class Violation:
@@ -24,6 +27,7 @@
     :ivar last_start: time of the last start of each task.
     :ivar duplicates: steps whose tasks may run more than once.
     :ivar refused: jobs that were refused and must not run.
+    :ivar drained_at: when each drained zone was drained.
     """
 
     violations: list[Violation] = attrs.field(factory=list)
@@ -35,6 +39,7 @@
     failed: dict[str, int] = attrs.field(factory=dict)
     cancelled: dict[str, float] = attrs.field(factory=dict)
     refused: set[str] = attrs.field(factory=set)
+    drained_at: dict[str, float] = attrs.field(factory=dict)
 
     def record_violation(self, at: float, what: str, detail: str) -> None:
         """Record a violated invariant."""
@@ -58,6 +63,14 @@
         others[worker, incarnation] = run
         self.last_start[task] = at
 
+    def started_on_time(self, at: float, task: str, zone: str) -> None:
+        """Record that a start began a run in a zone without delay at the worker."""
+        drained_at = self.drained_at.get(zone)
+        if drained_at is not None and at - drained_at > ZONE_DRAIN_S:
+            self.record_violation(
+                at, "drained_zone", f"{task} in {zone}, drained at {drained_at:.2f}"
+            )
+
     def ended(self, task: str, worker: str, incarnation: int) -> None:
         """Record that a run ended."""
         self.running.get(task, {}).pop((worker, incarnation), None)
--- a/standins/model/_faults.py
+++ b/standins/model/_faults.py
@@ -14,6 +14,9 @@
 SETTLE_TIMEOUT_S = 60.0
 
 
+#: The zones of the workers in scenarios that drain zones.
+DRAINABLE_ZONES = ("z0", "z1")
+
 #: The faults that the model had when the first seeds became regression tests.  With
 #: other faults in the list, these seeds would generate other scenarios.
 INITIAL_FAULT_KINDS = (
@@ -79,6 +82,7 @@
             seed=seed,
             # With only three workers the adviser might permit none.
             advised=workers > 3 and self.rng.random() < 0.7,
+            worker_zones=DRAINABLE_ZONES if "zone_drained" in kinds else ("z0",),
         )
         self.history: list[str] = []
         self._kinds = kinds or tuple(
@@ -294,6 +298,12 @@
         worker.slow = 4.0
         self.schedule(5, setattr, worker, "slow", 1.0)
 
+    async def fault_zone_drained(self) -> None:
+        """Drain a zone and return it to service later."""
+        zone = self.rng.choice(DRAINABLE_ZONES)
+        self.cell.drain_zone(zone)
+        self.schedule(1 + 12 * self.rng.random(), self.cell.return_zone, zone)
+
     async def fault_cancel(self) -> None:
         """Cancel some jobs."""
         if not self._any_instance_alive():
--- a/standins/model/_workers.py
+++ b/standins/model/_workers.py
@@ -154,6 +154,7 @@
         self.up = True
         self.polls = 0
         self.expired_tickets = 0
+        self._order_is_late = False
         self._plans, self._gangs, self._rng = plans, gangs, rng
         self._max_lease_s = max_lease_s
         self._reset()
@@ -314,6 +315,18 @@
         percent = 0 if self.stalled else min(99, 100 * done_s / run.plan.work_s)
         return RunningRow(run.task, run.number, self._checkpoint(run), int(percent))
 
+    def carry_out_late(
+        self, incarnation: int, act: Callable[["ModelWorker"], OrderAnswer]
+    ) -> None:
+        """Carry out a delayed order, unless the process that received it is gone."""
+        if not self.up or self.incarnation != incarnation:
+            return
+        self._order_is_late = True
+        try:
+            act(self)
+        finally:
+            self._order_is_late = False
+
     def start(self, order: StartOrder) -> OrderAnswer:
         """See :meth:`Workers.start`."""
         if order.fence < self.fence:
@@ -334,6 +347,8 @@
         run = _Run(order.task, order.run, plan, now(), saved_s)
         self.runs[order.task, order.run] = run
         self.checks.started(now(), order.task, self.name, self.incarnation, order.run)
+        if not self._order_is_late:
+            self.checks.started_on_time(now(), order.task, self.zone)
         if not self.capacity.covers(self.used()):
             detail = f"{self.name}: {self.used()} of {self.capacity}"
             self.checks.record_violation(now(), "capacity", detail)
@@ -464,10 +479,7 @@
             # The delayed order waits inside the worker and is lost with its process.
             # A new incarnation, which has seen no fencing token, could not refuse it.
             incarnation = target.incarnation
-            loop.call_later(
-                late_s,
-                lambda: target.up and target.incarnation == incarnation and act(target),
-            )
+            loop.call_later(late_s, target.carry_out_late, incarnation, act)
             await pause(ORDER_TIMEOUT_S)
             return OrderAnswer(OrderOutcome.UNKNOWN)
         answer = act(target)
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -13,6 +13,7 @@
 from firhook.platform.bodies import (
     FieldError,
     decode_config,
+    decode_drained_zone,
     decode_job,
     decode_worker,
 )
@@ -107,6 +108,20 @@
         decode_config(encoded(CONFIG, version="seven"))
 
 
+@pytest.mark.parametrize(
+    ("key", "zone"),
+    [
+        ("evacuate/lag-a", "lag-a"),
+        ("evacuate/", None),
+        ("evacuate", None),
+        ("config", None),
+        ("", None),
+    ],
+)
+def test_request_to_drain_a_zone_is_recognized_by_its_key(key, zone):
+    assert decode_drained_zone(key) == zone
+
+
 def test_job_is_decoded_with_its_steps():
     step = {"count": 2, "millicpus": 500, "after": [], "all_or_nothing": True}
     job = decode_job(
