Append callers' records through the lead from the first one

Cause: each instance appended for itself until one of its appends had been slow. At 95 times the usual latency a partition takes ten calls a second. The calls of 33 instances had filled the queue of one partition to two seconds before the first slow answer arrived, and then those of the fallbacks, the lead's among them.

An instance appends itself while no heartbeat of the lead arrives, and for 0.25 s after the lead refused. A record that was not sent and cannot be in time is refused, which is true, in place of an unknown outcome.

--- a/src/firhook/_peer_messages.py
+++ b/src/firhook/_peer_messages.py
@@ -232,13 +232,10 @@
 
     :ivar taken: whether the record was appended.  If false, it was certainly not.
     :ivar offset: the record's offset.
-    :ivar took_s: how long the append took in seconds, including the wait for
-        earlier appends.
     """
 
     taken: bool
     offset: int = 0
-    took_s: float = 0.0
 
 
 @message
--- a/src/firhook/services/_appends.py
+++ b/src/firhook/services/_appends.py
@@ -6,13 +6,11 @@
 import attrs
 
 from firhook.clock import boot_time
-from firhook.decide.append_route import AppendRoute
 from firhook.decide.store_reachability import StoreReachability
 from firhook.errors import FirhookError, LogOutcomeUnknownError, LogUnavailableError
 from firhook.logs import log
 from firhook.platform.store import (
     CELL_TOPIC,
-    AppendResult,
     KeyedRecord,
     Store,
     encode_keyed_record,
@@ -103,7 +101,6 @@
 
     :param partitions: the partitions to append to, the preferred one first.
     :param max_bytes: limit of the bytes in one call.
-    :param route: records when calls begin and end.
     :param is_paused: returns whether queued records must not be sent by this
         instance: the store is unreachable, or the lead appends them.
     :param on_appended: called with the records that were appended, and where.
@@ -115,7 +112,6 @@
         reach: StoreReachability,
         partitions: tuple[int, ...],
         max_bytes: int,
-        route: AppendRoute,
         is_paused: Callable[[], bool],
         on_appended: Callable[[RecordsAppended], None],
     ) -> None:
@@ -123,7 +119,6 @@
         self._reach = reach
         self._partitions = partitions
         self._max_bytes = max_bytes
-        self._route = route
         self._is_paused = is_paused
         self._on_appended = on_appended
         self._failed_at: dict[int, float] = {}
@@ -165,6 +160,7 @@
     async def _append(self, batch: list[PendingAppend]) -> list[PendingAppend]:
         """Append one batch of records; return the records that are still to be sent."""
         batch = [row for row in batch if not row.done.done()]
+        batch = _fail_hopeless(batch, self._reach.mean_latency_s)
         if not batch:
             return []
         count = len(split_records([row.record for row in batch], self._max_bytes)[0])
@@ -175,7 +171,12 @@
             row.unresolved += 1
         call = self._reach.note_sent(partition, boot_time())
         try:
-            done = await self._send(partition, batch, left_s)
+            done = await self._store.append(
+                CELL_TOPIC,
+                partition,
+                [encode_keyed_record(row.record) for row in batch],
+                timeout_s=min(max(left_s, 0.05), APPEND_TIMEOUT_S),
+            )
         except LogOutcomeUnknownError as exc:
             self._failed_at[partition] = boot_time()
             self._reach.note_failed(partition, call)
@@ -196,23 +197,21 @@
             row.resolve(done.offset + i)
         return rest
 
-    async def _send(
-        self, partition: int, batch: list[PendingAppend], left_s: float
-    ) -> AppendResult:
-        self._route.note_append_sent(boot_time())
-        answered = True
-        try:
-            return await self._store.append(
-                CELL_TOPIC,
-                partition,
-                [encode_keyed_record(row.record) for row in batch],
-                timeout_s=min(max(left_s, 0.05), APPEND_TIMEOUT_S),
-            )
-        except LogOutcomeUnknownError:
-            answered = False
-            raise
-        finally:
-            self._route.note_append_ended(boot_time(), answered)
+
+def _fail_hopeless(
+    batch: list[PendingAppend], expected_s: float
+) -> list[PendingAppend]:
+    """Fail the records that cannot be appended in time; return the others.
+
+    A record that was not sent yet can be refused with a known outcome.
+
+    :param expected_s: how long an append takes, in seconds.
+    """
+    now = boot_time()
+    for row in batch:
+        if not row.unresolved and row.until - now < expected_s:
+            row.fail(append_timeout_error())
+    return [row for row in batch if not row.done.done()]
 
 
 def _fail_expired(batch: list[PendingAppend], exc: FirhookError) -> list[PendingAppend]:
--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -16,8 +16,9 @@
 #: not queue behind the records of callers.  The store may lose some partitions
 #: for seconds; without the fallbacks no task would start in that time.
 LEAD_PARTITIONS = (0, 2, 1, 3)
+#: For records that an instance appends itself, as no lead does it.
 CALLERS_PARTITIONS = (1, 3, 0, 2)
-#: For records that the lead appends on behalf of other instances.
+#: For records that the lead appends on behalf of other instances, the usual way.
 RELAYED_PARTITIONS = (3, 1, 0, 2)
 
 
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -183,7 +183,7 @@
 
     def register_handlers(self) -> None:
         """Register the handlers of queries and events."""
-        preferred = (LEAD_PARTITIONS[0], CALLERS_PARTITIONS[0])
+        preferred = (LEAD_PARTITIONS[0], RELAYED_PARTITIONS[0])
         self._readers = {
             number: _Reader(
                 number,
@@ -198,11 +198,10 @@
         self._route = AppendRoute()
         self._own_appends = self._create_queue(
             CALLERS_PARTITIONS,
-            self._route,
             lambda: not self._reachable or self._should_use_lead(),
         )
         self._relayed_appends = self._create_queue(
-            RELAYED_PARTITIONS, AppendRoute(), lambda: not self._reachable
+            RELAYED_PARTITIONS, lambda: not self._reachable
         )
         self._fan_out = FanOutSender(self, self.add_future)
         self._copier = ReplicaCopier(self)
@@ -220,17 +219,13 @@
         self.bus.subscribe(TermEnded, self._on_term_ended)
 
     def _create_queue(
-        self,
-        partitions: tuple[int, ...],
-        route: AppendRoute,
-        is_paused: Callable[[], bool],
+        self, partitions: tuple[int, ...], is_paused: Callable[[], bool]
     ) -> AppendQueue:
         return AppendQueue(
             self.store,
             self._reach,
             partitions,
             self.settings.store_limits.append_bytes // 2,
-            route,
             is_paused,
             self.bus.publish,
         )
@@ -640,25 +635,21 @@
         The store may stop answering, for all instances or for this one.  An append
         without an answer leaves the caller with an unknown outcome, and most callers
         do not dare to submit again after that.  A record that was never sent can be
-        refused at once, with a retry delay.  The lead, if it reaches the store, may
-        append the record instead.
+        refused at once, with a retry delay.
         """
         pending = PendingAppend(query.record, query.until)
+        is_queued = False
         try:
-            if not self._reachable:
-                await self._relay_or_fail(pending)
-            elif self._should_use_lead():
-                await self._append_through_lead(pending)
-            if not pending.done.done():
-                self._own_appends.add(pending)
             while not pending.done.done():
-                await pending.wait(_REACH_CHECK_INTERVAL_S)
-                if pending.done.done():
-                    break
                 if not self._reachable:
                     await self._relay_or_fail(pending)
                 elif self._should_use_lead():
                     await self._append_through_lead(pending)
+                else:
+                    if not is_queued:
+                        is_queued = True
+                        self._own_appends.add(pending)
+                    await pending.wait(_REACH_CHECK_INTERVAL_S)
         except BaseException:
             pending.abandon()
             raise
@@ -666,9 +657,9 @@
 
     def _should_use_lead(self) -> bool:
         """Return whether to append through the lead; ``False`` if none is reachable."""
-        if self._lead_is_silent:
-            return False
-        return self._route.should_use_lead(boot_time(), self._reach.answered_at)
+        if self._is_lead():
+            return True
+        return not self._lead_is_silent and self._route.should_use_lead(boot_time())
 
     async def _relay_or_fail(self, pending: PendingAppend) -> None:
         """Have the lead append a record, or fail it, as the store is unreachable."""
@@ -696,29 +687,43 @@
             return
         if self._is_lead():
             self._relayed_appends.add(pending)
-            began = boot_time()
-            await asyncio.wait({pending.done}, timeout=left_s)
-            self._route.note_lead_append(boot_time() - began)
+            while not pending.done.done():
+                await pending.wait(left_s)
             return
         relaying = asyncio.create_task(
             self._relay(pending, min(left_s, APPEND_TIMEOUT_S))
         )
         relaying.add_done_callback(_LOG_UNREAD_RELAY)
         try:
-            await asyncio.wait({relaying, pending.done}, return_when=FIRST_COMPLETED)
+            await self._wait_for_relay(relaying, pending)
             if not relaying.done():
+                if not pending.done.done():
+                    self._route.note_lead_silent(boot_time())
                 return
             reply = relaying.result()
         except LogOutcomeUnknownError:
-            reply = None
+            self._route.note_lead_silent(boot_time())
+            return
         finally:
             relaying.cancel()
         if reply is None:
-            self._route.note_lead_failure(boot_time())
+            self._route.note_lead_refusal(boot_time())
             return
-        self._route.note_lead_append(reply.took_s)
         pending.resolve(reply.offset)
 
+    async def _wait_for_relay(
+        self, relaying: asyncio.Task[AppendReply | None], pending: PendingAppend
+    ) -> None:
+        """Wait for the lead's answer, unless the lead or the store is lost first."""
+        while not relaying.done() and not pending.done.done():
+            await asyncio.wait(
+                {relaying, pending.done},
+                timeout=_REACH_CHECK_INTERVAL_S,
+                return_when=FIRST_COMPLETED,
+            )
+            if self._lead_is_silent:
+                return
+
     async def _relay(
         self, pending: PendingAppend, within_s: float
     ) -> AppendReply | None:
@@ -755,8 +760,7 @@
         if not self._reachable:
             return AppendReply(False)
         record = KeyedRecord(msg.record.key, msg.record.value)
-        began = boot_time()
-        pending = PendingAppend(record, began + msg.within_s - _REPLY_MARGIN_S)
+        pending = PendingAppend(record, boot_time() + msg.within_s - _REPLY_MARGIN_S)
         self._relayed_appends.add(pending)
         try:
             while not pending.done.done():
@@ -773,4 +777,4 @@
         except asyncio.CancelledError:
             pending.abandon()
             raise
-        return AppendReply(True, offset, boot_time() - began)
+        return AppendReply(True, offset)
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -564,6 +564,7 @@
         prefix: str = "/plan/",
         job_id: str = "",
         fails: bool = False,
+        attempts: int = 4,
         **more: Any,
     ) -> tuple[str, int]:
         """Submit a job with the retries of a caller; return its id and the status."""
@@ -584,7 +585,7 @@
                     self.checks.duplicates.add(f"{job_id}.{k}.{number}")
         body = msgspec.json.encode({"specification": job_id, "steps": steps, **more})
         statuses = []
-        for _ in range(4):
+        for _ in range(attempts):
             req = ModelRequest("POST", prefix + job_id, body)
             status, _ = await self.any_instance().call(req)
             statuses.append(status)
--- a/tests/services/test_abandoned_requests.py
+++ b/tests/services/test_abandoned_requests.py
@@ -114,9 +114,9 @@
         cell.store.mode["*"] = "silent"
         record = KeyedRecord("cancel/x", b"\x01")
         request = asyncio.create_task(bus.ask(AppendRecord(record, boot_time() + 9.0)))
-        while not follower._own_appends.pending:
+        while not follower._relayed_appends.pending:
             await asyncio.sleep(0)
-        follower._own_appends.pending[0].fail(LogOutcomeUnknownError("silent"))
+        follower._relayed_appends.pending[0].fail(LogOutcomeUnknownError("silent"))
         request.cancel()
         await asyncio.wait({request})
         assert request.cancelled()
--- a/tests/services/test_slow_store.py
+++ b/tests/services/test_slow_store.py
@@ -1,6 +1,7 @@
 """Answers to callers while the store is slow or refuses appends."""
 
 import asyncio
+from collections import Counter
 
 import pytest
 
@@ -10,13 +11,13 @@
 from tests.services.scenarios import run_scenario, step
 
 
-async def submit_all(cell, per_s, lasts_s):
+async def submit_all(cell, per_s, lasts_s, attempts=4):
     """Submit jobs at random instances; return status and seconds of each."""
     got = []
 
     async def one():
         began = now()
-        _, status = await cell.submit([step(1, 10)], work_s=0.2)
+        _, status = await cell.submit([step(1, 10)], work_s=0.2, attempts=attempts)
         got.append((status, now() - began))
 
     submissions = []
@@ -43,6 +44,26 @@
     run_scenario(scenario, instances=30, workers=4)
 
 
+def test_submissions_are_stored_and_started_while_the_store_is_100_times_slower():
+    """Single appends fill the store's queue before the first slow answer arrives.
+
+    Nine of ten submissions must be stored and answered in their time, those that are
+    not must be refused truly, and the tasks of accepted jobs must start.
+    """
+
+    async def scenario(cell):
+        await submit_all(cell, 50, 1.0)
+        cell.store.slow, cell.store.serial_appends = 100.0, True
+        got = await submit_all(cell, 50, 5.0, attempts=1)
+        in_time = [s for status, s in got if status == 200 and s <= 1.5]
+        assert len(in_time) >= len(got) * 0.9, Counter(status for status, _ in got)
+        await pause(4.0)
+        started = {task.partition(".")[0] for task in cell.checks.last_start}
+        assert started >= cell.accepted.keys()
+
+    run_scenario(scenario, instances=33, workers=20)
+
+
 @pytest.mark.parametrize("trouble", ["cut_off", "turned_away"])
 def test_jobs_are_accepted_from_a_slow_store_though_the_lead_does_not_append(trouble):
     """An instance must not wait for a lead that cannot append until callers give up."""
