Let a restarted lead campaign without listening for itself

Cause: after all instances are killed at once, each listens for a heartbeat of the last lead.

An instance that finds its own earlier incarnation as the newest lead on record knows that none will come. It campaigns as soon as it is able to lead, unless others are much stronger. The claim stays conditional on the end of the log. The claim's second check, after the log was read, asks the same question as the first.

--- a/src/firhook/decide/_election.py
+++ b/src/firhook/decide/_election.py
@@ -133,6 +133,7 @@
         self._ready_since: float | None = None
         self._listening_since: float | None = None
         self._backoff_until = -math.inf
+        self._predecessor_epoch = 0
 
     def record_heartbeat(self, epoch: int, name: str, newest: int, now: float) -> None:
         """Record a heartbeat of a lead.
@@ -164,6 +165,13 @@
         if epoch > self.epoch:
             self.epoch, self.lead = epoch, name
 
+    def note_predecessor(self, epoch: int) -> None:
+        """Record that an earlier incarnation of this instance led in an epoch.
+
+        It has ended, as only one process of an instance runs at a time.
+        """
+        self._predecessor_epoch = max(self._predecessor_epoch, epoch)
+
     def mark_log_read(self, now: float) -> None:
         """Record that everything that leads have written so far was read."""
         if self._listening_since is None:
@@ -207,6 +215,8 @@
             return False
         if now < self._backoff_until:
             return False
+        if self._succeeds_itself(candidates):
+            return True
         if not self.lead_timed_out(now):
             return False
         delay = campaign_delay_s(self._name, candidates, self.lead)
@@ -217,3 +227,18 @@
         )
         since = max(self._alive_at + LEAD_TIMEOUT_S, self._ready_since, listened_until)
         return now >= since + delay
+
+    def _succeeds_itself(self, candidates: Sequence[Candidate]) -> bool:
+        """Return whether the last lead was this instance, which has restarted since.
+
+        After all instances were killed at once, the others listen for a heartbeat of
+        the last lead before they campaign.  This instance knows that none will come,
+        so that the cell starts work a third of a second sooner.  If others are much
+        stronger, it leaves the lead to them, as it would have to hand it over soon.
+        """
+        if not self.epoch or self._predecessor_epoch != self.epoch:
+            return False
+        own = next((c.strength for c in candidates if c.name == self._name), None)
+        return own is not None and not any(
+            is_much_stronger(c.strength, own) for c in candidates
+        )
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -260,6 +260,9 @@
         last = self.replica.lead
         if last is not None:
             self._election.learn_lead(last.epoch, last.name)
+            is_own = last.name == self.settings.name
+            if is_own and last.incarnation != self.instance.incarnation:
+                self._election.note_predecessor(last.epoch)
 
     # Claiming the lead.
 
@@ -300,7 +303,10 @@
         if self._election.epoch > known:
             log("lead.claimed_by_another", epoch=self._election.epoch)
             return None
-        if not offered and not self._election.lead_timed_out(boot_time()):
+        campaigns = self._election.should_campaign(
+            candidates(self.replica), boot_time()
+        )
+        if not offered and not campaigns:
             log("lead.alive_in_store", epoch=self._election.epoch)
             return None
         epoch = self._election.epoch + 1
--- a/tests/decide/test_election.py
+++ b/tests/decide/test_election.py
@@ -56,6 +56,36 @@
     assert at - 10.0 < 2.0
 
 
+def restarted_lead(strength=1.0):
+    """Return the election of a restarted instance that led before, and candidates."""
+    election = Election("i0")
+    election.learn_lead(5, "i0")
+    election.note_predecessor(5)
+    rest = [c for c in seven_candidates() if c.name != "i0"]
+    return election, [Candidate("i0", "a", strength), *rest]
+
+
+def test_restarted_lead_campaigns_at_once():
+    """After the loss of all instances, nobody hears a heartbeat of the last lead."""
+    election, candidates = restarted_lead()
+    assert not election.should_campaign(candidates, 1.0)
+    election.set_ready(True, 1.0)
+    assert election.should_campaign(candidates, 1.0)
+
+
+def test_restarted_lead_does_not_campaign_if_another_has_led_since():
+    election, candidates = restarted_lead()
+    election.set_ready(True, 1.0)
+    election.record_heartbeat(6, "i3", 0, 1.0)
+    assert not election.should_campaign(candidates, 1.0)
+
+
+def test_restarted_weak_lead_leaves_the_lead_to_stronger_instances():
+    election, candidates = restarted_lead(strength=0.5)
+    election.set_ready(True, 1.0)
+    assert not election.should_campaign(candidates, 1.0)
+
+
 def test_weak_instance_campaigns_only_after_all_strong_ones():
     """Strong instances that only restart come back before a weak one campaigns.
 
