Send a start again that is not answered within the usual time

Cause: a worker that leaves an order unanswered and carries it out late holds its task for the order's timeout of 0.8 s.

The copy has the same run number, so the worker carries out one of them. A worker is suspected only if no copy was answered.

--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -15,12 +15,14 @@
 )
 from firhook.cell.job_table import MAX_ORDER_DELAY_S
 from firhook.clock import boot_time
+from firhook.decide.hedging import HedgeTimer
 from firhook.decide.tickets import TicketTable
 from firhook.logs import log
 from firhook.meters import Meters
 from firhook.platform.instance import Bounds
 from firhook.platform.workers import Workers
 from firhook.services._worker_link import WorkerLink
+from firhook.tasks import log_failure
 
 #: The delay before an order without an answer is repeated.
 _ORDER_RETRY_S = 0.1
@@ -41,6 +43,8 @@
 _DRAIN_MARGIN_S = 1.5
 #: The outcomes after which a start is sent again.
 _RETRIED_OUTCOMES = (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT, OrderOutcome.EXPIRED)
+#: Logs a failed start that nobody awaits any more, as another copy was answered.
+_LOG_FAILURE = log_failure("run.start_failed")
 
 
 class OrderOwner(Protocol):
@@ -93,6 +97,7 @@
         self._queued_starts: list[tuple[float, int, Run]] = []
         self._queued_count = 0
         self._free_slots = _MAX_CONCURRENT_STARTS
+        self._hedge_timer = HedgeTimer()
 
     def stop_late_starts(self, link: WorkerLink, now: float) -> None:
         """Stop starts to a worker's previous incarnation that may still arrive.
@@ -188,6 +193,38 @@
         return not zones.may_repeat_start(zone, boot_time(), drain_s)
 
     async def _send_start(self, run: Run) -> OrderAnswer:
+        """Send a start, and a second copy of it if the first is not answered soon.
+
+        :return: the first answer; an unknown outcome only if both copies have one.
+        """
+        self._hedge_timer.record_order()
+        calls = [self._begin_start(run)]
+        try:
+            await asyncio.wait(calls, timeout=self._hedge_timer.delay_s())
+            if not calls[0].done() and self._may_hedge(run):
+                self._meters.count("starts_hedged")
+                calls.append(self._begin_start(run))
+            return await _first_known_answer(calls)
+        except asyncio.CancelledError:
+            for call in calls:
+                call.cancel()
+            raise
+
+    def _begin_start(self, run: Run) -> asyncio.Task[OrderAnswer]:
+        call = asyncio.create_task(self._send_start_once(run))
+        call.add_done_callback(_LOG_FAILURE)
+        return call
+
+    def _may_hedge(self, run: Run) -> bool:
+        is_current = run in run.task.runs and not run.stop_reason
+        return (
+            is_current
+            and self._term.may_act()
+            and not self._is_drained(run)
+            and self._hedge_timer.take()
+        )
+
+    async def _send_start_once(self, run: Run) -> OrderAnswer:
         link = self._term.links[run.worker]
         step = run.task.step
         order = StartOrder(
@@ -203,16 +240,21 @@
         # still arrive.
         run.unanswered_starts += 1
         run.sent_at = boot_time()
-        call = link.pending_calls.note_sent(run.sent_at)
+        sent_at = run.sent_at
+        call = link.pending_calls.note_sent(sent_at)
         try:
             answer = await self._term.workers.start(link.entry, order)
         finally:
             link.pending_calls.note_finished(call)
         if answer.outcome is OrderOutcome.UNKNOWN:
-            link.suspected = True
+            # A second copy may have been answered meanwhile.
+            link.suspected = link.suspected or run.unanswered_starts > 0
             self._unanswered_starts.setdefault(run.worker, {})[run.key] = run.sent_at
         else:
-            run.unanswered_starts -= 1
+            # The answer to another copy may have shown already that the worker has
+            # the run, which makes this copy void.
+            run.unanswered_starts = max(run.unanswered_starts - 1, 0)
+            self._hedge_timer.record_answer(boot_time() - sent_at)
         if answer.incarnation:
             link.on_order_answer(answer.incarnation, answer.clock_s, boot_time())
         self._meters.count("starts", answer.outcome.value)
@@ -302,3 +344,16 @@
                     self._term.on_fenced(run.worker)
                     return
             await asyncio.sleep(_ORDER_RETRY_S)
+
+
+async def _first_known_answer(calls: list[asyncio.Task[OrderAnswer]]) -> OrderAnswer:
+    """Return the first answer whose outcome is known, else that of the last call.
+
+    Calls without an answer by then go on, as their end shows whether the worker
+    answers.
+    """
+    for earliest in asyncio.as_completed(calls):
+        answer = await earliest
+        if answer.outcome is not OrderOutcome.UNKNOWN:
+            return answer
+    return answer
--- a/tests/services/test_starts.py
+++ b/tests/services/test_starts.py
@@ -58,3 +58,33 @@
         assert [len(w.runs) for w in reachable] == [1] * 30
 
     run_virtual(scenario())
+
+
+def test_urgent_start_that_a_worker_ignores_is_sent_again_soon():
+    """A lost order must not cost a short job the time of the order's timeout.
+
+    The worker carries out the first copy seconds later; the task must run once.
+    """
+
+    async def scenario():
+        cell = ModelCell(workers=20, seed=3)
+        await cell.begin()
+        for worker in cell.workers.values():
+            worker.late_share = 0.05
+        delays_s = []
+        for _ in range(40):
+            since = now()
+            job, _ = await cell.submit([step(3)], work_s=0.3, prefix="/quote/")
+            await pause(0.7)
+            starts = cell.checks.last_start.items()
+            began = [at - since for task, at in starts if task.startswith(job)]
+            delays_s.append(max(began) if len(began) == 3 else 1.0)
+        late = [delay_s for delay_s in delays_s if delay_s > 0.5]
+        assert len(late) <= 1, late
+        for worker in cell.workers.values():
+            worker.late_share = 0.0
+        await cell.all_done(30.0)
+        await pause(15.0)
+        assert cell.checks.violations == []
+
+    run_virtual(scenario())
