Take the time to restore from the settings

Cause: _stalls held 0.6 s of its own.

Test: a resumed run without progress is moved after 1.2 s where restoring takes 0.1 s, and not where it takes 0.6 s.

--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -406,7 +406,7 @@
     def _stop_stalled(self, link: WorkerLink, now: float) -> None:
         """Stop the stalled runs of a worker, so that they run elsewhere."""
         runs = self.job_table.worker_runs.get(link.name, {})
-        for run in stalled_runs(runs.values(), now):
+        for run in stalled_runs(runs.values(), now, self._bounds.restore_s):
             log(
                 "run.stalled",
                 level="warning",
--- a/tests/decide/test_speeds.py
+++ b/tests/decide/test_speeds.py
@@ -11,6 +11,9 @@
     WorkerHealth,
 )
 
+#: How long a run takes to resume from a checkpoint, in seconds.
+RESTORE_S = 0.6
+
 
 class Spec:
     long_running = False
@@ -64,8 +67,8 @@
     Its tasks would never end, and users would see a job that runs forever.
     """
     stalled = [make_run(0, 50, 1.0), make_run(0, 50, 1.0)]
-    assert stalled_runs(stalled, 1.0 + STALL_TIMEOUT_S / 2) == []
-    assert stalled_runs(stalled, 1.5 + STALL_TIMEOUT_S) == stalled
+    assert stalled_runs(stalled, 1.0 + STALL_TIMEOUT_S / 2, RESTORE_S) == []
+    assert stalled_runs(stalled, 1.5 + STALL_TIMEOUT_S, RESTORE_S) == stalled
 
 
 def test_short_run_without_any_progress_is_moved_in_time():
@@ -75,23 +78,30 @@
     time it starts again elsewhere.
     """
     fresh = [make_run(0, 0, 0.4)]
-    assert stalled_runs(fresh, 0.7) == []
-    assert stalled_runs(fresh, 1.0) == fresh
+    assert stalled_runs(fresh, 0.7, RESTORE_S) == []
+    assert stalled_runs(fresh, 1.0, RESTORE_S) == fresh
     resumed = [make_run(0, 0, 0.4, ResumedTask)]
-    assert stalled_runs(resumed, 1.4) == []
-    assert stalled_runs(resumed, 1.7) == resumed
+    assert stalled_runs(resumed, 1.4, RESTORE_S) == []
+    assert stalled_runs(resumed, 1.7, RESTORE_S) == resumed
+
+
+def test_resumed_run_has_the_time_to_restore_that_the_settings_give():
+    """A run must not be moved while it still restores, nor much later than that."""
+    resumed = [make_run(0.0, 0.0, 0.0, ResumedTask)]
+    assert stalled_runs(resumed, 1.2, restore_s=0.1) == resumed
+    assert stalled_runs(resumed, 1.2, restore_s=0.6) == []
 
 
 def test_earlier_progress_does_not_hide_that_a_worker_is_stalled_now():
     before, fresh = make_run(0, 60, 1.0), make_run(0, 0, 1.5)
     fresh.started_at = 1.2
-    assert stalled_runs([before, fresh], 2.1) == []
-    assert stalled_runs([before, fresh], 2.4) == [fresh]
+    assert stalled_runs([before, fresh], 2.1, RESTORE_S) == []
+    assert stalled_runs([before, fresh], 2.4, RESTORE_S) == [fresh]
 
 
 def test_slow_run_beside_a_progressing_one_is_not_stalled():
     runs = [make_run(0, 0, 1.0), make_run(0, 50, 4.0)]
-    assert stalled_runs(runs, 4.2) == []
+    assert stalled_runs(runs, 4.2, RESTORE_S) == []
 
 
 def test_worker_that_fails_several_jobs_backs_off_and_then_gets_one_task():
