--- a/src/firhook/_peer_messages.py
+++ b/src/firhook/_peer_messages.py
@@ -216,7 +216,7 @@
 class AppendAsk:
     """Request that the receiver append a record for the sender.
 
-    Sent by an instance that cannot reach the store or whose own appends wait.
+    Sent to the lead, which appends the records of all instances in few calls.
 
     :ivar within_s: how long the sender waits for the reply, in seconds.
     """
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -756,7 +756,7 @@
         return reply
 
     async def _serve_append(self, msg: AppendAsk) -> AppendReply:
-        """Append for an instance that the store refuses, or whose appends are slow."""
+        """Append for another instance, together with the records of all others."""
         if not self._reachable:
             return AppendReply(False)
         record = KeyedRecord(msg.record.key, msg.record.value)
