Report all waiting steps, and accepted jobs that the lead does not know

The lead logged the five oldest waiting steps. A step behind five older ones was in no log line, and neither was one of which another task ran, a gang that had lost a member, a step that no round looked at because it was never marked ready, or a job that the term had skipped.

The report now counts all waiting steps by reason, with the longest wait of each, and the oldest step of each reason always has a row. A row says more: how many tasks wait, since when for this reason, tickets that are valid, reservation, where its tasks would fit now, the team's use and limit. A round records a reason also for a step of which it placed only some tasks. No decision changes.

step.overdue names, once for each reason and then at doubling intervals, steps that wait longer than their reason explains; the thresholds are the lease, the visibility of jobs, the adviser's timing and the job's objective. jobs.unknown names accepted, unfinished jobs of the replica that the job table lacks; they are compared some hundred jobs a round.

--- a/src/firhook/decide/_schedule.py
+++ b/src/firhook/decide/_schedule.py
@@ -55,6 +55,8 @@
     NO_ROOM = "no_room"
     #: All remaining tasks are assigned, but no worker has confirmed that it runs them.
     RUNS_BOUND = "runs_bound"
+    #: Members of the gang still have runs, which end before the gang starts anew.
+    GANG_INCOMPLETE = "gang_incomplete"
     #: No round has considered it yet.
     NOT_LOOKED_AT = "not_looked_at"
 
@@ -112,12 +114,15 @@
     """The decisions of a round.
 
     :ivar advice_requests: what to ask the adviser.
-    :ivar wait_reasons: why steps could not start, by the step's name.
+    :ivar wait_reasons: why steps could not start, or not all their tasks, by the
+        step's name.
+    :ivar reserved: the names of the gangs for which capacity is reserved.
     """
 
     placements: list[Placement] = attrs.field(factory=list)
     advice_requests: list[AdviceRequest] = attrs.field(factory=list)
     wait_reasons: dict[str, WaitReason] = attrs.field(factory=dict)
+    reserved: set[str] = attrs.field(factory=set)
 
 
 def urgency(step: Step, now: float) -> tuple[int, int, float]:
@@ -360,6 +365,9 @@
             self._add_placement(step, chosen)
         else:
             self._widen_advice(step, suitable)
+        if len(chosen) == permitted < len(step.idle):
+            self._record_wait(step, WaitReason.TEAM_LIMIT)
+        elif len(chosen) < len(step.idle):
             self._record_wait(step, self._wait_reason(step, suitable))
 
     def _pick_worker(
@@ -524,6 +532,7 @@
         if total < spec.count:
             return
         self._reserved_gangs += 1
+        self.result.reserved.add(step.name)
         left = spec.count
         for worker in sorted(workers, key=lambda w: -slots[w.name]):
             count = min(slots[worker.name], left)
--- a/src/firhook/decide/schedule.py
+++ b/src/firhook/decide/schedule.py
@@ -1,6 +1,7 @@
 """Decides which waiting tasks start now, and on which workers."""
 
 from firhook.decide._schedule import (
+    LATE_FACTOR,
     Placement,
     Round,
     RoundResult,
@@ -12,6 +13,7 @@
 )
 
 __all__ = [
+    "LATE_FACTOR",
     "Placement",
     "Round",
     "RoundResult",
--- a/src/firhook/decide/waiting.py
+++ b/src/firhook/decide/waiting.py
@@ -1,5 +1,21 @@
-"""Finds the steps that have waited longest, and why."""
+"""Reports which steps wait, for how long and why."""
 
-from firhook.decide._waiting import WaitingStep, longest_waiting
+from firhook.decide._waiting import (
+    ReasonTotal,
+    Room,
+    RoundView,
+    WaitingReport,
+    WaitingStep,
+    WaitLimits,
+    WaitMonitor,
+)
 
-__all__ = ["WaitingStep", "longest_waiting"]
+__all__ = [
+    "ReasonTotal",
+    "Room",
+    "RoundView",
+    "WaitLimits",
+    "WaitMonitor",
+    "WaitingReport",
+    "WaitingStep",
+]
--- a/src/firhook/services/_placer.py
+++ b/src/firhook/services/_placer.py
@@ -12,15 +12,13 @@
 from firhook.clock import boot_time
 from firhook.decide.schedule import (
     RoundResult,
-    WaitReason,
     WorkerView,
     urgent_headroom_m,
 )
 from firhook.decide.speeds import SpeedEstimator
 from firhook.decide.suspicion import suspected_zones
 from firhook.decide.tickets import TicketTable
-from firhook.decide.waiting import longest_waiting
-from firhook.logs import log
+from firhook.decide.waiting import RoundView
 from firhook.meters import Meters
 from firhook.services._adviser_client import AdviserClient
 from firhook.services._worker_link import WorkerLink
@@ -28,8 +26,6 @@
 #: The weight of the newest urgent step in the running mean of their CPU need.  About
 #: the last twenty steps count.
 _URGENT_WEIGHT = 0.1
-#: The interval at which the lead logs the steps that have waited longest.
-_LOG_INTERVAL_S = 1.0
 
 PlaceRound = Callable[
     [JobTable, dict[str, WorkerView], TicketTable, float],
@@ -65,17 +61,17 @@
         self._place_round = place_round
         self._drained_zones = drained_zones
         self._urgent_need_m = 0
-        self._wait_reasons: dict[str, WaitReason] = {}
-        self._logged_at = float("-inf")
+        self._last_result = RoundResult()
+        self._last_views: dict[str, WorkerView] = {}
         self._free_cache: dict[str, tuple[WorkerEntry, Resources, Resources]] = {}
 
     def skip_round(self) -> None:
         """Skip a round, after which the reasons why steps wait are unknown."""
-        self._wait_reasons = {}
+        self._last_result, self._last_views = RoundResult(), {}
 
     def place(self, now: float) -> None:
         """Assign the tasks that may run now, and ask the adviser about others."""
-        self._wait_reasons = {}
+        self.skip_round()
         if not self._job_table.open_steps:
             return
         views = self._worker_views(now)
@@ -91,35 +87,19 @@
                 self._meters.record_duration(
                     "wait_for_room", queue, now - step.job.accepted_at
                 )
-        self._wait_reasons = result.wait_reasons
+        self._last_result, self._last_views = result, views
         self._adviser_client.ask_all(result.advice_requests, now)
         self._tickets.retain_jobs(self._job_table.jobs)
         took_s = boot_time() - now
         self._meters.record_duration("round", "", took_s)
 
-    def log_waiting(self, now: float) -> None:
-        """Log the steps that have waited longest, and why they wait."""
-        if now - self._logged_at < _LOG_INTERVAL_S:
-            return
-        self._logged_at = now
+    def round_view(self) -> RoundView:
+        """Return what the last round saw, and which workers answer polls now."""
         answering = {n for n, link in self._links.items() if not link.suspected}
-        waiting = longest_waiting(
-            self._job_table, self._wait_reasons, self._tickets, answering, now
+        result = self._last_result
+        return RoundView(
+            result.wait_reasons, self._last_views, result.reserved, answering
         )
-        if waiting:
-            rows = [
-                {
-                    "step": row.step.name,
-                    "why": row.reason.value,
-                    "ready_s": round(row.ready_s, 2),
-                    "left": row.step.remaining,
-                    "workers": row.workers,
-                    "asked": row.asked,
-                    "permitted": row.permitted,
-                }
-                for row in waiting
-            ]
-            log("steps.waiting", steps=rows)
 
     def _update_urgent_need(self, cpu_m: int) -> None:
         """Update the running mean of the CPU need of urgent tasks, in millicores."""
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -52,6 +52,7 @@
 from firhook.services._order_sender import OrderSender
 from firhook.services._placer import Placer, PlaceRound
 from firhook.services._retention import delete_expired_jobs
+from firhook.services._waiting import WaitingReporter
 from firhook.services._worker_link import WorkerLink
 from firhook.services._worker_list import WorkerList
 from firhook.tasks import log_failure
@@ -118,6 +119,7 @@
     :ivar drained_zones: the zones that get no new work.
     :ivar taken_over: whether the takeover is complete.
     :ivar takeover_stage: what the takeover waits for.
+    :ivar waiting: reports on the steps that wait.
     """
 
     def __init__(self, lead: TermOwner, epoch: int) -> None:
@@ -161,6 +163,14 @@
             lead.place,
             self.drained_zones,
         )
+        self.waiting = WaitingReporter(
+            self.job_table,
+            self._replica,
+            self._known_jobs,
+            self.tickets,
+            self._bounds,
+            self._placer.round_view,
+        )
         self._link_tasks: dict[str, asyncio.Task[None]] = {}
         self._renew_until = 0.0
         self._writes_paused_until = float("-inf")
@@ -497,7 +507,7 @@
                 self._placer.place(boot_time())
             else:
                 self._placer.skip_round()
-            self._placer.log_waiting(boot_time())
+            self.waiting.update(boot_time())
             for run in self.job_table.take_to_stop():
                 self._spawn(self._order_sender.stop(run))
             self._log_voided()
--- /dev/null
+++ b/src/firhook/services/_waiting.py
@@ -0,0 +1,160 @@
+"""Follows, logs and reports the steps that wait during a lead's term."""
+
+from collections import Counter
+from collections.abc import Callable, Container
+from typing import Any
+
+from firhook.cell import JobTable, Replica, Resources
+from firhook.clock import boot_time
+from firhook.decide.tickets import TicketTable
+from firhook.decide.unknown_jobs import UnknownJob, UnknownJobs, UnknownReason
+from firhook.decide.waiting import (
+    ReasonTotal,
+    RoundView,
+    WaitingStep,
+    WaitLimits,
+    WaitMonitor,
+)
+from firhook.logs import log
+from firhook.platform.instance import Bounds
+
+#: The interval at which the lead logs the steps that have waited longest.
+_LOG_INTERVAL_S = 1.0
+#: Shorter waits are not logged: advice may take a second, and work that is not
+#: urgent waits some time for capacity.
+_MIN_LOGGED_WAIT_S = 3.0
+#: Limits of a log line, and of the overdue steps that are logged at a time.
+_MAX_LOGGED_STEPS = 5
+_MAX_LOGGED_JOBS = 10
+_MAX_LOGGED_OVERDUE = 5
+#: The interval at which an unchanged number of unknown jobs is logged again.
+_UNKNOWN_INTERVAL_S = 10.0
+#: Jobs of the replica that are compared with the job table after a round.
+_JOBS_PER_SCAN = 500
+
+
+class WaitingReporter:
+    """Logs which steps wait, and answers queries about them.
+
+    :param notified: the ids of all jobs that the term was notified of.
+    :param round_view: returns what the last round saw.
+    """
+
+    def __init__(
+        self,
+        job_table: JobTable,
+        replica: Replica,
+        notified: Container[str],
+        tickets: TicketTable,
+        bounds: Bounds,
+        round_view: Callable[[], RoundView],
+    ) -> None:
+        limits = WaitLimits(bounds.lease_s, bounds.job_visibility_s)
+        self._monitor = WaitMonitor(job_table, tickets, limits)
+        self._unknown = UnknownJobs(replica, job_table.jobs, notified)
+        self._round_view = round_view
+        self._logged_at = float("-inf")
+        self._unknown_logged_at = float("-inf")
+        self._unknown_logged: Counter[UnknownReason] = Counter()
+
+    def update(self, now: float) -> None:
+        """Compare some jobs with the replica, and log what waits if that is due."""
+        self._unknown.scan(_JOBS_PER_SCAN, now)
+        if now - self._logged_at < _LOG_INTERVAL_S:
+            return
+        self._logged_at = now
+        self._monitor.observe(self._round_view(), now)
+        self._log_waiting()
+        self._log_overdue()
+        self._log_unknown(now)
+
+    def totals(self) -> dict[str, ReasonTotal]:
+        """Return the totals of the waiting steps by reason, at most a second old."""
+        return {reason.value: t for reason, t in self._monitor.totals().items()}
+
+    def unknown_counts(self) -> dict[str, int]:
+        """Return the number of jobs that the job table lacks, by reason."""
+        counts = self._unknown.counts(boot_time())
+        return {reason.value: count for reason, count in counts.items()}
+
+    def _log_waiting(self) -> None:
+        report = self._monitor.report(_MAX_LOGGED_STEPS, _MIN_LOGGED_WAIT_S)
+        if report.rows:
+            log(
+                "steps.waiting",
+                steps=[describe_step(row) for row in report.rows],
+                reasons=describe_totals(self.totals()),
+            )
+
+    def _log_overdue(self) -> None:
+        for row in self._monitor.take_overdue(_MAX_LOGGED_OVERDUE):
+            log("step.overdue", level="warning", **describe_step(row))
+
+    def _log_unknown(self, now: float) -> None:
+        counts = self._unknown.counts(now)
+        unchanged = counts == self._unknown_logged
+        if unchanged and now - self._unknown_logged_at < _UNKNOWN_INTERVAL_S:
+            return
+        self._unknown_logged, self._unknown_logged_at = counts, now
+        if counts:
+            oldest = self._unknown.oldest(_MAX_LOGGED_JOBS, now)
+            log(
+                "jobs.unknown",
+                level="warning",
+                reasons={reason.value: count for reason, count in counts.items()},
+                jobs=[describe_unknown(job, now) for job in oldest],
+            )
+
+
+def describe_step(row: WaitingStep) -> dict[str, Any]:
+    """Return the fields of a waiting step for logs and queries."""
+    spec = row.step.spec
+    fields: dict[str, Any] = {
+        "step": row.step.name,
+        "why": row.reason.value,
+        "why_s": round(row.reason_s, 2),
+        "ready_s": round(row.ready_s, 2),
+        "waits_s": round(row.waits_s, 2),
+        "left": row.step.remaining,
+        "waiting": row.tasks,
+        "gang": spec.gang,
+        "overdue": row.overdue,
+        "workers": row.workers,
+        "asked": row.asked,
+        "permitted": row.permitted,
+        "with_ticket": row.with_ticket,
+        "reserved": row.reserved,
+        "team": row.step.job.team,
+        "need": _describe_resources(spec.need),
+    }
+    if row.team_limit != Resources():
+        fields["team_used"] = _describe_resources(row.team_used)
+        fields["team_limit"] = _describe_resources(row.team_limit)
+    if row.room is not None:
+        fields["fit"] = row.room.permitted
+        fields["fit_unreserved"] = row.room.unreserved
+        fields["fit_pool"] = row.room.pool
+    return fields
+
+
+def describe_totals(totals: dict[str, ReasonTotal]) -> dict[str, Any]:
+    """Return the fields of the totals by reason for logs and queries."""
+    return {
+        reason: {
+            "steps": total.steps,
+            "longest_s": round(total.longest_s, 2),
+            "overdue": total.overdue,
+        }
+        for reason, total in sorted(totals.items())
+    }
+
+
+def describe_unknown(job: UnknownJob, now: float) -> dict[str, Any]:
+    """Return the fields of an unknown job for logs and queries."""
+    since_s = round(now - job.since, 2)
+    return {"job": job.id, "why": job.reason.value, "since_s": since_s}
+
+
+def _describe_resources(amount: Resources) -> list[int]:
+    """Return millicores, megabytes of memory and accelerators."""
+    return [amount.cpu_m, amount.memory_mb, amount.accelerators]
