Expose what waits, and the jobs that the lead does not know, as metrics

Operators could read why steps wait only from the lead's log. The lead now exposes by reason the number of waiting steps, the longest wait, the number that is overdue, and the number of accepted jobs that its job table lacks. Other instances expose none of these, so that sums over instances are right.

--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -1,7 +1,7 @@
 """Events and queries exchanged between the services of an instance."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import attrs
@@ -9,6 +9,7 @@
 from firhook._bus import Query
 from firhook._peer_messages import LeadAlive
 from firhook.cell import CellConfig
+from firhook.decide.waiting import ReasonTotal
 from firhook.platform.store import KeyedRecord
 
 #: The partitions of the cell's topic in order of preference.  A partition handles
@@ -205,3 +206,16 @@
 
     refresh_after_s: float = math.inf
     timeout_s: float = 0.0
+
+
+@attrs.frozen(slots=True)
+class WaitingTotals:
+    """The waiting steps, and the jobs that the lead does not know, by reason."""
+
+    steps: Mapping[str, ReasonTotal]
+    unknown_jobs: Mapping[str, int]
+
+
+@attrs.frozen(slots=True)
+class CountWaiting(Query[WaitingTotals | None]):
+    """What waits, according to this instance's term; ``None`` if it does not lead."""
--- a/src/firhook/services/_exposition.py
+++ b/src/firhook/services/_exposition.py
@@ -13,26 +13,33 @@
 
 from firhook.clock import boot_time
 from firhook.instance import Instance
+from firhook.services._events import WaitingTotals
 
 _QUANTILES = (50.0, 90.0, 99.0, 100.0)
 
 
-def render_metrics(instance: Instance, replica_age_s: float) -> bytes:
+def render_metrics(
+    instance: Instance, replica_age_s: float, waiting: WaitingTotals | None
+) -> bytes:
     """Return all metrics of an instance.
 
     :param replica_age_s: the age of its replica, in seconds.
+    :param waiting: what waits, if it leads.
     """
     registry = CollectorRegistry(auto_describe=False)
-    registry.register(_Collector(instance, replica_age_s))
+    registry.register(_Collector(instance, replica_age_s, waiting))
     return generate_latest(registry)
 
 
 class _Collector(Collector):
     """Collects the metrics of an instance at each scrape."""
 
-    def __init__(self, instance: Instance, replica_age_s: float) -> None:
+    def __init__(
+        self, instance: Instance, replica_age_s: float, waiting: WaitingTotals | None
+    ) -> None:
         self._instance = instance
         self._replica_age_s = replica_age_s
+        self._waiting = waiting
 
     def collect(self) -> Iterable[Metric]:
         """Return all metrics."""
@@ -81,3 +88,35 @@
         for zone, drain in sorted(view.drained_zones.by_zone.items()):
             drains.add_metric([zone], min(boot_time() - drain.after, 1e9))
         yield drains
+        if self._waiting is not None:
+            yield from _waiting_families(self._waiting)
+
+
+def _waiting_families(waiting: WaitingTotals) -> Iterable[Metric]:
+    steps = GaugeMetricFamily(
+        "firhook_waiting_steps",
+        "Steps that are ready and have tasks that no worker runs.",
+        labels=["reason"],
+    )
+    longest = GaugeMetricFamily(
+        "firhook_waiting_longest_seconds",
+        "The longest wait of these steps.",
+        labels=["reason"],
+    )
+    overdue = GaugeMetricFamily(
+        "firhook_waiting_overdue_steps",
+        "Steps that have waited longer than their reason explains.",
+        labels=["reason"],
+    )
+    unknown = GaugeMetricFamily(
+        "firhook_jobs_unknown",
+        "Accepted, unfinished jobs that the lead's job table lacks.",
+        labels=["reason"],
+    )
+    for reason, total in waiting.steps.items():
+        steps.add_metric([reason], total.steps)
+        longest.add_metric([reason], total.longest_s)
+        overdue.add_metric([reason], total.overdue)
+    for reason, count in waiting.unknown_jobs.items():
+        unknown.add_metric([reason], count)
+    yield from (steps, longest, overdue, unknown)
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -35,6 +35,7 @@
     AnnounceLead,
     AskInstance,
     ConfigApplied,
+    CountWaiting,
     DrainedZonesChanged,
     IsFollowingStore,
     JobChanged,
@@ -46,6 +47,7 @@
     SendToInstance,
     SendToInstances,
     StoreLatency,
+    WaitingTotals,
 )
 from firhook.services._members import candidates
 from firhook.services._term import PROOF_S, Term
@@ -128,6 +130,7 @@
         self.bus.subscribe(PartitionRebuilt, self._on_rebuilt)
         self.bus.subscribe(StopBegun, self._on_stop_begun)
         self.bus.register_handler(LiveLead, self._current_lead)
+        self.bus.register_handler(CountWaiting, self._count_waiting)
 
     async def on_started(self) -> None:
         """Serve messages of other instances, and start the main loop."""
@@ -214,6 +217,11 @@
             return ""
         return name
 
+    async def _count_waiting(self, query: CountWaiting) -> WaitingTotals | None:
+        if self.term is None or not self.term.taken_over:
+            return None
+        return self.term.waiting.totals()
+
     async def _can_lead(self) -> bool:
         """Return whether this instance could lead.
 
--- a/src/firhook/services/_metrics.py
+++ b/src/firhook/services/_metrics.py
@@ -6,7 +6,7 @@
 from firhook.errors import AddressUnusableError
 from firhook.instance import InstanceService, register_service
 from firhook.logs import log
-from firhook.services._events import ReplicaAge
+from firhook.services._events import CountWaiting, ReplicaAge
 
 #: The metrics port that the deployment declares.
 METRICS_PORT = 9464
@@ -40,7 +40,8 @@
         # nothing is served until the modules of each of them are imported.
         from firhook.services._exposition import render_metrics
 
-        body = render_metrics(self.instance, await self.bus.ask(ReplicaAge()))
+        age_s = await self.bus.ask(ReplicaAge())
+        body = render_metrics(self.instance, age_s, await self.bus.ask(CountWaiting()))
         return web.Response(body=body, content_type="text/plain")
 
     async def on_stop(self) -> None:
--- a/src/firhook/services/_waiting.py
+++ b/src/firhook/services/_waiting.py
@@ -1,11 +1,12 @@
 """Follows, logs and reports the steps that wait during a lead's term."""
 
 from collections import Counter
-from collections.abc import Callable, Container
+from collections.abc import Callable, Container, Mapping
 from typing import Any
 
 from firhook.cell import JobTable, Replica, Resources
 from firhook.clock import boot_time
+from firhook.decide.schedule import WaitReason
 from firhook.decide.tickets import TicketTable
 from firhook.decide.unknown_jobs import UnknownJob, UnknownJobs, UnknownReason
 from firhook.decide.waiting import (
@@ -17,9 +18,12 @@
 )
 from firhook.logs import log
 from firhook.platform.instance import Bounds
+from firhook.services._events import WaitingTotals
 
 #: The interval at which the lead logs the steps that have waited longest.
 _LOG_INTERVAL_S = 1.0
+#: The shortest interval at which the steps are observed for queries.
+_MIN_INTERVAL_S = 0.25
 #: Shorter waits are not logged: advice may take a second, and work that is not
 #: urgent waits some time for capacity.
 _MIN_LOGGED_WAIT_S = 3.0
@@ -53,6 +57,7 @@
         self._monitor = WaitMonitor(job_table, tickets, limits)
         self._unknown = UnknownJobs(replica, job_table.jobs, notified)
         self._round_view = round_view
+        self._observed_at = float("-inf")
         self._logged_at = float("-inf")
         self._unknown_logged_at = float("-inf")
         self._unknown_logged: Counter[UnknownReason] = Counter()
@@ -63,19 +68,30 @@
         if now - self._logged_at < _LOG_INTERVAL_S:
             return
         self._logged_at = now
-        self._monitor.observe(self._round_view(), now)
+        self._observe(now)
         self._log_waiting()
         self._log_overdue()
         self._log_unknown(now)
 
-    def totals(self) -> dict[str, ReasonTotal]:
-        """Return the totals of the waiting steps by reason, at most a second old."""
-        return {reason.value: t for reason, t in self._monitor.totals().items()}
-
-    def unknown_counts(self) -> dict[str, int]:
-        """Return the number of jobs that the job table lacks, by reason."""
-        counts = self._unknown.counts(boot_time())
-        return {reason.value: count for reason, count in counts.items()}
+    def totals(self) -> WaitingTotals:
+        """Return the number of waiting steps and of unknown jobs, by reason."""
+        now = self._refresh()
+        found, unknown = self._monitor.totals(), self._unknown.counts(now)
+        return WaitingTotals(
+            {reason.value: found.get(reason, ReasonTotal()) for reason in WaitReason},
+            {reason.value: unknown[reason] for reason in UnknownReason},
+        )
+
+    def _refresh(self) -> float:
+        """Observe the steps, unless that was done a moment ago; return the time."""
+        now = boot_time()
+        if now - self._observed_at >= _MIN_INTERVAL_S:
+            self._observe(now)
+        return now
+
+    def _observe(self, now: float) -> None:
+        self._observed_at = now
+        self._monitor.observe(self._round_view(), now)
 
     def _log_waiting(self) -> None:
         report = self._monitor.report(_MAX_LOGGED_STEPS, _MIN_LOGGED_WAIT_S)
@@ -83,7 +99,7 @@
             log(
                 "steps.waiting",
                 steps=[describe_step(row) for row in report.rows],
-                reasons=describe_totals(self.totals()),
+                reasons=describe_totals(report.totals),
             )
 
     def _log_overdue(self) -> None:
@@ -137,10 +153,10 @@
     return fields
 
 
-def describe_totals(totals: dict[str, ReasonTotal]) -> dict[str, Any]:
+def describe_totals(totals: Mapping[WaitReason, ReasonTotal]) -> dict[str, Any]:
     """Return the fields of the totals by reason for logs and queries."""
     return {
-        reason: {
+        reason.value: {
             "steps": total.steps,
             "longest_s": round(total.longest_s, 2),
             "overdue": total.overdue,
--- a/tests/services/test_waiting.py
+++ b/tests/services/test_waiting.py
@@ -1,5 +1,7 @@
 """What the lead logs about steps that wait and jobs that it does not know."""
 
+from firhook.services._events import CountWaiting
+from firhook.services._exposition import render_metrics
 from standins.model import pause
 from tests.services.scenarios import run_scenario, step
 
@@ -57,3 +59,35 @@
         run_scenario(scenario, workers=4)
     assert events(caplog, "step.overdue") == []
     assert events(caplog, "jobs.unknown") == []
+
+
+async def scrape(instance):
+    """Return the metrics about waiting steps and unknown jobs of an instance."""
+    waiting = await instance.bus.ask(CountWaiting())
+    lines = render_metrics(instance, 0.0, waiting).decode().splitlines()
+    samples = (line.rpartition(" ") for line in lines)
+    return {
+        name: float(value)
+        for name, _, value in samples
+        if name.startswith(("firhook_waiting", "firhook_jobs_unknown"))
+    }
+
+
+def test_only_the_lead_exposes_what_waits():
+    async def scenario(cell):
+        for _ in range(8):
+            await cell.submit([step(1, 9000)])
+        await pause(60.0)
+        lead = cell.lead()
+        for other in cell.instances.values():
+            if other is not lead:
+                assert await scrape(other.instance) == {}
+        found = await scrape(lead.instance)
+        assert found['firhook_waiting_steps{reason="no_room"}'] == 8
+        assert found['firhook_waiting_steps{reason="no_worker"}'] == 0
+        assert found['firhook_waiting_overdue_steps{reason="no_room"}'] == 8
+        assert 60 <= found['firhook_waiting_longest_seconds{reason="no_room"}'] < 62
+        assert sum(v for n, v in found.items() if "jobs_unknown" in n) == 0
+        assert len(found) == 3 * 9 + 5
+
+    run_scenario(scenario, workers=1)
