Answer at any time why steps wait, through any instance

The reasons for which steps wait were only in the lead's log. With a job id it says of each step what it waits for, or that the job has ended or is not known. An instance that does not lead asks the lead with the peer message WaitingAsk, and says so if none answers.

--- a/src/firhook/_peer_messages.py
+++ b/src/firhook/_peer_messages.py
@@ -327,3 +327,27 @@
     status: int = 0
     queue: str = ""
     team: str = ""
+
+
+@message
+@attrs.frozen(slots=True)
+class WaitingAsk:
+    """Request the lead's report on the steps that wait.
+
+    :param limit: largest number of steps to describe.
+    :param job_id: the job whose steps to describe as well; empty for none.
+    """
+
+    limit: int
+    job_id: str = ""
+
+
+@message
+@attrs.frozen(slots=True)
+class WaitingReply:
+    """The lead's report on the steps that wait.
+
+    :param report: the report in JSON; empty if the receiver does not lead.
+    """
+
+    report: bytes
--- a/src/firhook/decide/_waiting.py
+++ b/src/firhook/decide/_waiting.py
@@ -286,6 +286,11 @@
         chosen += heapq.nsmallest(left, others, key=_order)
         return WaitingReport(self.totals(), tuple(self._rows(chosen)))
 
+    @property
+    def steps(self) -> Mapping[Step, object]:
+        """The steps that waited when last observed."""
+        return self._waits
+
     def row_of(self, step: Step) -> WaitingStep | None:
         """Return the row of a step; ``None`` if it does not wait."""
         wait = self._waits.get(step)
--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -219,3 +219,15 @@
 @attrs.frozen(slots=True)
 class CountWaiting(Query[WaitingTotals | None]):
     """What waits, according to this instance's term; ``None`` if it does not lead."""
+
+
+@attrs.frozen(slots=True)
+class DescribeWaiting(Query[dict[str, Any]]):
+    """Why steps wait, according to the lead, in a form that can be encoded as JSON.
+
+    :param limit: largest number of steps to describe.
+    :param job_id: the job whose steps to describe as well; empty for none.
+    """
+
+    limit: int
+    job_id: str = ""
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -35,7 +35,6 @@
     AnnounceLead,
     AskInstance,
     ConfigApplied,
-    CountWaiting,
     DrainedZonesChanged,
     IsFollowingStore,
     JobChanged,
@@ -47,10 +46,10 @@
     SendToInstance,
     SendToInstances,
     StoreLatency,
-    WaitingTotals,
 )
 from firhook.services._members import candidates
 from firhook.services._term import PROOF_S, Term
+from firhook.services._waiting_queries import WaitingQueries
 from firhook.tasks import log_failure
 
 #: The interval at which an instance checks whether it must act on the lead.
@@ -130,7 +129,7 @@
         self.bus.subscribe(PartitionRebuilt, self._on_rebuilt)
         self.bus.subscribe(StopBegun, self._on_stop_begun)
         self.bus.register_handler(LiveLead, self._current_lead)
-        self.bus.register_handler(CountWaiting, self._count_waiting)
+        self._waiting_queries = WaitingQueries(self, lambda: self.term, self.may_act)
 
     async def on_started(self) -> None:
         """Serve messages of other instances, and start the main loop."""
@@ -138,6 +137,7 @@
         self.bus.publish(RegisterMessageHandler(LeadAlive, self._on_alive))
         self.bus.publish(RegisterMessageHandler(LeadOffer, self._on_offer))
         self.bus.publish(RegisterMessageHandler(StrongerHere, self._on_stronger_peer))
+        self._waiting_queries.register_handlers()
         self.add_future(self._run())
 
     def _on_job(self, event: JobChanged) -> None:
@@ -217,11 +217,6 @@
             return ""
         return name
 
-    async def _count_waiting(self, query: CountWaiting) -> WaitingTotals | None:
-        if self.term is None or not self.term.taken_over:
-            return None
-        return self.term.waiting.totals()
-
     async def _can_lead(self) -> bool:
         """Return whether this instance could lead.
 
--- a/src/firhook/services/_metrics.py
+++ b/src/firhook/services/_metrics.py
@@ -1,21 +1,25 @@
-"""Serves this instance's metrics to operators."""
+"""Serves this instance's metrics, and why steps wait, to operators."""
 
+import msgspec
 from aiohttp import web
 
 from firhook._sockets import open_listening_socket
 from firhook.errors import AddressUnusableError
 from firhook.instance import InstanceService, register_service
 from firhook.logs import log
-from firhook.services._events import CountWaiting, ReplicaAge
+from firhook.services._events import CountWaiting, DescribeWaiting, ReplicaAge
 
 #: The metrics port that the deployment declares.
 METRICS_PORT = 9464
 _PATH = "/metrics"
+_WAITING_PATH = "/waiting"
+#: The number of steps in an answer if the query does not state a limit.
+_DEFAULT_STEPS = 20
 
 
 @register_service("metrics")
 class Metrics(InstanceService):
-    """Serves the metrics endpoint."""
+    """Serves the endpoint of operators."""
 
     def register_handlers(self) -> None:
         """Initialize without a listening socket."""
@@ -34,6 +38,8 @@
         await web.SockSite(self._runner, sock).start()
 
     async def _serve(self, req: web.BaseRequest) -> web.Response:
+        if req.path == _WAITING_PATH:
+            return await self._serve_waiting(req)
         if req.path != _PATH:
             return web.Response(status=404)
         # Imported at the first scrape: at a start after the loss of all instances,
@@ -44,6 +50,15 @@
         body = render_metrics(self.instance, age_s, await self.bus.ask(CountWaiting()))
         return web.Response(body=body, content_type="text/plain")
 
+    async def _serve_waiting(self, req: web.BaseRequest) -> web.Response:
+        limit = req.query.get("limit", str(_DEFAULT_STEPS))
+        if not limit.isascii() or not limit.isdigit():
+            return web.Response(status=400, text="limit: give a number")
+        # A longer number than any limit need not be converted.
+        query = DescribeWaiting(int(limit[:9]), req.query.get("job", ""))
+        body = msgspec.json.encode(await self.bus.ask(query))
+        return web.Response(body=body, content_type="application/json")
+
     async def on_stop(self) -> None:
         """Close the socket."""
         if self._runner is not None:
--- a/src/firhook/services/_waiting.py
+++ b/src/firhook/services/_waiting.py
@@ -6,6 +6,7 @@
 
 from firhook.cell import JobTable, Replica, Resources
 from firhook.clock import boot_time
+from firhook.decide.job_report import StepReport, report_steps
 from firhook.decide.schedule import WaitReason
 from firhook.decide.tickets import TicketTable
 from firhook.decide.unknown_jobs import UnknownJob, UnknownJobs, UnknownReason
@@ -31,6 +32,9 @@
 _MAX_LOGGED_STEPS = 5
 _MAX_LOGGED_JOBS = 10
 _MAX_LOGGED_OVERDUE = 5
+#: Limits of the description of one job.
+_MAX_JOB_STEPS = 20
+_MAX_STEP_RUNS = 10
 #: The interval at which an unchanged number of unknown jobs is logged again.
 _UNKNOWN_INTERVAL_S = 10.0
 #: Jobs of the replica that are compared with the job table after a round.
@@ -42,6 +46,7 @@
 
     :param notified: the ids of all jobs that the term was notified of.
     :param round_view: returns what the last round saw.
+    :ivar began_at: when the term began.
     """
 
     def __init__(
@@ -53,11 +58,15 @@
         bounds: Bounds,
         round_view: Callable[[], RoundView],
     ) -> None:
+        self.began_at = boot_time()
+        self._job_table = job_table
         limits = WaitLimits(bounds.lease_s, bounds.job_visibility_s)
         self._monitor = WaitMonitor(job_table, tickets, limits)
         self._unknown = UnknownJobs(replica, job_table.jobs, notified)
         self._round_view = round_view
         self._observed_at = float("-inf")
+        self._described_at = (float("-inf"), 0)
+        self._described: dict[str, Any] = {}
         self._logged_at = float("-inf")
         self._unknown_logged_at = float("-inf")
         self._unknown_logged: Counter[UnknownReason] = Counter()
@@ -82,10 +91,84 @@
             {reason.value: unknown[reason] for reason in UnknownReason},
         )
 
+    def describe(self, limit: int) -> dict[str, Any]:
+        """Return what waits, for queries.
+
+        :param limit: largest number of steps to describe.
+        """
+        now = self._refresh()
+        if self._described_at != (self._observed_at, limit):
+            self._described_at = (self._observed_at, limit)
+            self._described = self._describe(limit, now)
+        return self._described
+
+    def _describe(self, limit: int, now: float) -> dict[str, Any]:
+        report = self._monitor.report(limit)
+        counts = self._unknown.counts(now)
+        unknown = self._unknown.oldest(_MAX_LOGGED_JOBS, now)
+        return {
+            "jobs": len(self._job_table.jobs),
+            "runs": sum(len(r) for r in self._job_table.worker_runs.values()),
+            "reasons": describe_totals(report.totals),
+            "steps": [describe_step(row) for row in report.rows],
+            "unknown_jobs": {
+                "count": counts.total(),
+                "reasons": {reason.value: count for reason, count in counts.items()},
+                "jobs": [describe_unknown(job, now) for job in unknown],
+            },
+        }
+
+    def describe_job(self, job_id: str) -> dict[str, Any]:
+        """Return what each step of a job does or waits for, for queries."""
+        now = self._refresh()
+        job = self._job_table.jobs.get(job_id)
+        if job is None:
+            unknown = self._unknown.find(job_id, now)
+            if unknown is None:
+                return {"known": False}
+            return {"known": False, "unknown": describe_unknown(unknown, now)}
+        answering = self._round_view().answering
+        steps = report_steps(
+            job, self._monitor.steps, answering, _MAX_JOB_STEPS, _MAX_STEP_RUNS
+        )
+        return {
+            "known": True,
+            "status": job.status.name.lower(),
+            "team": job.team,
+            "queue": job.queue.name,
+            "age_s": round(now - job.accepted_at, 2),
+            "step_count": len(job.steps),
+            "steps": [self._describe_job_step(step, now) for step in steps],
+        }
+
+    def _describe_job_step(self, report: StepReport, now: float) -> dict[str, Any]:
+        step = report.step
+        row = self._monitor.row_of(step)
+        return {
+            "step": step.name,
+            "phase": report.phase.value,
+            "after": report.blocked_by,
+            "tasks": step.spec.count,
+            "left": step.remaining,
+            "run_count": report.run_count,
+            "runs": [
+                {
+                    "task": shown.run.task.index,
+                    "run": shown.run.number,
+                    "worker": shown.run.worker,
+                    "phase": shown.phase.value,
+                    "since_s": round(now - shown.run.started_at, 2),
+                }
+                for shown in report.runs
+            ],
+            "waiting": None if row is None else describe_step(row),
+        }
+
     def _refresh(self) -> float:
         """Observe the steps, unless that was done a moment ago; return the time."""
         now = boot_time()
         if now - self._observed_at >= _MIN_INTERVAL_S:
+            self._unknown.scan(_JOBS_PER_SCAN, now)
             self._observe(now)
         return now
 
--- a/tests/services/test_waiting.py
+++ b/tests/services/test_waiting.py
@@ -1,7 +1,10 @@
-"""What the lead logs about steps that wait and jobs that it does not know."""
+"""What the lead tells about steps that wait and jobs that it does not know."""
 
-from firhook.services._events import CountWaiting
+import msgspec
+
+from firhook.services._events import CountWaiting, DescribeWaiting
 from firhook.services._exposition import render_metrics
+from firhook.services._waiting_queries import MAX_STEPS
 from standins.model import pause
 from tests.services.scenarios import run_scenario, step
 
@@ -91,3 +94,113 @@
         assert len(found) == 3 * 9 + 5
 
     run_scenario(scenario, workers=1)
+
+
+def followers(cell):
+    lead = cell.lead()
+    return [i for i in cell.instances.values() if i is not lead]
+
+
+async def describe(model_instance, limit=20, job_id=""):
+    """Return an instance's answer as a client decodes it."""
+    query = DescribeWaiting(limit, job_id)
+    answer = await model_instance.instance.bus.ask(query)
+    return msgspec.json.decode(msgspec.json.encode(answer))
+
+
+def test_any_instance_reports_what_waits_at_the_lead():
+    async def scenario(cell):
+        for _ in range(8):
+            await cell.submit([step(1, 9000)])
+        await pause(5.0)
+        own = await describe(cell.lead())
+        asked = await describe(followers(cell)[0])
+        assert own["instance"] == own["lead"]["name"] == cell.lead_name()
+        assert asked["instance"] != cell.lead_name()
+        for answer in (own, asked):
+            assert answer["error"] == ""
+            assert answer["lead"]["name"] == cell.lead_name()
+            assert answer["lead"]["address"]
+            report = answer["report"]
+            assert (report["epoch"], report["taken_over"]) == (1, True)
+            assert report["reasons"]["no_room"]["steps"] == 8
+            assert len(report["steps"]) == 8
+            assert report["unknown_jobs"]["count"] == 0
+
+    run_scenario(scenario, workers=1)
+
+
+def test_size_of_a_report_is_bounded():
+    async def scenario(cell):
+        for _ in range(MAX_STEPS + 30):
+            await cell.submit([step(1, 9000)])
+        await pause(5.0)
+        for answer in (
+            await describe(cell.lead(), limit=10**6),
+            await describe(followers(cell)[0], limit=10**6),
+        ):
+            assert len(answer["report"]["steps"]) == MAX_STEPS
+            assert len(msgspec.json.encode(answer)) < 1000 * MAX_STEPS
+        assert len((await describe(cell.lead(), limit=0))["report"]["steps"]) == 1
+
+    run_scenario(scenario, workers=1)
+
+
+def test_report_names_the_last_lead_if_none_is_reachable():
+    async def scenario(cell):
+        name = cell.lead_name()
+        other = followers(cell)[0]
+        cell.kill(name)
+        await pause(0.05)
+        answer = await describe(other)
+        assert answer["lead"]["name"] == name
+        assert answer["report"] is None
+        assert answer["error"]
+        await cell.until(lambda: cell.lead() is not None, 10.0)
+        await pause(2.0)
+        assert (await describe(other))["report"]["epoch"] > 1
+
+    run_scenario(scenario)
+
+
+def test_report_of_a_job_tells_what_each_of_its_steps_waits_for():
+    async def scenario(cell):
+        chain = [step(2, 1000), step(2, 9000, after=[0]), step(1, 1000, after=[1])]
+        job_id, _ = await cell.submit(chain, work_s=5.0)
+        await pause(3.0)
+        first = (await describe(followers(cell)[0], job_id=job_id))["report"]["job"]
+        assert [s["phase"] for s in first["steps"]] == ["running", "blocked", "blocked"]
+        assert [s["after"] for s in first["steps"]] == [[], [0], [1]]
+        assert {r["phase"] for r in first["steps"][0]["runs"]} == {"running"}
+        await pause(6.0)
+        answer = await describe(cell.lead(), job_id=job_id)
+        assert answer["job"]["accepted"]
+        waiting, blocked, done = answer["report"]["job"]["steps"]
+        phases = [s["phase"] for s in (waiting, blocked, done)]
+        assert phases == ["waiting", "blocked", "done"]
+        assert waiting["waiting"]["why"] == "no_room"
+        assert waiting["waiting"]["waiting"] == 2
+        await cell.cancel(job_id)
+
+    run_scenario(scenario, workers=1)
+
+
+def test_report_of_a_job_tells_whether_it_is_unknown_or_ended_or_skipped():
+    async def scenario(cell):
+        ended, _ = await cell.submit([step(1, 1000)])
+        skipped, _ = await cell.submit([step(1, 9000)])
+        await pause(4.0)
+        table = cell.lead().lead.term.job_table
+        table.open_steps.clear()
+        del table.jobs[skipped]
+        other = followers(cell)[0]
+        answer = await describe(other, job_id="f" * 16)
+        assert not answer["job"]["accepted"]
+        assert not answer["report"]["job"]["replica"]["accepted"]
+        answer = await describe(other, job_id=ended)
+        assert answer["report"]["job"]["replica"]["ended"]
+        answer = await describe(other, job_id=skipped)
+        assert not answer["report"]["job"]["known"]
+        assert answer["report"]["job"]["unknown"]["why"] == "end_not_stored"
+
+    run_scenario(scenario, workers=1)
