--- a/src/firhook/services/_metrics.py
+++ b/src/firhook/services/_metrics.py
@@ -4,7 +4,8 @@
 from aiohttp import web
 
 from firhook._sockets import open_listening_socket
-from firhook.errors import AddressUnusableError
+from firhook._web import problem_response
+from firhook.errors import AddressUnusableError, RequestMalformedError
 from firhook.instance import InstanceService, register_service
 from firhook.logs import log
 from firhook.services._events import CountWaiting, DescribeWaiting, ReplicaAge
@@ -53,7 +54,7 @@
     async def _serve_waiting(self, req: web.BaseRequest) -> web.Response:
         limit = req.query.get("limit", str(_DEFAULT_STEPS))
         if not limit.isascii() or not limit.isdigit():
-            return web.Response(status=400, text="limit: give a number")
+            return problem_response(RequestMalformedError("limit: give a number"))
         # A longer number than any limit need not be converted.
         query = DescribeWaiting(int(limit[:9]), req.query.get("job", ""))
         body = msgspec.json.encode(await self.bus.ask(query))
