--- a/src/firhook/services/_waiting.py
+++ b/src/firhook/services/_waiting.py
@@ -37,7 +37,9 @@
 _MAX_STEP_RUNS = 10
 #: The interval at which an unchanged number of unknown jobs is logged again.
 _UNKNOWN_INTERVAL_S = 10.0
-#: Jobs of the replica that are compared with the job table after a round.
+#: The interval at which some jobs of the replica are compared with the job table, and
+#: their number.  Rounds may follow each other within milliseconds.
+_SCAN_INTERVAL_S = 0.1
 _JOBS_PER_SCAN = 500
 
 
@@ -67,13 +69,14 @@
         self._observed_at = float("-inf")
         self._described_at = (float("-inf"), 0)
         self._described: dict[str, Any] = {}
+        self._scanned_at = float("-inf")
         self._logged_at = float("-inf")
         self._unknown_logged_at = float("-inf")
         self._unknown_logged: Counter[UnknownReason] = Counter()
 
     def update(self, now: float) -> None:
-        """Compare some jobs with the replica, and log what waits if that is due."""
-        self._unknown.scan(_JOBS_PER_SCAN, now)
+        """Compare some jobs with the replica, and log what waits, if either is due."""
+        self._scan(now)
         if now - self._logged_at < _LOG_INTERVAL_S:
             return
         self._logged_at = now
@@ -168,10 +171,15 @@
         """Observe the steps, unless that was done a moment ago; return the time."""
         now = boot_time()
         if now - self._observed_at >= _MIN_INTERVAL_S:
-            self._unknown.scan(_JOBS_PER_SCAN, now)
+            self._scan(now)
             self._observe(now)
         return now
 
+    def _scan(self, now: float) -> None:
+        if now - self._scanned_at >= _SCAN_INTERVAL_S:
+            self._scanned_at = now
+            self._unknown.scan(_JOBS_PER_SCAN, now)
+
     def _observe(self, now: float) -> None:
         self._observed_at = now
         self._monitor.observe(self._round_view(), now)
