--- a/src/firhook/cli/_waiting.py
+++ b/src/firhook/cli/_waiting.py
@@ -74,8 +74,6 @@
     text += f" since {report['since_s']:.1f} s"
     if not report["taken_over"]:
         text += f", TAKING OVER ({report['takeover_stage']})"
-    elif report["lost"]:
-        text += f", LOST ({report['lost']})"
     elif not report["may_act"]:
         text += ", MAY NOT ACT: the store does not answer"
     return f"{text}: {report['jobs']} jobs, {report['runs']} runs"
--- a/src/firhook/services/_waiting_queries.py
+++ b/src/firhook/services/_waiting_queries.py
@@ -52,7 +52,9 @@
 
     async def _count(self, query: CountWaiting) -> WaitingTotals | None:
         term = self._term()
-        return None if term is None or not term.taken_over else term.waiting.totals()
+        if term is None or term.lost or not term.taken_over:
+            return None
+        return term.waiting.totals()
 
     async def _describe(self, query: DescribeWaiting) -> dict[str, Any]:
         answer: dict[str, Any] = {"instance": self._name}
@@ -101,7 +103,7 @@
     def _report(self, ask: WaitingAsk) -> dict[str, Any] | None:
         """Return the report of this instance's term; ``None`` if it does not lead."""
         term = self._term()
-        if term is None:
+        if term is None or term.lost:
             return None
         report = {
             "epoch": term.fence,
@@ -109,7 +111,6 @@
             "takeover_stage": term.takeover_stage,
             "since_s": round(boot_time() - term.waiting.began_at, 2),
             "may_act": self._may_act(),
-            "lost": term.lost_reason,
         }
         report |= term.waiting.describe(ask.limit)
         if ask.job_id:
