--- a/src/firhook/decide/_waiting.py
+++ b/src/firhook/decide/_waiting.py
@@ -309,7 +309,9 @@
             for wait in self._waits.values()
             if self._now > wait.overdue_at and (reason := wait.reason) is not None
         }
-        self._repeats = {k: v for k, v in self._repeats.items() if k in overdue}
+        # Reasons may alternate, so all those of a step are kept.
+        steps = {step for step, _ in overdue}
+        self._repeats = {k: v for k, v in self._repeats.items() if k[0] in steps}
         due = [
             (key, wait)
             for key, wait in overdue.items()
--- a/tests/decide/test_waiting.py
+++ b/tests/decide/test_waiting.py
@@ -335,3 +335,15 @@
         first, second, third = times
         assert 10 <= second - first < 12
         assert 20 <= third - second < 22
+
+
+def test_overdue_step_whose_reasons_alternate_is_reported_once_for_each():
+    world = AdvisedWorld(1)
+    step = world.submit(PLAN, single()).steps[0, 0]
+    monitor = WaitMonitor(world.book, world.tickets, LIMITS)
+    taken = []
+    for second in range(100, 110):
+        reason = (WaitReason.NO_ROOM, WaitReason.ADVICE_ASKED)[second % 2]
+        monitor.observe(RoundView({step.name: reason}), world.now + second)
+        taken += [row.reason for row in monitor.take_overdue(5)]
+    assert taken == [WaitReason.NO_ROOM, WaitReason.ADVICE_ASKED]
