--- a/src/firhook/cli/_waiting.py
+++ b/src/firhook/cli/_waiting.py
@@ -76,7 +76,9 @@
         text += f", TAKING OVER ({report['takeover_stage']})"
     elif not report["may_act"]:
         text += ", MAY NOT ACT: the store does not answer"
-    return f"{text}: {report['jobs']} jobs, {report['runs']} runs"
+    text += f": {report['jobs']} jobs, {report['runs']} runs,"
+    answering, usable = report["workers_answering"], report["workers_usable"]
+    return f"{text} {answering} workers answer, {usable} were offered work"
 
 
 def _waiting_parts(report: dict[str, Any]) -> Iterable[str]:
--- a/src/firhook/decide/_waiting.py
+++ b/src/firhook/decide/_waiting.py
@@ -3,7 +3,7 @@
 import heapq
 import math
 from collections import Counter
-from collections.abc import Container, Iterable, Mapping
+from collections.abc import Collection, Container, Iterable, Mapping
 
 import attrs
 
@@ -32,7 +32,7 @@
     wait_reasons: Mapping[str, WaitReason] = attrs.field(factory=dict)
     workers: Mapping[str, WorkerView] = attrs.field(factory=dict)
     reserved: Container[str] = ()
-    answering: Container[str] = ()
+    answering: Collection[str] = ()
 
 
 @attrs.frozen(slots=True)
@@ -170,6 +170,7 @@
     """Follows the steps that wait, and since when each has its present reason.
 
     :param limits: how long a wait is explained.
+    :ivar view: the last round, as given at the last observation.
     """
 
     def __init__(
@@ -178,7 +179,7 @@
         self._book = book
         self._tickets = tickets
         self._limits = limits
-        self._view = RoundView()
+        self.view = RoundView()
         self._now = -math.inf
         self._waits: dict[Step, _Wait] = {}
         # When to report an overdue step next, and the interval after that.
@@ -189,7 +190,7 @@
         running = self._running_tasks(view.answering)
         earlier, self._waits = self._waits, {}
         before, self._now = self._now, now
-        self._view = view
+        self.view = view
         for job in self._book.jobs.values():
             if job.status.ended:
                 continue
@@ -236,7 +237,7 @@
 
     def _reason(self, wait: _Wait) -> WaitReason:
         step = wait.step
-        found = self._view.wait_reasons.get(wait.order[1])
+        found = self.view.wait_reasons.get(wait.order[1])
         if found is not None and step.idle:
             return found
         if len(step.idle) == step.remaining:
@@ -347,9 +348,7 @@
             until = self._now + self._tickets.margin_s(policy.valid_s)
             with_ticket = sum(t.expires_at > until for t in advice.permitted.values())
             may_run = [w for w in suitable if w.name in advice.permitted]
-        room = (
-            _room(step, wait.tasks, may_run, suitable) if self._view.workers else None
-        )
+        room = _room(step, wait.tasks, may_run, suitable) if self.view.workers else None
         return WaitingStep(
             step,
             0.0 if step.ready_at is None else self._now - step.ready_at,
@@ -362,7 +361,7 @@
             asked,
             permitted,
             with_ticket,
-            step.name in self._view.reserved,
+            step.name in self.view.reserved,
             room,
             self._book.team_usage.get(step.job.team, NO_RESOURCES),
             team.limit if team is not None else NO_RESOURCES,
@@ -372,7 +371,7 @@
         pool, label = step.job.queue.pool, step.spec.label
         return [
             worker
-            for worker in self._view.workers.values()
+            for worker in self.view.workers.values()
             if worker.usable
             and worker.pool == pool
             and (not label or label in worker.labels)
--- a/src/firhook/services/_waiting.py
+++ b/src/firhook/services/_waiting.py
@@ -106,12 +106,14 @@
         return self._described
 
     def _describe(self, limit: int, now: float) -> dict[str, Any]:
-        report = self._monitor.report(limit)
+        report, view = self._monitor.report(limit), self._monitor.view
         counts = self._unknown.counts(now)
         unknown = self._unknown.oldest(_MAX_LOGGED_JOBS, now)
         return {
             "jobs": len(self._job_table.jobs),
             "runs": sum(len(r) for r in self._job_table.worker_runs.values()),
+            "workers_answering": len(view.answering),
+            "workers_usable": len(view.workers),
             "reasons": describe_totals(report.totals),
             "steps": [describe_step(row) for row in report.rows],
             "unknown_jobs": {
@@ -130,9 +132,12 @@
             if unknown is None:
                 return {"known": False}
             return {"known": False, "unknown": describe_unknown(unknown, now)}
-        answering = self._round_view().answering
         steps = report_steps(
-            job, self._monitor.steps, answering, _MAX_JOB_STEPS, _MAX_STEP_RUNS
+            job,
+            self._monitor.steps,
+            self._monitor.view.answering,
+            _MAX_JOB_STEPS,
+            _MAX_STEP_RUNS,
         )
         return {
             "known": True,
--- a/tests/services/test_waiting.py
+++ b/tests/services/test_waiting.py
@@ -128,6 +128,7 @@
             assert (report["epoch"], report["taken_over"]) == (1, True)
             assert report["reasons"]["no_room"]["steps"] == 8
             assert len(report["steps"]) == 8
+            assert (report["workers_answering"], report["workers_usable"]) == (1, 1)
             assert report["unknown_jobs"]["count"] == 0
 
     run_scenario(scenario, workers=1)
