Show that a lead may not take over jobs, and never looks at them again

Callers saw an accepted job whose next step never ran while the cell was idle. Two faults that have this effect are shown here; whether either is the cause of that case is not known.

- A weak instance copies a partition as digests.
Digests omit states with nothing new for callers, so a copy may hold an older state than the store.
The listing that ends the copy makes the replica refuse every record before its end, also the full record that should replace the digest.
If that instance leads, it skips the job.
- The lead counts an id as known before taking the job over has succeeded, and ignores all later changes of the job.

--- a/tests/cell/test_digests.py
+++ b/tests/cell/test_digests.py
@@ -112,3 +112,13 @@
     assert replica.jobs[JOB.id].accepted == JOB
     replica.apply(2, key, digest_job(full))
     assert replica.jobs[JOB.id].accepted == JOB
+
+
+def test_full_state_replaces_a_digest_of_an_older_state():
+    """A copy may hold older states: digests omit those with nothing new for callers."""
+    replica, key = Replica(), "state/" + JOB.id
+    older, newest = _state(3, version=8), _state(2, version=9)
+    replica.apply(100, key, digest_state(decode_state_summary(encode_record(older))))
+    replica.drop_unlisted(0, {key}, 300)
+    replica.apply(200, key, encode_record(newest))
+    assert replica.jobs[JOB.id].state.decode() == newest
--- a/tests/services/test_copying.py
+++ b/tests/services/test_copying.py
@@ -112,3 +112,36 @@
         assert cell.checks.violations == []
 
     run_virtual(scenario())
+
+
+def test_weak_instance_that_copied_digests_of_older_states_leads_every_job():
+    """A strong instance that got digests lacks states with nothing new for callers."""
+
+    async def scenario():
+        strengths = {f"i{n}": 2.0 if n < 6 else 0.5 for n in range(8)}
+        cell = ModelCell(instances=8, workers=6, strengths=strengths)
+        cell.drop_share = 0.0
+        await cell.begin()
+        rest = [step(1, work_s=0.4, after=[0]), step(1, work_s=20.0, after=[1])]
+        jobs = [
+            (await cell.submit([step(1, work_s=work_s), *rest]))[0]
+            for work_s in (0.3, 0.5, 0.7, 0.9)
+        ]
+        await pause(2.5)
+        for name in ("i6", "i7"):
+            cell.kill(name)
+            await cell.restart(name)
+        await pause(1.5)
+        for name in ("i6", "i7"):
+            views = cell.instances[name].instance.replica.jobs
+            newest = cell.lead().instance.replica.jobs
+            assert all(views[j].state.version < newest[j].state.version for j in jobs)
+        for name, strength in strengths.items():
+            if strength == 2.0:
+                cell.kill(name)
+        await cell.until(lambda: cell.lead() and cell.lead().lead.term.taken_over, 20.0)
+        assert set(cell.lead().lead.term.job_table.jobs) >= set(jobs)
+        await cell.all_done(60.0)
+        assert cell.checks.violations == []
+
+    run_virtual(scenario())
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -1,8 +1,12 @@
 """Accepted work that could run must not wait."""
 
+import attrs
+
+from firhook.cell.records import digest_job, encode_record
+from firhook.platform.store import CELL_TOPIC, KeyedRecord, encode_keyed_record
 from firhook.services._term import Term
 from standins.model import ModelCell, pause, run_virtual
-from tests.services.scenarios import step
+from tests.services.scenarios import run_scenario, step
 
 
 async def restart_everything(cell):
@@ -120,3 +124,21 @@
     run_virtual(scenario())
     [failed] = [r for r in caplog.records if r.message == "link.failed"]
     assert "once" in failed.error
+
+
+def test_job_that_the_lead_could_not_take_over_runs_once_its_record_is_whole():
+    async def scenario(cell):
+        first, _ = await cell.submit([step(2)], work_s=0.2)
+        await cell.all_done(5.0)
+        accepted = cell.lead().instance.replica.jobs[first].accepted
+        job = attrs.evolve(accepted, id=cell.new_job_id())
+        cell.plans[f"{job.id}.0.0"] = cell.plans[f"{first}.0.0"]
+        cell.accepted[job.id] = "/plan/"
+        full = encode_record(job)
+        for value in (digest_job(full), full):
+            record = KeyedRecord("job/" + job.id, value)
+            cell.store.partition(CELL_TOPIC, 1).add([encode_keyed_record(record)])
+            await pause(3.0)
+        await cell.all_done(5.0)
+
+    run_scenario(scenario)
