Let a full record replace a digest that a listing came after

Callers saw nothing of a job run while a weak instance led that had copied its records from a peer: the lead skipped the job for its whole term.

Cause: a digest has the offset of the last state that callers can tell from the one before. After a copy the replica refused every record before the copy's end, also the newer state that the store has, so that reading all records in full left the digest. A full read also clears the mark that the partition holds digests, so nothing read it again.

A listing tells which keys exist. It now bars records only of keys that it lacks; of a key that the replica has, the record with the higher offset is valid, as everywhere else. A key that was deleted before a listing is not in the replica after it, so that an older record still can't bring it back.

A new property test found two states of one job, copied after the second, to leave a digest; it passes now.

--- a/src/firhook/cell/_replica.py
+++ b/src/firhook/cell/_replica.py
@@ -70,7 +70,7 @@
 
     :ivar entries: offset and value of each key that has a value.
     :ivar tombstones: offsets at which keys were deleted, the oldest entry first.
-    :ivar complete_until: offset before which no record is new.
+    :ivar complete_until: offset before which no record adds a key.
     """
 
     entries: dict[str, tuple[int, Any]] = attrs.field(factory=dict)
@@ -78,13 +78,15 @@
     complete_until: int = 0
 
     def is_newer(self, offset: int, key: str) -> bool:
-        """Return whether a record may add to what is known of its key."""
-        if key in self.entries and offset == self.entries[key][0]:
-            # It may be the full record of a digest that was applied before.
-            return True
-        if not self.is_undeleted(offset, key):
-            return False
-        return key not in self.entries or offset > self.entries[key][0]
+        """Return whether a record may add to what is known of its key.
+
+        A listing shows which keys exist, not that the known records are the newest:
+        a copy may hold a digest of an older state.  A record of the same offset may be
+        the full record of a digest.
+        """
+        if key in self.entries:
+            return offset >= self.entries[key][0]
+        return self.is_undeleted(offset, key)
 
     def is_undeleted(self, offset: int, key: str) -> bool:
         """Return whether no later deletion or listing of a key supersedes a record."""
--- a/tests/cell/test_digests.py
+++ b/tests/cell/test_digests.py
@@ -2,6 +2,8 @@
 
 import attrs
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from firhook._peer_messages import PushedBatch, PushedRecord
 from firhook.cell import AcceptedJob, JobSpec, JobStatus, Queue, Replica, StepSpec
@@ -18,6 +20,7 @@
     decode_state_summary,
     digest_job,
     digest_state,
+    digest_value,
     encode_record,
 )
 from firhook.errors import RecordMalformedError
@@ -122,3 +125,41 @@
     replica.drop_unlisted(0, {key}, 300)
     replica.apply(200, key, encode_record(newest))
     assert replica.jobs[JOB.id].state.decode() == newest
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["1", "2"]),
+            st.sampled_from([JobStatus.QUEUED, JobStatus.RUNNING, None]),
+        ),
+        max_size=12,
+    ),
+    st.integers(0, 12),
+)
+def test_full_records_read_after_a_copy_leave_no_digest(changes, copied_after):
+    """A state of ``None`` deletes the job's records."""
+    lead, peer, copier, newest = Replica(), Replica(), Replica(), {}
+    for offset, (job_id, status) in enumerate(changes):
+        key = "state/" + job_id
+        value = None
+        if status is not None:
+            value = encode_record(_state(1 + offset, status, version=offset))
+        batch = PushedBatch(0, offset, (PushedRecord(key, value),))
+        receivers = [peer] if offset < copied_after else [peer, copier]
+        for row in digest_batch(lead, batch).rows:
+            for replica in receivers:
+                replica.apply(row.offset, row.key, row.value)
+        lead.apply(offset, key, value)
+        newest[key] = (offset, value)
+        if offset + 1 == copied_after:
+            rows = peer.page(0, "", 99)
+            for at, key, known in rows:
+                copier.apply(at, key, digest_value(known))
+            copier.drop_unlisted(0, {key for _, key, _ in rows}, offset + 1)
+    kept = {key: row for key, row in newest.items() if row[1] is not None}
+    for key, (offset, value) in kept.items():
+        copier.apply(offset, key, value)
+    copier.drop_unlisted(0, set(kept), len(changes))
+    states = {"state/" + i: view.state.raw for i, view in copier.jobs.items()}
+    assert states == {key: value for key, (_, value) in kept.items()}
