Check on the model that the lead handles every accepted job

Cause: an accepted job that the lead did not know was noticed only if it had not ended 60 s after the last fault, when another lead may have finished it.

While a lead acts, each unfinished job in its replica must be in its job table within 3 s, the time limit for an accepted job to be visible. The scenarios check this four times a second.

A weak lead did not handle a job, acknowledged the ends of its tasks all the same, and the next lead ran three of them again: the damage outlives the term.

--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -541,6 +541,19 @@
         """Return the name of the lead."""
         return next(n for n, i in self.instances.items() if i is self.lead())
 
+    def check_lead(self) -> None:
+        """Check that the lead handles every unfinished job in its replica.
+
+        A lead whose appends fail may have ended a job that its replica has unfinished.
+        """
+        lead = self.lead()
+        term = lead.lead.term if lead is not None else None
+        if term is None or not term.taken_over:
+            self.checks.unhandled(now(), 0, set())
+            return
+        jobs = {job_id for job_id, _ in lead.instance.replica.unfinished_jobs()}
+        self.checks.unhandled(now(), term.fence, jobs - term.job_table.jobs.keys())
+
     # Callers.
 
     def any_instance(self) -> ModelInstance:
--- a/standins/model/_checks.py
+++ b/standins/model/_checks.py
@@ -1,9 +1,13 @@
 """Invariants that are checked on every event of the workers."""
 
+import math
+
 import attrs
 
 #: Time after the request to drain a zone from which no task may start there.
 ZONE_DRAIN_S = 5.0
+#: Time within which a lead that acts handles each accepted job in its replica.
+JOB_HANDLED_S = 3.0
 
 
 @attrs.frozen
@@ -28,6 +32,8 @@
     :ivar duplicates: steps whose tasks may run more than once.
     :ivar refused: jobs that were refused and must not run.
     :ivar drained_at: when each drained zone was drained.
+    :ivar unhandled_since: since when the lead does not handle a job, by its epoch and
+        the job's id.
     """
 
     violations: list[Violation] = attrs.field(factory=list)
@@ -40,6 +46,7 @@
     cancelled: dict[str, float] = attrs.field(factory=dict)
     refused: set[str] = attrs.field(factory=set)
     drained_at: dict[str, float] = attrs.field(factory=dict)
+    unhandled_since: dict[tuple[int, str], float] = attrs.field(factory=dict)
 
     def record_violation(self, at: float, what: str, detail: str) -> None:
         """Record a violated invariant."""
@@ -85,3 +92,14 @@
         later = self.last_start.get(task, 0.0) > ended_at
         if later and task.rpartition(".")[0] not in self.duplicates:
             self.record_violation(at, "after_done", f"{task} ended done at {ended_at}")
+
+    def unhandled(self, at: float, epoch: int, jobs: set[str]) -> None:
+        """Record which accepted jobs the lead that acts now does not handle."""
+        before = self.unhandled_since
+        self.unhandled_since = {
+            (epoch, job): before.get((epoch, job), at) for job in jobs
+        }
+        for (_, job), since in self.unhandled_since.items():
+            if at - since > JOB_HANDLED_S:
+                self.record_violation(at, "unhandled", f"{job} by lead {epoch}")
+                self.unhandled_since[epoch, job] = math.inf
--- a/standins/model/_faults.py
+++ b/standins/model/_faults.py
@@ -12,6 +12,8 @@
 #: How long jobs and faults arrive, and how long the cell may then take to finish.
 FAULT_PERIOD_S = 25.0
 SETTLE_TIMEOUT_S = 60.0
+#: Interval between checks of the lead.
+CHECK_INTERVAL_S = 0.25
 
 
 #: The zones of the workers in scenarios that drain zones.
@@ -38,6 +40,10 @@
 )
 
 
+#: The faults that are injected only into cells of unequal instances.
+UNEQUAL_FAULTS = ("fault_power_lost", "fault_strong_lost")
+
+
 @attrs.frozen
 class Outcome:
     """The result of a scenario.
@@ -86,14 +92,18 @@
         )
         self.history: list[str] = []
         self._kinds = kinds or tuple(
-            name.removeprefix("fault_") for name in dir(self) if "fault_" in name
+            name.removeprefix("fault_")
+            for name in dir(self)
+            if "fault_" in name and (instances or name not in UNEQUAL_FAULTS)
         )
         self._failing_jobs: set[str] = set()
         self._cancelled: set[str] = set()
+        self._restarts: set[asyncio.Task[None]] = set()
 
     async def run(self) -> Outcome:
         """Run the scenario and return its result."""
         await self.cell.begin()
+        self._checking = asyncio.create_task(self._check_lead())
         end = now() + FAULT_PERIOD_S
         while now() < end:
             await self._act()
@@ -103,8 +113,14 @@
             await self.cell.all_done(SETTLE_TIMEOUT_S)
         except TimeoutError:
             self.record("some jobs did not end")
+        self._checking.cancel()
         return self._outcome()
 
+    async def _check_lead(self) -> None:
+        while True:
+            self.cell.check_lead()
+            await pause(CHECK_INTERVAL_S)
+
     def record(self, what: str) -> None:
         """Add an event to the history, which explains a failure."""
         self.history.append(f"{now():.2f} {what}")
@@ -202,6 +218,41 @@
         await pause(self.rng.random() * 2)
         await self.cell.restart(name)
 
+    async def fault_power_lost(self) -> None:
+        """Kill all instances, and start them again a moment later."""
+        for name, model_instance in self.cell.instances.items():
+            if model_instance.alive:
+                self.cell.kill(name)
+        await pause(0.5)
+        for name in self.cell.instances:
+            self._start_later(name, self.rng.random())
+        await pause(3.0)
+
+    async def fault_strong_lost(self) -> None:
+        """Restart the weak instances, and kill the strong ones for some seconds.
+
+        The weak ones copy records from the strong ones before one of them leads.
+        """
+        strongest = max(self.cell.strengths.values())
+        weak = [n for n, s in self.cell.strengths.items() if s < strongest]
+        for name in weak:
+            if self.cell.instances[name].alive:
+                self.cell.kill(name)
+                self._start_later(name, 0.0)
+        await pause(0.5 + self.rng.random())
+        for name in sorted(self.cell.strengths.keys() - set(weak)):
+            if self.cell.instances[name].alive:
+                self.cell.kill(name)
+                self._start_later(name, 3 + 9 * self.rng.random())
+
+    def _start_later(self, name: str, after_s: float) -> None:
+        self._restarts.add(asyncio.create_task(self._restart_later(name, after_s)))
+
+    async def _restart_later(self, name: str, after_s: float) -> None:
+        await pause(after_s)
+        if not self.cell.instances[name].alive:
+            await self.cell.restart(name)
+
     async def fault_freeze(self) -> None:
         """Freeze an instance for some seconds."""
         name = self._pick_instance()
--- a/tests/services/test_faults.py
+++ b/tests/services/test_faults.py
@@ -46,6 +46,12 @@
     check(seed, instances=9)
 
 
+@pytest.mark.parametrize("seed", [5000, 5001, 5007])
+def test_every_lead_handles_all_jobs_after_power_losses(seed):
+    """Five strong instances: two receive only digests, which weak ones copy."""
+    check(seed, ("strong_lost", "power_lost", "kill"), instances=15)
+
+
 @pytest.mark.parametrize("seed", range(3000, 3004))
 def test_task_whose_order_answer_is_lost_runs_once(seed):
     """A lost answer to an order must not count as a refusal.
