Look again at jobs that the lead could not take over

Callers saw an accepted job that never ran while one lead stayed, although the store had its record in full.

Cause: an id counted as known before taking the job over had succeeded, and every later change of a known job was ignored. One record that could not be decoded at one moment, for example a digest, hid the job for the rest of the term.

An id now counts as known once its job is in the table. A skipped job is tried again at each change of its records. While any is skipped, the lead reads all partitions again, at first after 1 s and then at doubled intervals up to 30 s, also those that are not known to hold digests. A record that is malformed in the store costs one such read in 30 s and is logged once.

Evidence: test_job_that_the_lead_could_not_take_over_runs_once_its_record_is_whole and test_lead_reads_the_record_of_a_job_that_it_could_not_take_over_again failed before, the job not ended in 5 s; both pass.

--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -104,9 +104,12 @@
 
     A digest contains only what callers can see of a record.
 
+    :param reload: whether to read all partitions, even those without known digests.
     :raises LogUnavailableError: if the store cannot be read.
     """
 
+    reload: bool = False
+
 
 @attrs.frozen(slots=True)
 class TermEnded:
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -323,6 +323,9 @@
     async def _hold_full_replica(self, query: HoldFullReplica) -> None:
         """Load the full records that a lead needs, and keep to them for its term."""
         self._holds_full_replica = True
+        if query.reload:
+            for reader in self._readers.values():
+                reader.has_digests = True
         await self._fetch_full_records()
 
     def _on_term_ended(self, event: TermEnded) -> None:
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -65,6 +65,10 @@
 _ROUND_INTERVAL_S = 0.1
 #: The delay before reading the log again after a failed read.
 _RETRY_S = 0.05
+#: The delay before all records are read again because some jobs could not be taken
+#: over.  It doubles with each attempt, up to the maximum.
+_MIN_RELOAD_DELAY_S = 1.0
+_MAX_RELOAD_DELAY_S = 30.0
 #: The lead sends orders for this time after it sent the last append that the store
 #: accepted.
 PROOF_S = 0.75
@@ -144,6 +148,7 @@
         self.job_table = JobTable(config)
         self.drained_zones = instance.config.drained_zones
         self._known_jobs: set[str] = set()
+        self._skipped_jobs: set[str] = set()
         self._writer = FencedWriter(self._store, epoch, lead.note_proof)
         self._version_count = 0
         self._settled_owners: dict[str, frozenset[tuple[str, str]]] = {}
@@ -271,7 +276,6 @@
         self.takeover_stage = "jobs"
         now, unix = boot_time(), unix_time()
         for job_id, job in list(self._replica.unfinished_jobs()):
-            self._known_jobs.add(job_id)
             self._add_job(job_id, job, now, unix)
             self._resolve_owner(job_id, job)
         # From here on changes are handled as they are read.  There is no await
@@ -296,6 +300,7 @@
             )
         )
         self._spawn(self._prove_periodically())
+        self._spawn(self._reload_skipped_jobs())
         self._spawn(WorkerList(self._store, self._on_worker).run())
 
     # Incoming changes.
@@ -312,9 +317,11 @@
             # Jobs that ended in this term are known as well.  A late repeat of a
             # submission may be read before the job's final record is, and must
             # not start the job again.
-            self._known_jobs.add(job_id)
-            if not view.status.ended or view.cancelled:
-                self._add_job(job_id, view, boot_time(), unix_time())
+            if view.status.ended and not view.cancelled:
+                self._known_jobs.add(job_id)
+                self._skipped_jobs.discard(job_id)
+            elif not self._add_job(job_id, view, boot_time(), unix_time()):
+                return
         elif view.cancelled:
             self.job_table.cancel(job_id, unix_time())
         elif not contested:
@@ -322,7 +329,12 @@
             return
         self._wake.set()
 
-    def _add_job(self, job_id: str, view: JobView, now: float, unix: float) -> None:
+    def _add_job(self, job_id: str, view: JobView, now: float, unix: float) -> bool:
+        """Add a job to the table; return whether its records could be decoded.
+
+        Without its state a job would run from the start, beside tasks that may still
+        run.  It is skipped until its records change or were read again.
+        """
         assert view.accepted is not None
         try:
             if view.accepted.is_digest:
@@ -331,13 +343,33 @@
                 )
             state = view.state.decode() if view.state else None
         except RecordMalformedError as exc:
-            # Without its state the job would run from the start, beside tasks
-            # that may still run.  It is skipped, and the log line alerts operators.
-            log("record.malformed", level="error", job=job_id, detail=exc.detail)
-            return
+            if job_id not in self._skipped_jobs:
+                log("record.malformed", level="error", job=job_id, detail=exc.detail)
+            self._skipped_jobs.add(job_id)
+            return False
+        self._known_jobs.add(job_id)
+        self._skipped_jobs.discard(job_id)
         self.job_table.add(view.accepted, state, now, unix)
         if view.cancelled:
             self.job_table.cancel(job_id, unix)
+        return True
+
+    async def _reload_skipped_jobs(self) -> None:
+        """Read all records again while the records of some jobs cannot be decoded."""
+        delay_s = _MIN_RELOAD_DELAY_S
+        while not self.lost:
+            await asyncio.sleep(delay_s)
+            self._skipped_jobs &= self._replica.jobs.keys()
+            if not self._skipped_jobs:
+                delay_s = _MIN_RELOAD_DELAY_S
+                continue
+            delay_s = min(2 * delay_s, _MAX_RELOAD_DELAY_S)
+            try:
+                await self._instance.bus.ask(HoldFullReplica(reload=True))
+            except FirhookError as exc:
+                log("lead.reload_failed", level="debug", error=exc.detail)
+            for job_id in list(self._skipped_jobs):
+                self.on_job(job_id)
 
     def _resolve_owner(self, job_id: str, view: JobView) -> bool:
         """Settle which team owns a job ID; return whether several had claimed it.
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from firhook._peer_messages import PushedBatch, PushedRecord, RecordsPush
 from firhook.cell.records import digest_job, encode_record
 from firhook.platform.store import CELL_TOPIC, KeyedRecord, encode_keyed_record
 from firhook.services._term import Term
@@ -126,14 +127,20 @@
     assert "once" in failed.error
 
 
+async def new_submission(cell):
+    """Return a job as an instance accepts it, which the cell does not know yet."""
+    first, _ = await cell.submit([step(2)], work_s=0.2)
+    await cell.all_done(5.0)
+    accepted = cell.lead().instance.replica.jobs[first].accepted
+    job = attrs.evolve(accepted, id=cell.new_job_id())
+    cell.plans[f"{job.id}.0.0"] = cell.plans[f"{first}.0.0"]
+    cell.accepted[job.id] = "/plan/"
+    return job
+
+
 def test_job_that_the_lead_could_not_take_over_runs_once_its_record_is_whole():
     async def scenario(cell):
-        first, _ = await cell.submit([step(2)], work_s=0.2)
-        await cell.all_done(5.0)
-        accepted = cell.lead().instance.replica.jobs[first].accepted
-        job = attrs.evolve(accepted, id=cell.new_job_id())
-        cell.plans[f"{job.id}.0.0"] = cell.plans[f"{first}.0.0"]
-        cell.accepted[job.id] = "/plan/"
+        job = await new_submission(cell)
         full = encode_record(job)
         for value in (digest_job(full), full):
             record = KeyedRecord("job/" + job.id, value)
@@ -142,3 +149,19 @@
         await cell.all_done(5.0)
 
     run_scenario(scenario)
+
+
+def test_lead_reads_the_record_of_a_job_that_it_could_not_take_over_again():
+    """The record in the store is whole, and the lead counts it as applied."""
+
+    async def scenario(cell):
+        job = await new_submission(cell)
+        key, full = "job/" + job.id, encode_record(job)
+        part = cell.store.partition(CELL_TOPIC, 1)
+        batch = PushedBatch(1, part.end, (PushedRecord(key, digest_job(full)),))
+        part.add([encode_keyed_record(KeyedRecord(key, full))])
+        handlers = cell.lead().instance.services["mesh"].handlers
+        handlers[RecordsPush](RecordsPush((batch,)))
+        await cell.all_done(5.0)
+
+    run_scenario(scenario)
