Prefer a full submission to its digest on another partition

Callers of a job whose id two teams had submitted saw it never run under a weak lead that had copied its records.

Cause: the store keeps only the newest submission of each partition, while a replica keeps the earliest. A copy holds the earliest as a digest that no record of that partition can replace; the lead of that time had stored it in full on another one. Both have the same rank, and the partition that was read first won.

Evidence: test_full_submission_is_preferred_to_its_digest_on_another_partition failed with the contested partition copied first, and passed with the other order. The full record now ranks before its digest, and both orders pass.

--- a/src/firhook/cell/_replica.py
+++ b/src/firhook/cell/_replica.py
@@ -308,8 +308,11 @@
 
 
 def _earliest(values: list[AcceptedJob]) -> AcceptedJob | None:
-    """Return the valid submission of a job id, the same one on every instance."""
-    return _first(values, lambda v: (v.accepted_at, v.owner))
+    """Return the valid submission of a job id, the same one on every instance.
+
+    Of two records of one submission, the full one is preferred to a digest.
+    """
+    return _first(values, lambda v: (v.accepted_at, v.owner, v.is_digest))
 
 
 def _newest_peer(applied: PeerRecord, values: list[PeerRecord]) -> PeerRecord:
--- a/tests/cell/test_digests.py
+++ b/tests/cell/test_digests.py
@@ -163,3 +163,21 @@
     copier.drop_unlisted(0, set(kept), len(changes))
     states = {"state/" + i: view.state.raw for i, view in copier.jobs.items()}
     assert states == {key: value for key, (_, value) in kept.items()}
+
+
+@pytest.mark.parametrize("order", [(0, 3), (3, 0)])
+def test_full_submission_is_preferred_to_its_digest_on_another_partition(order):
+    """The store keeps no full record of the earliest of two submissions on one."""
+    key = "job/" + JOB.id
+    later = attrs.evolve(JOB, team="other", accepted_at=JOB.accepted_at + 1)
+    peer, copier = Replica(), Replica()
+    peer.apply(10, key, encode_record(JOB), 3)
+    peer.apply(20, key, encode_record(later), 3)
+    peer.apply(5, key, encode_record(JOB), 0)
+    for partition in order:
+        for offset, _, value in peer.page(partition, "", 9):
+            copier.apply(offset, key, digest_value(value), partition)
+        copier.drop_unlisted(partition, {key}, 30)
+    copier.apply(20, key, encode_record(later), 3)
+    copier.apply(5, key, encode_record(JOB), 0)
+    assert copier.jobs[JOB.id].accepted == JOB
