Do not store the digest of a contested submission

Cause: a lead settles a job id that two teams submitted by storing the valid submission again. If it held that submission as a digest, the stored record had no steps, replaced the full one, and no later lead could run the job.

A lead that holds only the digest leaves the settlement to one that has the job in full.

Evidence: test_lead_does_not_store_the_digest_of_a_contested_job found a record without steps in the store before; it passes now, as do the tests of submissions. Not mended: if no partition has the full submission any more, the job is skipped under that lead.

--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -384,10 +384,13 @@
         """
         if not view.owners or view.owners == self._settled_owners.get(job_id):
             return False
-        self._settled_owners[job_id] = view.owners
         job, visible = self.job_table.jobs.get(job_id), view.accepted
         assert visible is not None
         holder = job.accepted if job is not None else visible
+        if holder.is_digest:
+            # Storing it would take the full submission from all later leads.
+            return False
+        self._settled_owners[job_id] = view.owners
         if holder.owner != visible.owner:
             earlier = min(holder.accepted_at, visible.accepted_at - _OWNER_PRECEDENCE_S)
             holder = attrs.evolve(holder, accepted_at=earlier)
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -3,7 +3,8 @@
 import attrs
 
 from firhook._peer_messages import PushedBatch, PushedRecord, RecordsPush
-from firhook.cell.records import digest_job, encode_record
+from firhook.cell import AcceptedJob
+from firhook.cell.records import decode_record, digest_job, encode_record
 from firhook.platform.store import CELL_TOPIC, KeyedRecord, encode_keyed_record
 from firhook.services._term import Term
 from standins.model import ModelCell, pause, run_virtual
@@ -165,3 +166,28 @@
         await cell.all_done(5.0)
 
     run_scenario(scenario)
+
+
+def test_lead_does_not_store_the_digest_of_a_contested_job():
+    """It would replace the full submission for all later leads."""
+
+    async def scenario(cell):
+        job = await new_submission(cell)
+        key, later = "job/" + job.id, attrs.evolve(job, team="b", accepted_at=2e9)
+        part = cell.store.partition(CELL_TOPIC, 1)
+        batch = PushedBatch(
+            1, part.end, (PushedRecord(key, digest_job(encode_record(job))),)
+        )
+        handlers = cell.lead().instance.services["mesh"].handlers
+        handlers[RecordsPush](RecordsPush((batch,)))
+        for submission in (job, later):
+            record = KeyedRecord(key, encode_record(submission))
+            part.add([encode_keyed_record(record)])
+        await pause(5.0)
+        for number in range(4):
+            newest = cell.store.partition(CELL_TOPIC, number).newest
+            if key in newest:
+                stored = decode_record(AcceptedJob, newest[key][1])
+                assert not stored.is_digest
+
+    run_scenario(scenario)
