Leave the runs of a skipped job alone

Callers paid twice for tasks that had ended: they ran again under the next lead.

Cause: a lead that could not take over a job did not know its runs. It stopped those that still ran, as runs of no job, and acknowledged the ends of the others together with those of other jobs. The worker then forgot ends that no lead had stored, and the lead that took the job over started the tasks again.

The lead neither stops runs of skipped jobs nor acknowledges ends from the first one of such a job on. A worker with runs of unknown jobs gets no new work, as before. Until the job is taken over, its worker is polled at the pause that follows unstored ends.

Evidence: test_tasks_of_a_job_that_the_lead_could_not_take_over_run_once started all four tasks of two jobs twice, 8 s after the first time; each starts once now.

--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Coroutine, Iterable
 from typing import Any, Protocol
 
@@ -442,12 +443,21 @@
             self._note_end(link, run, end, now)
         self.job_table.ended_runs.clear()
         link.has_orphaned_runs = bool(orphaned)
+        # A job that was skipped may be taken over yet.
+        ends = [row.number for row in reply.ended if self._is_skipped(row.task)]
+        link.held_end = min(ends, default=math.inf)
         for task, number in orphaned:
+            if self._is_skipped(task):
+                continue
             log("run.stray", worker=link.name, task=task, run=number)
             self._spawn(self.workers.stop(link.entry, task, number, self.fence))
         self._stop_stalled(link, now)
         self._wake.set()
 
+    def _is_skipped(self, task: str) -> bool:
+        """Return whether a task belongs to a job that could not be taken over."""
+        return task.partition(".")[0] in self._skipped_jobs
+
     def _stop_stalled(self, link: WorkerLink, now: float) -> None:
         """Stop the stalled runs of a worker, so that they run elsewhere."""
         runs = self.job_table.worker_runs.get(link.name, {})
@@ -584,9 +594,9 @@
         planned = self.job_table.take_planned()
         jobs = self.job_table.take_dirty(boot_time())
         acks = [
-            (link, link.processed)
+            (link, link.storable_end)
             for link in self.links.values()
-            if link.processed > link.ack
+            if link.storable_end > link.ack
         ]
         submissions, self._rewritten_submissions = self._rewritten_submissions, []
         if submissions:
--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -1,6 +1,7 @@
 """The lead's connection to one worker, which polls its runs and renews its lease."""
 
 import asyncio
+import math
 from collections.abc import Coroutine
 from typing import Any, Protocol
 
@@ -73,6 +74,7 @@
     :ivar incarnation: the incarnation that answered last; 0 if none did.
     :ivar pending_calls: the calls to the worker without an answer.
     :ivar suspected: whether a call failed since the last answer.
+    :ivar held_end: number of the first end that the lead can't store yet, or infinity.
     :ivar has_orphaned_runs: whether the worker has runs that the job table does not
         know, left by orders that were carried out late.  Their resources are not
         accounted for, so that nothing is started beside them.
@@ -89,6 +91,7 @@
         self.incarnation = 0
         self.ack = 0
         self.processed = 0
+        self.held_end = math.inf
         self.health = WorkerHealth()
         self.leases_expire_at = leases_expire_at
         self.unlisted_at: float | None = None
@@ -150,6 +153,11 @@
         self._lease_end_s = until
         return until
 
+    @property
+    def storable_end(self) -> int:
+        """The last end that may be acknowledged once the job table is stored."""
+        return int(min(self.processed, self.held_end - 1))
+
     def set_ack(self, number: int) -> None:
         """Record that all ends up to a number are stored."""
         self.ack = max(self.ack, number)
@@ -179,6 +187,7 @@
             log("worker.restarted", worker=self.name, life=incarnation)
         self._lease_end_s = 0.0
         self.incarnation, self.ack, self.processed = incarnation, 0, 0
+        self.held_end = math.inf
         self._owner.on_incarnation(self)
 
     async def run(self) -> None:
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -4,7 +4,9 @@
 
 from firhook._peer_messages import PushedBatch, PushedRecord, RecordsPush
 from firhook.cell import AcceptedJob
+from firhook.cell._records import StateSummary
 from firhook.cell.records import decode_record, digest_job, encode_record
+from firhook.errors import RecordMalformedError
 from firhook.platform.store import CELL_TOPIC, KeyedRecord, encode_keyed_record
 from firhook.services._term import Term
 from standins.model import ModelCell, pause, run_virtual
@@ -191,3 +193,30 @@
                 assert not stored.is_digest
 
     run_scenario(scenario)
+
+
+def test_tasks_of_a_job_that_the_lead_could_not_take_over_run_once(monkeypatch):
+    """Runs were stopped as unknown, and ends acknowledged that no lead had stored."""
+    malformed = []
+    decode = StateSummary.decode
+
+    def decode_or_fail(self):
+        if malformed:
+            raise RecordMalformedError("JobState")
+        return decode(self)
+
+    monkeypatch.setattr(StateSummary, "decode", decode_or_fail)
+
+    async def scenario(cell):
+        await cell.submit([step(2)], work_s=2.0)
+        await cell.submit([step(2)], work_s=8.0)
+        await cell.until(lambda: len(cell.checks.last_start) == 4, 3.0)
+        starts = dict(cell.checks.last_start)
+        malformed.append(True)
+        cell.kill(cell.lead_name())
+        await pause(4.0)
+        malformed.clear()
+        await cell.all_done(15.0)
+        assert cell.checks.last_start == starts
+
+    run_scenario(scenario)
