Skip a job whose stored state names a worker that it does not list

Cause: such a state decodes, and restoring it raises IndexError, which ends the term. One record in the store would so keep every lead of the cell from taking over any job. No writer of such a record is known.

The state now counts as malformed, so that its job alone is skipped.

Evidence: in test_malformed_state_of_one_job_does_not_stop_the_others another job had not ended 20 s after the lead was lost; a trial without the test saw 49 leads in a row end with lead.lost, crashed, in 30 s. The test passes now.

--- a/src/firhook/cell/_records.py
+++ b/src/firhook/cell/_records.py
@@ -229,7 +229,12 @@
 
         :raises RecordMalformedError: if the record is malformed or a digest.
         """
-        return decode_record(JobState, self.raw)
+        state = decode_record(JobState, self.raw)
+        tasks = (task for step in state.steps for task in step.tasks if task)
+        workers = {run.worker for task in tasks for run in task.runs}
+        if not workers <= set(range(len(state.workers))):
+            raise RecordMalformedError("JobState: a run on a worker that is not listed")
+        return state
 
 
 def decode_state_summary(raw: bytes) -> StateSummary:
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -220,3 +220,22 @@
         assert cell.checks.last_start == starts
 
     run_scenario(scenario)
+
+
+def test_malformed_state_of_one_job_does_not_stop_the_others():
+    """A state with a run on no listed worker ended the term of every lead."""
+
+    async def scenario(cell):
+        broken, _ = await cell.submit([step(2)], work_s=6.0)
+        await cell.submit([step(2)], work_s=2.0)
+        await pause(1.0)
+        state = cell.lead().instance.replica.jobs[broken].state.decode()
+        state = attrs.evolve(state, workers=(), version=state.version + 1000)
+        record = KeyedRecord("state/" + broken, encode_record(state))
+        cell.store.partition(CELL_TOPIC, 0).add([encode_keyed_record(record)])
+        await pause(0.5)
+        cell.kill(cell.lead_name())
+        del cell.accepted[broken]
+        await cell.all_done(20.0)
+
+    run_scenario(scenario)
