Test that workers that left do not keep gangs off the others

On a cell of 30 workers in one zone, 10 leave for good, and their registrations go. A gang of 20 then does not start within 3 s on the 20 idle workers (nor within 30 s): at most 11 of these are usable at any time, 8.6 on average over 10 s.

The lead never forgets a worker's link, and polls the missing workers for ever, with a timeout of 0.5 s every 0.75 s. From 0.2 s on each such poll counts as overdue. As soon as two workers of a zone have overdue replies, all workers of the zone that have not answered since are suspected, and an idle worker answers only once a second. A gang that needs many of them at once waits without end.

--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -53,6 +53,28 @@
     run_virtual(scenario())
 
 
+def test_workers_that_left_for_good_do_not_keep_a_gang_off_the_others():
+    """Their unanswered polls made the lead suspect all workers of the zone."""
+
+    async def scenario():
+        cell = ModelCell(workers=30)
+        await cell.begin()
+        for number in range(30):
+            # Their ends are spread, and so are the polls of idle workers from then on.
+            await cell.submit([step(1, 6000)], work_s=2 + number / 30)
+        await cell.all_done(30.0)
+        gone = list(cell.workers)[::3]
+        for name in gone:
+            cell.workers[name].mode = "cut"
+            cell.unregister(name)
+        await pause(10.0)
+        await cell.submit([step(20, 6000, all_or_nothing=True)])
+        others = [worker for name, worker in cell.workers.items() if name not in gone]
+        await cell.until(lambda: all(worker.runs for worker in others), 3.0)
+
+    run_virtual(scenario())
+
+
 def test_lead_logs_once_a_second_why_the_oldest_steps_wait(caplog):
     """The log must show why steps wait that no worker has the capacity for."""
 
