Count workers that are gone only until the others of their zone have answered

Callers saw a gang that never started in a zone from which workers had left: at most 11 of 20 idle workers were usable at any time, 8.6 on average.

A zone was suspected from the oldest overdue call of its workers, and every further poll of a worker that is gone counted as a new one. Idle workers answer once a second, so most of them had not answered since. Now a worker counts from its first call without an answer, whatever is sent to it later, and a zone is suspected from the latest time since which two of its workers have not answered. Once the others have answered after that, they are not suspected for the same failure again. That workers of a zone fall silent together is seen as before, also beside workers that are gone.

tests/services/test_stuck.py::test_workers_that_left_for_good_do_not_keep_a_gang_off_the_others failed before (no start within 3 s, nor within 30 s) and passes; all 20 workers are usable at all times, and the gang starts within 0.03 s.

--- a/src/firhook/decide/_suspicion.py
+++ b/src/firhook/decide/_suspicion.py
@@ -4,8 +4,8 @@
 
 #: A reply is overdue after this.  Workers usually answer within about 10 ms.
 OVERDUE_S = 0.2
-#: Number of a zone's workers with overdue replies from which on its other workers
-#: are suspected as well.
+#: Number of a zone's workers that do not answer from which on its other workers are
+#: suspected as well.
 _MIN_OVERDUE = 2
 
 
@@ -24,6 +24,7 @@
     def __init__(self) -> None:
         self._due: dict[int, float] = {}
         self._count = 0
+        self._silent_since: float | None = None
 
     def note_sent(self, due: float) -> int:
         """Record that a call was sent, and return its number.
@@ -38,6 +39,16 @@
         """Record that a call was answered or given up."""
         self._due.pop(call, None)
 
+    def note_unanswered(self, call: int, now: float) -> None:
+        """Record that a call was given up without a reply."""
+        due = self._due.pop(call, now)
+        if self._silent_since is None and now - due > OVERDUE_S:
+            self._silent_since = due
+
+    def note_reply(self) -> None:
+        """Record that the worker answered a call."""
+        self._silent_since = None
+
     def overdue_since(self, now: float) -> float | None:
         """Return when the oldest overdue reply was due; ``None`` if none is overdue."""
         if not self._due:
@@ -45,21 +56,37 @@
         oldest = min(self._due.values())
         return oldest if now - oldest > OVERDUE_S else None
 
+    def silent_since(self, now: float) -> float | None:
+        """Return since when the worker does not answer; ``None`` if it does.
+
+        Further calls without an answer do not change the time.
+        """
+        if self._silent_since is not None:
+            return self._silent_since
+        return self.overdue_since(now)
+
 
-def suspected_zones(overdue: Iterable[tuple[str, float | None]]) -> dict[str, float]:
+def suspected_zones(silent: Iterable[tuple[str, float | None]]) -> dict[str, float]:
     """Return the zones whose workers are suspected, each with a time.
 
     A network partition isolates all workers of a zone together.  A worker that has
     not answered since that time should not be used; one that has answered since is
     reachable and may be used.
 
-    :param overdue: for each worker its zone, and when its overdue reply was due;
-        ``None`` if none is overdue.
+    The time is the latest one since which at least :data:`_MIN_OVERDUE` workers have
+    not answered.  Workers that are gone for good thus count until all others have
+    answered once.  If each further call to them counted, the idle workers of their
+    zone, which answer once a second, would be suspected half of the time.
+
+    :param silent: for each worker its zone, and since when it has not answered;
+        ``None`` if it answers.
     """
-    due_times: dict[str, list[float]] = {}
-    for zone, due in overdue:
-        if due is not None:
-            due_times.setdefault(zone, []).append(due)
+    times: dict[str, list[float]] = {}
+    for zone, since in silent:
+        if since is not None:
+            times.setdefault(zone, []).append(since)
     return {
-        zone: min(dues) for zone, dues in due_times.items() if len(dues) >= _MIN_OVERDUE
+        zone: sorted(found)[-_MIN_OVERDUE]
+        for zone, found in times.items()
+        if len(found) >= _MIN_OVERDUE
     }
--- a/src/firhook/services/_placer.py
+++ b/src/firhook/services/_placer.py
@@ -107,17 +107,17 @@
 
     def _worker_views(self, now: float) -> dict[str, WorkerView]:
         views = {}
-        overdue = {
-            name: link.pending_calls.overdue_since(now)
+        silent = {
+            name: link.pending_calls.silent_since(now)
             for name, link in self._links.items()
         }
         cutoffs = suspected_zones(
-            (self._links[name].entry.zone, due)
-            for name, due in overdue.items()
-            if due is not None
+            (self._links[name].entry.zone, since)
+            for name, since in silent.items()
+            if since is not None
         )
         for name, link in self._links.items():
-            if overdue[name] is not None or not link.usable(now):
+            if silent[name] is not None or not link.usable(now):
                 continue
             entry = link.entry
             if entry.zone in self._drained_zones:
--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -174,6 +174,7 @@
             self._begin_incarnation(incarnation)
         if clock_s is not None:
             self._worker_clock_s, self._worker_clock_read_at = clock_s, now
+        self.pending_calls.note_reply()
         self.suspected = False
 
     def _begin_incarnation(self, incarnation: int) -> None:
@@ -234,8 +235,12 @@
         )
         try:
             reply = await self._await_reply(polling)
+        except WorkerUnreachableError:
+            self.pending_calls.note_unanswered(call, boot_time())
+            raise
         finally:
             self.pending_calls.note_finished(call)
+        self.pending_calls.note_reply()
         self._last_poll_failed = False
         now = boot_time()
         self._worker_clock_s, self._worker_clock_read_at = reply.clock_s, now
