Test that a worker that refuses starts does not keep work off the others

The platform's unhealthy workers answer a start with 429 or 503 and do nothing. If one of 20 workers does so and answers polls, a job of one task never runs: within 20 s its start is sent to that worker 1820 times, while 19 workers are idle. A gang of 12 on 12 of the workers is broken again and again: 48 of its starts were refused within 20 s, and it never ran.

A refused run is voided, and the next round places the task as if nothing had happened. The worker with the least free capacity is chosen, and that is the same one again.

--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -3,7 +3,7 @@
 import attrs
 
 from firhook._peer_messages import PushedBatch, PushedRecord, RecordsPush
-from firhook.cell import AcceptedJob
+from firhook.cell import AcceptedJob, OrderOutcome
 from firhook.cell._records import StateSummary
 from firhook.cell.records import decode_record, digest_job, encode_record
 from firhook.errors import RecordMalformedError
@@ -75,6 +75,25 @@
     run_virtual(scenario())
 
 
+def test_worker_that_refuses_all_starts_does_not_keep_work_off_the_others():
+    """It answers polls, looks idle and would be chosen again each time."""
+
+    async def scenario(spec):
+        cell = ModelCell(workers=20)
+        await cell.begin()
+        busy = cell.workers["w0"]
+        busy.start = lambda order: busy._answer(OrderOutcome.BUSY)
+        await cell.submit([spec], work_s=5.0)
+        workers = cell.workers.values()
+        begun = spec["count"]
+        await cell.until(lambda: sum(len(w.runs) for w in workers) == begun, 3.0)
+        await cell.all_done(20.0)
+        assert cell.checks.violations == []
+
+    run_virtual(scenario(step(1, 3000)))
+    run_virtual(scenario(step(12, 6000, all_or_nothing=True)))
+
+
 def test_lead_logs_once_a_second_why_the_oldest_steps_wait(caplog):
     """The log must show why steps wait that no worker has the capacity for."""
 
