Start no new work for a while on a worker that refuses a start as busy

Callers' jobs of one task never ran while one of 20 workers answered starts with 503: the run was voided, and the next round chose the same worker again, 91 times a second. A gang with a member on it was broken each time.

Such a worker now rests like one whose runs fail for several jobs in a row: it gets no new work for 2 s, later up to 10 s, and then one task at a time until one completes. It is known to be unhealthy, so that waiting costs at most a part of one worker.

--- a/src/firhook/decide/_worker_health.py
+++ b/src/firhook/decide/_worker_health.py
@@ -1,4 +1,4 @@
-"""Decides which workers get no new work because their runs failed."""
+"""Decides which workers get no new work because their runs or starts failed."""
 
 import attrs
 
@@ -22,7 +22,8 @@
     capacity and attracts most of the waiting work.  Tasks have few attempts, so
     within seconds many jobs would fail for good.  A worker whose runs fail for
     several jobs in a row gets no new work for a while, then one task at a time
-    until one completes.
+    until one completes.  So does a worker that refuses a start because it is busy.
+    It looks idle, and the next round would choose it again for the same task.
 
     :ivar failed_jobs: jobs whose runs failed since the last completed run.
     :ivar backoff_until: when it may get new work again.
@@ -55,6 +56,11 @@
         if now >= self.backoff_until:
             self._back_off(now)
 
+    def record_refusal(self, now: float) -> None:
+        """Record that it refused a start because it is busy."""
+        if now >= self.backoff_until:
+            self._back_off(now)
+
     def _back_off(self, now: float) -> None:
         self.backoff_until = now + self.backoff_s
         self.backoff_s = min(self.backoff_s * 2, MAX_BACKOFF_S)
--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -288,6 +288,8 @@
         )
         if outcome is OrderOutcome.NO_TICKET:
             self._term.tickets.advice_for(step).expire_ticket(run.worker)
+        if outcome is OrderOutcome.BUSY:
+            self._term.links[run.worker].health.record_refusal(boot_time())
         self._abandon_start(run, outcome.value)
         return True
 
--- a/tests/decide/test_speeds.py
+++ b/tests/decide/test_speeds.py
@@ -125,3 +125,16 @@
     for _ in range(10):
         health.record_end("hopeless", RunEnd.FAILED, 10.0)
     assert health.accepts(3, 10.0)
+
+
+def test_worker_that_refuses_starts_gets_none_for_a_while_then_one_at_a_time():
+    health = WorkerHealth()
+    for at in (10.0, 10.01):
+        health.record_refusal(at)
+    assert not health.accepts(0, 10.0 + INITIAL_BACKOFF_S - 0.01)
+    assert health.accepts(0, 10.0 + INITIAL_BACKOFF_S)
+    assert not health.accepts(1, 10.0 + INITIAL_BACKOFF_S)
+    health.record_refusal(20.0)
+    assert not health.accepts(0, 20.0 + 2 * INITIAL_BACKOFF_S - 0.01)
+    health.record_end("j", RunEnd.DONE, 30.0)
+    assert health.accepts(1, 30.0)
