Stop the rest of a gang that had lost a member when the lead changed

The members of a gang that can no longer complete are stopped, but the stored state does not say so. The next lead restored their runs as if the gang were complete, and the gang was not placed again until the workers gave up waiting for the missing member, up to the gang timeout later. Now a gang that is not done and some of whose members have no run is stopped when it is restored.

The state machine failed within 3000 examples and passes 6000.

--- a/src/firhook/cell/_job_table.py
+++ b/src/firhook/cell/_job_table.py
@@ -461,6 +461,10 @@
                 if step.job.status.ended or task.done:
                     self.stop(run, "job_ended")
         step.remaining = sum(not task.done for task in step.tasks)
+        if step.spec.gang and step.remaining and not all(t.runs for t in step.tasks):
+            # The earlier lead may have been stopping the other members.
+            for run in step.runs():
+                self.stop(run, "gang_broken")
 
     def cancel(self, job_id: str, unix_now: float) -> None:
         """Cancel a job, unless it has ended."""
