Ask the adviser about more workers for a gang that others have room for

On a cell of 270 workers gangs of 20 to 60 tasks waited for tens of seconds, and some were still idle 14 s after the end of the traffic, with room for them twice over.

The adviser is asked about 100 workers and permits some 30 of them. More were asked about only if these could not hold the gang even if they were empty. But a gang needs room on many of them at the same time, and other work takes the room of each task that ends. Now more workers are asked about if the gang does not fit and a worker without an answer has room for one of its tasks. In a cell that is full everywhere nothing more is asked. Tasks that start one by one are treated as before.

--- a/src/firhook/decide/_schedule.py
+++ b/src/firhook/decide/_schedule.py
@@ -271,7 +271,11 @@
 
         If the first request covered few workers, more are requested at once.  After
         that, only if the permitted workers could not hold the step even once their
-        finite tasks have ended, because each answer takes the adviser's time.
+        finite tasks have ended, because each answer takes the adviser's time, or if
+        the step is a gang and other workers have room for its tasks.  A gang needs
+        room on many permitted workers at the same time, and other work takes the
+        room of each task that ends.  It might wait for these workers for as long as
+        the cell is busy while others are idle.
         """
         if step.job.queue.advice is None:
             return
@@ -284,8 +288,10 @@
             return
         request = None
         first_was_short = advice.answered_count() < MAX_WORKERS_PER_REQUEST
-        if first_was_short or not self._could_hold(
-            step, self._permitted_workers(step, suitable)
+        if (
+            first_was_short
+            or (step.spec.gang and self._has_room_elsewhere(step, suitable))
+            or not self._could_hold(step, self._permitted_workers(step, suitable))
         ):
             asked = [(w.name, w.incarnation) for w in suitable]
             request = more_workers_request(step, advice, asked, self._now)
@@ -299,6 +305,14 @@
         requests = self.result.advice_requests
         return bool(requests) and requests[-1].step is step
 
+    def _has_room_elsewhere(self, step: Step, suitable: list[WorkerView]) -> bool:
+        """Return whether a worker without an answer has room for a task of a step."""
+        advice = self._tickets.advice_for(step)
+        return any(
+            w.free.covers(step.spec.reserved) and not advice.has_answer_for(w.name)
+            for w in suitable
+        )
+
     def _could_hold(self, step: Step, workers: list[WorkerView]) -> bool:
         """Return whether workers can hold a step once their finite tasks have ended."""
         spec = step.spec
