Let one overdue gang at a time go before work that can be in time

Callers saw gangs wait for half a minute and more while younger ones started, some of them until the end of the traffic and beyond.

Cause: a round goes by urgency, in which work that can be in time precedes late work, and work later than three times its objective comes last. Nothing raises a step that has waited. A gang needs capacity on many workers at once, and the three gangs for which a round reserves it are the most urgent ones, so that an overdue gang got neither room nor a reservation as long as younger ones kept coming.

The overdue gang whose job was released first is now placed, or has capacity reserved, right after urgent work that is in time. One that cannot start for another reason than its turn, such as its team's limit, leaves its place to the next. The release time is that of the job, so that it survives a change of the lead.

Evidence: test_overdue_gang_is_not_starved_by_a_stream_of_younger_gangs and test_overdue_gang_that_its_team_may_not_run_does_not_go_before_another failed before, not started within 50 rounds, and pass.

--- a/src/firhook/decide/_schedule.py
+++ b/src/firhook/decide/_schedule.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+import itertools
 from collections.abc import Iterable
 from enum import StrEnum
 
@@ -34,6 +35,8 @@
 #: Work may backfill reserved capacity if it ends before the gang can start.  Estimates
 #: are inaccurate, so this factor of the estimate must fit.
 _BACKFILL_FACTOR = 1.25
+#: The start of the sort key of work of the first priority that can still be in time.
+_URGENT_IN_TIME = (0, 0)
 #: How often a waiting step is checked for whether to ask about more workers.
 _WIDEN_INTERVAL_S = 1.0
 
@@ -189,13 +192,53 @@
 
     def run(self) -> RoundResult:
         """Place all tasks that can start now."""
-        for step in sorted(self._book.open_steps.values(), key=self._rank):
-            if step.spec.gang:
-                self._place_gang(step)
-            else:
-                self._place_tasks(step)
+        steps = sorted(self._book.open_steps.values(), key=self._rank)
+        urgent = list(itertools.takewhile(self._is_urgent_in_time, steps))
+        for step in urgent:
+            self._place(step)
+        done = self._place_overdue_gang(steps[len(urgent) :])
+        for step in steps[len(urgent) :]:
+            if step.name not in done:
+                self._place(step)
         return self.result
 
+    def _place(self, step: Step) -> bool:
+        """Place a step's tasks; return whether any was placed or has capacity reserved.
+
+        Capacity is reserved only for gangs.
+        """
+        if not step.spec.gang:
+            return self._place_tasks(step)
+        return self._place_gang(step)
+
+    def _is_urgent_in_time(self, step: Step) -> bool:
+        return urgency(step, self._now)[:2] == _URGENT_IN_TIME
+
+    def _place_overdue_gang(self, steps: Iterable[Step]) -> set[str]:
+        """Place the gang that is overdue and whose job was released first.
+
+        Late work goes behind work that can be in time, and a gang needs capacity on
+        many workers at once.  As long as younger gangs keep coming, they would get
+        every reservation.  One overdue gang at a time goes before them, so that each
+        of them starts in the end, and those that can be in time keep most of the cell.
+
+        A gang that cannot start for another reason than its turn, such as its team's
+        limit, leaves its place to the next one.
+
+        :return: the names of the steps that were tried.
+        """
+        overdue = [
+            s
+            for s in steps
+            if s.spec.gang and s.job.objective_at(s.occurrence) < self._now
+        ]
+        tried: set[str] = set()
+        for step in sorted(overdue, key=lambda s: s.job.released_at(s.occurrence)):
+            tried.add(step.name)
+            if self._place(step):
+                break
+        return tried
+
     def _rank(self, step: Step) -> tuple[float, ...]:
         """Return the sort key of a step in the round; lower keys go first."""
         return urgency(step, self._now)
@@ -357,13 +400,13 @@
 
     # Single tasks.
 
-    def _place_tasks(self, step: Step) -> None:
+    def _place_tasks(self, step: Step) -> bool:
         suitable = self._suitable(step)
         usable = self._workers_with_tickets(step, suitable)
         permitted = self._permitted_count(step)
         if not permitted:
             self._record_wait(step, WaitReason.TEAM_LIMIT)
-            return
+            return False
         on_worker = _count_by_worker(step.runs()) if step.spec.per_worker else {}
         chosen: list[tuple[Task, str, int]] = []
         for task in list(step.idle.values())[:permitted]:
@@ -383,6 +426,7 @@
             self._record_wait(step, WaitReason.TEAM_LIMIT)
         elif len(chosen) < len(step.idle):
             self._record_wait(step, self._wait_reason(step, suitable))
+        return bool(chosen)
 
     def _pick_worker(
         self,
@@ -438,12 +482,12 @@
 
     # Gangs.
 
-    def _place_gang(self, step: Step) -> None:
+    def _place_gang(self, step: Step) -> bool:
         suitable = self._suitable(step)
         usable = self._workers_with_tickets(step, suitable)
         if self._permitted_count(step) < step.spec.count:
             self._record_wait(step, WaitReason.TEAM_LIMIT)
-            return
+            return False
         chosen = self._gang_workers(step, usable)
         if chosen is not None:
             tasks = list(step.idle.values())
@@ -451,11 +495,12 @@
                 (t, w.name, w.incarnation) for t, w in zip(tasks, chosen, strict=True)
             ]
             self._add_placement(step, rows)
-            return
+            return True
         self._widen_advice(step, suitable)
         self._record_wait(step, self._wait_reason(step, suitable))
         if self._reserved_gangs < MAX_RESERVED_GANGS:
             self._reserve(step, self._permitted_workers(step, suitable))
+        return step.name in self.result.reserved
 
     def _gang_workers(
         self, step: Step, usable: list[WorkerView]
--- a/tests/decide/test_schedule.py
+++ b/tests/decide/test_schedule.py
@@ -134,6 +134,61 @@
     assert world.overcommitted() == []
 
 
+def fill_with_gangs(world, count):
+    """Start as many gangs, each of which fills one worker."""
+    jobs = [world.submit(PLAN, tasks(2, 4000, gang=True)) for _ in range(count)]
+    world.round()
+    return jobs
+
+
+def starts_beside_younger_gangs(world, running, job):
+    """Let one gang end and a younger one arrive at a time; return whether a job starts.
+
+    :param running: gangs that fill the workers.
+    """
+    for _ in range(50):
+        world.now += 0.5
+        ending = next(j for j in running if any(j.runs()))
+        running.remove(ending)
+        for run in list(ending.runs()):
+            world.finish(run)
+        running.append(world.submit(PLAN, tasks(2, 4000, gang=True)))
+        if job in (run.task.step.job for run in world.round()):
+            return True
+    return False
+
+
+def test_overdue_gang_is_not_starved_by_a_stream_of_younger_gangs():
+    """Younger gangs can be in time, so that they get the capacity of each that ends."""
+    world = World(workers=2)
+    running = fill_with_gangs(world, 2)
+    old = world.submit(PLAN, tasks(2, 8000, gang=True))
+    world.now += 30.0
+    assert starts_beside_younger_gangs(world, running, old)
+
+
+def test_overdue_gang_that_its_team_may_not_run_does_not_go_before_another():
+    limited = Team("b", frozenset(), limit=Resources(1000, 0))
+    world = World(workers=2, teams=(UNLIMITED, limited))
+    running = fill_with_gangs(world, 2)
+    world.submit(PLAN, tasks(2, 8000, gang=True), team="b")
+    world.now += 1.0
+    old = world.submit(PLAN, tasks(2, 8000, gang=True))
+    world.now += 30.0
+    assert starts_beside_younger_gangs(world, running, old)
+
+
+def test_overdue_gang_does_not_go_before_urgent_work_that_is_in_time():
+    world = World(workers=1)
+    running = fill_with_gangs(world, 1)
+    world.submit(PLAN, tasks(2, 4000, gang=True))
+    world.now += 30.0
+    world.submit(QUOTE, tasks(1, 4000))
+    for run in list(running[0].runs()):
+        world.finish(run)
+    assert queues_of(world.round()) == ["quote"]
+
+
 def test_work_that_ends_in_time_backfills_capacity_reserved_for_a_gang():
     world = World(workers=1)
     world.submit(BILL, tasks(1, 6000, estimate_s=10.0))
