Do not start runs again whose ends a worker could not list

Callers' tasks that had ended ran again. A worker lists at most 500 ends in one reply. A run whose end came after these was neither listed as running nor as ended, so the lead took it for one that never started, and started the task again.

A reply with 500 ends no longer shows that a run is absent. The later ends are listed once the first ones are acknowledged.

--- a/src/firhook/cell/__init__.py
+++ b/src/firhook/cell/__init__.py
@@ -25,6 +25,7 @@
 from firhook.cell._resources import NO_RESOURCES, Resources
 from firhook.cell._spec import JobSpec, StepSpec
 from firhook.cell._workers import (
+    MAX_LISTED_ENDS,
     Advice,
     EndedRow,
     OrderAnswer,
@@ -37,6 +38,7 @@
 )
 
 __all__ = [
+    "MAX_LISTED_ENDS",
     "NO_RESOURCES",
     "AcceptedJob",
     "Advice",
--- a/src/firhook/cell/_job_table.py
+++ b/src/firhook/cell/_job_table.py
@@ -725,7 +725,7 @@
                 self.stop(run, "worker_restarted")
                 return
             self.void(run, "worker_restarted", now)
-        elif run.absence_conclusive_after < sent_at:
+        elif run.absence_conclusive_after < sent_at and reply.lists_all_ends:
             self.void(run, "not_there", now)
 
     def expire_lease(self, worker: str, now: float) -> None:
--- a/src/firhook/cell/_workers.py
+++ b/src/firhook/cell/_workers.py
@@ -77,6 +77,10 @@
     checkpoint: str
 
 
+#: The most ends that a worker lists in one reply, those with the lowest numbers.
+MAX_LISTED_ENDS = 500
+
+
 @attrs.frozen(slots=True)
 class PollReply:
     """A worker's reply to a poll.
@@ -92,6 +96,11 @@
     running: tuple[RunningRow, ...]
     ended: tuple[EndedRow, ...]
 
+    @property
+    def lists_all_ends(self) -> bool:
+        """Return whether the worker has no further ends that it could not list."""
+        return len(self.ended) < MAX_LISTED_ENDS
+
 
 class OrderOutcome(enum.Enum):
     """The outcome of an order to a worker."""
