Hold back the end of a skipped job only while a worker can list all others

While one job's record could not be decoded, a worker that held an end of it listed at most 500 ends for ever, and those behind them were never seen.

Once more than half a listing is in use, the lead acknowledges the held ends as well and keeps them itself, until it takes the job over. A lead that follows it does not know them, and would start these tasks again if the record is whole only then.

Evidence: test_ends_that_a_worker_cannot_list_beside_a_held_one_are_not_run_again, on a model that lists 500 ends at a time as workers do, failed before and passes: each task starts once, also that of the skipped job.

--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -9,7 +9,9 @@
 import attrs
 
 from firhook.cell import (
+    MAX_LISTED_ENDS,
     CellConfig,
+    EndedRow,
     JobStatus,
     JobTable,
     JobView,
@@ -70,6 +72,8 @@
 #: over.  It doubles with each attempt, up to the maximum.
 _MIN_RELOAD_DELAY_S = 1.0
 _MAX_RELOAD_DELAY_S = 30.0
+#: The most ends that a worker keeps because one of them belongs to a skipped job.
+_MAX_ENDS_BESIDE_HELD = MAX_LISTED_ENDS // 2
 #: The lead sends orders for this time after it sent the last append that the store
 #: accepted.
 PROOF_S = 0.75
@@ -150,6 +154,7 @@
         self.drained_zones = instance.config.drained_zones
         self._known_jobs: set[str] = set()
         self._skipped_jobs: set[str] = set()
+        self._held_ends: dict[str, dict[tuple[str, int], EndedRow]] = {}
         self._writer = FencedWriter(self._store, epoch, lead.note_proof)
         self._version_count = 0
         self._settled_owners: dict[str, frozenset[tuple[str, str]]] = {}
@@ -350,7 +355,12 @@
             return False
         self._known_jobs.add(job_id)
         self._skipped_jobs.discard(job_id)
-        self.job_table.add(view.accepted, state, now, unix)
+        job = self.job_table.add(view.accepted, state, now, unix)
+        held = self._held_ends.pop(job_id, {})
+        for run in list(job.runs()) if job is not None else ():
+            if run.key in held and run in run.task.runs:
+                row = held[run.key]
+                self.job_table.end(run, row.end, row.checkpoint, now, unix)
         if view.cancelled:
             self.job_table.cancel(job_id, unix)
         return True
@@ -361,6 +371,8 @@
         while not self.lost:
             await asyncio.sleep(delay_s)
             self._skipped_jobs &= self._replica.jobs.keys()
+            for job_id in self._held_ends.keys() - self._skipped_jobs:
+                del self._held_ends[job_id]
             if not self._skipped_jobs:
                 delay_s = _MIN_RELOAD_DELAY_S
                 continue
@@ -443,9 +455,7 @@
             self._note_end(link, run, end, now)
         self.job_table.ended_runs.clear()
         link.has_orphaned_runs = bool(orphaned)
-        # A job that was skipped may be taken over yet.
-        ends = [row.number for row in reply.ended if self._is_skipped(row.task)]
-        link.held_end = min(ends, default=math.inf)
+        self._hold_ends(link, reply)
         for task, number in orphaned:
             if self._is_skipped(task):
                 continue
@@ -454,6 +464,21 @@
         self._stop_stalled(link, now)
         self._wake.set()
 
+    def _hold_ends(self, link: WorkerLink, reply: PollReply) -> None:
+        """Keep the ends of skipped jobs, which may be taken over yet.
+
+        They remain at the worker, unless they would keep it from listing the ends of
+        other jobs.
+        """
+        held = [row for row in reply.ended if self._is_skipped(row.task)]
+        if len(reply.ended) <= _MAX_ENDS_BESIDE_HELD:
+            link.held_end = min((row.number for row in held), default=math.inf)
+            return
+        link.held_end = math.inf
+        for row in held:
+            ends = self._held_ends.setdefault(row.task.partition(".")[0], {})
+            ends[row.task, row.run] = row
+
     def _is_skipped(self, task: str) -> bool:
         """Return whether a task belongs to a job that could not be taken over."""
         return task.partition(".")[0] in self._skipped_jobs
--- a/standins/model/_workers.py
+++ b/standins/model/_workers.py
@@ -27,6 +27,7 @@
 TASK_STOP_S = 0.4
 GANG_TIMEOUT_S = 3.0
 CHECKPOINT_INTERVAL_S = 0.5
+MAX_LISTED_ENDS = 500
 
 
 @attrs.frozen
@@ -119,6 +120,7 @@
         lost.
     :ivar slow: factor on the duration of work.
     :ivar fails_all: whether all runs fail soon after they start.
+    :ivar refuses: whether it refuses all starts as busy, and does nothing.
     :ivar stalled: whether new runs make no progress.
     :ivar draining_s: remaining time of a graceful stop, as shown in the registration;
         ``None`` if the worker is not stopping.
@@ -126,6 +128,7 @@
     :ivar incarnation: number of the worker's current process, which grows with each
         restart.
     :ivar polls: number of polls.
+    :ivar started_runs: number of runs that it started.
     """
 
     def __init__(
@@ -148,11 +151,13 @@
         self.lost_share = 0.0
         self.slow = 1.0
         self.fails_all = False
+        self.refuses = False
         self.stalled = False
         self.draining_s: float | None = None
         self.incarnation = 1_000_000 + rng.randrange(1000)
         self.up = True
         self.polls = 0
+        self.started_runs = 0
         self.expired_tickets = 0
         self._order_is_late = False
         self._plans, self._gangs, self._rng = plans, gangs, rng
@@ -306,7 +311,8 @@
         if until_s is not None:
             self._extend_lease(until_s)
         rows = tuple(self._running_row(run) for run in self.runs.values())
-        return PollReply(self.incarnation, self.clock(), rows, tuple(self.ends))
+        ends = tuple(self.ends[:MAX_LISTED_ENDS])
+        return PollReply(self.incarnation, self.clock(), rows, ends)
 
     def _running_row(self, run: _Run) -> RunningRow:
         if not run.working:
@@ -332,6 +338,8 @@
         if order.fence < self.fence:
             return self._answer(OrderOutcome.FENCED)
         self.fence = order.fence
+        if self.refuses:
+            return self._answer(OrderOutcome.BUSY)
         if (order.task, order.run) in self.runs:
             self._extend_lease(order.lease_until_s)
             return self._answer(OrderOutcome.APPLIED)
@@ -346,6 +354,7 @@
         saved_s = float(order.checkpoint or 0) * CHECKPOINT_INTERVAL_S
         run = _Run(order.task, order.run, plan, now(), saved_s)
         self.runs[order.task, order.run] = run
+        self.started_runs += 1
         self.checks.started(now(), order.task, self.name, self.incarnation, order.run)
         if not self._order_is_late:
             self.checks.started_on_time(now(), order.task, self.zone)
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -263,6 +263,35 @@
     run_scenario(scenario)
 
 
+def test_ends_that_a_worker_cannot_list_beside_a_held_one_are_not_run_again(
+    monkeypatch,
+):
+    """The end of a skipped job held back the acknowledgement of all later ends."""
+    malformed = []
+    decode = StateSummary.decode
+
+    def decode_or_fail(self):
+        if malformed:
+            raise RecordMalformedError("JobState")
+        return decode(self)
+
+    monkeypatch.setattr(StateSummary, "decode", decode_or_fail)
+
+    async def scenario(cell):
+        await cell.submit([step(1)], work_s=2.0)
+        await cell.until(lambda: len(cell.checks.last_start) == 1, 3.0)
+        malformed.append(True)
+        cell.kill(cell.lead_name())
+        await pause(4.0)
+        others = [await cell.submit([step(50, 10)], work_s=0.5) for _ in range(20)]
+        await cell.until(lambda: all(cell.ended(job) for job, _ in others), 20.0)
+        malformed.clear()
+        await cell.all_done(40.0)
+        assert cell.workers["w0"].started_runs == 1 + 20 * 50
+
+    run_scenario(scenario, workers=1)
+
+
 def test_malformed_state_of_one_job_does_not_stop_the_others():
     """A state with a run on no listed worker ended the term of every lead."""
 
