Use at least half of a pool again at once after all its workers refused starts

A service that answered 503 for half a second put all its workers to rest. Nothing started on them for two seconds after the first refusal, and then one task at a time on each until one completed: for 1.5 s after the service was well again no worker of 20 had a run.

Refusals of most of a pool do not tell one worker from another. At most half of a pool now rests because of refused starts; the others pause for 0.2 s.

--- a/src/firhook/decide/_worker_health.py
+++ b/src/firhook/decide/_worker_health.py
@@ -1,5 +1,7 @@
 """Decides which workers get no new work because their runs or starts failed."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from firhook.cell import RunEnd
@@ -12,6 +14,10 @@
 #: How long a worker gets no new work, at first and at most.
 INITIAL_BACKOFF_S = 2.0
 MAX_BACKOFF_S = 10.0
+#: How long a busy worker gets no new work if most others are busy as well.
+BUSY_PAUSE_S = 0.2
+#: The largest part of a pool that gets less work because starts were refused as busy.
+_MAX_RESTING_SHARE = 0.5
 
 
 @attrs.define(slots=True, eq=False)
@@ -56,10 +62,17 @@
         if now >= self.backoff_until:
             self._back_off(now)
 
-    def record_refusal(self, now: float) -> None:
-        """Record that it refused a start because it is busy."""
-        if now >= self.backoff_until:
+    def record_refusal(self, now: float, may_rest: bool) -> None:
+        """Record that it refused a start because it is busy.
+
+        :param may_rest: whether it may rest for seconds; see :func:`may_rest`.
+        """
+        if now < self.backoff_until:
+            return
+        if may_rest:
             self._back_off(now)
+        else:
+            self.backoff_until = now + BUSY_PAUSE_S
 
     def _back_off(self, now: float) -> None:
         self.backoff_until = now + self.backoff_s
@@ -74,3 +87,16 @@
         if now < self.backoff_until:
             return False
         return not self.probation or running == 0
+
+
+def may_rest(health: WorkerHealth, pool: Iterable[WorkerHealth]) -> bool:
+    """Return whether a busy worker may get less work than the others of its pool.
+
+    If most of a pool refuses starts, the cause is not in the workers, and it may end
+    at any moment.
+
+    :param pool: all workers of its pool, including the busy one.
+    """
+    others = [other for other in pool if other is not health]
+    resting = sum(other.probation for other in others) + 1
+    return resting <= _MAX_RESTING_SHARE * (len(others) + 1)
--- a/src/firhook/decide/worker_health.py
+++ b/src/firhook/decide/worker_health.py
@@ -1,9 +1,15 @@
-"""Decides which workers get no new work because their runs failed."""
+"""Decides which workers get no new work because their runs or starts failed."""
 
 from firhook.decide._worker_health import (
     INITIAL_BACKOFF_S,
     MAX_CONSECUTIVE_FAILURES,
     WorkerHealth,
+    may_rest,
 )
 
-__all__ = ["INITIAL_BACKOFF_S", "MAX_CONSECUTIVE_FAILURES", "WorkerHealth"]
+__all__ = [
+    "INITIAL_BACKOFF_S",
+    "MAX_CONSECUTIVE_FAILURES",
+    "WorkerHealth",
+    "may_rest",
+]
--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -17,6 +17,7 @@
 from firhook.clock import boot_time
 from firhook.decide.hedging import HedgeTimer
 from firhook.decide.tickets import TicketTable
+from firhook.decide.worker_health import may_rest
 from firhook.logs import log
 from firhook.meters import Meters
 from firhook.platform.instance import Bounds
@@ -289,10 +290,19 @@
         if outcome is OrderOutcome.NO_TICKET:
             self._term.tickets.advice_for(step).expire_ticket(run.worker)
         if outcome is OrderOutcome.BUSY:
-            self._term.links[run.worker].health.record_refusal(boot_time())
+            self._record_refusal(run.worker)
         self._abandon_start(run, outcome.value)
         return True
 
+    def _record_refusal(self, worker: str) -> None:
+        now, link = boot_time(), self._term.links[worker]
+        pool = [
+            other.health
+            for other in self._term.links.values()
+            if other.entry.pool == link.entry.pool and other.usable(now)
+        ]
+        link.health.record_refusal(now, may_rest(link.health, pool))
+
     def _abandon_start(self, run: Run, reason: str) -> None:
         if run not in run.task.runs:
             return
--- a/tests/decide/test_speeds.py
+++ b/tests/decide/test_speeds.py
@@ -130,11 +130,11 @@
 def test_worker_that_refuses_starts_gets_none_for_a_while_then_one_at_a_time():
     health = WorkerHealth()
     for at in (10.0, 10.01):
-        health.record_refusal(at)
+        health.record_refusal(at, True)
     assert not health.accepts(0, 10.0 + INITIAL_BACKOFF_S - 0.01)
     assert health.accepts(0, 10.0 + INITIAL_BACKOFF_S)
     assert not health.accepts(1, 10.0 + INITIAL_BACKOFF_S)
-    health.record_refusal(20.0)
+    health.record_refusal(20.0, True)
     assert not health.accepts(0, 20.0 + 2 * INITIAL_BACKOFF_S - 0.01)
     health.record_end("j", RunEnd.DONE, 30.0)
     assert health.accepts(1, 30.0)
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -94,6 +94,26 @@
     run_virtual(scenario(step(12, 6000, all_or_nothing=True)))
 
 
+def test_most_workers_are_used_again_at_once_after_all_refused_starts():
+    """All of them rested because a whole service answered 503 for a moment."""
+
+    async def scenario():
+        cell = ModelCell(workers=20)
+        await cell.begin()
+        workers = cell.workers.values()
+        for worker in workers:
+            worker.refuses = True
+        await cell.submit([step(60, 2000)], work_s=3.0)
+        await pause(0.5)
+        for worker in workers:
+            worker.refuses = False
+        await cell.until(lambda: sum(bool(w.runs) for w in workers) >= 10, 0.5)
+        await cell.all_done(20.0)
+        assert cell.checks.violations == []
+
+    run_virtual(scenario())
+
+
 def test_lead_logs_once_a_second_why_the_oldest_steps_wait(caplog):
     """The log must show why steps wait that no worker has the capacity for."""
 
