Start no new work for a while on a worker that refuses a start as full

A task of one job never ran while one of 20 idle workers answered starts with 409 and "room": within 20 s its start was sent there 1819 times. The lead believes that the worker has room, and each round chose it again, as it did with busy workers before.

Such a worker now rests as a busy one does.

Evidence: test_worker_that_refuses_all_starts_does_not_keep_work_off_the_others, now for both answers, failed for this one before (no start within 3 s) and passes.

--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -289,7 +289,7 @@
         )
         if outcome is OrderOutcome.NO_TICKET:
             self._term.tickets.advice_for(step).expire_ticket(run.worker)
-        if outcome is OrderOutcome.BUSY:
+        if outcome in (OrderOutcome.BUSY, OrderOutcome.NO_CAPACITY):
             self._record_refusal(run.worker)
         self._abandon_start(run, outcome.value)
         return True
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -1,6 +1,7 @@
 """Accepted work that could run must not wait."""
 
 import attrs
+import pytest
 
 from firhook._peer_messages import PushedBatch, PushedRecord, RecordsPush
 from firhook.cell import AcceptedJob, OrderOutcome
@@ -75,14 +76,15 @@
     run_virtual(scenario())
 
 
-def test_worker_that_refuses_all_starts_does_not_keep_work_off_the_others():
+@pytest.mark.parametrize("outcome", [OrderOutcome.BUSY, OrderOutcome.NO_CAPACITY])
+def test_worker_that_refuses_all_starts_does_not_keep_work_off_the_others(outcome):
     """It answers polls, looks idle and would be chosen again each time."""
 
     async def scenario(spec):
         cell = ModelCell(workers=20)
         await cell.begin()
         busy = cell.workers["w0"]
-        busy.start = lambda order: busy._answer(OrderOutcome.BUSY)
+        busy.start = lambda order: busy._answer(outcome)
         await cell.submit([spec], work_s=5.0)
         workers = cell.workers.values()
         begun = spec["count"]
