Do not take gang members that wait for another one for stalled

While one member of a gang had not started for 1 to 2 s, the lead stopped the others as stalled, and their workers, which were well, got no new work for 2 to 10 s and then one task at a time. A gang of 30 so put 29 workers to rest because of one lost start.

A member does not progress before all members run. It counts as stalled only once the lead knows that all have started. A gang whose members do not start is still stopped after its part of the gang timeout.

Evidence: test_workers_whose_gang_waits_for_a_member_that_did_not_start_get_other_work failed before (19 tasks had not all begun on 19 idle workers 0.5 s after the gang was stopped) and passes. The fake specification of tests/decide/test_speeds.py says that it is not of a gang; its checks are unchanged.

--- a/src/firhook/decide/_stalls.py
+++ b/src/firhook/decide/_stalls.py
@@ -68,6 +68,14 @@
     return min(timeout_s, stall_timeout_s(run) + restore_s)
 
 
+def _waits_for_members(run: Run) -> bool:
+    """Return whether another member of a run's gang is not known to have started."""
+    step = run.task.step
+    return step.spec.gang and not all(
+        task.done or any(other.confirmed for other in task.runs) for task in step.tasks
+    )
+
+
 def stalled_runs(runs: Iterable[Run], now: float, restore_s: float) -> list[Run]:
     """Return the runs of a worker that should be stopped and run elsewhere.
 
@@ -77,7 +85,11 @@
     :param restore_s: how long a run takes to resume from a checkpoint, in seconds.
     """
     confirmed = [r for r in runs if r.confirmed and not r.task.step.spec.long_running]
-    stalled = [run for run in confirmed if is_stalled(run, now, restore_s)]
+    stalled = [
+        run
+        for run in confirmed
+        if is_stalled(run, now, restore_s) and not _waits_for_members(run)
+    ]
     progressing = [
         run
         for run in confirmed
--- a/standins/model/_workers.py
+++ b/standins/model/_workers.py
@@ -121,6 +121,7 @@
     :ivar slow: factor on the duration of work.
     :ivar fails_all: whether all runs fail soon after they start.
     :ivar refuses: whether it refuses all starts as busy, and does nothing.
+    :ivar loses_starts: whether starts do not arrive, though other calls do.
     :ivar stalled: whether new runs make no progress.
     :ivar draining_s: remaining time of a graceful stop, as shown in the registration;
         ``None`` if the worker is not stopping.
@@ -152,6 +153,7 @@
         self.slow = 1.0
         self.fails_all = False
         self.refuses = False
+        self.loses_starts = False
         self.stalled = False
         self.draining_s: float | None = None
         self.incarnation = 1_000_000 + rng.randrange(1000)
@@ -458,6 +460,10 @@
 
     async def start(self, worker: WorkerEntry, order: StartOrder) -> OrderAnswer:
         """See :meth:`Workers.start`."""
+        target = self._workers.get(worker.name)
+        if target is not None and target.loses_starts:
+            await pause(ORDER_TIMEOUT_S)
+            return OrderAnswer(OrderOutcome.UNKNOWN)
         return await self._order(worker.name, lambda w: w.start(order))
 
     async def stop(
--- a/tests/decide/test_speeds.py
+++ b/tests/decide/test_speeds.py
@@ -17,6 +17,7 @@
 
 class Spec:
     long_running = False
+    gang = False
     estimate_s = 1.0
 
 
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -96,6 +96,29 @@
     run_virtual(scenario(step(12, 6000, all_or_nothing=True)))
 
 
+def test_workers_whose_gang_waits_for_a_member_that_did_not_start_get_other_work():
+    """Their runs, which cannot progress without it, counted as stalled."""
+
+    async def scenario():
+        cell = ModelCell(workers=20)
+        await cell.begin()
+        cell.workers["w0"].loses_starts = True
+        await cell.submit([step(12, 6000, all_or_nothing=True)], work_s=1.0)
+        others = [worker for worker in cell.workers.values() if worker.name != "w0"]
+        await cell.until(lambda: sum(bool(w.runs) for w in others) == 11, 1.0)
+        await cell.until(lambda: not any(w.runs for w in others), 5.0)
+        cell.workers["w0"].loses_starts = False
+        begun = sum(worker.started_runs for worker in others)
+        await cell.submit([step(19, 6000)], work_s=1.0)
+        await cell.until(
+            lambda: sum(worker.started_runs for worker in others) >= begun + 19, 0.5
+        )
+        await cell.all_done(20.0)
+        assert cell.checks.violations == []
+
+    run_virtual(scenario())
+
+
 def test_most_workers_are_used_again_at_once_after_all_refused_starts():
     """All of them rested because a whole service answered 503 for a moment."""
 
