Start no new work for a while on a worker that answers polls but no start

A task never ran while starts to one of 20 workers did not arrive and polls did: its start was sent there 40 times within 40 s, and 19 workers were idle. A gang with a member on it was broken each time. Each answer to a poll or a stop made the worker look sound, and the next round chose it again.

If a start stays unanswered until it is given up, though the worker answered a poll meanwhile, the worker rests like one that refuses starts. A worker that answers nothing is treated as before.

Evidence: test_worker_that_answers_polls_but_no_start_does_not_keep_work_off_the_others failed before (not done within 10 s) and passes; a task of 1 s ends after 5.6 s.

--- a/src/firhook/decide/_worker_health.py
+++ b/src/firhook/decide/_worker_health.py
@@ -28,8 +28,9 @@
     capacity and attracts most of the waiting work.  Tasks have few attempts, so
     within seconds many jobs would fail for good.  A worker whose runs fail for
     several jobs in a row gets no new work for a while, then one task at a time
-    until one completes.  So does a worker that refuses a start as busy or full.  It
-    looks idle, and the next round would choose it again for the same task.
+    until one completes.  So does a worker that refuses a start as busy or full, or
+    that answers polls but no start.  It looks idle, and the next round would choose it
+    again for the same task.
 
     :ivar failed_jobs: jobs whose runs failed since the last completed run.
     :ivar backoff_until: when it may get new work again.
@@ -63,7 +64,7 @@
             self._back_off(now)
 
     def record_refusal(self, now: float, may_rest: bool) -> None:
-        """Record that it refused a start because it is busy or full.
+        """Record that it refused a start, or answers polls but not the start.
 
         :param may_rest: whether it may rest for seconds; see :func:`may_rest`.
         """
--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -16,6 +16,7 @@
 from firhook.cell.job_table import MAX_ORDER_DELAY_S
 from firhook.clock import boot_time
 from firhook.decide.hedging import HedgeTimer
+from firhook.decide.suspicion import OVERDUE_S
 from firhook.decide.tickets import TicketTable
 from firhook.decide.worker_health import may_rest
 from firhook.logs import log
@@ -166,17 +167,23 @@
             if step.spec.gang
             else _START_RETRY_LIMIT_S
         )
+        unanswered = False
         while run in run.task.runs and not run.stop_reason and not self._term.lost:
             if boot_time() - began > limit_s:
                 self._abandon_start(run, "start_unanswered")
-                return
+                break
             if self._is_drained(run):
                 self._abandon_start(run, "zone_drained")
                 return
             answer = await self._send_start(run)
             if self._handle_start_answer(run, answer, began):
                 return
+            unanswered = answer.outcome is OrderOutcome.UNKNOWN
             await asyncio.sleep(_ORDER_RETRY_S)
+        link = self._term.links[run.worker]
+        if unanswered and not run.confirmed and link.last_reply_at > began + OVERDUE_S:
+            # It answers polls, so that nothing else keeps new work off it.
+            self._record_refusal(run.worker)
 
     def _is_drained(self, run: Run) -> bool:
         """Return whether a start must not be sent because its zone is drained.
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -96,6 +96,21 @@
     run_virtual(scenario(step(12, 6000, all_or_nothing=True)))
 
 
+def test_worker_that_answers_polls_but_no_start_does_not_keep_work_off_the_others():
+    """Its answers to polls and stops made it look sound each time."""
+
+    async def scenario(spec):
+        cell = ModelCell(workers=20)
+        await cell.begin()
+        cell.workers["w0"].loses_starts = True
+        await cell.submit([spec], work_s=1.0)
+        await cell.all_done(10.0)
+        assert cell.checks.violations == []
+
+    run_virtual(scenario(step(1, 3000)))
+    run_virtual(scenario(step(12, 6000, all_or_nothing=True)))
+
+
 def test_workers_whose_gang_waits_for_a_member_that_did_not_start_get_other_work():
     """Their runs, which cannot progress without it, counted as stalled."""
 
