--- a/src/firhook/decide/_worker_health.py
+++ b/src/firhook/decide/_worker_health.py
@@ -17,7 +17,7 @@
 #: How long a busy worker gets no new work if most others are busy as well.
 BUSY_PAUSE_S = 0.2
 #: The largest part of a pool that gets less work because starts were refused as busy.
-_MAX_RESTING_SHARE = 0.5
+_MAX_BACKOFF_SHARE = 0.5
 
 
 @attrs.define(slots=True, eq=False)
@@ -63,14 +63,14 @@
         if now >= self.backoff_until:
             self._back_off(now)
 
-    def record_refusal(self, now: float, may_rest: bool) -> None:
+    def record_refusal(self, now: float, may_back_off: bool) -> None:
         """Record that it refused a start, or answers polls but not the start.
 
-        :param may_rest: whether it may rest for seconds; see :func:`may_rest`.
+        :param may_back_off: see :func:`may_back_off`; if not, it only pauses.
         """
         if now < self.backoff_until:
             return
-        if may_rest:
+        if may_back_off:
             self._back_off(now)
         else:
             self.backoff_until = now + BUSY_PAUSE_S
@@ -90,7 +90,7 @@
         return not self.probation or running == 0
 
 
-def may_rest(health: WorkerHealth, pool: Iterable[WorkerHealth]) -> bool:
+def may_back_off(health: WorkerHealth, pool: Iterable[WorkerHealth]) -> bool:
     """Return whether a busy worker may get less work than the others of its pool.
 
     If most of a pool refuses starts, the cause is not in the workers, and it may end
@@ -99,5 +99,5 @@
     :param pool: all workers of its pool, including the busy one.
     """
     others = [other for other in pool if other is not health]
-    resting = sum(other.probation for other in others) + 1
-    return resting <= _MAX_RESTING_SHARE * (len(others) + 1)
+    count = sum(other.probation for other in others) + 1
+    return count <= _MAX_BACKOFF_SHARE * (len(others) + 1)
--- a/src/firhook/decide/worker_health.py
+++ b/src/firhook/decide/worker_health.py
@@ -4,12 +4,12 @@
     INITIAL_BACKOFF_S,
     MAX_CONSECUTIVE_FAILURES,
     WorkerHealth,
-    may_rest,
+    may_back_off,
 )
 
 __all__ = [
     "INITIAL_BACKOFF_S",
     "MAX_CONSECUTIVE_FAILURES",
     "WorkerHealth",
-    "may_rest",
+    "may_back_off",
 ]
--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -18,7 +18,7 @@
 from firhook.decide.hedging import HedgeTimer
 from firhook.decide.suspicion import OVERDUE_S
 from firhook.decide.tickets import TicketTable
-from firhook.decide.worker_health import may_rest
+from firhook.decide.worker_health import may_back_off
 from firhook.logs import log
 from firhook.meters import Meters
 from firhook.platform.instance import Bounds
@@ -308,7 +308,7 @@
             for other in self._term.links.values()
             if other.entry.pool == link.entry.pool and other.usable(now)
         ]
-        link.health.record_refusal(now, may_rest(link.health, pool))
+        link.health.record_refusal(now, may_back_off(link.health, pool))
 
     def _abandon_start(self, run: Run, reason: str) -> None:
         if run not in run.task.runs:
--- a/tests/decide/test_speeds.py
+++ b/tests/decide/test_speeds.py
@@ -9,6 +9,7 @@
     INITIAL_BACKOFF_S,
     MAX_CONSECUTIVE_FAILURES,
     WorkerHealth,
+    may_back_off,
 )
 
 #: How long a run takes to resume from a checkpoint, in seconds.
@@ -139,3 +140,13 @@
     assert not health.accepts(0, 20.0 + 2 * INITIAL_BACKOFF_S - 0.01)
     health.record_end("j", RunEnd.DONE, 30.0)
     assert health.accepts(1, 30.0)
+
+
+def test_at_most_half_of_a_pool_backs_off_if_all_its_workers_refuse_starts():
+    pool = [WorkerHealth() for _ in range(9)]
+    for at in (10.0, 20.0):
+        for health in pool:
+            health.record_refusal(at, may_back_off(health, pool))
+        backed_off = [not h.accepts(0, at + INITIAL_BACKOFF_S - 0.01) for h in pool]
+        assert sum(backed_off) == 4
+    assert not may_back_off(pool[8], pool[8:])
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -135,7 +135,7 @@
 
 
 def test_most_workers_are_used_again_at_once_after_all_refused_starts():
-    """All of them rested because a whole service answered 503 for a moment."""
+    """All of them got no work because a whole service answered 503 for a moment."""
 
     async def scenario():
         cell = ModelCell(workers=20)
