Keep work off a worker only for a start that was repeated to its limit

Cause: a start that was given up early, because its job was cancelled or its gang was broken, counted as one that the worker does not answer. Workers may leave single orders unanswered and carry them out late, so that one lost order could put a sound worker to rest for two seconds, and then to one task at a time.

Only a start that was repeated for the whole time counts now.

--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -167,22 +167,28 @@
             if step.spec.gang
             else _START_RETRY_LIMIT_S
         )
-        unanswered = False
         while run in run.task.runs and not run.stop_reason and not self._term.lost:
             if boot_time() - began > limit_s:
+                self._note_unanswered(run, began)
                 self._abandon_start(run, "start_unanswered")
-                break
+                return
             if self._is_drained(run):
                 self._abandon_start(run, "zone_drained")
                 return
             answer = await self._send_start(run)
             if self._handle_start_answer(run, answer, began):
                 return
-            unanswered = answer.outcome is OrderOutcome.UNKNOWN
             await asyncio.sleep(_ORDER_RETRY_S)
+
+    def _note_unanswered(self, run: Run, began: float) -> None:
+        """Keep new work off a worker that answers polls but not a start.
+
+        A start that was given up early, because its job ended or its gang was broken,
+        shows nothing: workers may leave single orders unanswered.
+        """
         link = self._term.links[run.worker]
-        if unanswered and not run.confirmed and link.last_reply_at > began + OVERDUE_S:
-            # It answers polls, so that nothing else keeps new work off it.
+        answers_polls = link.last_reply_at > began + OVERDUE_S
+        if run.unanswered_starts and not run.confirmed and answers_polls:
             self._record_refusal(run.worker)
 
     def _is_drained(self, run: Run) -> bool:
--- a/tests/services/test_starts.py
+++ b/tests/services/test_starts.py
@@ -88,3 +88,23 @@
         assert cell.checks.violations == []
 
     run_virtual(scenario())
+
+
+def test_worker_whose_start_was_given_up_for_another_reason_gets_new_work():
+    """One lost start of a job that was cancelled meanwhile must not cost its worker."""
+
+    async def scenario():
+        cell = ModelCell(workers=4)
+        await cell.begin()
+        for worker in cell.workers.values():
+            worker.loses_starts = True
+        job, _ = await cell.submit([step(1)], work_s=0.3)
+        await pause(1.2)
+        await cell.cancel(job)
+        await pause(1.3)
+        for worker in cell.workers.values():
+            worker.loses_starts = False
+        other, _ = await cell.submit([step(4, 8000)], work_s=0.3)
+        await cell.until(lambda: cell.ended(other), 0.5)
+
+    run_virtual(scenario())
