Let other work go on while all records are read again

A lead reads all records again, at first after 1 s and later every 30 s, as long as the records of one job cannot be decoded. All records of a partition were applied in one go.

Other work now gets a turn after each 200 records. If the reading is cancelled in between, the partition still counts as one that holds digests.

Evidence: test_lead_that_reads_all_records_again_does_not_stop_other_work failed before (3004 records in one turn of the loop) and passes.

--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -84,6 +84,8 @@
 _LIKELY_SUCCESSORS = 4
 #: A partition that was last read to its end longer ago is not offered for copying.
 _MAX_COPY_AGE_S = 3.0
+#: Number of records that are applied before other work gets a turn.
+_RECORDS_PER_TURN = 200
 #: Delay between attempts while the store does not answer.
 _RETRY_S = 0.15
 #: The instance follows the store if a read sent within this time was answered.  It
@@ -506,11 +508,16 @@
         had_digests, reader.has_digests = reader.has_digests, False
         try:
             newest = await self.store.read_newest(CELL_TOPIC, reader.number)
+            for count, record in enumerate(newest.records):
+                if count % _RECORDS_PER_TURN == 0:
+                    # A lead reads again while it renews leases.
+                    await asyncio.sleep(0)
+                self._apply(
+                    reader.number, record.offset, record.key, record.value, False
+                )
         except BaseException:
             reader.has_digests |= had_digests
             raise
-        for record in newest.records:
-            self._apply(reader.number, record.offset, record.key, record.value, False)
         listed = {record.key for record in newest.records}
         self._mark_rebuilt(reader, listed, newest.end)
         log(
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -1,5 +1,7 @@
 """Accepted work that could run must not wait."""
 
+import asyncio
+
 import attrs
 import pytest
 
@@ -9,6 +11,8 @@
 from firhook.cell.records import decode_record, digest_job, encode_record
 from firhook.errors import RecordMalformedError
 from firhook.platform.store import CELL_TOPIC, KeyedRecord, encode_keyed_record
+from firhook.services._events import HoldFullReplica
+from firhook.services._follower import Follower
 from firhook.services._term import Term
 from standins.model import ModelCell, pause, run_virtual
 from tests.services.scenarios import run_scenario, step
@@ -271,6 +275,30 @@
     run_scenario(scenario)
 
 
+def test_lead_that_reads_all_records_again_does_not_stop_other_work(monkeypatch):
+    """A job that stays malformed would stop the lead for seconds each time."""
+    applied = [0]
+    apply = Follower._apply
+
+    def count_and_apply(self, *args):
+        if not applied[-1]:
+            asyncio.get_running_loop().call_soon(applied.append, 0)
+        applied[-1] += 1
+        apply(self, *args)
+
+    async def scenario(cell):
+        partition = cell.store.partition(CELL_TOPIC, 0)
+        records = [KeyedRecord(f"cancel/{i:016x}", b"1") for i in range(3000)]
+        partition.add([encode_keyed_record(record) for record in records])
+        await pause(1.0)
+        monkeypatch.setattr(Follower, "_apply", count_and_apply)
+        await cell.lead().instance.bus.ask(HoldFullReplica(reload=True))
+        assert sum(applied) >= 3000
+        assert max(applied) <= 1000
+
+    run_scenario(scenario)
+
+
 def test_lead_does_not_store_the_digest_of_a_contested_job():
     """It would replace the full submission for all later leads."""
 
