--- a/tests/decide/test_cell_simulation.py
+++ b/tests/decide/test_cell_simulation.py
@@ -34,3 +34,14 @@
             if idle_s >= MAX_IDLE_S:
                 idle[seed, name] = round(idle_s, 2)
     assert idle == {}
+
+
+def test_wide_gang_starts_in_a_busy_cell_though_younger_ones_keep_coming():
+    """It is overdue soon, and the younger ones can be in time."""
+    simulation = Simulation(2)
+    simulation.begin_load(60.0)
+    simulation.run_until(simulation.now + 14.0)
+    spec = StepSpec(27, Resources(12300, 18000), 4.0, gang=True)
+    step = simulation.submit(PLANS, [spec]).steps[0, 0]
+    simulation.run_until(simulation.now + 20.0)
+    assert step.started
