--- a/tests/decide/test_endings.py
+++ b/tests/decide/test_endings.py
@@ -16,3 +16,14 @@
     endings = sim.scheduler.endings
     assert endings.closable_jobs(sim.now) == ()
     assert endings.closable_jobs(sim.now + CLOSE_AFTER_S) == (key,)
+
+
+def test_notes_on_why_a_closed_job_waited_are_removed():
+    """They belong to the scheduler and would pile up with every job that waited."""
+    sim = ZoneSimulation(fleet(1), {"a": {}})
+    keys = [sim.submit(f"j{i}", "a", cpus=3.0, run_s=2.0) for i in range(40)]
+    sim.run(120)
+    assert sim.scheduler._last_notes.keys() & set(keys)
+    closed = sim.scheduler.endings.closable_jobs(sim.now + CLOSE_AFTER_S)
+    assert set(closed) == set(keys)
+    assert not sim.scheduler._last_notes
