Record the end of the jobs before the test closes them

The test now asks once when the jobs have ended, where none may be closed, and again after the time. Its checks are the same and one more.

--- a/tests/decide/test_endings.py
+++ b/tests/decide/test_endings.py
@@ -24,6 +24,7 @@
     keys = [sim.submit(f"j{i}", "a", cpus=3.0, run_s=2.0) for i in range(40)]
     sim.run(120)
     assert sim.scheduler._last_notes.keys() & set(keys)
-    closed = sim.scheduler.endings.closable_jobs(sim.now + CLOSE_AFTER_S)
-    assert set(closed) == set(keys)
+    endings = sim.scheduler.endings
+    assert endings.closable_jobs(sim.now) == ()
+    assert set(endings.closable_jobs(sim.now + CLOSE_AFTER_S)) == set(keys)
     assert not sim.scheduler._last_notes
