Take the time after which a job counts as unknown from the settings

Cause: a constant of 3 s stood for the time within which an accepted job must be visible, which the operator sets. Where that time is longer, the lead would warn of jobs that are not late; where it is shorter, it would warn too late.

--- a/src/firhook/decide/_unknown_jobs.py
+++ b/src/firhook/decide/_unknown_jobs.py
@@ -12,10 +12,6 @@
 from firhook.cell.records import digest_state
 from firhook.errors import RecordMalformedError
 
-#: A job is counted after this time: an accepted job is added, and the end of a job
-#: stored, a moment later than the replica or the job table shows it.
-_MIN_UNKNOWN_S = 3.0
-
 
 class UnknownReason(StrEnum):
     """Why the job table lacks a job."""
@@ -53,12 +49,20 @@
     :param table: the ids of the jobs in the job table.
     :param notified: the ids of the jobs that were added in this term, also of those
         that ended since.
+    :param visibility_s: time within which an accepted job is visible.  A job is counted
+        after it: it is added, or its end stored, a moment later than the replica or
+        the job table shows it.
     """
 
     def __init__(
-        self, replica: Replica, table: Container[str], notified: Container[str]
+        self,
+        replica: Replica,
+        table: Container[str],
+        notified: Container[str],
+        visibility_s: float,
     ) -> None:
         self._replica = replica
+        self._visibility_s = visibility_s
         self._table = table
         self._notified = notified
         self._left: Iterator[str] = iter(())
@@ -104,7 +108,7 @@
 
     def _current(self, now: float) -> Iterator[UnknownJob]:
         for job in self._jobs.values():
-            if now - job.since >= _MIN_UNKNOWN_S and job.id not in self._table:
+            if now - job.since >= self._visibility_s and job.id not in self._table:
                 yield job
 
     def _is_unknown(self, job_id: str, view: JobView) -> bool:
--- a/src/firhook/services/_waiting.py
+++ b/src/firhook/services/_waiting.py
@@ -64,7 +64,9 @@
         self._job_table = job_table
         limits = WaitLimits(bounds.lease_s, bounds.job_visibility_s)
         self._monitor = WaitMonitor(job_table, tickets, limits)
-        self._unknown = UnknownJobs(replica, job_table.jobs, notified)
+        self._unknown = UnknownJobs(
+            replica, job_table.jobs, notified, bounds.job_visibility_s
+        )
         self._round_view = round_view
         self._observed_at = float("-inf")
         self._described_at = (float("-inf"), 0)
--- a/tests/decide/test_unknown_jobs.py
+++ b/tests/decide/test_unknown_jobs.py
@@ -37,9 +37,9 @@
         self.write(JOB_PREFIX + job_id, encode_record(job))
 
 
-def found(records, table=(), notified=(), after_s=3.0):
+def found(records, table=(), notified=(), after_s=3.0, visibility_s=3.0):
     """Return the reasons of the jobs that are unknown after some seconds."""
-    unknown = UnknownJobs(records.replica, table, notified)
+    unknown = UnknownJobs(records.replica, table, notified, visibility_s)
     for now in (0.0, 0.0, after_s):
         unknown.scan(1000, now)
     assert unknown.counts(after_s).total() == len(unknown.oldest(1000, after_s))
@@ -100,8 +100,17 @@
     records = Records()
     for number in range(250):
         records.accept(f"{number:04}")
-    unknown = UnknownJobs(records.replica, (), ())
+    unknown = UnknownJobs(records.replica, (), (), 3.0)
     for second in range(10):
         unknown.scan(60, float(second))
     assert unknown.counts(10.0).total() == 250
     assert len(unknown.oldest(7, 10.0)) == 7
+
+
+def test_job_counts_as_unknown_after_the_time_in_which_it_must_be_visible():
+    records = Records()
+    records.accept("a")
+    assert found(records, after_s=5.0, visibility_s=6.0) == {}
+    assert found(records, after_s=5.0, visibility_s=4.0) == {
+        "a": UnknownReason.NOT_NOTIFIED
+    }
