--- a/review/platform_standin.py
+++ b/review/platform_standin.py
@@ -324,13 +324,9 @@
 class Worker:
     """A worker, whose specifications are JSON texts with ``ms``, a task's duration.
 
-    A task of 0 ms runs until it is stopped.
-
     A worker that restarts keeps its id and its address, and knows nothing of before.
 
     :ivar on_end: called when a run has ended, with the worker and the end's row.
-    :ivar unhealthy: whether it answers each start with 503 and does nothing, while it
-        answers all else.
     """
 
     def __init__(self, world: "World", name: str, kind: str, rack: str) -> None:
@@ -339,7 +335,6 @@
         self.up = False
         self.born = 0
         self.on_end: Callable[[Worker, list[Any]], None] | None = None
-        self.unhealthy = False
         self._heartbeat: asyncio.Task[None] | None = None
         self.server = Server(
             [
@@ -487,9 +482,6 @@
 
     @staticmethod
     def _percent(run: Run) -> int:
-        if not run.work_s:
-            # A task that lasts is at work after a short startup.
-            return 100 if time.monotonic() - run.began > 0.3 else 50
         return min(int(100 * (time.monotonic() - run.began) / run.work_s), 99)
 
     async def _start_order(self, req: web.Request) -> web.Response:
@@ -497,9 +489,6 @@
         if (refusal := self._refusal(req, data)) is not None:
             return refusal
         task, number = data["task"], data["run"]
-        if self.unhealthy:
-            self.world.record.add(f"{self.name} is told to start {task}: 503")
-            return web.Response(status=503)
         answer = self._start_run(data)
         what = "200" if answer is None else f"409 {answer}"
         self.world.record.add(
@@ -526,9 +515,8 @@
         run = Run(task, number, self.born, work_s)
         self.runs[task, number] = run
         self._extend_lease(data["deadline_ms"])
-        if work_s:
-            loop = asyncio.get_running_loop()
-            run.timer = loop.call_later(work_s, self._end, run, "done")
+        loop = asyncio.get_running_loop()
+        run.timer = loop.call_later(work_s, self._end, run, "done")
         self.world.checks.started(self, task, number)
         return None
 
