--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -17,7 +17,8 @@
     PushedRecord,
     RecordsPush,
 )
-from firhook.cell.records import LEAD_KEY, STATE_PREFIX, epoch_of
+from firhook.cell import LeadRecord
+from firhook.cell.records import LEAD_KEY, STATE_PREFIX, decode_record, epoch_of
 from firhook.clock import boot_time
 from firhook.decide.append_route import AppendRoute
 from firhook.decide.election import succession_order
@@ -569,6 +570,8 @@
             the lead that wrote it is alive.
         """
         try:
+            if key == LEAD_KEY and value is not None:
+                self._log_late_lead_record(offset, value)
             job_id = self.replica.apply(offset, key, value, partition)
         except RecordMalformedError as exc:
             log("record.malformed", level="warning", key=key, detail=exc.detail)
@@ -578,6 +581,24 @@
         if is_recent and value is not None:
             self._publish_lead_record(key, job_id)
 
+    def _log_late_lead_record(self, offset: int, value: bytes) -> None:
+        """Log a record of a lead that follows a record of its successor.
+
+        The store may carry out an append seconds after it was sent.
+
+        :raises RecordMalformedError: if the value is not a record of a lead.
+        """
+        record, known = decode_record(LeadRecord, value), self.replica.lead
+        if known is not None and record.epoch < known.epoch:
+            log(
+                "lead.record_late",
+                epoch=record.epoch,
+                lead=record.name,
+                offset=offset,
+                known_epoch=known.epoch,
+                known_lead=known.name,
+            )
+
     def _publish_lead_record(self, key: str, job_id: str | None) -> None:
         """Publish that a lead is alive if only leads write this kind of record."""
         lead = self.replica.lead
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -325,6 +325,13 @@
         name, incarnation = self.settings.name, self.instance.incarnation
         lead_record = LeadRecord(name, incarnation, epoch, state_version(epoch, 0))
         record = KeyedRecord(LEAD_KEY, encode_record(lead_record))
+        log(
+            "lead.claiming",
+            epoch=epoch,
+            at=end,
+            known_epoch=self._election.epoch,
+            known_lead=self._election.lead,
+        )
         try:
             await self.store.append(
                 CELL_TOPIC,
