Take the epoch of a lead from the offset of its claim

Cause: a candidate counted the epoch up from the last one that it had read. The claim and the heartbeats of a lead have one key, of which the store keeps only the newest record. A heartbeat of the killed lead that was carried out after its successor's claim hid that claim, so that the restarted instance could not learn of epoch 2 and claimed it again. The store can't tell two producers with one epoch apart, nor can the workers.

Change: the epoch of a claim is the offset at which the store carries it out, plus one. The claim is conditional on that offset, and offsets only grow. So no two claims share an epoch, and each has a higher one than all before it, in every order of late writes, kills, restarts and compaction, and whatever the claimant had read.

--- a/src/firhook/cell/_records.py
+++ b/src/firhook/cell/_records.py
@@ -39,6 +39,19 @@
 VERSIONS_PER_EPOCH = 10**9
 
 
+def claim_epoch(offset: int) -> int:
+    """Return the epoch of a lead whose claim is stored at an offset.
+
+    The store carries out a claim only at the offset at which it was made, so that no
+    two claims share an epoch and each has a higher one than all claims before it,
+    whatever the claiming instance had read of them.  Earlier builds counted claims,
+    of which a log has fewer than records; so epochs rise across a change of build too.
+
+    :param offset: offset in the partition in which leads claim the cell.
+    """
+    return offset + 1
+
+
 def state_version(epoch: int, count: int) -> int:
     """Return the version of a record, higher than any of an earlier epoch.
 
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -18,7 +18,12 @@
     WorkerTicket,
 )
 from firhook.cell import LeadRecord
-from firhook.cell.records import LEAD_KEY, encode_record, state_version
+from firhook.cell.records import (
+    LEAD_KEY,
+    claim_epoch,
+    encode_record,
+    state_version,
+)
 from firhook.clock import boot_time
 from firhook.decide.adviser_slots import SlotPlan
 from firhook.decide.election import (
@@ -303,11 +308,11 @@
     async def _claim(self, offered: bool) -> int | None:
         """Append a claim of the lead; return its epoch, or ``None`` if it failed.
 
-        Of several concurrent candidates only one gets the epoch: the append
-        succeeds only if nothing was written since the log was read.  Reading the
-        log first also shows whether the lead is alive and only its messages were
-        lost, and whether another candidate has claimed the epoch.  Two leads with
-        one epoch would both start each task.
+        Of several concurrent candidates only one gets an epoch: the append succeeds
+        only if nothing was written since the log was read, and the epoch is that of
+        the offset (:func:`claim_epoch`).  Two leads with one epoch would both start
+        each task.  Reading the log first shows whether the lead is alive and only its
+        messages were lost, and whether another candidate has claimed the cell.
         """
         partition, known = LEAD_PARTITIONS[0], self._election.epoch
         end = await self.bus.ask(ReadToEnd(partition))
@@ -321,7 +326,7 @@
         if not offered and not campaigns:
             log("lead.alive_in_store", epoch=self._election.epoch)
             return None
-        epoch = self._election.epoch + 1
+        epoch = claim_epoch(end)
         name, incarnation = self.settings.name, self.instance.incarnation
         lead_record = LeadRecord(name, incarnation, epoch, state_version(epoch, 0))
         record = KeyedRecord(LEAD_KEY, encode_record(lead_record))
--- a/standins/model/__init__.py
+++ b/standins/model/__init__.py
@@ -14,7 +14,7 @@
 from standins.model._http import HttpModel
 from standins.model._ports import ReservedPorts
 from standins.model._processes import KEY, Process, Processes, until
-from standins.model._store import ModelStore
+from standins.model._store import ModelAppend, ModelStore
 from standins.model._time import VirtualLoop, now, pause
 from standins.model._workers import ModelWorker, TaskPlan
 
@@ -25,6 +25,7 @@
     "FaultScenario",
     "HttpModel",
     "ModelAdviser",
+    "ModelAppend",
     "ModelCell",
     "ModelInstance",
     "ModelRequest",
--- a/standins/model/_store.py
+++ b/standins/model/_store.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import attrs
 
@@ -83,6 +83,42 @@
             self.appended = asyncio.Event()
         return AppendResult(offset, self.end)
 
+    def add_as_producer(
+        self, contents: Sequence[bytes], producer: Producer
+    ) -> AppendResult:
+        if producer.epoch < self.epoch:
+            raise LogFencedError("the store has seen a higher epoch")
+        if producer.epoch > self.epoch:
+            self.epoch, self.sequence, self.answers = producer.epoch, -1, {}
+        if not contents:
+            return AppendResult(self.end, self.end)
+        if producer.sequence in self.answers:
+            return self.answers[producer.sequence]
+        if self.sequence >= 0 and producer.sequence != self.sequence + 1:
+            raise LogSequenceError(
+                "unexpected sequence number", expected=self.sequence + 1
+            )
+        self.sequence = producer.sequence
+        self.answers[producer.sequence] = self.add(contents)
+        self.answers.pop(producer.sequence - 5, None)
+        return self.answers[producer.sequence]
+
+
+@attrs.frozen(eq=False)
+class ModelAppend:
+    """An append that a client has sent."""
+
+    topic: str
+    partition: int
+    records: Sequence[bytes]
+    producer: Producer | None
+    expected_end: int | None
+
+    @property
+    def keys(self) -> list[str]:
+        """The keys of its records."""
+        return [split_keyed(record)[0] for record in self.records]
+
 
 class ModelStore:
     """State of the store, shared by the clients of all instances.
@@ -96,6 +132,9 @@
     :ivar lost_share: share of writes that take effect and are not answered.
     :ivar late_share: share of writes that take effect seconds later and are not
         answered.
+    :ivar holds: decides which appends are neither carried out nor answered until
+        :meth:`carry_out` is called; ``None`` holds none.
+    :ivar held: the appends that were held, the oldest first.
     :ivar partition_read_s: time that an instance's link takes to transfer a read of
         a partition, by instance and partition.
     :ivar link_bytes_s: bandwidth of an instance's link for the cell's records, in
@@ -112,6 +151,8 @@
         self.serial_appends = False
         self.lost_share = 0.0
         self.late_share = 0.0
+        self.holds: Callable[[ModelAppend], bool] | None = None
+        self.held: list[ModelAppend] = []
         self.partition_read_s: dict[tuple[str, int], float] = {}
         self.link_bytes_s: dict[str, float] = {}
         self.full_reads: Counter[str] = Counter()
@@ -132,6 +173,27 @@
         for part in self.partitions.values():
             part.first, part.records = part.end, []
 
+    def carry_out(self, append: ModelAppend) -> None:
+        """Carry out a held append if its condition still holds."""
+        try:
+            self.add(append)
+        except (LogFencedError, LogSequenceError, LogMovedError):
+            return
+
+    def add(self, append: ModelAppend) -> AppendResult:
+        """Carry out an append.
+
+        :raises LogFencedError: if a higher epoch was set.
+        :raises LogSequenceError: if its sequence number is not the next one.
+        :raises LogMovedError: if the partition does not end as expected.
+        """
+        part = self.partition(append.topic, append.partition)
+        if append.expected_end is not None and part.end != append.expected_end:
+            raise LogMovedError("unexpected end of the partition", end=part.end)
+        if append.producer is None:
+            return part.add(append.records)
+        return part.add_as_producer(append.records, append.producer)
+
     def client(self, instance: str) -> "ModelStoreClient":
         """Return an instance's client of the store."""
         return ModelStoreClient(self, instance)
@@ -197,9 +259,8 @@
         """See :meth:`Store.append`."""
         self._store.writes += 1
         # A call that its client gives up is carried out all the same.
-        call = asyncio.ensure_future(
-            self._append(topic, partition, records, producer, expected_end, timeout_s)
-        )
+        append = ModelAppend(topic, partition, records, producer, expected_end)
+        call = asyncio.ensure_future(self._append(append, timeout_s))
         call.add_done_callback(_consume_error)
         done, _ = await asyncio.wait({call}, timeout=timeout_s or NO_ANSWER_S)
         if not done:
@@ -207,31 +268,24 @@
         return call.result()
 
     async def _append(
-        self,
-        topic: str,
-        partition: int,
-        records: Sequence[bytes],
-        producer: Producer | None,
-        expected_end: int | None,
-        timeout_s: float | None,
+        self, append: ModelAppend, timeout_s: float | None
     ) -> AppendResult:
-        await self._begin_call(partition, min(timeout_s or NO_ANSWER_S, NO_ANSWER_S))
-        if self._store.rng.random() < self._store.late_share:
-            late_s = 1 + 5 * self._store.rng.random()
-            asyncio.get_running_loop().call_later(
-                late_s,
-                self._append_late,
-                topic,
-                partition,
-                records,
-                producer,
-                expected_end,
-            )
+        store = self._store
+        silence_s = min(timeout_s or NO_ANSWER_S, NO_ANSWER_S)
+        await self._begin_call(append.partition, silence_s)
+        if store.holds is not None and store.holds(append):
+            store.held.append(append)
+            await pause(NO_ANSWER_S)
+            raise LogOutcomeUnknownError("the append is held")
+        if store.rng.random() < store.late_share:
+            late_s = 1 + 5 * store.rng.random()
+            asyncio.get_running_loop().call_later(late_s, store.carry_out, append)
             await pause(NO_ANSWER_S)
             raise LogOutcomeUnknownError("the append is delayed")
-        size = sum(len(record) for record in records)
-        await self._wait_turn(self._store.partition(topic, partition), size)
-        done = self._add(topic, partition, records, producer, expected_end)
+        size = sum(len(record) for record in append.records)
+        part = store.partition(append.topic, append.partition)
+        await self._wait_turn(part, size)
+        done = store.add(append)
         await self._end_call(wrote=True)
         return done
 
@@ -244,36 +298,6 @@
         part.busy_until = max(part.busy_until, now()) + takes_s
         await pause(part.busy_until - now())
 
-    def _append_late(self, topic, partition, records, producer, expected_end) -> None:
-        try:
-            self._add(topic, partition, records, producer, expected_end)
-        except (LogFencedError, LogSequenceError, LogMovedError):
-            # The append's condition no longer holds, so it has no effect.
-            return
-
-    def _add(self, topic, partition, records, producer, expected_end) -> AppendResult:
-        part = self._store.partition(topic, partition)
-        if expected_end is not None and part.end != expected_end:
-            raise LogMovedError("unexpected end of the partition", end=part.end)
-        if producer is None:
-            return part.add(records)
-        if producer.epoch < part.epoch:
-            raise LogFencedError("the store has seen a higher epoch")
-        if producer.epoch > part.epoch:
-            part.epoch, part.sequence, part.answers = producer.epoch, -1, {}
-        if not records:
-            return AppendResult(part.end, part.end)
-        if producer.sequence in part.answers:
-            return part.answers[producer.sequence]
-        if part.sequence >= 0 and producer.sequence != part.sequence + 1:
-            raise LogSequenceError(
-                "unexpected sequence number", expected=part.sequence + 1
-            )
-        part.sequence = producer.sequence
-        part.answers[producer.sequence] = part.add(records)
-        part.answers.pop(producer.sequence - 5, None)
-        return part.answers[producer.sequence]
-
     async def read(
         self, topic: str, partition: int, offset: int, wait_s: float = 0.0
     ) -> Slice:
--- /dev/null
+++ b/tests/services/test_lead_claims.py
@@ -0,0 +1,111 @@
+"""Claims of the lead on the platform model, with appends that are carried out late."""
+
+import asyncio
+
+from firhook.cell.records import LEAD_KEY
+from standins.model import ModelCell, pause, run_virtual
+from tests.services.scenarios import step
+
+
+class TermWatch:
+    """Records which incarnation began the term of each epoch.
+
+    :ivar holders: incarnations by epoch.
+    """
+
+    def __init__(self, cell):
+        self._cell = cell
+        self.holders = {}
+
+    async def run(self):
+        """Record the terms of all instances until cancelled."""
+        while True:
+            for model_instance in self._cell.instances.values():
+                term = model_instance.lead.term
+                if model_instance.alive and term is not None:
+                    holders = self.holders.setdefault(term.fence, set())
+                    holders.add(model_instance.instance.incarnation)
+            await pause(0.001)
+
+    def shared_epochs(self):
+        """Return the epochs under which several incarnations led."""
+        return [epoch for epoch, who in self.holders.items() if len(who) > 1]
+
+
+def isolate(cell, name):
+    """Cut the links of an instance to all others."""
+    cell.cut_links += [{name, other} for other in cell.instances if other != name]
+
+
+async def hold_heartbeat(cell):
+    """Hold the lead's next heartbeat on its partition, and kill the lead.
+
+    :return: the held append and the name of the lead.
+    """
+    store, first = cell.store, cell.lead_name()
+    store.holds = lambda append: append.partition == 0 and append.keys == [LEAD_KEY]
+    await cell.until(lambda: store.held, 2.0)
+    store.holds = None
+    cell.kill(first)
+    return store.held.pop(), first
+
+
+async def successor_of(cell, first):
+    """Return the name of the next instance that claims the lead."""
+
+    def claimant():
+        terms = {n: i.lead.term for n, i in cell.instances.items() if i.alive}
+        return next((n for n, term in terms.items() if term and n != first), None)
+
+    await cell.until(claimant, 3.0)
+    return claimant()
+
+
+def run_with_late_heartbeat(scenario):
+    """Run a scenario in which a killed lead's heartbeat follows its successor's claim.
+
+    The store has not carried out the successor's first call under its epoch by then,
+    so that it accepts the heartbeat.  The killed lead restarts after that.
+
+    :param scenario: called with the cell, the killed lead and its successor.
+    """
+
+    async def run():
+        cell = ModelCell(instances=3)
+        cell.drop_share = 0.0
+        await cell.begin()
+        watch = TermWatch(cell)
+        watching = asyncio.create_task(watch.run())
+        heartbeat, first = await hold_heartbeat(cell)
+        cell.store.holds = lambda append: append.partition == 0 and not append.records
+        successor = await successor_of(cell, first)
+        await cell.until(lambda: cell.store.held, 1.0)
+        end = cell.store.partition(heartbeat.topic).end
+        cell.store.carry_out(heartbeat)
+        assert cell.store.partition(heartbeat.topic).end == end + 1
+        isolate(cell, first)
+        await cell.restart(first)
+        await scenario(cell, first, successor)
+        watching.cancel()
+        assert watch.shared_epochs() == []
+        assert cell.checks.violations == []
+
+    run_virtual(run())
+
+
+def test_late_heartbeat_of_an_old_lead_does_not_give_its_epoch_away():
+    """Two leads must not share an epoch, after which both would start each task.
+
+    The restarted instance reads the late heartbeat as the newest record of a lead,
+    and hears of no successor.
+    """
+
+    async def scenario(cell, first, successor):
+        for _ in range(30):
+            await cell.submit([step(2)], work_s=0.3)
+            await pause(0.05)
+        cell.store.holds = None
+        cell.cut_links.clear()
+        await cell.all_done(30.0)
+
+    run_with_late_heartbeat(scenario)
