Keep the claim of the lead apart from its heartbeats

What callers saw: in the same disturbance a needless change of the lead, in which nothing starts. The restarted instance took the lead from its successor.

Cause: claim and heartbeats had one key. A heartbeat of the killed lead that the store carried out after the successor's claim was the newest record of that key. An instance that started then read from the store that it had led last itself and claimed at once; a running one went back to the older lead, which also decides what it sends on and whom it offers records to.

Change: the claim has a key of its own, which only claims write, and these are conditional. So the newest record of that key is the last claim in every order of late writes and compaction. The claim stands under the old key as well, for instances of the build before. The replica keeps the lead of the highest epoch that it has applied, where it kept the one of the newest record.

--- a/src/firhook/cell/_records.py
+++ b/src/firhook/cell/_records.py
@@ -28,6 +28,10 @@
 CANCEL_PREFIX = "cancel/"
 STATE_PREFIX = "state/"
 PEER_PREFIX = "peer/"
+#: Key of the newest claim of the lead.  Heartbeats have a key of their own: the store
+#: keeps only the newest record of a key, and one that it carries out late must not
+#: replace the claim of a successor.
+CLAIM_KEY = "claim"
 LEAD_KEY = "lead"
 MESH_KEY = "mesh"
 #: The keys about instances, which are the mesh key and those of the peers, lie between
@@ -198,8 +202,9 @@
 class LeadRecord:
     """The instance that leads the cell, for operators and for its peers.
 
-    :param version: like that of a job's state.  A lead that has nothing else to write
-        writes this record again as a heartbeat.
+    It is a claim or a heartbeat, which a lead writes if it has nothing else to write.
+
+    :param version: like that of a job's state.
     """
 
     name: str
--- a/src/firhook/cell/_replica.py
+++ b/src/firhook/cell/_replica.py
@@ -8,6 +8,7 @@
 
 from firhook.cell._records import (
     CANCEL_PREFIX,
+    CLAIM_KEY,
     JOB_PREFIX,
     LEAD_KEY,
     MESH_KEY,
@@ -131,7 +132,8 @@
 
     :ivar jobs: jobs by id.
     :ivar peers: instances by name.
-    :ivar lead: the lead with the highest epoch; ``None`` if none is recorded.
+    :ivar lead: the lead with the highest epoch of all that were applied; ``None`` if
+        none was.
     :ivar mesh_keys: the key pair of the cell's mesh; ``None`` before it is known.
     """
 
@@ -257,8 +259,11 @@
                 self.peers.pop(name, None)
             elif latest is not None or self.peers.get(name) not in values:
                 self.peers[name] = _newest_peer(latest or values[0], values)
-        elif key == LEAD_KEY:
-            self.lead = max(values, key=lambda v: (v.epoch, v.version), default=None)
+        elif key in (CLAIM_KEY, LEAD_KEY):
+            known = [self.lead] if self.lead is not None else []
+            self.lead = max(
+                known + values, key=lambda v: (v.epoch, v.version), default=None
+            )
         elif key == MESH_KEY and values:
             self.mesh_keys = latest or values[0]
         return None
@@ -343,7 +348,7 @@
         return decode_state_summary(value)
     if prefix == PEER_PREFIX:
         return decode_record(PeerRecord, value)
-    if prefix == LEAD_KEY:
+    if prefix in (CLAIM_KEY, LEAD_KEY):
         return decode_record(LeadRecord, value)
     if prefix == MESH_KEY:
         return decode_record(MeshKeys, value)
--- a/src/firhook/cell/records.py
+++ b/src/firhook/cell/records.py
@@ -2,6 +2,7 @@
 
 from firhook.cell._records import (
     CANCEL_PREFIX,
+    CLAIM_KEY,
     INSTANCE_KEYS_AFTER,
     INSTANCE_KEYS_BEFORE,
     JOB_PREFIX,
@@ -22,6 +23,7 @@
 
 __all__ = [
     "CANCEL_PREFIX",
+    "CLAIM_KEY",
     "INSTANCE_KEYS_AFTER",
     "INSTANCE_KEYS_BEFORE",
     "JOB_PREFIX",
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -18,7 +18,13 @@
     RecordsPush,
 )
 from firhook.cell import LeadRecord
-from firhook.cell.records import LEAD_KEY, STATE_PREFIX, decode_record, epoch_of
+from firhook.cell.records import (
+    CLAIM_KEY,
+    LEAD_KEY,
+    STATE_PREFIX,
+    decode_record,
+    epoch_of,
+)
 from firhook.clock import boot_time
 from firhook.decide.append_route import AppendRoute
 from firhook.decide.election import succession_order
@@ -602,7 +608,7 @@
     def _publish_lead_record(self, key: str, job_id: str | None) -> None:
         """Publish that a lead is alive if only leads write this kind of record."""
         lead = self.replica.lead
-        if key == LEAD_KEY and lead is not None:
+        if key in (CLAIM_KEY, LEAD_KEY) and lead is not None:
             self.bus.publish(LeadRecordSeen(lead.epoch, lead.version))
         elif job_id is not None and key.startswith(STATE_PREFIX):
             view = self.replica.jobs.get(job_id)
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -19,6 +19,7 @@
 )
 from firhook.cell import LeadRecord
 from firhook.cell.records import (
+    CLAIM_KEY,
     LEAD_KEY,
     claim_epoch,
     encode_record,
@@ -328,8 +329,12 @@
             return None
         epoch = claim_epoch(end)
         name, incarnation = self.settings.name, self.instance.incarnation
-        lead_record = LeadRecord(name, incarnation, epoch, state_version(epoch, 0))
-        record = KeyedRecord(LEAD_KEY, encode_record(lead_record))
+        claim = LeadRecord(name, incarnation, epoch, state_version(epoch, 0))
+        # Earlier builds know only the second key.
+        records = [
+            encode_keyed_record(KeyedRecord(key, encode_record(claim)))
+            for key in (CLAIM_KEY, LEAD_KEY)
+        ]
         log(
             "lead.claiming",
             epoch=epoch,
@@ -341,7 +346,7 @@
             await self.store.append(
                 CELL_TOPIC,
                 partition,
-                [encode_keyed_record(record)],
+                records,
                 expected_end=end,
                 timeout_s=_CLAIM_TIMEOUT_S,
             )
--- a/tests/services/test_lead_claims.py
+++ b/tests/services/test_lead_claims.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from firhook.cell.records import LEAD_KEY
-from standins.model import ModelCell, pause, run_virtual
+from standins.model import ModelCell, now, pause, run_virtual
 from tests.services.scenarios import step
 
 
@@ -109,3 +109,23 @@
         await cell.all_done(30.0)
 
     run_with_late_heartbeat(scenario)
+
+
+def test_restarted_lead_does_not_take_the_lead_from_its_successor():
+    """A restarted lead must learn of its successor from the store.
+
+    It reads the log before it hears from any instance.  Taking itself for the last
+    lead, it would claim the lead at once, and nothing starts meanwhile.
+    """
+
+    async def scenario(cell, first, successor):
+        await pause(0.25)
+        cell.store.holds = None
+        cell.cut_links.clear()
+        until = now() + 5.0
+        while now() < until:
+            await pause(0.05)
+            assert cell.instances[first].lead.term is None
+        assert cell.lead_name() == successor
+
+    run_with_late_heartbeat(scenario)
