Show what a claim does that is carried out without an answer

Two orders of events related to the shared epoch, read in the code as a lead that nobody is: a claim that is stored while its claimant hears nothing of it, and one that is carried out seconds later over a lead that is alive.

Result: neither needs a change. A late claim over a live lead needs that nothing was written to its partition meanwhile, as it is conditional. Both tests fix the order of events and stay; their bound is a second.

--- a/tests/services/test_lead_claims.py
+++ b/tests/services/test_lead_claims.py
@@ -129,3 +129,72 @@
         assert cell.lead_name() == successor
 
     run_with_late_heartbeat(scenario)
+
+
+def test_claim_without_an_answer_leaves_the_cell_without_a_lead_for_a_second():
+    """A claim that is stored, and whose claimant does not know it, must be replaced.
+
+    Until then the log names a lead that no instance is.
+    """
+
+    async def run():
+        cell = ModelCell(instances=3)
+        cell.drop_share = 0.0
+        await cell.begin()
+        watch = TermWatch(cell)
+        watching = asyncio.create_task(watch.run())
+        cell.store.holds = lambda append: append.expected_end is not None
+        cell.kill(cell.lead_name())
+        await cell.until(lambda: cell.store.held, 2.0)
+        cell.store.holds = None
+        claim = cell.store.held.pop()
+        end = cell.store.partition(claim.topic).end
+        cell.store.carry_out(claim)
+        assert cell.store.partition(claim.topic).end > end
+        claimed_at = now()
+        await cell.until(lambda: cell.lead() is not None, 3.0)
+        assert now() - claimed_at < 1.0
+        await cell.submit([step(2)], work_s=0.3)
+        await cell.all_done(5.0)
+        watching.cancel()
+        assert watch.shared_epochs() == []
+        assert cell.checks.violations == []
+
+    run_virtual(run())
+
+
+def test_late_claim_over_a_live_lead_leaves_the_cell_without_a_lead_for_a_second():
+    """A claim that is carried out late must not stop the cell.
+
+    Its claimant was cut off from the lead and then from the store.  The lead wrote to
+    another partition meanwhile, so that the claim's condition holds.
+    """
+
+    async def run():
+        cell = ModelCell(instances=3)
+        cell.drop_share = 0.0
+        await cell.begin()
+        watch = TermWatch(cell)
+        watching = asyncio.create_task(watch.run())
+        first = cell.lead_name()
+        claimant = next(name for name in cell.instances if name != first)
+        isolate(cell, claimant)
+        cell.store.holds = lambda append: append.partition == 0
+        await cell.until(lambda: len(cell.store.held) > 1, 3.0)
+        await pause(0.5)
+        claim = next(a for a in cell.store.held if a.expected_end is not None)
+        cell.store.mode[claimant] = "silent"
+        end = cell.store.partition(claim.topic).end
+        cell.store.carry_out(claim)
+        assert cell.store.partition(claim.topic).end > end
+        cell.store.holds = None
+        claimed_at, gap_s = now(), 0.0
+        while now() - claimed_at < 5.0:
+            await pause(0.01)
+            if cell.lead() is None:
+                gap_s += 0.01
+        assert gap_s < 1.0
+        watching.cancel()
+        assert watch.shared_epochs() == []
+
+    run_virtual(run())
