Have a lead step down that hears its own epoch from another instance

Claims of this build cannot share an epoch. During a rolling restart two instances of the build before still can, and the store and the workers tell their orders not apart.

Change: a heartbeat with the lead's own epoch and another name ends its term (reason epoch_shared). This is a last safeguard: it needs a message between the two. What keeps epochs apart is their number.

Result: the new test failed before (`assert '' == 'epoch_shared'`) and passes.

--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -217,14 +217,28 @@
             self.bus.publish(SendToInstances(message, msg.relay_to))
         self._election.record_heartbeat(msg.epoch, msg.name, msg.newest, boot_time())
         self.bus.publish(LeadHeard(msg.epoch, msg.load))
-        self._step_down_if_superseded(msg.epoch)
+        self._step_down_if_superseded(msg.epoch, msg.name)
         return PassedOn()
 
-    def _step_down_if_superseded(self, epoch: int) -> None:
-        """Step down at once if a lead with a higher epoch exists."""
-        if self.term is not None and epoch > self.term.fence:
-            self.term.step_down("replaced", by_epoch=epoch)
-            self._wake.set()
+    def _step_down_if_superseded(self, epoch: int, name: str = "") -> None:
+        """Step down at once if a lead with a higher epoch, or with this one, exists.
+
+        The store and the workers cannot tell two leads with one epoch apart.  Claims
+        of this build cannot share one; those of instances that are not updated yet
+        can.
+
+        :param name: the name of the lead with that epoch; empty if it is not known.
+        """
+        term = self.term
+        if term is None or epoch < term.fence:
+            return
+        if epoch > term.fence:
+            term.step_down("replaced", by_epoch=epoch)
+        elif name and name != self.settings.name:
+            term.step_down("epoch_shared", other=name)
+        else:
+            return
+        self._wake.set()
 
     async def _current_lead(self, query: LiveLead) -> str:
         name = self._election.lead
--- a/tests/services/test_lead_claims.py
+++ b/tests/services/test_lead_claims.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+from firhook._peer_messages import LeadAlive
 from firhook.cell.records import LEAD_KEY
+from firhook.services._events import SendToInstance
 from standins.model import ModelCell, now, pause, run_virtual
-from tests.services.scenarios import step
+from tests.services.scenarios import run_scenario, step
 
 
 class TermWatch:
@@ -198,3 +200,22 @@
         assert watch.shared_epochs() == []
 
     run_virtual(run())
+
+
+def test_lead_that_hears_its_epoch_from_another_one_steps_down():
+    """An instance of an earlier build may claim an epoch that is taken."""
+
+    async def scenario(cell):
+        cell.drop_share = 0.0
+        name = cell.lead_name()
+        term = cell.instances[name].lead.term
+        other = next(n for n in cell.instances if n != name)
+        heartbeat = LeadAlive(term.fence, other, term.newest_version)
+        bus = cell.instances[other].instance.bus
+        bus.publish(SendToInstance(name, heartbeat))
+        await pause(0.01)
+        assert term.lost_reason == "epoch_shared"
+        await cell.until(lambda: cell.lead() is not None, 3.0)
+        assert cell.lead().lead.term.fence > term.fence
+
+    run_scenario(scenario)
