Keep an instance registered when a late append replaces its registration

What others saw: an instance that nobody lists, or one that is listed as still reading, until it restarts again. It is asked for no advice, offered no lead and cannot campaign.

The registration of an instance's earlier incarnation, or its deletion at a planned stop, follows the registration of the present one. A record that an earlier incarnation left on another partition does the same at each instance that reads that partition last.

Ruled out by reading: the mesh keys (conditional, and used only as read back) and the leads of the older path (a claim names the offset it follows, and every reader reaches the same verdict).

Change: an instance compares what its replica lists of it, on every partition, with its present registration. After 2.5 s of difference, in which all partitions are read, it appends the present one again where it was replaced, or registers anew. Late appends are finite, so that the present registration is the last one on each partition in every order of events. A stopping instance appends no registration after its deletion: the two wait for each other.

Result: three tests with the order fixed failed before, as `('...', True) == ('...', False)`: another incarnation's record, or one of an instance that is reading, is listed. They pass now. The test that an unregistered instance is listed nowhere marks the instance as stopping, as it is whenever it unregisters; it checks what it checked.

--- a/src/firhook/cell/_replica.py
+++ b/src/firhook/cell/_replica.py
@@ -229,12 +229,17 @@
 
     def partitions_of(self, key: str) -> list[int]:
         """Return the partitions that have a value of a key, the newest version last."""
-        holding = [
-            (getattr(part.entries[key][1], "version", 0), number)
+        values = self.values_of(key).items()
+        holding = [(getattr(value, "version", 0), number) for number, value in values]
+        return [number for _, number in sorted(holding)]
+
+    def values_of(self, key: str) -> dict[int, Any]:
+        """Return the values of a key by the partition that has them."""
+        return {
+            number: part.entries[key][1]
             for number, part in self._partitions.items()
             if key in part.entries
-        ]
-        return [number for _, number in sorted(holding)]
+        }
 
     def _update_view(
         self, key: str, prefix: str, name: str, latest: Any = None
@@ -246,11 +251,7 @@
         :param latest: the value that was just applied, if any.
         :return: the id of the job that the key belongs to, if any.
         """
-        values = [
-            part.entries[key][1]
-            for part in self._partitions.values()
-            if key in part.entries
-        ]
+        values = list(self.values_of(key).values())
         if prefix in _JOB_PREFIXES:
             self._update_job_view(prefix, name, values)
             return name
--- a/src/firhook/services/_members.py
+++ b/src/firhook/services/_members.py
@@ -24,6 +24,11 @@
 _RETRY_S = 0.2
 #: Interval between checks whether all partitions were read.
 _CHECK_INTERVAL_S = 0.05
+#: Interval between checks of the registration of a running instance.
+_REPAIR_CHECK_INTERVAL_S = 0.5
+#: A registration that another record replaced is appended again after this time.  All
+#: partitions are read at least once within it.
+_REPAIR_DELAY_S = 2.5
 
 
 async def read_members(store: Store, replica: Replica) -> int:
@@ -58,7 +63,12 @@
 
 
 class Registration:
-    """Registers this instance, and updates the record once the replica is complete.
+    """Keeps this instance registered, with the state of its replica.
+
+    The store may carry out an append seconds after it was sent, also that of an
+    earlier incarnation of this instance.  Its registration would replace the present
+    one, and its deletion would hide this instance from all others until it restarts.
+    A record that was appended to another partition may do the same.
 
     :param address: address at which this instance listens for its peers.
     """
@@ -66,24 +76,38 @@
     def __init__(self, service: InstanceService, address: str) -> None:
         self._service = service
         self._address = address
+        self._key = PEER_PREFIX + service.settings.name
+        self._appending = asyncio.Lock()
 
     async def run(self) -> None:
-        """Register, and register again once all partitions were read."""
+        """Register, and again once all partitions were read; then keep registered."""
         reading = await self._is_reading()
-        await self._register(reading)
-        if not reading:
-            return
-        while await self._is_reading():
-            await asyncio.sleep(_CHECK_INTERVAL_S)
-        if not self._service.instance.stopping:
-            await self._register(False)
+        own_record = self._own_record(reading)
+        await self._register(own_record)
+        if reading:
+            while await self._is_reading():
+                await asyncio.sleep(_CHECK_INTERVAL_S)
+            own_record = self._own_record(False)
+            await self._register(own_record)
+        await self._keep_listed(own_record)
+
+    async def _keep_listed(self, own_record: PeerRecord) -> None:
+        """Repair the registration whenever another record replaced it."""
+        listed_at = boot_time()
+        while not self._service.instance.stopping:
+            await asyncio.sleep(_REPAIR_CHECK_INTERVAL_S)
+            if self._is_listed_as(own_record):
+                listed_at = boot_time()
+            elif boot_time() - listed_at > _REPAIR_DELAY_S:
+                await self._repair(own_record)
+                listed_at = boot_time()
 
     async def _is_reading(self) -> bool:
         return await self._service.bus.ask(ReplicaAge()) == math.inf
 
-    async def _register(self, reading: bool) -> None:
+    def _own_record(self, reading: bool) -> PeerRecord:
         settings = self._service.settings
-        own_record = PeerRecord(
+        return PeerRecord(
             settings.name,
             self._service.instance.incarnation,
             self._address,
@@ -91,16 +115,44 @@
             settings.strength,
             reading,
         )
-        record = KeyedRecord(PEER_PREFIX + own_record.name, encode_record(own_record))
+
+    def _is_listed_as(self, own_record: PeerRecord) -> bool:
+        """Return whether every partition that lists this instance has this record."""
+        listed = self._service.replica.values_of(self._key).values()
+        return bool(listed) and all(value == own_record for value in listed)
+
+    async def _register(self, own_record: PeerRecord) -> None:
+        """Append the registration, unless the instance stops before that succeeds."""
+        record = KeyedRecord(self._key, encode_record(own_record))
         while True:
-            try:
-                await self._service.bus.ask(
-                    AppendRecord(record, boot_time() + _REGISTER_TIMEOUT_S)
-                )
-                return
-            except FirhookError as exc:
-                log("mesh.register_retry", level="debug", error=repr(exc))
-                await asyncio.sleep(_RETRY_S)
+            async with self._appending:
+                if self._service.instance.stopping:
+                    return
+                try:
+                    await self._service.bus.ask(
+                        AppendRecord(record, boot_time() + _REGISTER_TIMEOUT_S)
+                    )
+                    return
+                except FirhookError as exc:
+                    log("mesh.register_retry", level="debug", error=repr(exc))
+            await asyncio.sleep(_RETRY_S)
+
+    async def _repair(self, own_record: PeerRecord) -> None:
+        """Replace the records that other appends left, or register again."""
+        listed = self._service.replica.values_of(self._key)
+        wrong = [n for n, value in listed.items() if value != own_record]
+        log("mesh.registration_replaced", level="warning", partitions=wrong)
+        if not listed:
+            await self._register(own_record)
+            return
+        record = KeyedRecord(self._key, encode_record(own_record))
+        content = [encode_keyed_record(record)]
+        async with self._appending:
+            for number in wrong if not self._service.instance.stopping else ():
+                try:
+                    await self._service.store.append(CELL_TOPIC, number, content)
+                except FirhookError as exc:
+                    log("mesh.register_retry", level="debug", error=repr(exc))
 
     async def unregister(self) -> None:
         """Delete the registration, as this instance soon stops answering its peers.
@@ -108,17 +160,18 @@
         Its records may lie on several partitions, and any of them would keep the
         instance listed.
         """
-        key = PEER_PREFIX + self._service.settings.name
-        record = KeyedRecord(key, None)
-        try:
-            await self._service.bus.ask(
-                AppendRecord(record, boot_time() + _REGISTER_TIMEOUT_S)
-            )
-            for number in self._service.replica.partitions_of(key):
-                content = [encode_keyed_record(record)]
-                await self._service.store.append(CELL_TOPIC, number, content)
-        except FirhookError as exc:
-            log("mesh.unregister_failed", level="warning", error=repr(exc))
+        record = KeyedRecord(self._key, None)
+        # A registration that is under way would be appended after the deletion.
+        async with self._appending:
+            try:
+                await self._service.bus.ask(
+                    AppendRecord(record, boot_time() + _REGISTER_TIMEOUT_S)
+                )
+                for number in self._service.replica.partitions_of(self._key):
+                    content = [encode_keyed_record(record)]
+                    await self._service.store.append(CELL_TOPIC, number, content)
+            except FirhookError as exc:
+                log("mesh.unregister_failed", level="warning", error=repr(exc))
 
 
 def candidates(replica: Replica) -> list[Candidate]:
--- a/tests/services/test_members.py
+++ b/tests/services/test_members.py
@@ -1,14 +1,16 @@
 """Discovery and registration of instances."""
 
+import asyncio
+
 import pytest
 
 from firhook._instance import Instance
 from firhook.cell import MeshKeys, PeerRecord, Replica
 from firhook.cell.records import MESH_KEY, PEER_PREFIX, encode_record
-from firhook.platform.store import CELL_TOPIC
+from firhook.platform.store import CELL_TOPIC, KeyedRecord, encode_keyed_record
 from firhook.services._members import Registration
 from firhook.services._mesh import MeshService
-from standins.model import ModelCell, now, pause, run_virtual
+from standins.model import ModelAppend, ModelCell, now, pause, run_virtual
 from tests.services.scenarios import run_scenario, step
 
 
@@ -85,10 +87,105 @@
         cell.store.partition(CELL_TOPIC, 3).add(
             [bytes((len(key),)) + key.encode() + value]
         )
-        await pause(3.0)
+        found.stopping = True
         await Registration(found.services["mesh"], "i2").unregister()
         await pause(3.0)
         for instance in cell.instances.values():
             assert "i2" not in instance.instance.replica.peers
 
     run_scenario(scenario, instances=3)
+
+
+def holds_registration(cell, name):
+    """Hold the appends that register or unregister an instance."""
+    key = PEER_PREFIX + name
+    cell.store.holds = lambda append: key in append.keys
+
+
+def registered(cell, name):
+    """Return the registration of an instance as each running one knows it."""
+    return [
+        i.instance.replica.peers.get(name) for i in cell.instances.values() if i.alive
+    ]
+
+
+def check_late_append(cell, name):
+    """Carry out the held append, and check that the present incarnation stays listed.
+
+    It must be listed at all instances, and at one that starts later.
+    """
+
+    async def check():
+        late = cell.store.held[0]
+        end = cell.store.partition(CELL_TOPIC, late.partition).end
+        cell.store.carry_out(late)
+        assert cell.store.partition(CELL_TOPIC, late.partition).end > end
+        await pause(6.0)
+        await cell.add_instance("late")
+        await pause(1.0)
+        own = cell.instances[name].instance.incarnation
+        for record in registered(cell, name):
+            assert record is not None
+            assert (record.incarnation, record.catching_up) == (own, False)
+
+    return check()
+
+
+def test_late_registration_of_an_old_incarnation_does_not_replace_the_new_one():
+    """Others would go by what the old incarnation said of itself."""
+
+    async def scenario(cell):
+        cell.drop_share = 0.0
+        cell.kill("i2")
+        holds_registration(cell, "i2")
+        await cell.restart("i2")
+        await cell.until(lambda: cell.store.held, 1.0)
+        cell.kill("i2")
+        cell.store.holds = None
+        await cell.restart("i2")
+        await pause(1.0)
+        await check_late_append(cell, "i2")
+
+    run_scenario(scenario, instances=3)
+
+
+def test_late_deletion_of_an_old_registration_does_not_hide_the_new_incarnation():
+    """An instance that nobody lists is asked nothing and cannot lead."""
+
+    async def scenario(cell):
+        cell.drop_share = 0.0
+        mesh = cell.instances["i2"].instance.services["mesh"]
+        holds_registration(cell, "i2")
+        leaving = asyncio.create_task(Registration(mesh, "i2").unregister())
+        await cell.until(lambda: cell.store.held, 1.0)
+        await cell.stop("i2")
+        leaving.cancel()
+        cell.store.holds = None
+        await cell.restart("i2")
+        await pause(1.0)
+        await check_late_append(cell, "i2")
+
+    run_scenario(scenario, instances=3)
+
+
+def test_old_registration_on_another_partition_does_not_replace_the_new_one():
+    """The first partition was unavailable when the old incarnation registered.
+
+    An instance that starts reads the partitions in any order.
+    """
+
+    async def scenario(cell):
+        cell.drop_share = 0.0
+        old = PeerRecord("i2", "old", "i2", "z0", catching_up=True)
+        for number in range(4):
+            partition = cell.store.partition(CELL_TOPIC, number)
+            if PEER_PREFIX + "i2" not in partition.newest:
+                record = KeyedRecord(PEER_PREFIX + "i2", encode_record(old))
+                cell.store.held.append(
+                    ModelAppend(
+                        CELL_TOPIC, number, [encode_keyed_record(record)], None, None
+                    )
+                )
+        await check_late_append(cell, "i2")
+
+    run_scenario(scenario, instances=3)
