Log ends of a worker that nobody read, and acknowledgements ahead of them

A worker numbers its ends from 1 in each incarnation. Nothing showed that an acknowledgement was ahead of what the lead had read, nor that numbers were missing from a worker's list. worker.ack_ahead and worker.ends_missing do.

17:05.737 worker.restarted 17:07.844 worker.ack_ahead ack 29 processed 0 17:10.936 worker.ends_missing processed 5 first_listed 7 ack 29 17:13.724 worker.ends_missing processed 16 first_listed 20 ack 29 17:14.480 worker.ends_missing processed 24 first_listed 30 ack 29

So the number of the old incarnation is set 2.1 s after the restart, which is when the append of the ends is answered (Term._store_changes). It is not taken over from what was read last: processed was 0 then. Nor did a poll that was on its way at the restart carry it: no number is missing before it is set.

--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -167,6 +167,15 @@
 
     def set_ack(self, number: int) -> None:
         """Record that all ends up to a number are stored."""
+        if number > self.processed:
+            log(
+                "worker.ack_ahead",
+                level="error",
+                worker=self.name,
+                incarnation=self.incarnation,
+                ack=number,
+                processed=self.processed,
+            )
         self.ack = max(self.ack, number)
         self._ends_stored.set()
 
@@ -266,6 +275,17 @@
         if self._unreachable:
             self._unreachable = False
             log("worker.regained", worker=self.name)
+        if reply.ended and reply.ended[0].number > self.processed + 1:
+            # The first reply in a term follows ends that earlier leads have read.
+            log(
+                "worker.ends_missing",
+                level="error" if self.processed else "debug",
+                worker=self.name,
+                incarnation=self.incarnation,
+                processed=self.processed,
+                first_listed=reply.ended[0].number,
+                ack=ack,
+            )
         self._owner.on_poll(self, reply, sent_at)
         if reply.ended:
             self.processed = max(self.processed, reply.ended[-1].number)
