Acknowledge ends only to the incarnation that numbered them

Cause: the lead keeps the numbers of the ends that it is about to store, and passes them to the worker's link when the store has answered. A worker that restarts meanwhile numbers its ends from 1 again; the link had set its acknowledgement back to 0, and then took the larger number of the old incarnation. From then on each poll had the worker delete ends up to that number, read or not.

Change: a position among ends is a typed pair of incarnation and number (EndCursor), from the poll's reply through the append to the next poll. The link takes it over only if its incarnation is the present one. So no number of one incarnation can become the acknowledgement of another one, whatever happens between reading an end and storing it, and no caller can leave out the check. worker.ack_outdated tells that it happened.

--- a/src/firhook/cell/__init__.py
+++ b/src/firhook/cell/__init__.py
@@ -27,6 +27,7 @@
 from firhook.cell._workers import (
     MAX_LISTED_ENDS,
     Advice,
+    EndCursor,
     EndedRow,
     OrderAnswer,
     OrderOutcome,
@@ -45,6 +46,7 @@
     "AdvicePolicy",
     "CellConfig",
     "DrainedZones",
+    "EndCursor",
     "EndedRow",
     "Job",
     "JobSpec",
--- a/src/firhook/cell/_workers.py
+++ b/src/firhook/cell/_workers.py
@@ -77,6 +77,26 @@
     checkpoint: str
 
 
+@attrs.frozen(slots=True)
+class EndCursor:
+    """A position among the ends that one incarnation of a worker has numbered.
+
+    Each incarnation counts from 1.  A number without its incarnation would stand for
+    other ends once the worker has restarted.
+
+    :param incarnation: 0 if none is known.
+    :param number: all ends up to this one are meant.
+    """
+
+    incarnation: int = 0
+    number: int = 0
+
+    def advanced_to(self, other: "EndCursor") -> "EndCursor":
+        """Return the later position; one of another incarnation changes nothing."""
+        is_later = other.number > self.number
+        return other if is_later and other.incarnation == self.incarnation else self
+
+
 #: The most ends that a worker lists in one reply, those with the lowest numbers.
 MAX_LISTED_ENDS = 500
 
--- a/src/firhook/platform/_workers.py
+++ b/src/firhook/platform/_workers.py
@@ -11,6 +11,7 @@
 from firhook.address import Address
 from firhook.cell import (
     Advice,
+    EndCursor,
     EndedRow,
     OrderAnswer,
     OrderOutcome,
@@ -119,14 +120,13 @@
         self,
         worker: WorkerEntry,
         fence: int,
-        ack: int,
+        ack: EndCursor,
         lease_until_s: float | None,
         wait_s: float,
     ) -> PollReply:
         """Renew the lease, acknowledge ended runs, and return the worker's state.
 
-        :param ack: highest number of an ended run that is stored; the worker may
-            delete the ended runs up to it.
+        :param ack: the ended runs that are stored, which the worker may delete.
         :param lease_until_s: new end of the lease on the worker's clock; ``None``
             does not renew it.
         :param wait_s: how long the worker may wait for a run to end.
@@ -167,12 +167,12 @@
         self,
         worker: WorkerEntry,
         fence: int,
-        ack: int,
+        ack: EndCursor,
         lease_until_s: float | None,
         wait_s: float,
     ) -> PollReply:
         """See :meth:`Workers.poll`."""
-        body: dict[str, Any] = {"fencing_token": fence, "ack_cursor": ack}
+        body: dict[str, Any] = {"fencing_token": fence, "ack_cursor": ack.number}
         if lease_until_s is not None:
             body["deadline_ms"] = int(lease_until_s * 1000)
         if wait_s > 0:
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -644,9 +644,9 @@
         planned = self.job_table.take_planned()
         jobs = self.job_table.take_dirty(boot_time())
         acks = [
-            (link, link.storable_end)
+            (link, link.storable_ends)
             for link in self.links.values()
-            if link.storable_end > link.ack
+            if link.storable_ends.number > link.ack.number
         ]
         submissions, self._rewritten_submissions = self._rewritten_submissions, []
         if submissions:
@@ -661,8 +661,8 @@
             ]
             await self._append(records)
             self._meters.record_duration("store_state", "", boot_time() - began)
-        for link, number in acks:
-            link.set_ack(number)
+        for link, stored in acks:
+            link.set_ack(stored)
         for job in jobs:
             if job.status.ended and not job.reported:
                 job.reported = True
--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -5,7 +5,7 @@
 from collections.abc import Coroutine
 from typing import Any, Protocol
 
-from firhook.cell import JobTable, PollReply, WorkerEntry
+from firhook.cell import EndCursor, JobTable, PollReply, WorkerEntry
 from firhook.clock import boot_time
 from firhook.decide.suspicion import ReplyTracker
 from firhook.decide.worker_health import WorkerHealth
@@ -73,9 +73,8 @@
 
     :param leases_expire_at: when all leases that earlier leads may have granted to
         the worker have expired.
-    :ivar ack: all ends up to this number are stored.
-    :ivar processed: all ends up to this number are in the job table.
-    :ivar incarnation: the incarnation that answered last; 0 if none did.
+    :ivar ack: the ends that are stored.
+    :ivar processed: the ends that are in the job table.
     :ivar pending_calls: the calls to the worker without an answer.
     :ivar last_reply_at: when it last replied to a poll.
     :ivar last_heard_at: when it last answered any call.
@@ -94,9 +93,8 @@
         leases_expire_at: float,
     ) -> None:
         self.entry = entry
-        self.incarnation = 0
-        self.ack = 0
-        self.processed = 0
+        self.ack = EndCursor()
+        self.processed = EndCursor()
         self.held_end = math.inf
         self.health = WorkerHealth()
         self.leases_expire_at = leases_expire_at
@@ -115,12 +113,18 @@
         self._lease_end_s = 0.0
         self.pending_calls = ReplyTracker()
         self._ends_stored = asyncio.Event()
+        self._began_in_term = False
 
     @property
     def name(self) -> str:
         """The worker's ID."""
         return self.entry.name
 
+    @property
+    def incarnation(self) -> int:
+        """The newest incarnation that answered; 0 if none did."""
+        return self.processed.incarnation
+
     def usable(self, now: float) -> bool:
         """Return whether the worker may get new work, overdue calls not considered."""
         if (
@@ -161,22 +165,19 @@
         return until
 
     @property
-    def storable_end(self) -> int:
-        """The last end that may be acknowledged once the job table is stored."""
-        return int(min(self.processed, self.held_end - 1))
+    def storable_ends(self) -> EndCursor:
+        """The ends that may be acknowledged once the job table is stored."""
+        number = int(min(self.processed.number, self.held_end - 1))
+        return EndCursor(self.incarnation, number)
 
-    def set_ack(self, number: int) -> None:
-        """Record that all ends up to a number are stored."""
-        if number > self.processed:
-            log(
-                "worker.ack_ahead",
-                level="error",
-                worker=self.name,
-                incarnation=self.incarnation,
-                ack=number,
-                processed=self.processed,
-            )
-        self.ack = max(self.ack, number)
+    def set_ack(self, stored: EndCursor) -> None:
+        """Record that ends are stored; those of an earlier incarnation are ignored.
+
+        The worker may have restarted while they were being stored.
+        """
+        if stored.incarnation != self.incarnation:
+            log("worker.ack_outdated", worker=self.name, ack=stored.number)
+        self.ack = self.ack.advanced_to(stored)
         self._ends_stored.set()
 
     def on_order_answer(
@@ -202,10 +203,11 @@
         would delete ends that nobody has read, and finished tasks would run again.
         """
         restarted = bool(self.incarnation)
+        self._began_in_term = restarted
         if restarted:
             log("worker.restarted", worker=self.name, life=incarnation)
         self._lease_end_s = 0.0
-        self.incarnation, self.ack, self.processed = incarnation, 0, 0
+        self.ack = self.processed = EndCursor(incarnation)
         self.held_end = math.inf
         if restarted:
             # The first answer in a term says nothing about a restart, and must not
@@ -249,7 +251,7 @@
         wait_s = self._poll_wait_s()
         # After a failure the worker may have a new incarnation, which numbers its
         # ends from 1 again.  Acknowledging none is always safe.
-        ack = 0 if self._last_poll_failed else self.ack
+        ack = EndCursor() if self._last_poll_failed else self.ack
         call = self.pending_calls.note_sent(sent_at + wait_s)
         polling = self._owner.workers.poll(
             self.entry, self._owner.fence, ack, until, wait_s
@@ -275,23 +277,31 @@
         if self._unreachable:
             self._unreachable = False
             log("worker.regained", worker=self.name)
-        if reply.ended and reply.ended[0].number > self.processed + 1:
-            # The first reply in a term follows ends that earlier leads have read.
+        self._log_missing_ends(reply)
+        self._owner.on_poll(self, reply, sent_at)
+        if reply.ended:
+            listed = EndCursor(reply.incarnation, reply.ended[-1].number)
+            self.processed = self.processed.advanced_to(listed)
+        if self.processed != self.ack:
+            await self._wait_ends_stored()
+            await asyncio.sleep(_BATCH_DELAY_S)
+
+    def _log_missing_ends(self, reply: PollReply) -> None:
+        """Log ends that the worker deleted although this lead has not read them.
+
+        The first that are listed in a term follow those that earlier leads read.
+        """
+        knows_previous = self.processed.number > 0 or self._began_in_term
+        if not reply.ended or not knows_previous:
+            return
+        if reply.ended[0].number > self.processed.number + 1:
             log(
                 "worker.ends_missing",
-                level="error" if self.processed else "debug",
+                level="error",
                 worker=self.name,
-                incarnation=self.incarnation,
-                processed=self.processed,
+                processed=self.processed.number,
                 first_listed=reply.ended[0].number,
-                ack=ack,
             )
-        self._owner.on_poll(self, reply, sent_at)
-        if reply.ended:
-            self.processed = max(self.processed, reply.ended[-1].number)
-        if self.processed > self.ack:
-            await self._wait_ends_stored()
-            await asyncio.sleep(_BATCH_DELAY_S)
 
     def _poll_wait_s(self) -> float:
         """Return how long the worker may hold the next poll, in seconds."""
--- a/standins/model/_workers.py
+++ b/standins/model/_workers.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from firhook.cell import (
+    EndCursor,
     EndedRow,
     OrderAnswer,
     OrderOutcome,
@@ -445,7 +446,7 @@
         self,
         worker: WorkerEntry,
         fence: int,
-        ack: int,
+        ack: EndCursor,
         lease_until_s: float | None,
         wait_s: float,
     ) -> PollReply:
@@ -455,7 +456,7 @@
         if target is None:
             await pause(wait_s + 1.0)
             raise WorkerUnreachableError(worker.name)
-        target.poll(fence, ack, lease_until_s)
+        target.poll(fence, ack.number, lease_until_s)
         await target.wait_for_end(wait_s)
         lost = target.mode == "mute" or target.loses_answer(self._rng)
         if self._find_reachable(worker.name) is not target or lost:
--- a/tests/services/test_seeded_defects.py
+++ b/tests/services/test_seeded_defects.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from firhook.cell import JobTable
+from firhook.cell import EndCursor, JobTable
 from firhook.services._order_sender import OrderSender
 from firhook.services._term import Term
 from firhook.services._worker_link import WorkerLink
@@ -44,7 +44,7 @@
     def defective(self, link, reply, sent_at):
         original_on_poll(self, link, reply, sent_at)
         if reply.ended:
-            link.set_ack(reply.ended[-1].number)
+            link.set_ack(EndCursor(reply.incarnation, reply.ended[-1].number))
 
     monkeypatch.setattr(Term, "on_poll", defective)
     assert first_failing_seed(("kill", "store_down")) is not None
