Send acknowledgement and lease only on the connection of their incarnation

What callers would see: a task that ended done runs again.

Cause: between two polls the lead waits, up to half a second while ends are being stored. A worker that restarts under its address in this time, and is sent a start, gets the next poll with the acknowledgement and the lease of its earlier incarnation. The platform's header names only the worker's id, which both incarnations share, and answers to orders do not name the incarnation, so that the lead cannot know of the new one before that poll.

Change: polls have a session of their own, in which one connection at a time leads to each worker. Acknowledgement, lease and waiting time are sent only on a connection that is already open; with none, the poll goes out bare and its reply tells which incarnation is there. A TCP connection cannot outlive the process that accepted it, and the last reply on it named that process. So in every order of restarts and polls, also of polls that the worker carries out late, these values reach the incarnation that they belong to or none. The exception is a worker that announces the end of the connection with each reply: it could not get a lease otherwise.

--- a/src/firhook/_instance_daemon.py
+++ b/src/firhook/_instance_daemon.py
@@ -15,7 +15,7 @@
 from firhook.platform.instance import (
     InstanceSettings,
     load_instance_settings,
-    new_session,
+    open_sessions,
 )
 from firhook.platform.names import SETTINGS_VARIABLE
 
@@ -58,8 +58,8 @@
         stop_event.set()
     changed = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, changed.set)
-    async with new_session() as session:
-        connections = HttpConnections(settings, session)
+    async with open_sessions() as sessions:
+        connections = HttpConnections(settings, sessions)
         instance = Instance(
             settings, connections, listener=early.listener if early else None
         )
--- a/src/firhook/platform/_client.py
+++ b/src/firhook/platform/_client.py
@@ -1,7 +1,10 @@
 """The HTTP client that all calls to the platform and to workers share."""
 
 import asyncio
+import contextlib
 import socket
+from collections.abc import AsyncIterator
+from types import SimpleNamespace
 from typing import Any
 
 import aiohttp
@@ -31,16 +34,24 @@
     """No connection could be made, so nothing was sent."""
 
 
+class NoKeptConnectionError(Exception):
+    """No connection on which the server has answered is open, so nothing was sent."""
+
+
 class NoResponseError(Exception):
     """No complete response came; the call may have taken effect, or may still do so."""
 
 
 @attrs.frozen(slots=True)
 class Response:
-    """A complete response."""
+    """A complete response.
+
+    :param closes: whether the server announced that it closes the connection.
+    """
 
     status: int
     body: bytes
+    closes: bool = False
 
 
 def _make_socket(info: Any) -> socket.socket:
@@ -54,8 +65,21 @@
     return sock
 
 
-def new_session() -> aiohttp.ClientSession:
-    """Return the client session for all calls of an instance."""
+#: Marks a request that must not open a connection.
+_KEPT_CONNECTION_ONLY = object()
+
+
+async def _refuse_new_connection(
+    session: aiohttp.ClientSession,
+    ctx: SimpleNamespace,
+    params: aiohttp.TraceConnectionCreateStartParams,
+) -> None:
+    if ctx.trace_request_ctx is _KEPT_CONNECTION_ONLY:
+        raise NoKeptConnectionError
+
+
+def new_session(*tracing: aiohttp.TraceConfig) -> aiohttp.ClientSession:
+    """Return a client session, which keeps connections open for later calls."""
     connector = aiohttp.TCPConnector(
         limit=0,
         limit_per_host=_MAX_CONNECTIONS_PER_HOST,
@@ -64,12 +88,35 @@
     )
     return aiohttp.ClientSession(
         connector=connector,
+        trace_configs=list(tracing),
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=_SUPPRESSED_HEADERS,
         auto_decompress=False,
     )
 
 
+@attrs.frozen(slots=True)
+class Sessions:
+    """The client sessions of an instance.
+
+    :param calls: for all calls but polls of workers.
+    :param polls: for polls, of which one at a time goes to each worker.  So an open
+        connection leads to the process that answered the last poll.
+    """
+
+    calls: aiohttp.ClientSession
+    polls: aiohttp.ClientSession
+
+
+@contextlib.asynccontextmanager
+async def open_sessions() -> AsyncIterator[Sessions]:
+    """Open the client sessions of an instance, and close them in the end."""
+    tracing = aiohttp.TraceConfig()
+    tracing.on_connection_create_start.append(_refuse_new_connection)
+    async with new_session() as calls, new_session(tracing) as polls:
+        yield Sessions(calls, polls)
+
+
 async def call(
     session: aiohttp.ClientSession,
     method: str,
@@ -78,6 +125,7 @@
     body: bytes | None = None,
     headers: dict[str, str] | None = None,
     total_timeout_s: float | None = None,
+    on_kept_connection: bool = False,
 ) -> Response:
     """Make a call and return the complete response.
 
@@ -85,6 +133,9 @@
         ``total_timeout_s``, for the connection and for each part of the response.
     :param total_timeout_s: how long the complete response may take, if longer than
         ``timeout_s``.
+    :param on_kept_connection: whether to make the call only on a connection on which
+        an earlier call of the session was answered.  This takes the session for polls.
+    :raises NoKeptConnectionError: if there is no such connection.
     :raises NotSentError: if certainly nothing was sent.
     :raises NoResponseError: if the call may have reached the server.
     """
@@ -96,9 +147,15 @@
     target = URL(url, encoded=True)
     try:
         async with session.request(
-            method, target, data=body, headers=headers, timeout=timeout
+            method,
+            target,
+            data=body,
+            headers=headers,
+            timeout=timeout,
+            trace_request_ctx=_KEPT_CONNECTION_ONLY if on_kept_connection else None,
         ) as resp:
-            return Response(resp.status, await resp.read())
+            closes = resp.headers.get("Connection", "").lower() == "close"
+            return Response(resp.status, await resp.read(), closes)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
         raise NotSentError(repr(exc)) from exc
     except (
--- a/src/firhook/platform/_connections.py
+++ b/src/firhook/platform/_connections.py
@@ -3,8 +3,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
-import aiohttp
-
+from firhook.platform._client import Sessions
 from firhook.platform._instance import InstanceSettings
 from firhook.platform._store import HttpStore, Store
 from firhook.platform._workers import Adviser, HttpAdviser, HttpWorkers, Workers
@@ -33,15 +32,13 @@
 class HttpConnections(Connections):
     """HTTP clients of the platform's services."""
 
-    def __init__(
-        self, settings: InstanceSettings, session: aiohttp.ClientSession
-    ) -> None:
-        self._session = session
-        self.store = HttpStore(session, settings.store)
+    def __init__(self, settings: InstanceSettings, sessions: Sessions) -> None:
+        self._sessions = sessions
+        self.store = HttpStore(sessions.calls, settings.store)
         self.adviser = (
-            HttpAdviser(session, settings.adviser) if settings.adviser else None
+            HttpAdviser(sessions.calls, settings.adviser) if settings.adviser else None
         )
 
     def workers(self, may_send: Callable[[], bool]) -> Workers:
         """See :meth:`Connections.workers`."""
-        return HttpWorkers(self._session, may_send)
+        return HttpWorkers(self._sessions, may_send)
--- a/src/firhook/platform/_workers.py
+++ b/src/firhook/platform/_workers.py
@@ -1,5 +1,6 @@
 """Registrations of workers, and the clients of workers and of the adviser."""
 
+import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from typing import Any
@@ -23,7 +24,14 @@
 )
 from firhook.errors import WorkerFencedError, WorkerUnreachableError
 from firhook.logs import log
-from firhook.platform._client import NoResponseError, NotSentError, Response, call
+from firhook.platform._client import (
+    NoKeptConnectionError,
+    NoResponseError,
+    NotSentError,
+    Response,
+    Sessions,
+    call,
+)
 from firhook.platform._config import decode_resources
 from firhook.platform._fields import (
     FieldError,
@@ -42,6 +50,10 @@
 #: unreachable or will not answer at all.
 ORDER_TIMEOUT_S = 0.8
 
+#: The pause between polls of a worker that closes its connections unannounced.  It is
+#: polled without renewing its lease.
+_UNKEPT_PAUSE_S = 0.25
+
 _OUTCOMES_BY_REASON = {
     "fence": OrderOutcome.FENCED,
     "old": OrderOutcome.SUPERSEDED,
@@ -126,6 +138,9 @@
     ) -> PollReply:
         """Renew the lease, acknowledge ended runs, and return the worker's state.
 
+        The acknowledgement and the lease reach only the incarnation that ``ack``
+        names.  A worker that has restarted since gets neither, and replies at once.
+
         :param ack: the ended runs that are stored, which the worker may delete.
         :param lease_until_s: new end of the lease on the worker's clock; ``None``
             does not renew it.
@@ -157,11 +172,14 @@
     :param may_send: returns whether the sender may still give orders.
     """
 
-    def __init__(
-        self, session: aiohttp.ClientSession, may_send: Callable[[], bool]
-    ) -> None:
-        self._session = session
+    def __init__(self, sessions: Sessions, may_send: Callable[[], bool]) -> None:
+        self._sessions = sessions
         self._may_send = may_send
+        # Workers that announce the end of the connection with each reply.  One of them
+        # that restarts between two polls cannot be told apart.
+        self._closing: set[str] = set()
+        # Workers whose last poll found no open connection.
+        self._unkept: set[str] = set()
 
     async def poll(
         self,
@@ -172,15 +190,49 @@
         wait_s: float,
     ) -> PollReply:
         """See :meth:`Workers.poll`."""
-        body: dict[str, Any] = {"fencing_token": fence, "ack_cursor": ack.number}
+        body: dict[str, Any] = {"fencing_token": fence, "ack_cursor": 0}
+        if not ack.incarnation:
+            return await self._poll(worker, body, 0.0)
+        bound: dict[str, Any] = {**body, "ack_cursor": ack.number}
         if lease_until_s is not None:
-            body["deadline_ms"] = int(lease_until_s * 1000)
+            bound["deadline_ms"] = int(lease_until_s * 1000)
         if wait_s > 0:
-            body["wait_ms"] = int(wait_s * 1000)
+            bound["wait_ms"] = int(wait_s * 1000)
+        try:
+            # A connection cannot outlive the process that accepted it.
+            reply = await self._poll(
+                worker, bound, wait_s, worker.name not in self._closing
+            )
+        except NoKeptConnectionError:
+            if worker.name in self._unkept:
+                await asyncio.sleep(_UNKEPT_PAUSE_S)
+            self._unkept.add(worker.name)
+            return await self._poll(worker, body, 0.0)
+        self._unkept.discard(worker.name)
+        return reply
+
+    async def _poll(
+        self,
+        worker: WorkerEntry,
+        body: dict[str, Any],
+        wait_s: float,
+        on_kept_connection: bool = False,
+    ) -> PollReply:
         try:
-            response = await self._post(worker, "hold", body, wait_s + _POLL_SLACK_S)
+            response = await self._post(
+                self._sessions.polls,
+                worker,
+                "hold",
+                body,
+                wait_s + _POLL_SLACK_S,
+                on_kept_connection,
+            )
         except (NotSentError, NoResponseError) as exc:
             raise WorkerUnreachableError(f"{worker.name}: {exc}") from exc
+        if response.closes:
+            self._closing.add(worker.name)
+        else:
+            self._closing.discard(worker.name)
         if response.status == 409:
             raise WorkerFencedError(worker.name)
         try:
@@ -225,20 +277,36 @@
         if not self._may_send():
             return OrderAnswer(OrderOutcome.NOT_SENT)
         try:
-            response = await self._post(worker, name, body, ORDER_TIMEOUT_S)
+            response = await self._post(
+                self._sessions.calls, worker, name, body, ORDER_TIMEOUT_S
+            )
         except NotSentError:
             return OrderAnswer(OrderOutcome.NOT_SENT)
         except NoResponseError:
             return OrderAnswer(OrderOutcome.UNKNOWN)
         return _decode_order_answer(response)
 
+    @staticmethod
     async def _post(
-        self, worker: WorkerEntry, name: str, body: dict[str, Any], timeout_s: float
+        session: aiohttp.ClientSession,
+        worker: WorkerEntry,
+        name: str,
+        body: dict[str, Any],
+        timeout_s: float,
+        on_kept_connection: bool = False,
     ) -> Response:
         url = f"http://{worker.address}/-/{name}"
         headers = {"Expected-Instance": worker.name, "Content-Type": "application/json"}
         raw = msgspec.json.encode(body)
-        return await call(self._session, "POST", url, timeout_s, raw, headers)
+        return await call(
+            session,
+            "POST",
+            url,
+            timeout_s,
+            raw,
+            headers,
+            on_kept_connection=on_kept_connection,
+        )
 
 
 def _decode_order_answer(response: Response) -> OrderAnswer:
--- a/src/firhook/platform/instance.py
+++ b/src/firhook/platform/instance.py
@@ -1,6 +1,6 @@
 """The settings file that the platform writes for each instance."""
 
-from firhook.platform._client import new_session
+from firhook.platform._client import Sessions, open_sessions
 from firhook.platform._instance import (
     Bounds,
     InstanceSettings,
@@ -11,7 +11,8 @@
 __all__ = [
     "Bounds",
     "InstanceSettings",
+    "Sessions",
     "StoreLimits",
     "load_instance_settings",
-    "new_session",
+    "open_sessions",
 ]
--- a/standins/model/_workers.py
+++ b/standins/model/_workers.py
@@ -456,8 +456,12 @@
         if target is None:
             await pause(wait_s + 1.0)
             raise WorkerUnreachableError(worker.name)
-        target.poll(fence, ack.number, lease_until_s)
-        await target.wait_for_end(wait_s)
+        # A kept connection leads to the incarnation that accepted it, or nowhere.
+        if ack.incarnation == target.incarnation:
+            target.poll(fence, ack.number, lease_until_s)
+            await target.wait_for_end(wait_s)
+        else:
+            target.poll(fence, 0, None)
         lost = target.mode == "mute" or target.loses_answer(self._rng)
         if self._find_reachable(worker.name) is not target or lost:
             await pause(1.0)
--- a/tests/cli/test_waiting.py
+++ b/tests/cli/test_waiting.py
@@ -10,7 +10,7 @@
 from firhook.clock import boot_time
 from firhook.instance import Instance
 from firhook.platform.connections import HttpConnections
-from firhook.platform.instance import load_instance_settings, new_session
+from firhook.platform.instance import load_instance_settings, open_sessions
 from firhook.services import _metrics
 from standins.model import HttpModel, ModelRequest, ReservedPorts
 
@@ -67,8 +67,8 @@
         ports = reserved.take(4)
         monkeypatch.setattr(_metrics, "METRICS_PORT", ports[3])
         settings = load_instance_settings(model.settings(tmp_path, "i0", ports[:3]))
-        async with new_session() as session:
-            instance = Instance(settings, HttpConnections(settings, session))
+        async with open_sessions() as sessions:
+            instance = Instance(settings, HttpConnections(settings, sessions))
             await instance.start()
             tool = Tool(instance, capsys, monkeypatch)
             try:
--- a/tests/failures/test_instances.py
+++ b/tests/failures/test_instances.py
@@ -7,7 +7,7 @@
 
 from firhook.instance import Instance
 from firhook.platform.connections import HttpConnections
-from firhook.platform.instance import load_instance_settings, new_session
+from firhook.platform.instance import load_instance_settings, open_sessions
 from standins.model import KEY, HttpModel, Processes, ReservedPorts, until
 
 
@@ -139,8 +139,8 @@
         await model.start()
         ports = reserved.take(3)
         settings = load_instance_settings(model.settings(tmp_path, "i0", ports))
-        async with new_session() as session:
-            instance = Instance(settings, HttpConnections(settings, session))
+        async with open_sessions() as sessions:
+            instance = Instance(settings, HttpConnections(settings, sessions))
             await instance.start()
             try:
                 reader, writer = await connected(ports[0])
--- a/tests/failures/test_ports.py
+++ b/tests/failures/test_ports.py
@@ -8,7 +8,7 @@
 
 from firhook.instance import Instance
 from firhook.platform.connections import HttpConnections
-from firhook.platform.instance import load_instance_settings, new_session
+from firhook.platform.instance import load_instance_settings, open_sessions
 from firhook.services import _metrics
 from standins.model import HttpModel, Process, ReservedPorts, _ports
 
@@ -83,8 +83,8 @@
                         other.listen()
                     super().listen(*backlog)
 
-            async with new_session() as session:
-                instance = Instance(settings, HttpConnections(settings, session))
+            async with open_sessions() as sessions:
+                instance = Instance(settings, HttpConnections(settings, sessions))
                 with monkeypatch.context() as patch:
                     patch.setattr(socket, "socket", LateSocket)
                     await instance.start()
--- /dev/null
+++ b/tests/platform/test_workers.py
@@ -0,0 +1,128 @@
+"""The HTTP client of the workers over real sockets."""
+
+import asyncio
+import contextlib
+
+import msgspec
+import pytest
+from aiohttp import web
+
+from firhook.cell import EndCursor, Resources, WorkerEntry
+from firhook.errors import WorkerUnreachableError
+from firhook.platform._client import NoKeptConnectionError, call, open_sessions
+from firhook.platform.workers import HttpWorkers
+
+ACK = EndCursor(1, 57)
+
+
+class Incarnation:
+    """A process of a worker that records the polls that it gets.
+
+    :param closes: whether it closes the connection after each reply.
+    """
+
+    def __init__(self, born, closes=False):
+        self._born, self._closes = born, closes
+        self.polls = []
+
+    async def _hold(self, req):
+        self.polls.append(msgspec.json.decode(await req.read()))
+        reply = {"timestamp_ms": 1, "born": self._born, "running": [], "finished": []}
+        resp = web.json_response(reply)
+        if self._closes:
+            resp.force_close()
+        return resp
+
+    @contextlib.asynccontextmanager
+    async def run(self, port=0):
+        """Listen until the end; yield the port."""
+        app = web.Application()
+        app.router.add_post("/-/hold", self._hold)
+        runner = web.AppRunner(app, shutdown_timeout=0)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", port, reuse_address=True)
+        await site.start()
+        try:
+            yield runner.addresses[0][1]
+        finally:
+            await runner.cleanup()
+
+
+def entry(port):
+    """Return the registration of a worker that listens on a port."""
+    return WorkerEntry("w", 1, "pool", f"127.0.0.1:{port}", "z0", Resources())
+
+
+def poll(workers, port, ack=ACK):
+    return workers.poll(entry(port), 3, ack, 6.0, 0.5)
+
+
+def test_poll_renews_and_acknowledges_on_the_connection_of_the_last_reply():
+    async def scenario():
+        process = Incarnation(1)
+        async with open_sessions() as sessions, process.run() as port:
+            workers = HttpWorkers(sessions, lambda: True)
+            await poll(workers, port, EndCursor())
+            await poll(workers, port)
+            await poll(workers, port)
+        first, *others = process.polls
+        assert first == {"fencing_token": 3, "ack_cursor": 0}
+        bound = {"ack_cursor": 57, "deadline_ms": 6000, "wait_ms": 500}
+        assert others == [{"fencing_token": 3, **bound}] * 2
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("is_known", [False, True])
+def test_acknowledgement_on_its_way_does_not_reach_a_restarted_worker(is_known):
+    """A worker restarts at its address before a poll arrives.
+
+    Its new incarnation would delete ends that nobody has read, and their tasks would
+    run again.
+
+    :param is_known: whether a poll was answered before the restart.
+    """
+
+    async def scenario():
+        old, new = Incarnation(1), Incarnation(2)
+        async with open_sessions() as sessions:
+            workers = HttpWorkers(sessions, lambda: True)
+            async with old.run() as port:
+                if is_known:
+                    await poll(workers, port, EndCursor())
+            async with new.run(port):
+                with contextlib.suppress(WorkerUnreachableError):
+                    await poll(workers, port)
+                reply = await poll(workers, port)
+        assert reply.incarnation == 2
+        assert new.polls[0] == {"fencing_token": 3, "ack_cursor": 0}
+
+    asyncio.run(scenario())
+
+
+def test_worker_that_announces_the_end_of_each_connection_gets_its_lease():
+    """Without a kept connection its lease would never be renewed."""
+
+    async def scenario():
+        process = Incarnation(1, closes=True)
+        async with open_sessions() as sessions, process.run() as port:
+            workers = HttpWorkers(sessions, lambda: True)
+            await poll(workers, port, EndCursor())
+            await poll(workers, port)
+        assert process.polls[1]["deadline_ms"] == 6000
+
+    asyncio.run(scenario())
+
+
+def test_call_on_a_kept_connection_opens_none():
+    async def scenario():
+        process = Incarnation(1)
+        async with open_sessions() as sessions, process.run() as port:
+            url = f"http://127.0.0.1:{port}/-/hold"
+            with pytest.raises(NoKeptConnectionError):
+                await call(
+                    sessions.polls, "POST", url, 1.0, b"{}", on_kept_connection=True
+                )
+        assert process.polls == []
+
+    asyncio.run(scenario())
--- a/tests/services/test_metrics.py
+++ b/tests/services/test_metrics.py
@@ -7,7 +7,7 @@
 from firhook.clock import boot_time
 from firhook.instance import Instance
 from firhook.platform.connections import HttpConnections
-from firhook.platform.instance import load_instance_settings, new_session
+from firhook.platform.instance import load_instance_settings, open_sessions
 from firhook.services import _metrics
 from standins.model import HttpModel, ReservedPorts
 
@@ -41,8 +41,8 @@
         ports = reserved.take(4)
         monkeypatch.setattr(_metrics, "METRICS_PORT", ports[3])
         settings = load_instance_settings(model.settings(tmp_path, "i0", ports[:3]))
-        async with new_session() as session:
-            instance = Instance(settings, HttpConnections(settings, session))
+        async with open_sessions() as sessions:
+            instance = Instance(settings, HttpConnections(settings, sessions))
             await instance.start()
             try:
                 answer = await until_led()
