Judge a run by a poll sent after its start, also on a restarted worker

What callers would see: a task that runs on two workers at once.

Cause: a reply of a newer incarnation that does not list a run voided it at once. Answers to orders do not name the incarnation on the users' platform. A worker that restarts, replies to a poll, and then carries out and answers a start has the run, and the lead knows it under the incarnation before. If the reply arrives after the answer, which is on another connection, the task starts elsewhere beside it. The same for a run whose end does not fit the 500 that a reply lists.

Change: a start or stop that was answered may have been carried out by the new incarnation. Its run is judged, as on a worker that did not restart, only by a poll that was sent after that answer and that lists all ends. Whatever incarnation carried out the order, it had done so before such a poll arrived. The model's workers no longer name their incarnation in answers to orders.

--- a/src/firhook/cell/_job_table.py
+++ b/src/firhook/cell/_job_table.py
@@ -82,6 +82,11 @@
         """The task's name and the run's number, which identify it to workers."""
         return (self.task.name, self.number)
 
+    @property
+    def was_carried_out(self) -> bool:
+        """Whether a worker has answered that it carried out a start or a stop."""
+        return self.absence_conclusive_after < math.inf
+
     def update_progress(self, row: RunningRow, now: float) -> None:
         """Record the progress and the checkpoint that the worker reports."""
         self.confirmed = True
@@ -750,14 +755,16 @@
     ) -> None:
         if not run.stored or run not in run.task.runs:
             return
+        is_conclusive = run.absence_conclusive_after < sent_at and reply.lists_all_ends
         if reply.incarnation > run.incarnation:
             if run.unanswered_starts:
                 # The unanswered order may still reach the new incarnation.
                 run.incarnation = reply.incarnation
                 self.stop(run, "worker_restarted")
-                return
-            self.void(run, "worker_restarted", now)
-        elif run.absence_conclusive_after < sent_at and reply.lists_all_ends:
+            elif is_conclusive or not run.was_carried_out:
+                # The answer to a start may be that of the new incarnation.
+                self.void(run, "worker_restarted", now)
+        elif is_conclusive:
             self.void(run, "not_there", now)
 
     def expire_lease(self, worker: str, now: float) -> None:
--- a/standins/model/_workers.py
+++ b/standins/model/_workers.py
@@ -394,7 +394,8 @@
         return self._answer(OrderOutcome.APPLIED)
 
     def _answer(self, outcome: OrderOutcome) -> OrderAnswer:
-        return OrderAnswer(outcome, self.incarnation, self.clock())
+        # Only replies to polls name the incarnation.
+        return OrderAnswer(outcome, 0, self.clock())
 
     async def wait_for_end(self, wait_s: float) -> None:
         """Wait until a run ends, unless an ended run is listed already."""
--- a/tests/cell/test_job_table_begun.py
+++ b/tests/cell/test_job_table_begun.py
@@ -50,10 +50,10 @@
     }
 
 
-def poll(table, running=(), ended=(), sent_at=NOW):
+def poll(table, running=(), ended=(), sent_at=NOW, incarnation=INCARNATION):
     rows = tuple(RunningRow(task, run, "", 0) for task, run in running)
     ends = tuple(EndedRow(i + 1, *row, "") for i, row in enumerate(ended))
-    reply = PollReply(INCARNATION, 1.0, rows, ends)
+    reply = PollReply(incarnation, 1.0, rows, ends)
     return table.apply_poll_reply("w", reply, sent_at, NOW, NOW)
 
 
