Grant leases only by the clock of the worker's present incarnation

What callers would see: the tasks of a worker that restarted end early, or are held back for long.

Cause: the lead computes the end of a lease from the clock that the worker told last. A worker's clock begins anew when it restarts. An answer of the old incarnation that arrived after one of the new one replaced the clock, also where the reply was otherwise ignored as too old; and after a restart that an answer without a clock showed, the old clock was used on. A lease by an older clock ends at once where the new one is ahead of it.

--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -33,6 +33,7 @@
 from firhook.decide.estimates import Estimates
 from firhook.decide.stalls import stalled_runs
 from firhook.decide.tickets import TicketTable
+from firhook.decide.worker_lease import WorkerLease
 from firhook.errors import (
     FirhookError,
     LogFencedError,
@@ -452,8 +453,8 @@
                 link.unlisted_at = now
             return
         if link is None:
-            leases_expire_at = self._old_leases_expire_at()
-            link = WorkerLink(self, entry, self._bounds.lease_s, leases_expire_at)
+            lease = WorkerLease(self._bounds.lease_s, self._old_leases_expire_at())
+            link = WorkerLink(self, entry, lease)
             self.links[name] = link
             self._link_tasks[name] = asyncio.create_task(link.run())
         if entry.draining and not link.entry.draining:
--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -9,6 +9,7 @@
 from firhook.clock import boot_time
 from firhook.decide.suspicion import ReplyTracker
 from firhook.decide.worker_health import WorkerHealth
+from firhook.decide.worker_lease import WorkerLease
 from firhook.errors import WorkerFencedError, WorkerUnreachableError
 from firhook.logs import log
 from firhook.platform.workers import Workers
@@ -31,10 +32,6 @@
 _RETRY_S = 0.25
 #: The timeout of a poll after one that failed.
 _PROBE_TIMEOUT_S = 0.5
-#: Allows for a worker's clock that runs 2% slower than this instance's.
-_CLOCK_DRIFT_FACTOR = 1.021
-#: Added to a lease for rounded times and answers in transit.
-_EXPIRY_MARGIN_S = 0.15
 #: A worker without an entry is used for this time.  Entries that expired while the
 #: store was unavailable are written again within two seconds of its return.
 _UNLISTED_GRACE_S = 3.0
@@ -71,8 +68,7 @@
 class WorkerLink:
     """Polls one worker periodically.
 
-    :param leases_expire_at: when all leases that earlier leads may have granted to
-        the worker have expired.
+    :param lease: the leases of the worker, with those of earlier leads.
     :ivar ack: the ends that are stored.
     :ivar processed: the ends that are in the job table.
     :ivar pending_calls: the calls to the worker without an answer.
@@ -89,15 +85,14 @@
         self,
         owner: LinkOwner,
         entry: WorkerEntry,
-        lease_s: float,
-        leases_expire_at: float,
+        lease: WorkerLease,
     ) -> None:
         self.entry = entry
+        self.lease = lease
         self.ack = EndCursor()
         self.processed = EndCursor()
         self.held_end = math.inf
         self.health = WorkerHealth()
-        self.leases_expire_at = leases_expire_at
         self.unlisted_at: float | None = None
         self.drain_ends_at: float | None = None
         self.last_reply_at = float("-inf")
@@ -105,12 +100,8 @@
         self.suspected = False
         self.has_orphaned_runs = False
         self._owner = owner
-        self._lease_s = lease_s
-        self._worker_clock_s = 0.0
-        self._worker_clock_read_at = 0.0
         self._unreachable = False
         self._last_poll_failed = False
-        self._lease_end_s = 0.0
         self.pending_calls = ReplyTracker()
         self._ends_stored = asyncio.Event()
         self._began_in_term = False
@@ -144,25 +135,12 @@
     def lease_until(self) -> float:
         """Return the end of a lease granted now, on the worker's clock.
 
-        The link records the latest time on this instance's clock at which the lease
-        may still be valid.  Until then no task that may run on the worker may start
-        elsewhere.  The lease of a worker with a late answer is therefore not
-        extended.
+        The lease of a worker with a late answer is not extended.  Until it has expired,
+        no task that may run on the worker may start elsewhere.
         """
         now = boot_time()
-        if self._lease_end_s and self.pending_calls.overdue_since(now) is not None:
-            return self._lease_end_s
-        until = (
-            self._worker_clock_s + (now - self._worker_clock_read_at) + self._lease_s
-        )
-        expires_at = (
-            self._worker_clock_read_at
-            + (until - self._worker_clock_s) * _CLOCK_DRIFT_FACTOR
-            + _EXPIRY_MARGIN_S
-        )
-        self.leases_expire_at = max(self.leases_expire_at, expires_at)
-        self._lease_end_s = until
-        return until
+        is_late = self.pending_calls.overdue_since(now) is not None
+        return self.lease.grant(now, extends=not is_late)
 
     @property
     def storable_ends(self) -> EndCursor:
@@ -185,12 +163,13 @@
     ) -> None:
         """Handle a worker's answer to an order.
 
+        :param incarnation: the incarnation that answered; 0 if the answer does not say.
         :param clock_s: the worker's clock, or ``None`` if it was not reported.
         """
         if incarnation > self.incarnation:
             self._begin_incarnation(incarnation)
         if clock_s is not None:
-            self._worker_clock_s, self._worker_clock_read_at = clock_s, now
+            self.lease.read_clock(incarnation, clock_s, now)
         self.last_heard_at = now
         self.pending_calls.note_reply()
         self.suspected = False
@@ -206,7 +185,7 @@
         self._began_in_term = restarted
         if restarted:
             log("worker.restarted", worker=self.name, life=incarnation)
-        self._lease_end_s = 0.0
+        self.lease.begin_incarnation(incarnation)
         self.ack = self.processed = EndCursor(incarnation)
         self.held_end = math.inf
         if restarted:
@@ -245,7 +224,9 @@
         # has expired.  Renewing the lease of an unreachable worker would delay
         # that.  A worker that is alive answers the next poll at once.
         renews = (
-            self.incarnation and not self._last_poll_failed and self._owner.may_renew()
+            self.lease.can_be_granted
+            and not self._last_poll_failed
+            and self._owner.may_renew()
         )
         until = self.lease_until() if renews else None
         wait_s = self._poll_wait_s()
@@ -266,12 +247,12 @@
         self.pending_calls.note_reply()
         self._last_poll_failed = False
         now = self.last_heard_at = boot_time()
-        self._worker_clock_s, self._worker_clock_read_at = reply.clock_s, now
         if reply.incarnation < self.incarnation:
             # Sent before a restart that another answer has already shown.
             return
         if reply.incarnation > self.incarnation:
             self._begin_incarnation(reply.incarnation)
+        self.lease.read_clock(reply.incarnation, reply.clock_s, now)
         self.last_reply_at = now
         self.suspected = False
         if self._unreachable:
@@ -341,7 +322,7 @@
             self._unreachable = True
             log("worker.lost", level="warning", worker=self.name, error=str(exc)[:200])
         self._owner.on_unreachable(self)
-        if now > self.leases_expire_at and self._owner.job_table.worker_runs.get(
+        if now > self.lease.expires_at and self._owner.job_table.worker_runs.get(
             self.name
         ):
             log("worker.lapsed", level="warning", worker=self.name)
--- a/standins/model/_http.py
+++ b/standins/model/_http.py
@@ -359,7 +359,7 @@
 
 def _order_response(answer: OrderAnswer) -> web.Response:
     clock_ms = int((answer.clock_s or 0) * 1000)
-    data = {"timestamp_ms": clock_ms, "born": answer.incarnation}
+    data: dict[str, Any] = {"timestamp_ms": clock_ms}
     if answer.outcome is OrderOutcome.APPLIED:
         return _json(data)
     return _json({**data, "reason": _REASONS_BY_OUTCOME[answer.outcome]}, 409)
--- a/tests/services/test_seeded_defects.py
+++ b/tests/services/test_seeded_defects.py
@@ -70,7 +70,7 @@
 
 def _short_lease(self):
     until = WorkerLink._original_lease_until(self)
-    self.leases_expire_at = 0.0
+    self.lease.expires_at = 0.0
     return until
 
 
--- a/tests/services/test_worker_link.py
+++ b/tests/services/test_worker_link.py
@@ -1,9 +1,16 @@
 """The lead's connection to one worker."""
 
 import asyncio
+from unittest import mock
 
+import pytest
+
+from firhook.cell import PollReply, Resources, WorkerEntry
 from firhook.cell.records import STATE_PREFIX
-from standins.model import pause
+from firhook.clock import boot_time
+from firhook.decide.worker_lease import WorkerLease
+from firhook.services._worker_link import WorkerLink
+from standins.model import pause, run_virtual
 from tests.services.scenarios import run_scenario, step
 
 
@@ -67,3 +74,57 @@
         await cell.all_done(20.0)
 
     run_scenario(scenario, instances=1, workers=1)
+
+
+LEASE_S = 6.0
+
+
+async def link_to(clock_s, incarnation):
+    """Return a link to a worker whose reply to a poll told its clock."""
+    owner = mock.Mock(fence=3)
+    owner.job_table.worker_runs = {}
+    owner.workers.poll = mock.AsyncMock(
+        return_value=PollReply(incarnation, clock_s, (), ())
+    )
+    entry = WorkerEntry("w0", incarnation, "pool", "a:1", "z0", Resources())
+    link = WorkerLink(owner, entry, WorkerLease(LEASE_S, 0.0))
+    await link._poll_once()
+    return link
+
+
+@pytest.mark.parametrize("incarnation", [0, 1])
+def test_answer_of_an_old_incarnation_does_not_set_the_clock(incarnation):
+    """Leases would end at once by the clock of the new incarnation, with all tasks.
+
+    An answer to an order need not name its incarnation (0).
+    """
+
+    async def scenario():
+        link = await link_to(5000.0, 2)
+        link.on_order_answer(incarnation, 20.0, boot_time())
+        assert link.lease_until() == pytest.approx(5000.0 + LEASE_S)
+
+    run_virtual(scenario())
+
+
+def test_late_reply_of_an_old_incarnation_does_not_set_the_clock():
+    async def scenario():
+        link = await link_to(5000.0, 2)
+        link._owner.workers.poll.return_value = PollReply(1, 20.0, (), ())
+        await link._poll_once()
+        assert link.lease_until() == pytest.approx(5000.0 + LEASE_S)
+
+    run_virtual(scenario())
+
+
+def test_lease_is_not_granted_by_the_clock_of_an_old_incarnation():
+    """An answer shows the restart before a reply tells the new clock."""
+
+    async def scenario():
+        link = await link_to(5000.0, 1)
+        link.on_order_answer(2, None, boot_time())
+        assert link.lease_until() == 0.0
+        await link._poll_once()
+        assert link._owner.workers.poll.call_args.args[3] is None
+
+    run_virtual(scenario())
