Hold the task of a start that a restarted worker may carry out late

What callers would see: a task that runs on two workers at once.

Cause: the lead gives a task free once no start of it can be carried out any more, 12.5 s after the last one without an answer. A worker that did not restart refuses one that comes late, as its lease has ended. One that did restart has another clock: it carries out the start and keeps the run as long as it permits, 6 or 10 s more, beside the task's next run. A new lead held the runs of its predecessor for even less, 10 s with a lease of 6 s. A start that was answered late has a lease that counts from the answer for the same reason.

Change: a run whose start was not answered, or that an earlier lead assigned and nobody confirmed, is given free 12.5 s and the longest lease after the last moment at which a start of it may have been sent. No run can outlast that, whichever incarnation carries out the start and when. Starts with a ticket are excepted: a ticket is valid in one incarnation only, so that the restarted worker refuses them. The model's tickets are bound to the incarnation too.

--- a/src/firhook/cell/_job_table.py
+++ b/src/firhook/cell/_job_table.py
@@ -30,6 +30,9 @@
 _MIN_MEASURED_PERCENT = 5.0
 #: A worker may still carry out an unanswered order up to 12 s after it was sent.
 MAX_ORDER_DELAY_S = 12.5
+#: A lead sends orders for this time after it sent the last append that the store
+#: accepted, and so for as long beside its successor.
+PROOF_S = 0.75
 #: Longest time that a job's change to running waits to be stored with other
 #: changes, which saves an append for each start.  The count of waiting jobs that
 #: callers get may be 2 s old.
@@ -47,6 +50,7 @@
         last listed the run.
     :param started_at: when the run was assigned; once the start order was answered,
         when that answer arrived.
+    :ivar restored: whether an earlier lead assigned the run.
     :ivar stored: whether the assignment is on the log; orders are sent only then.
     :ivar confirmed: whether the worker has confirmed a start order or listed the run.
     :ivar unanswered_starts: number of start orders without an answer; the worker may
@@ -64,6 +68,7 @@
     worker: str
     incarnation: int
     started_at: float
+    restored: bool = False
     stored: bool = False
     confirmed: bool = False
     unanswered_starts: int = 0
@@ -82,6 +87,24 @@
         """The task's name and the run's number, which identify it to workers."""
         return (self.task.name, self.number)
 
+    def latest_start_at(self) -> float:
+        """Return until when a worker may carry out a start of the run.
+
+        It is minus infinity if the outcome of all starts is known.
+        """
+        if self.unanswered_starts:
+            return self.sent_at + MAX_ORDER_DELAY_S
+        if self.restored and not self.confirmed:
+            return self.started_at + PROOF_S + MAX_ORDER_DELAY_S
+        return -math.inf
+
+    @property
+    def needs_ticket(self) -> bool:
+        """Whether its start names a ticket, which only one incarnation accepts."""
+        if self.restored:
+            return self.task.step.job.queue.advice is not None
+        return bool(self.ticket)
+
     @property
     def was_carried_out(self) -> bool:
         """Whether a worker has answered that it carried out a start or a stop."""
@@ -490,7 +513,7 @@
             task.update_checkpoint(stored_task.checkpoint)
             for row in stored_task.runs:
                 worker = state.workers[row.worker]
-                run = Run(task, row.number, worker.name, worker.incarnation, now)
+                run = Run(task, row.number, worker.name, worker.incarnation, now, True)
                 # A worker that has seen this lead's fencing token ignores orders
                 # of earlier leads, so the first poll shows whether the run exists.
                 run.stored, run.absence_conclusive_after = True, -math.inf
@@ -767,20 +790,29 @@
         elif is_conclusive:
             self.void(run, "not_there", now)
 
-    def expire_lease(self, worker: str, now: float) -> None:
-        """Void the runs on a worker whose lease has expired.
+    def expire_lease(self, worker: str, now: float, lease_s: float) -> None:
+        """Void the runs on a worker whose leases have expired.
 
-        Runs with a recent unanswered start are kept for :data:`MAX_ORDER_DELAY_S`,
-        because the order may be carried out seconds later.  A worker that did not
+        A start without an answer may be carried out later.  A worker that did not
         restart then refuses it, since the lease in the order has expired.  A worker
-        that did restart has another clock and would run the task beside its next run.
+        that did restart has another clock, by which the lease may last as long as the
+        worker permits, and would run the task beside its next run.  It refuses a start
+        with a ticket, which was issued to the incarnation before.
+
+        :param lease_s: the longest time for which a worker keeps a run without hearing
+            from a lead.
         """
         for run in list(self.worker_runs.get(worker, {}).values()):
-            if run.unanswered_starts and now - run.sent_at < MAX_ORDER_DELAY_S:
-                continue
-            if run.stored:
+            if run.stored and now >= self._certain_end(run, lease_s):
                 self.void(run, "lease_lapsed", now)
 
+    @staticmethod
+    def _certain_end(run: Run, lease_s: float) -> float:
+        """Return when a run that nobody hears of has ended, apart from known leases."""
+        if not run.needs_ticket:
+            return run.latest_start_at() + lease_s
+        return -math.inf if run.restored else run.latest_start_at()
+
     # Changes to store and orders to send.
 
     def take_dirty(self, now: float) -> list[Job]:
--- a/src/firhook/cell/job_table.py
+++ b/src/firhook/cell/job_table.py
@@ -3,6 +3,7 @@
 from firhook.cell._job_table import (
     BEGUN_STORE_DELAY_S,
     MAX_ORDER_DELAY_S,
+    PROOF_S,
     Job,
     JobTable,
     Run,
@@ -14,6 +15,7 @@
 __all__ = [
     "BEGUN_STORE_DELAY_S",
     "MAX_ORDER_DELAY_S",
+    "PROOF_S",
     "Job",
     "JobTable",
     "Run",
--- a/src/firhook/decide/_worker_lease.py
+++ b/src/firhook/decide/_worker_lease.py
@@ -27,6 +27,14 @@
         self._clock_read_at: float | None = None
         self._granted_until_s = 0.0
 
+    @property
+    def longest_s(self) -> float:
+        """The longest time for which a worker runs tasks after any order or renewal.
+
+        It holds whatever end of the lease the order names.
+        """
+        return self._duration_s * _CLOCK_DRIFT_FACTOR + _EXPIRY_MARGIN_S
+
     def begin_incarnation(self, incarnation: int) -> None:
         """Record that the worker has restarted; its clock is not known yet."""
         self._incarnation, self._clock_read_at = incarnation, None
@@ -40,6 +48,14 @@
         if incarnation == self._incarnation:
             self._clock_s, self._clock_read_at = clock_s, now
 
+    def note_start_answered(self, now: float) -> None:
+        """Record that the worker took a lease from a start, at the latest now.
+
+        A worker that has restarted shortens a lease by the clock of its earlier
+        incarnation to the longest one, counted from that moment.
+        """
+        self.expires_at = max(self.expires_at, now + self.longest_s)
+
     @property
     def can_be_granted(self) -> bool:
         """Whether the clock of the present incarnation is known."""
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -18,6 +18,7 @@
     WorkerTicket,
 )
 from firhook.cell import LeadRecord
+from firhook.cell.job_table import PROOF_S
 from firhook.cell.records import (
     CLAIM_KEY,
     LEAD_KEY,
@@ -57,7 +58,7 @@
 )
 from firhook.services._hints import HintStore
 from firhook.services._members import candidates
-from firhook.services._term import PROOF_S, Term
+from firhook.services._term import Term
 from firhook.services._waiting_queries import WaitingQueries
 from firhook.services._worker_queries import WorkerQueries
 from firhook.tasks import log_failure
--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -45,6 +45,12 @@
 _DRAIN_MARGIN_S = 1.5
 #: The outcomes after which a start is sent again.
 _RETRIED_OUTCOMES = (OrderOutcome.UNKNOWN, OrderOutcome.NOT_SENT, OrderOutcome.EXPIRED)
+#: The outcomes after which the worker has taken over the lease that the start names.
+_LEASING_OUTCOMES = (
+    OrderOutcome.APPLIED,
+    OrderOutcome.SUPERSEDED,
+    OrderOutcome.NO_CAPACITY,
+)
 #: Logs a failed start that nobody awaits any more, as another copy was answered.
 _LOG_FAILURE = log_failure("run.start_failed")
 
@@ -281,6 +287,8 @@
             # the run, which makes this copy void.
             run.unanswered_starts = max(run.unanswered_starts - 1, 0)
             self._hedge_timer.record_answer(boot_time() - sent_at)
+        if answer.outcome in _LEASING_OUTCOMES:
+            link.lease.note_start_answered(boot_time())
         if answer.incarnation:
             link.on_order_answer(answer.incarnation, answer.clock_s, boot_time())
         self._meters.count("starts", answer.outcome.value)
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -21,6 +21,7 @@
     RunEnd,
     WorkerEntry,
 )
+from firhook.cell.job_table import PROOF_S
 from firhook.cell.records import (
     JOB_PREFIX,
     LEAD_KEY,
@@ -78,9 +79,6 @@
 _MAX_RELOAD_DELAY_S = 30.0
 #: The most ends that a worker keeps because one of them belongs to a skipped job.
 _MAX_ENDS_BESIDE_HELD = MAX_LISTED_ENDS // 2
-#: The lead sends orders for this time after it sent the last append that the store
-#: accepted.
-PROOF_S = 0.75
 #: Leases are renewed for this time after the last moment at which the lead might
 #: act.  While the store is down the lead cannot prove that it holds the cell, but
 #: the tasks need not end for that.  A successor adds this time to every lease that
@@ -634,7 +632,8 @@
         for name, runs in list(self.job_table.worker_runs.items()):
             if runs and name not in self.links:
                 log("worker.lapsed", level="warning", worker=name, registered=False)
-                self.job_table.expire_lease(name, now)
+                lease_s = self._bounds.lease_s * _OLD_LEASE_FACTOR
+                self.job_table.expire_lease(name, now, lease_s)
 
     def _old_leases_expire_at(self) -> float:
         """Return when all leases granted by earlier leads have expired."""
--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -326,4 +326,4 @@
             self.name
         ):
             log("worker.lapsed", level="warning", worker=self.name)
-            self._owner.job_table.expire_lease(self.name, now)
+            self._owner.job_table.expire_lease(self.name, now, self.lease.longest_s)
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -351,7 +351,11 @@
         self.rng = random.Random(seed)
         self.store = ModelStore(seed)
         self.checks = Checks()
-        self.adviser = ModelAdviser(0.05, 0.001, 2.0, 0.6) if advised else None
+        self.adviser = (
+            ModelAdviser(0.05, 0.001, 2.0, 0.6, self._incarnation_of)
+            if advised
+            else None
+        )
         self.advised = advised
         self.bounds = bounds or Bounds()
         self.plans: dict[str, TaskPlan] = {}
@@ -429,6 +433,9 @@
         self.store.put(OPERATOR_TOPIC, f"evacuate/{zone}", None)
         self.checks.drained_at.pop(zone, None)
 
+    def _incarnation_of(self, worker: str) -> int:
+        return self.workers[worker].incarnation
+
     def plan_of(self, task: str) -> TaskPlan:
         """Return the plan of a task."""
         step = task.rpartition(".")[0]
