Count what tells of a shared epoch and of ends that nobody read

Counters: terms ended by reason, late records of earlier leads, and lists of ends with a gap; the last one and the reason epoch_shared are faults whenever they are not 0.

Result: a test with a gap in the numbers of ends counts one.

--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -596,6 +596,7 @@
         """
         record, known = decode_record(LeadRecord, value), self.replica.lead
         if known is not None and record.epoch < known.epoch:
+            self.meters.count("lead_records_late")
             log(
                 "lead.record_late",
                 epoch=record.epoch,
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -493,6 +493,7 @@
         self._act_until = float("-inf")
         if term is not None:
             log("lead.ended", epoch=term.fence, reason=reason)
+            self.meters.count("terms_ended", reason)
             await term.end()
 
     async def drain(self) -> None:
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -547,6 +547,17 @@
         self.estimates.speeds.restart(link.name)
         self._order_sender.stop_late_starts(link, boot_time())
 
+    def on_ends_missing(self, link: WorkerLink, first_listed: int) -> None:
+        """Report ends that a worker deleted although this lead has not read them."""
+        self._meters.count("worker_ends_missing")
+        log(
+            "worker.ends_missing",
+            level="error",
+            worker=link.name,
+            processed=link.processed.number,
+            first_listed=first_listed,
+        )
+
     def on_unreachable(self, link: WorkerLink) -> None:
         """Let tasks that run only on suspected workers start a copy elsewhere."""
         for run in list(self.job_table.worker_runs.get(link.name, {}).values()):
--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -58,6 +58,9 @@
     def on_incarnation(self, link: "WorkerLink") -> None:
         """Handle that a worker has restarted."""
 
+    def on_ends_missing(self, link: "WorkerLink", first_listed: int) -> None:
+        """Handle that a worker deleted ends before the first listed one unread."""
+
     def on_fenced(self, worker: str) -> None:
         """Handle that a worker has seen a higher fencing token."""
 
@@ -258,7 +261,8 @@
         if self._unreachable:
             self._unreachable = False
             log("worker.regained", worker=self.name)
-        self._log_missing_ends(reply)
+        if self._has_missing_ends(reply):
+            self._owner.on_ends_missing(self, reply.ended[0].number)
         self._owner.on_poll(self, reply, sent_at)
         if reply.ended:
             listed = EndCursor(reply.incarnation, reply.ended[-1].number)
@@ -267,22 +271,15 @@
             await self._wait_ends_stored()
             await asyncio.sleep(_BATCH_DELAY_S)
 
-    def _log_missing_ends(self, reply: PollReply) -> None:
-        """Log ends that the worker deleted although this lead has not read them.
+    def _has_missing_ends(self, reply: PollReply) -> bool:
+        """Return whether the worker deleted ends that this lead has not read.
 
-        The first that are listed in a term follow those that earlier leads read.
+        The first ends that are listed in a term follow those that earlier leads read.
         """
         knows_previous = self.processed.number > 0 or self._began_in_term
         if not reply.ended or not knows_previous:
-            return
-        if reply.ended[0].number > self.processed.number + 1:
-            log(
-                "worker.ends_missing",
-                level="error",
-                worker=self.name,
-                processed=self.processed.number,
-                first_listed=reply.ended[0].number,
-            )
+            return False
+        return reply.ended[0].number > self.processed.number + 1
 
     def _poll_wait_s(self) -> float:
         """Return how long the worker may hold the next poll, in seconds."""
--- a/tests/services/test_worker_link.py
+++ b/tests/services/test_worker_link.py
@@ -14,6 +14,23 @@
 from tests.services.scenarios import run_scenario, step
 
 
+def test_ends_that_a_worker_deleted_unread_are_reported():
+    """Nothing else tells why their tasks ran again."""
+
+    async def scenario(cell):
+        worker, meters = cell.workers["w0"], cell.lead().instance.meters
+        await cell.submit([step(4)], work_s=0.3)
+        await cell.all_done(5.0)
+        assert "worker_ends_missing" not in meters.counters
+        # Two ends that no reply lists.
+        worker._count += 2
+        await cell.submit([step(4)], work_s=0.3)
+        await cell.all_done(5.0)
+        assert meters.counters["worker_ends_missing"][""] == 1
+
+    run_scenario(scenario, instances=1, workers=1)
+
+
 def test_link_that_is_cancelled_while_its_ends_are_stored_stops():
     """A link must not lose a cancellation that coincides with another event.
 
