Soak the loss of the lead with late writes, and of a worker without the store

Cause: the soak had late writes, kills and restarting workers, and met the orders of events of the two cases only by chance. Its workers kept their connections over a restart, which no process does, so that a poll could reach the next incarnation there and nowhere else.

Change: two faults that come as a series: the lead is killed and started again while a third of the writes are late; a worker restarts while the store answers nothing. Recorded seeds choose among the faults that they were recorded with. A connection to a worker of the model ends with the incarnation that accepted it. The number of instances is an option.

A worker's last reply, on which a stopping server announces the end of the connection, no longer counts as that of a server which closes each connection; the test of this failed before.

--- a/src/firhook/platform/_workers.py
+++ b/src/firhook/platform/_workers.py
@@ -175,8 +175,8 @@
     def __init__(self, sessions: Sessions, may_send: Callable[[], bool]) -> None:
         self._sessions = sessions
         self._may_send = may_send
-        # Workers that announce the end of the connection with each reply.  One of them
-        # that restarts between two polls cannot be told apart.
+        # Workers that announced the end even of a connection that was just opened, as a
+        # stopping one does not.  Two incarnations of them cannot be told apart.
         self._closing: set[str] = set()
         # Workers whose last poll found no open connection.
         self._unkept: set[str] = set()
@@ -229,10 +229,10 @@
             )
         except (NotSentError, NoResponseError) as exc:
             raise WorkerUnreachableError(f"{worker.name}: {exc}") from exc
-        if response.closes:
-            self._closing.add(worker.name)
-        else:
+        if not response.closes:
             self._closing.discard(worker.name)
+        elif not on_kept_connection:
+            self._closing.add(worker.name)
         if response.status == 409:
             raise WorkerFencedError(worker.name)
         try:
--- a/standins/model/_http.py
+++ b/standins/model/_http.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
+from weakref import WeakKeyDictionary
 
 import msgspec
 from aiohttp import web
@@ -282,9 +283,21 @@
         )
         self.workers[name] = worker
 
+        # Connections end with the process that accepted them.
+        accepted_by: WeakKeyDictionary[Any, int] = WeakKeyDictionary()
+
+        def is_lost(req: web.Request) -> bool:
+            if not worker.up or req.transport is None:
+                return True
+            first = accepted_by.setdefault(req.transport, worker.incarnation)
+            return first != worker.incarnation
+
         def if_reachable(handler: Handler) -> Handler:
             async def answer(req: web.Request) -> web.StreamResponse:
-                return await handler(req) if worker.up else _abort_connection(req)
+                if is_lost(req):
+                    return _abort_connection(req)
+                resp = await handler(req)
+                return _abort_connection(req) if is_lost(req) else resp
 
             return answer
 
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -22,13 +22,14 @@
     seeds: Annotated[int, Parameter(help="How many seeds.")] = 50,
     seconds: Annotated[float, Parameter(help="How long faults come.")] = 15.0,
     at_once: Annotated[int, Parameter(help="Seeds that are played at a time.")] = 3,
+    instances: Annotated[int, Parameter(help="How many instances a seed has.")] = 4,
     keep: Annotated[Path, Parameter(help="Where logs of broken seeds go.")] = Path(
         "soak-logs"
     ),
 ) -> int:
     """Play seeds; the exit status is 1 if a promise was broken."""
     reports = asyncio.run(
-        _run_seeds(range(first, first + seeds), seconds, at_once, keep)
+        _run_seeds(range(first, first + seeds), seconds, at_once, instances, keep)
     )
     violated = [report.seed for report in reports if report.violations]
     print(f"{len(reports)} seeds, {len(violated)} broken: {violated}")
@@ -36,14 +37,14 @@
 
 
 async def _run_seeds(
-    seeds: Iterable[int], seconds: float, at_once: int, keep: Path
+    seeds: Iterable[int], seconds: float, at_once: int, instances: int, keep: Path
 ) -> list[Report]:
     slots = asyncio.Semaphore(at_once)
 
     async def run_one(seed: int) -> Report:
         async with slots:
             with tempfile.TemporaryDirectory(prefix="firhook-soak-") as folder:
-                report = await run_seed(seed, Path(folder), seconds)
+                report = await run_seed(seed, Path(folder), seconds, instances)
         print(
             f"seed {seed}: {report.accepted} accepted, {len(report.violations)} broken"
         )
--- a/standins/soak/_faults.py
+++ b/standins/soak/_faults.py
@@ -15,17 +15,45 @@
 #: Ranges of the interval between two faults and of their duration.
 _INTERVAL_RANGE_S, _DURATION_RANGE_S = (0.2, 1.6), (0.3, 3.0)
 
+#: The faults that the soak had when the first seeds became regression tests.  With
+#: others in the list, these seeds would choose other faults.
+INITIAL_FAULT_KINDS = (
+    "kill",
+    "stop",
+    "pause",
+    "hup",
+    "cut",
+    "cut_back",
+    "delay",
+    "reset",
+    "silence",
+    "worker_cut",
+    "worker_restart",
+    "store_busy",
+    "store_slow",
+    "store_loses",
+    "deal_anew",
+    "forget",
+)
+
 Fault = Callable[[Member, float], Awaitable[None]]
 
 
 class FaultInjector:
     """Injects random faults, which may overlap.
 
+    :param kinds: names of the faults to inject; all if empty.
     :ivar history: the faults with their times, members and durations.
     :ivar violations: processes that exited with an unexpected status.
     """
 
-    def __init__(self, fleet: Fleet, callers: Callers, rng: random.Random) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        callers: Callers,
+        rng: random.Random,
+        kinds: tuple[str, ...] = (),
+    ) -> None:
         self.fleet, self.callers, self.rng = fleet, callers, rng
         self.history: list[str] = []
         self.violations: list[str] = []
@@ -48,7 +76,10 @@
             "store_loses": self._store_loses_requests,
             "deal_anew": self._rebalance_partitions,
             "forget": self._expire_history,
+            "lead_lost": self._lose_lead_with_late_writes,
+            "worker_lost": self._restart_worker_without_store,
         }
+        self._kinds = kinds or tuple(self._faults)
 
     async def run(self, seconds: float) -> None:
         """Inject faults for a while, and wait until all of them have ended."""
@@ -56,7 +87,7 @@
         async with asyncio.TaskGroup() as group:
             withdraw_at = now() + self.rng.uniform(0.1, 0.6) * seconds
             while now() < until:
-                kind = self.rng.choice(list(self._faults))
+                kind = self.rng.choice(self._kinds)
                 member = self.rng.choice(self.fleet.members)
                 duration_s = self.rng.uniform(*_DURATION_RANGE_S)
                 group.create_task(self._inject(kind, member, duration_s))
@@ -190,6 +221,35 @@
         await asyncio.sleep(duration_s)
         self.fleet.model.store.lost_share = self.fleet.model.store.late_share = 0.0
 
+    # Faults that come together.
+
+    async def _lose_lead_with_late_writes(
+        self, member: Member, duration_s: float
+    ) -> None:
+        """Kill the lead while the store carries out writes late, and start it again."""
+        store, lead = self.fleet.model.store, self.fleet.lead()
+        self._mark_disturbed(self.fleet.members, duration_s)
+        store.late_share = 0.35
+        if lead is not None and lead.name not in self._faulted - {member.name}:
+            await asyncio.sleep(duration_s / 4)
+            await self.fleet.kill(lead)
+            await asyncio.sleep(duration_s / 4)
+            await self.fleet.launch(lead)
+        await asyncio.sleep(duration_s / 2)
+        store.late_share = 0.0
+
+    async def _restart_worker_without_store(
+        self, member: Member, duration_s: float
+    ) -> None:
+        """Restart a worker while the store answers nothing."""
+        store = self.fleet.model.store
+        self._mark_disturbed(self.fleet.members, duration_s)
+        store.mode["*"] = "silent"
+        await asyncio.sleep(duration_s / 4)
+        await self._worker_restart(member, duration_s / 4)
+        await asyncio.sleep(duration_s / 2)
+        store.mode["*"] = "up"
+
     async def _rebalance_partitions(self, member: Member, duration_s: float) -> None:
         """Do nothing, because no instance holds partitions of a consumer group.
 
--- a/standins/soak/_fleet.py
+++ b/standins/soak/_fleet.py
@@ -88,6 +88,11 @@
         member.stopping = False
         await member.process.start()
 
+    def lead(self) -> Member | None:
+        """Return a machine whose process says that it leads."""
+        running = (m for m in self.members if m.process is not None and m.is_running)
+        return next((m for m in running if m.process.leads()), None)
+
     async def kill(self, member: Member) -> None:
         """Kill a machine's process and wait until it has exited."""
         if member.process is not None and member.is_running:
--- a/standins/soak/_seed_run.py
+++ b/standins/soak/_seed_run.py
@@ -39,12 +39,18 @@
 
 
 async def run_seed(
-    seed: int, folder: Path, seconds: float, instances: int = 4, workers: int = 6
+    seed: int,
+    folder: Path,
+    seconds: float,
+    instances: int = 4,
+    workers: int = 6,
+    kinds: tuple[str, ...] = (),
 ) -> Report:
     """Run the soak with a seed and return its report.
 
     :param folder: directory for settings files.
     :param seconds: how long faults are injected.
+    :param kinds: names of the faults to inject; all if empty.
     """
     rng = random.Random(seed)
     model = HttpModel(workers, seed=seed)
@@ -55,7 +61,7 @@
         await fleet.start()
         callers = Callers(fleet, random.Random(rng.random()))
         await _until_ready(fleet)
-        injector = FaultInjector(fleet, callers, random.Random(rng.random()))
+        injector = FaultInjector(fleet, callers, random.Random(rng.random()), kinds)
         load = asyncio.create_task(callers.run(_CALLER_COUNT))
         await injector.run(seconds)
         callers.stopping = True
--- a/tests/failures/test_soak.py
+++ b/tests/failures/test_soak.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from standins.soak import run_seed
+from standins.soak import INITIAL_FAULT_KINDS, run_seed
 
 #: Seeds that once failed, with the seconds of faults and the cause.
 REGRESSION_SEEDS = {
@@ -17,8 +17,15 @@
 }
 
 
-@pytest.mark.parametrize(("seed", "seconds"), [*REGRESSION_SEEDS.items(), (101, 8.0)])
-def test_guarantees_hold_under_overlapping_faults(tmp_path, seed, seconds):
+@pytest.mark.parametrize(
+    ("seed", "seconds", "kinds"),
+    [
+        *((seed, s, INITIAL_FAULT_KINDS) for seed, s in REGRESSION_SEEDS.items()),
+        (101, 8.0, INITIAL_FAULT_KINDS),
+        (102, 10.0, ("lead_lost", "worker_lost", "stop", "store_slow")),
+    ],
+)
+def test_guarantees_hold_under_overlapping_faults(tmp_path, seed, seconds, kinds):
     """Instances, workers and the store fail, with overlapping faults.
 
     Instances are killed, stopped, paused and cut off from the store, workers
@@ -26,6 +33,6 @@
     served late.  No accepted job is lost, no task runs twice, and a withdrawn key
     is refused.
     """
-    report = asyncio.run(run_seed(seed, tmp_path, seconds))
+    report = asyncio.run(run_seed(seed, tmp_path, seconds, kinds=kinds))
     assert report.violations == (), report.history
     assert report.accepted > 20
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -18,18 +18,18 @@
 class Incarnation:
     """A process of a worker that records the polls that it gets.
 
-    :param closes: whether it closes the connection after each reply.
+    :ivar closes: whether it closes the connection after each reply.
     """
 
     def __init__(self, born, closes=False):
-        self._born, self._closes = born, closes
+        self._born, self.closes = born, closes
         self.polls = []
 
     async def _hold(self, req):
         self.polls.append(msgspec.json.decode(await req.read()))
         reply = {"timestamp_ms": 1, "born": self._born, "running": [], "finished": []}
         resp = web.json_response(reply)
-        if self._closes:
+        if self.closes:
             resp.force_close()
         return resp
 
@@ -114,6 +114,25 @@
     asyncio.run(scenario())
 
 
+def test_last_reply_of_a_stopping_worker_does_not_bind_the_next_poll():
+    """A server that stops announces the end of its connections too."""
+
+    async def scenario():
+        old, new = Incarnation(1), Incarnation(2)
+        async with open_sessions() as sessions:
+            workers = HttpWorkers(sessions, lambda: True)
+            async with old.run() as port:
+                await poll(workers, port, EndCursor())
+                old.closes = True
+                await poll(workers, port)
+            async with new.run(port):
+                await poll(workers, port)
+        assert old.polls[1]["deadline_ms"] == 6000
+        assert new.polls[0] == {"fencing_token": 3, "ack_cursor": 0}
+
+    asyncio.run(scenario())
+
+
 def test_call_on_a_kept_connection_opens_none():
     async def scenario():
         process = Incarnation(1)
