--- a/bench/_lab/_cell.py
+++ b/bench/_lab/_cell.py
@@ -7,6 +7,7 @@
 import hashlib
 import itertools
 import random
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -94,10 +95,14 @@
     """An adviser whose answer times and permitted workers depend on the job class.
 
     :param classes: the class of each job, by job id.
+    :param incarnation_of: returns the incarnation of a worker.
     """
 
-    def __init__(self, classes: dict[str, JobClass]) -> None:
-        super().__init__(0.0, 0.0, next(iter(classes.values())).advice_valid_s, 1.0)
+    def __init__(
+        self, classes: dict[str, JobClass], incarnation_of: Callable[[str], int]
+    ) -> None:
+        valid_s = next(iter(classes.values())).advice_valid_s
+        super().__init__(0.0, 0.0, valid_s, 1.0, incarnation_of)
         self._classes = classes
 
     def _job_class(self, step: str) -> JobClass:
@@ -133,7 +138,8 @@
         )
         self.workload = workload
         self.advised = True
-        self.adviser = LabAdviser({job.id: job.kind for job in workload.jobs})
+        classes = {job.id: job.kind for job in workload.jobs}
+        self.adviser = LabAdviser(classes, self.incarnation_of)
         self.checks = LabChecks()
         self.outcomes = {job.id: Outcome(job) for job in workload.jobs}
         self._lead_type = lead
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -352,7 +352,7 @@
         self.store = ModelStore(seed)
         self.checks = Checks()
         self.adviser = (
-            ModelAdviser(0.05, 0.001, 2.0, 0.6, self._incarnation_of)
+            ModelAdviser(0.05, 0.001, 2.0, 0.6, self.incarnation_of)
             if advised
             else None
         )
@@ -433,7 +433,8 @@
         self.store.put(OPERATOR_TOPIC, f"evacuate/{zone}", None)
         self.checks.drained_at.pop(zone, None)
 
-    def _incarnation_of(self, worker: str) -> int:
+    def incarnation_of(self, worker: str) -> int:
+        """Return the number of a worker's present process."""
         return self.workers[worker].incarnation
 
     def plan_of(self, task: str) -> TaskPlan:
