--- a/review/platform2.py
+++ b/review/platform2.py
@@ -78,7 +78,6 @@
 #: The loopback addresses of this run, so that two runs do not meet.
 NETWORK = f"127.{random.randrange(16, 240)}.{random.randrange(256)}"
 HOST = "jobs.example"
-KEY = "key-of-tenant-a"
 
 
 class CannotRunError(Exception):
@@ -767,6 +766,8 @@
 
     :param kinds: the kind of each runner.
     :param has_advice: whether the queue's policy has to be asked for.
+    :param upper_limit_m: limit of each tenant, in thousandths of a core; 0 for none.
+    :param weights: the weight of each tenant.
     :ivar starts: time, task, run and runner of each start.
     :ivar ends: time, task, run, runner and how it ended.
     """
@@ -780,10 +781,12 @@
         has_advice: bool = False,
         upper_limit_m: int = 0,
         max_attempts: int = 4,
+        weights: tuple[int, ...] = (16,),
     ) -> None:
         self.folder, self.record = folder, record
         self.has_advice = has_advice
         self._upper_limit_m, self._max_attempts = upper_limit_m, max_attempts
+        self._weights = weights
         self.store = Store(record)
         self.adviser = Adviser(self)
         self.sites: list[Site] = []
@@ -886,12 +889,13 @@
             },
             "tenants": [
                 {
-                    "name": "tenant-a",
-                    "api_keys": [KEY],
+                    "name": f"tenant-{number}",
+                    "api_keys": [f"key-of-tenant-{number}"],
                     "priority": 1,
-                    "weight": 16,
+                    "weight": weight,
                     "upper_limit": limit,
                 }
+                for number, weight in enumerate(self._weights)
             ],
         }
         self.store.put("keyed.op", "config", json.dumps(body).encode())
@@ -981,13 +985,18 @@
         self._restarting = asyncio.create_task(start_again())
 
     async def call(
-        self, instance: Instance, method: str, path: str, body: Any = None
+        self,
+        instance: Instance,
+        method: str,
+        path: str,
+        body: Any = None,
+        tenant: int = 0,
     ) -> tuple[int, Any]:
         """Send one request; return status and body, 0 without a complete answer."""
         url = f"http://{instance.host}:{instance.callers}{path}"
         headers = {
             "Host": HOST,
-            "Authorization": f"Bearer {KEY}",
+            "Authorization": f"Bearer key-of-tenant-{tenant}",
             "Deadline-Ms": "3000",
         }
         try:
@@ -1000,7 +1009,12 @@
             return 0, None
 
     async def submit(
-        self, job: str, steps: list[dict], plans: list[Plan], **more: Any
+        self,
+        job: str,
+        steps: list[dict],
+        plans: list[Plan],
+        tenant: int = 0,
+        **more: Any,
     ) -> None:
         """Hand a job in until it is accepted."""
         for number, plan in enumerate(plans):
@@ -1008,7 +1022,9 @@
         body = {"specification": f"text of {job}", "steps": steps, **more}
         for attempt in range(12):
             instance = self.instances[attempt % len(self.instances)]
-            status, _ = await self.call(instance, "POST", f"/queue1/{job}", body)
+            status, _ = await self.call(
+                instance, "POST", f"/queue1/{job}", body, tenant
+            )
             self.record.line(f"client: POST {job} at {instance.name} -> {status}")
             if 200 <= status < 300:
                 return
