--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,65 +1,83 @@
-"""A lead is killed while an occurrence of a timed job runs and an earlier one waits.
+"""A lead is killed after an occurrence of a timed job is done, beside a cut runner.
 
-The job's three occurrences may run on one runner each, as its queue's policy decides.
-The runner of the first is taken by another job for a while; the second starts in time.
-Then the instance that leads is killed.  Once the first occurrence's runner is free, its
-task has to start, and the job has to complete.
+Each of two occurrences has a step of one task and then a gang of two on two runners.
+While the gang of the first works, one of its runners is cut off from all instances and
+works on.  The other reports the gang as done, and the lead takes note of it.  Then the
+lead is killed.  The first step, whose end was taken note of long before, must not start
+again.
 """
 
 import asyncio
 import time
 from pathlib import Path
 
-from platform2 import Fleet, Plan, Record, run_case
+from platform2 import CannotRunError, Fleet, Plan, Record, run_case
 
-FILLER, TIMED = "00000000000000f1", "00000000000000a1"
-FILLER_S, WORK_S, INTERVAL_S = 16.0, 3.0, 5.0
-#: The rule allows 3 s; this is how long the case waits with a free runner.
-WAIT_S = 40.0
+JOB = "00000000000000d1"
+FIRST_S, GANG_S = 1.0, 4.0
+#: Both within what the site file has: a runner of six, for 5.5 s.
+RUNNERS, CUT_S = 6, 5.5
+
+
+def started_after_done(fleet: Fleet, record: Record) -> bool:
+    """Return whether a task was started after an end `done` that was taken note of."""
+    broken = False
+    for at, task, run, runner in fleet.starts:
+        for ended_at, ended, ended_run, ended_on, how in fleet.ends:
+            acked = any(row[1:] == (ended, ended_run, "done") for row in fleet.acked)
+            if ended == task and how == "done" and acked and at > ended_at:
+                broken = True
+                record.line(
+                    f"{task} run {run} was started on {runner.name} at {at:.3f}, after"
+                    f" run {ended_run} had ended done on {ended_on.name} at"
+                    f" {ended_at:.3f}"
+                )
+    return broken
 
 
 async def case(record: Record, folder: str, trouble: bool) -> bool:
-    """Return whether the first occurrence was lost."""
-    async with Fleet(folder, record, ["a"] * 6, has_advice=True) as fleet:
-        first, second, third = list(fleet.runners)[:3]
-        policy = fleet.adviser.policy
-        policy[f"{FILLER}.0.0"] = policy[f"{TIMED}.0.0"] = [first]
-        policy[f"{TIMED}.1.0"], policy[f"{TIMED}.2.0"] = [second], [third]
-        second_started = asyncio.Event()
-        fleet.on_start = lambda _, run: (
-            second_started.set() if run.step == f"{TIMED}.1.0" else None
-        )
-        filler = {"count": 1, "millicpus": 16000, "task_memory_mb": 1000}
-        await fleet.submit(
-            FILLER, [{**filler, "estimated_ms": 16000}], [Plan(FILLER_S, 16000)]
+    """Return whether a task was started after it was done."""
+    async with Fleet(folder, record, ["a"] * RUNNERS) as fleet:
+        members = []
+        fleet.on_start = lambda runner, run: (
+            members.append(runner) if run.step == f"{JOB}.0.1" else None
         )
-        await asyncio.sleep(1.0)
-        step = {"count": 1, "millicpus": 1000, "task_memory_mb": 100}
+        first = {"count": 1, "millicpus": 1000, "task_memory_mb": 100}
+        gang = {"count": 2, "millicpus": 10000, "task_memory_mb": 100, "after": [0]}
         await fleet.submit(
-            TIMED,
-            [{**step, "estimated_ms": 3000}],
-            [Plan(WORK_S, 1000)],
+            JOB,
+            [
+                {**first, "estimated_ms": 1000},
+                {**gang, "estimated_ms": 4000, "all_or_nothing": True},
+            ],
+            [Plan(FIRST_S, 1000), Plan(GANG_S, 10000, gang=2)],
             start_time_ms=int((time.time() + 1.0) * 1000),
-            interval_ms=int(INTERVAL_S * 1000),
-            repetitions=3,
+            interval_ms=25000,
+            repetitions=2,
         )
-        async with asyncio.timeout(15):
-            await second_started.wait()
-        await asyncio.sleep(0.7)
+        async with asyncio.timeout(10):
+            while len(members) < 2:
+                await asyncio.sleep(0.05)
+        if members[0] is members[1]:
+            raise CannotRunError("both members of the gang run on one runner")
+        cut = members[1]
+        await asyncio.sleep(1.0)
+        if trouble:
+            cut.set_cut(True)
+            record.line(f"{cut.name} is cut off and runs on")
+            asyncio.get_running_loop().call_later(CUT_S, cut.set_cut, False)
+        async with asyncio.timeout(10):
+            while not any(row[1].startswith(f"{JOB}.0.1") for row in fleet.acked):
+                await asyncio.sleep(0.05)
+        await asyncio.sleep(0.5)
         if trouble:
             await fleet.kill_lead()
-        while not any(e[1].startswith(FILLER) for e in fleet.ends):
-            await asyncio.sleep(0.1)
-        record.line(f"{first} is free")
-        for _ in range(int(WAIT_S)):
+        for _ in range(45):
             await asyncio.sleep(1.0)
-            if await fleet.state(TIMED) == "completed":
-                return False
-        started = sorted({task for _, task, _, _ in fleet.starts if TIMED in task})
-        record.line(
-            f"after {WAIT_S:.0f} s, tasks of {TIMED} that ever started: {started}"
-        )
-        return f"{TIMED}.0.0.0" not in started
+            if await fleet.state(JOB) == "completed":
+                break
+        await asyncio.sleep(2.0)
+        return started_after_done(fleet, record)
 
 
 run_case(Path(__file__).resolve().parent, case)
