Store how far the occurrences of a periodic job were released

Cause: a state left out a step that was never started as well as a step of an occurrence that is done, and a new lead read both as never started. It also took the highest occurrence with a row for "all before were released".

A state of an unfinished periodic job now says which occurrence is released next, and which of the released ones are not done, as ranges. So a step without a row means one thing only: never started if its occurrence is open, done otherwise. This holds in every order of ends and changes of the lead, as state, restore and state are the same at every event (state machine of random occurrences, ends and leads).

States of earlier builds are read: what they list from their first occurrence on is open unless all its steps are done, which also releases what such a lead had lost. An earlier build that leads during a rolling restart takes the new form for malformed and leaves the job and its runs alone; the old form would have it start steps that are done. States of other jobs are as before.

--- a/src/firhook/cell/_job_table.py
+++ b/src/firhook/cell/_job_table.py
@@ -17,6 +17,7 @@
     AcceptedJob,
     JobState,
     JobStatus,
+    Releases,
     RunState,
     StepState,
     TaskState,
@@ -228,6 +229,12 @@
         """Whether any of its tasks was ever assigned."""
         return any(task.last_run for task in self.tasks)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether neither its job nor its occurrence has ended."""
+        job = self.job
+        return not job.status.ended and self.occurrence in job.open_occurrences
+
     def runs(self) -> Iterator[Run]:
         """Yield the runs that may still be executing."""
         for task in self.tasks:
@@ -258,8 +265,8 @@
     :ivar ended_at: seconds since 1970; 0 if the job has not ended.
     :ivar steps: steps by occurrence and number.
     :ivar next_occurrence: first occurrence that has not been released.
-    :ivar first_occurrence: first occurrence that is not done.
-    :ivar due_at: release time of each occurrence, on the boot clock.
+    :ivar open_occurrences: the released occurrences that are not done.
+    :ivar due_at: when each occurrence with steps was due, on the boot clock.
     :ivar critical_path_s: estimated duration of the job's longest chain of steps.
     :ivar durations_at: when the durations of its steps were last updated.
     """
@@ -271,7 +278,7 @@
     ended_at: float = 0.0
     steps: dict[tuple[int, int], Step] = attrs.field(factory=dict)
     next_occurrence: int = 0
-    first_occurrence: int = 0
+    open_occurrences: set[int] = attrs.field(factory=set)
     due_at: dict[int, float] = attrs.field(factory=dict)
     critical_path_s: float = 0.0
     reported: bool = False
@@ -325,30 +332,32 @@
     def to_state(self, version: int = 0) -> JobState:
         """Return the record of the job.
 
-        For a job that ended, it contains only the steps that still have runs: the
-        next lead has to continue stopping them.
+        A step without a row was never started if its occurrence is open, and is done
+        if it is not.  A job or an occurrence that ended has rows only of the steps that
+        still have runs: the next lead has to continue stopping them.
         """
         workers: dict[tuple[str, int], int] = {}
+        open_occurrences = set() if self.status.ended else self.open_occurrences
         steps = tuple(
             step.to_state(workers)
             for step in self.steps.values()
             if any(step.runs())
-            or (
-                step.started
-                and not self.status.ended
-                and step.occurrence >= self.first_occurrence
-            )
+            or (step.started and step.occurrence in open_occurrences)
         )
         incarnations = tuple(
             WorkerIncarnation(name, incarnation) for name, incarnation in workers
         )
+        releases = None
+        if self.accepted.spec.periodic and not self.status.ended:
+            releases = Releases.of(self.next_occurrence, open_occurrences)
         return JobState(
             int(self.status),
             self.ended_at,
             incarnations,
             steps,
-            self.first_occurrence,
+            0 if releases is None else None,
             version,
+            releases,
         )
 
 
@@ -435,15 +444,15 @@
         job.critical_path_s = max(job.critical_paths_s(), default=0.0)
         self.jobs[job.id] = job
         if state is not None:
-            self._restore(job, state, now)
+            self._restore(job, state, now, unix_now)
         if job.status.ended:
             self._delete_if_finished(job)
             return job
         if accepted.spec.periodic:
             self._periodic_jobs[job.id] = job
             self._add_due(job, now, unix_now)
-        else:
-            self._add_occurrence(job, 0, now)
+        elif not job.next_occurrence:
+            self._release(job, now, unix_now)
         for step in job.steps.values():
             self._update_step(step, now)
         return job
@@ -466,41 +475,58 @@
     def _add_due(self, job: Job, now: float, unix_now: float) -> None:
         spec = job.accepted.spec
         while job.next_occurrence < spec.occurrences:
-            due = spec.due(job.next_occurrence)
-            if due > unix_now:
+            if spec.due(job.next_occurrence) > unix_now:
                 return
-            job.due_at[job.next_occurrence] = now - min(unix_now - due, 60.0)
-            self._add_occurrence(job, job.next_occurrence, now)
-            job.next_occurrence += 1
+            self._release(job, now, unix_now)
         self._periodic_jobs.pop(job.id, None)
 
-    def _add_occurrence(self, job: Job, occurrence: int, now: float) -> None:
-        paths_s = job.critical_paths_s()
-        for number, spec in enumerate(job.accepted.spec.steps):
-            if (occurrence, number) in job.steps:
-                continue
-            step = Step(
-                job, occurrence, number, spec, paths_s[number], remaining=spec.count
-            )
-            step.tasks = [Task(step, index) for index in range(spec.count)]
-            job.steps[occurrence, number] = step
+    def _release(self, job: Job, now: float, unix_now: float) -> None:
+        """Release the next occurrence of a job."""
+        occurrence = job.next_occurrence
+        job.next_occurrence += 1
+        job.open_occurrences.add(occurrence)
+        self._add_steps(job, occurrence, now, unix_now)
         for number in range(len(job.accepted.spec.steps)):
             self._update_step(job.steps[occurrence, number], now)
 
-    def _restore(self, job: Job, state: JobState, now: float) -> None:
+    def _add_steps(
+        self, job: Job, occurrence: int, now: float, unix_now: float
+    ) -> None:
+        """Add the steps of an occurrence, which are done if it is not open."""
+        spec, paths_s = job.accepted.spec, job.critical_paths_s()
+        is_done = not job.status.ended and occurrence not in job.open_occurrences
+        if spec.periodic:
+            age_s = min(max(unix_now - spec.due(occurrence), 0.0), 60.0)
+            job.due_at[occurrence] = now - age_s
+        for number, step_spec in enumerate(spec.steps):
+            step = Step(job, occurrence, number, step_spec, paths_s[number])
+            step.tasks = [Task(step, i, done=is_done) for i in range(step_spec.count)]
+            step.remaining = 0 if is_done else step_spec.count
+            job.steps[occurrence, number] = step
+
+    def _restore(self, job: Job, state: JobState, now: float, unix_now: float) -> None:
         job.status = JobStatus(state.status)
         job.ended_at = state.ended_at
-        job.first_occurrence = job.next_occurrence = state.first_occurrence
         stored_steps = {(s.occurrence, s.number): s for s in state.steps}
-        for occurrence in sorted({o for o, _ in stored_steps}):
-            if occurrence >= job.next_occurrence:
-                job.next_occurrence = occurrence + 1
-            job.due_at.setdefault(occurrence, job.accepted_at)
-            self._add_occurrence(job, occurrence, now)
+        listed = {occurrence for occurrence, _ in stored_steps}
+        if state.releases is not None:
+            job.next_occurrence = state.releases.next_occurrence
+            job.open_occurrences = state.releases.open_occurrences()
+        elif not job.status.ended:
+            # Written by an earlier build, or of a job that is not periodic.  Such a
+            # state lists each step that was started from the first occurrence on.
+            first = state.first_occurrence or 0
+            job.next_occurrence = max(listed, default=first - 1) + 1
+            job.open_occurrences = set(range(first, job.next_occurrence))
+        for occurrence in sorted(job.open_occurrences | listed):
+            self._add_steps(job, occurrence, now, unix_now)
         for key, stored in stored_steps.items():
             step = job.steps.get(key)
             if step is not None:
                 self._restore_step(step, stored, state, now)
+        for occurrence in sorted(job.open_occurrences | listed):
+            self._close_if_done(job, occurrence)
+            self._delete_occurrence_if_finished(job, occurrence)
 
     def _restore_step(
         self, step: Step, stored: StepState, state: JobState, now: float
@@ -508,7 +534,8 @@
         for task, stored_task in zip(step.tasks, stored.tasks, strict=False):
             if stored_task is None:
                 continue
-            task.done, task.last_run = stored_task.done, stored_task.last_run
+            task.done = task.done or stored_task.done
+            task.last_run = stored_task.last_run
             task.failures = stored_task.failures
             task.update_checkpoint(stored_task.checkpoint)
             for row in stored_task.runs:
@@ -536,7 +563,8 @@
 
     def _update_step(self, step: Step, now: float) -> None:
         """Update the step's idle tasks and whether it is ready."""
-        if step.job.status.ended:
+        if not step.is_open:
+            step.idle = {}
             self.open_steps.pop(step.name, None)
             return
         if step.ready_at is None and self._predecessors_done(step):
@@ -558,7 +586,7 @@
     def allow_duplicate(self, task: Task) -> None:
         """Let a task start on another worker beside its runs, if it may run twice."""
         step = task.step
-        if step.spec.duplicates and not task.done and not step.job.status.ended:
+        if step.spec.duplicates and not task.done and step.is_open:
             step.idle[task.index] = task
             if step.ready_at is not None:
                 self.open_steps[step.name] = step
@@ -649,6 +677,7 @@
         self._update_step(step, now)
         if step.remaining == 0:
             self._update_successors(step, now)
+        self._delete_occurrence_if_finished(step.job, step.occurrence)
         self._delete_if_finished(step.job)
 
     def _update_successors(self, step: Step, now: float) -> None:
@@ -668,23 +697,41 @@
             for other in task.runs:
                 if other.number != run.number or not step.spec.gang:
                     self.stop(other, "copy_done")
-        if step.remaining == 0 and not step.job.status.ended:
+        if step.remaining == 0 and step.is_open:
+            self._close_if_done(step.job, step.occurrence)
             self._complete_if_done(step.job, unix_now)
 
     def _complete_if_done(self, job: Job, unix_now: float) -> None:
-        while self._occurrence_done(job, job.first_occurrence):
-            job.first_occurrence += 1
-        if job.first_occurrence >= max(job.accepted.spec.occurrences, 1):
+        total = max(job.accepted.spec.occurrences, 1)
+        if job.next_occurrence >= total and not job.open_occurrences:
             self._end_job(job, JobStatus.COMPLETED, unix_now)
 
-    def _occurrence_done(self, job: Job, occurrence: int) -> bool:
-        if occurrence >= max(job.accepted.spec.occurrences, 1):
-            return False
+    @staticmethod
+    def _occurrence_steps(job: Job, occurrence: int) -> list[Step]:
         numbers = range(len(job.accepted.spec.steps))
-        return all(
-            (occurrence, n) in job.steps and job.steps[occurrence, n].remaining == 0
-            for n in numbers
+        return [job.steps[occurrence, number] for number in numbers]
+
+    def _close_if_done(self, job: Job, occurrence: int) -> None:
+        """Note that an occurrence is done if all its steps are."""
+        if not any(s.remaining for s in self._occurrence_steps(job, occurrence)):
+            job.open_occurrences.discard(occurrence)
+
+    def _delete_occurrence_if_finished(self, job: Job, occurrence: int) -> None:
+        """Delete the steps of an occurrence that is done and has no runs.
+
+        A job may have thousands of occurrences.
+        """
+        is_over = occurrence < job.next_occurrence and not (
+            job.status.ended or occurrence in job.open_occurrences
         )
+        if not is_over or (occurrence, 0) not in job.steps:
+            return
+        steps = self._occurrence_steps(job, occurrence)
+        if any(any(step.runs()) for step in steps):
+            return
+        job.due_at.pop(occurrence, None)
+        for step in steps:
+            del job.steps[occurrence, step.number]
 
     def _record_failure(self, task: Task, unix_now: float) -> None:
         step = task.step
--- a/src/firhook/cell/_records.py
+++ b/src/firhook/cell/_records.py
@@ -11,7 +11,7 @@
 
 import enum
 import types
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import cache
 from typing import Any, TypeVar, Union, get_args, get_origin, get_type_hints
 
@@ -160,23 +160,70 @@
     incarnation: int
 
 
+@attrs.frozen(slots=True)
+class OccurrenceRange:
+    """Consecutive occurrences of a job."""
+
+    first: int
+    count: int
+
+
+@attrs.frozen(slots=True)
+class Releases:
+    """How far the occurrences of a periodic job were released, and which are not done.
+
+    :param next_occurrence: the first occurrence that has not been released.
+    :param open_ranges: the released occurrences that are not done.
+    """
+
+    next_occurrence: int
+    open_ranges: tuple[OccurrenceRange, ...] = ()
+
+    @classmethod
+    def of(cls, next_occurrence: int, open_occurrences: Iterable[int]) -> "Releases":
+        """Return the releases with these open occurrences."""
+        ranges: list[OccurrenceRange] = []
+        for number in sorted(open_occurrences):
+            last = ranges[-1] if ranges else None
+            if last is not None and number == last.first + last.count:
+                ranges[-1] = OccurrenceRange(last.first, last.count + 1)
+            else:
+                ranges.append(OccurrenceRange(number, 1))
+        return cls(next_occurrence, tuple(ranges))
+
+    def open_occurrences(self) -> set[int]:
+        """Return the released occurrences that are not done."""
+        return {
+            number
+            for row in self.open_ranges
+            for number in range(row.first, row.first + row.count)
+        }
+
+
 @attrs.frozen(slots=True)
 class JobState:
     """The progress of a job, as the lead stores it.
 
+    An unfinished periodic job has ``releases`` and no ``first_occurrence``.  Earlier
+    builds take such a state for malformed, and leave the job and its runs alone until
+    another instance leads.  They would take steps without a row for new ones.
+
     :param ended_at: seconds since 1970 when the job ended; 0 if it has not.
     :param workers: the worker incarnations that its runs refer to.
-    :param first_occurrence: all occurrences before this one are done.
+    :param first_occurrence: in states of earlier builds, all occurrences before this
+        one are done.
     :param version: combines the lead's epoch and a count.  Of two states of a job, the
         one with the higher version is the newer, whichever partitions they are on.
+    :param releases: the occurrences of an unfinished periodic job; else ``None``.
     """
 
     status: int
     ended_at: float = 0.0
     workers: tuple[WorkerIncarnation, ...] = ()
     steps: tuple[StepState, ...] = ()
-    first_occurrence: int = 0
+    first_occurrence: int | None = 0
     version: int = 0
+    releases: Releases | None = None
 
 
 @attrs.frozen(slots=True)
