Probe a quarantined worker beside the services that it has

Only tasks that may be the probe count now. The test fails before: the worker is still quarantined 700 s after its fault is gone.

--- a/src/firhook/decide/_rounds.py
+++ b/src/firhook/decide/_rounds.py
@@ -167,10 +167,22 @@
         if view.endpoint is None or view.endpoint.leaving or view.report is None:
             return False
         if view.name in self._zone.marks:
-            live = self._zone.live.get(view.name)
-            return not live and self._failures.may_probe(view.name, now)
+            if self._has_batch_tasks(view.name):
+                return False
+            return self._failures.may_probe(view.name, now)
         return not self._has_orphaned_runs(view.name, view.report)
 
+    def _has_batch_tasks(self, worker: str) -> bool:
+        """Return whether a worker has a task that is a probe or may be one.
+
+        A service may run there from before the quarantine.  It never ends, and would
+        keep the worker from being probed.
+        """
+        entries = (
+            self._cell.jobs.get(ref[0]) for ref in self._zone.live.get(worker, ())
+        )
+        return any(e is None or e.job.priority != "service" for e in entries)
+
     def _has_orphaned_runs(self, worker: str, report: Report) -> bool:
         live = self._zone.live.get(worker, {})
         return any(
--- a/tests/decide/test_rounds.py
+++ b/tests/decide/test_rounds.py
@@ -159,6 +159,24 @@
     assert sim.zone.marks == {}
 
 
+def test_a_quarantined_worker_with_a_service_is_probed():
+    """A service that the worker had before never ends, and kept it quarantined."""
+    sim = ZoneSimulation(fleet(3), TEAMS)
+    sim.submit("portal", "b", tasks=3, cpus=1.0, priority="service")
+    sim.run(3)
+    faulty = {"w000"}
+    sim.fails = lambda worker, ref: worker in faulty and ref[0] != "b/portal"
+    for i in range(12):
+        sim.submit(f"j{i}", "a", tasks=6, cpus=1.0, run_s=20.0)
+    sim.run(80)
+    assert list(sim.zone.marks) == ["w000"]
+    assert "w000" in sim.running("b/portal").values()
+    faulty.clear()
+    sim.submit("more", "a", tasks=400, cpus=1.0, run_s=20.0)
+    sim.run(700)
+    assert sim.zone.marks == {}
+
+
 def test_a_poison_job_is_backed_off_and_no_worker_quarantined():
     """Three jobs fail wherever they start."""
     sim = ZoneSimulation(fleet(3), TEAMS)
