Use a worker only by the entry of the incarnation that answers

Cause: a poll shows the new incarnation before its entry is read, and the worker counted as usable by the labels, the rack and the capacity of its former entry. The log has worker.restarted, and then starts on that worker at once.

A worker is usable only while the incarnation that answers is that of its entry. A start that was assigned before a restart, and waited for the store or for a free slot, is not sent after it, whichever of poll, answer or entry shows the restart first; its run is void, or stopped if an earlier copy may be carried out. So what a start is judged by and what it is sent to are one incarnation as far as the lead knows. A round also takes a new incarnation for a worker with new room: with as much room as before, a step that waits for its new label was looked at again only a second later.

worker.restarted names the incarnation of the entry, worker.registered how long the worker waited for its entry, run.started the incarnation, and firhook workers shows unregistered.

--- a/src/firhook/decide/_round_memory.py
+++ b/src/firhook/decide/_round_memory.py
@@ -39,7 +39,7 @@
         self.reserved: set[str] = set()
         self.request_counts: Counter[bool] = Counter()
         self.times: dict[str, tuple[Queue, tuple[float, float], float, float]] = {}
-        self._free: dict[str, Resources] = {}
+        self._free: dict[tuple[str, int], Resources] = {}
         self._sets: dict[str, AdviceSets] = {}
         self._reserve_at: dict[str, float] = {}
 
@@ -48,12 +48,13 @@
     ) -> tuple[int, int]:
         """Return the workers with more free capacity than after the last round.
 
-        The second value is the largest number of free millicores among them.
+        A new incarnation counts as one: it may have other labels.  The second value is
+        the largest number of free millicores among them.
         """
         self.bits.update(workers)
         grown, most_cpu_m = 0, -1
         for worker in workers:
-            before = self._free.get(worker.name)
+            before = self._free.get((worker.name, worker.incarnation))
             if worker.usable and (before is None or not before.covers(worker.free)):
                 grown |= self.bits.find(worker.name)
                 most_cpu_m = max(most_cpu_m, worker.free.cpu_m)
@@ -77,7 +78,7 @@
     ) -> None:
         """Keep the free capacity, the reservations and the requests of a round."""
         self.request_counts = request_counts
-        self._free = {w.name: w.free for w in workers if w.usable}
+        self._free = {(w.name, w.incarnation): w.free for w in workers if w.usable}
         self.reserved = reserved
 
     def advice_sets(self, step: Step, advice: StepAdvice) -> AdviceSets:
--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -183,6 +183,9 @@
             if self._is_drained(run):
                 self._abandon_start(run, "zone_drained")
                 return
+            if self._has_other_incarnation(run):
+                self._abandon_start(run, "worker_restarted")
+                return
             if not self._is_unheard(run):
                 answer = await self._send_start(run)
                 if self._handle_start_answer(run, answer, began):
@@ -210,6 +213,14 @@
         if run.unanswered_starts and not run.confirmed and answers_polls:
             self._record_refusal(run.worker)
 
+    def _has_other_incarnation(self, run: Run) -> bool:
+        """Return whether a run's worker restarted since the run was assigned.
+
+        The worker may be of another kind now, without the label or the capacity that
+        the run needs.
+        """
+        return self._term.links[run.worker].has_restarted_since(run.incarnation)
+
     def _is_drained(self, run: Run) -> bool:
         """Return whether a start must not be sent because its zone is drained.
 
@@ -254,6 +265,7 @@
             is_current
             and self._term.may_act()
             and not self._is_drained(run)
+            and not self._has_other_incarnation(run)
             and self._hedge_timer.take()
         )
 
@@ -374,6 +386,7 @@
             task=run.task.name,
             run=run.number,
             worker=run.worker,
+            life=run.incarnation,
             took_ms=round((now - began) * 1000, 1),
         )
 
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -458,7 +458,7 @@
             self._link_tasks[name] = asyncio.create_task(link.run())
         if entry.draining and not link.entry.draining:
             self._on_draining(link, entry)
-        link.entry, link.unlisted_at = entry, None
+        link.set_entry(entry)
 
     def _on_draining(self, link: WorkerLink, entry: WorkerEntry) -> None:
         """Stop the runs that would not end before the worker leaves."""
--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -108,6 +108,7 @@
         self.pending_calls = ReplyTracker()
         self._ends_stored = asyncio.Event()
         self._began_in_term = False
+        self._incarnation_at = float("-inf")
 
     @property
     def name(self) -> str:
@@ -119,10 +120,20 @@
         """The newest incarnation that answered; 0 if none did."""
         return self.processed.incarnation
 
+    @property
+    def is_registered(self) -> bool:
+        """Whether the entry is that of the incarnation that answers.
+
+        A worker may restart as one of another kind, with other labels and another
+        capacity.  Its answers show the restart before its entry is read.
+        """
+        return self.incarnation == self.entry.incarnation
+
     def usable(self, now: float) -> bool:
         """Return whether the worker may get new work, overdue calls not considered."""
         if (
             not self.incarnation
+            or not self.is_registered
             or self.entry.draining
             or self.suspected
             or self.has_orphaned_runs
@@ -130,10 +141,24 @@
             return False
         if self.unlisted_at is not None and now - self.unlisted_at > _UNLISTED_GRACE_S:
             return False
-        return (
-            now - self.last_reply_at < _SILENCE_LIMIT_S
-            and self.incarnation >= self.entry.incarnation
-        )
+        return now - self.last_reply_at < _SILENCE_LIMIT_S
+
+    def has_restarted_since(self, incarnation: int) -> bool:
+        """Return whether an answer or the entry shows a later incarnation."""
+        return max(self.incarnation, self.entry.incarnation) > incarnation
+
+    def set_entry(self, entry: WorkerEntry) -> None:
+        """Take over the worker's newest entry."""
+        was_registered = self.is_registered
+        self.entry, self.unlisted_at = entry, None
+        if self.is_registered and not was_registered:
+            waited_s = boot_time() - self._incarnation_at
+            log(
+                "worker.registered",
+                worker=self.name,
+                life=entry.incarnation,
+                waited_ms=round(waited_s * 1000),
+            )
 
     def lease_until(self) -> float:
         """Return the end of a lease granted now, on the worker's clock.
@@ -186,8 +211,14 @@
         """
         restarted = bool(self.incarnation)
         self._began_in_term = restarted
+        self._incarnation_at = boot_time()
         if restarted:
-            log("worker.restarted", worker=self.name, life=incarnation)
+            log(
+                "worker.restarted",
+                worker=self.name,
+                life=incarnation,
+                registered=self.entry.incarnation,
+            )
         self.lease.begin_incarnation(incarnation)
         self.ack = self.processed = EndCursor(incarnation)
         self.held_end = math.inf
--- a/src/firhook/services/_worker_queries.py
+++ b/src/firhook/services/_worker_queries.py
@@ -101,6 +101,8 @@
     """Return why a worker gets no new work, or that it may get some."""
     if link.suspected or not link.incarnation:
         return "unreachable"
+    if not link.is_registered:
+        return "unregistered"
     if link.entry.draining:
         return "draining"
     if link.entry.zone in term.drained_zones:
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -411,6 +411,7 @@
             self.rng,
             self.bounds.lease_s,
         )
+        worker.on_restart = lambda: self.register(name)
         self.workers[name] = worker
         self.register(name)
         return worker
--- a/standins/model/_workers.py
+++ b/standins/model/_workers.py
@@ -137,6 +137,9 @@
     :ivar expired_tickets: number of starts refused for an expired ticket.
     :ivar incarnation: number of the worker's current process, which grows with each
         restart.
+    :ivar kind: its first label; a restarted worker may be of another kind.
+    :ivar on_restart: writes the entry of a new incarnation; ``None`` if it does not
+        register by itself.
     :ivar polls: number of polls.
     :ivar started_runs: number of runs that it started.
     """
@@ -169,6 +172,8 @@
         self.stalled = False
         self.draining_s: float | None = None
         self.incarnation = 1_000_000 + rng.randrange(1000)
+        self.kind = "a"
+        self.on_restart: Callable[[], None] | None = None
         self.up = True
         self.polls = 0
         self.started_runs = 0
@@ -219,6 +224,8 @@
         if clock_s is not None:
             self._clock_base = now() - clock_s
         self.up = True
+        if self.on_restart is not None:
+            self.on_restart()
 
     def entry(self) -> dict:
         """Return the worker's registration."""
@@ -235,7 +242,7 @@
                 "task_memory_mb": self.capacity.memory_mb,
                 "gpus": self.capacity.accelerators,
             },
-            "labels": ["a", self.rack],
+            "labels": [self.kind, self.rack],
             "sequence": 1,
             "born": self.incarnation,
         }
--- a/tests/decide/test_schedule.py
+++ b/tests/decide/test_schedule.py
@@ -41,6 +41,7 @@
         self.capacity = Resources(cpu_m, 100000)
         self.names = [f"w{i}" for i in range(workers)]
         self.labels = {name: frozenset({"kind"}) for name in self.names}
+        self.incarnations = dict.fromkeys(self.names, 1)
         self.tickets = TicketTable()
         self.memory = RoundMemory()
         self.now = 100.0
@@ -59,7 +60,7 @@
         return {
             name: WorkerView(
                 name,
-                1,
+                self.incarnations[name],
                 "pool",
                 f"r{i // 2}",
                 self.labels[name],
@@ -361,3 +362,15 @@
     world.now += 0.4
     runs = world.round()
     assert sorted(run.key[0][-1] for run in runs) == ["0", "1"]
+
+
+def test_step_that_found_no_worker_starts_when_one_restarts_with_its_label():
+    """Its free capacity is the same, so the step would wait for the next look."""
+    world = World(workers=2)
+    world.submit(PLAN, StepSpec(1, Resources(1000, 100), label="b"))
+    assert world.round() == []
+    assert world.round() == []
+    world.labels["w1"] = frozenset({"b"})
+    world.incarnations["w1"] = 2
+    (run,) = world.round()
+    assert (run.worker, run.incarnation) == ("w1", 2)
--- a/tests/services/test_starts.py
+++ b/tests/services/test_starts.py
@@ -242,6 +242,8 @@
     that the start names does not end, so that it lasts as long as the worker permits.
     """
     worker = cell.workers["w0"]
+    # The start is assigned before the lead knows of the restart.
+    worker.on_restart = None
     worker.restart(clock_s=0.0)
     worker.late_s = 12.0
     await cell.submit([step(1)], work_s=60.0)
