Count a run of a gang as failed once, whichever members fail

Reproduced: three members of a gang's first run end failed together, and the job with three attempts is failed; a job with two attempts, at the second end. With a lead that is killed between the ends, the successor counts the later ones again.

Cause: each end failed of a member added one to every member. The number of the newest run of a gang that counts as failed is now kept with the step, in memory and in the stored state; an end of that run or of an earlier one counts no more. As a gang runs again only when no member of its last run is left, ends of a run never follow those of a later one, so that each run counts once in every order of ends and changes of the lead (property test). It still counts at least as often as any one of its tasks has failed, so no task starts beyond its attempts.

Looked at beside it, with tests: a member that is done while another one fails, in both orders, is one end for all; each copy of a task counts. A worker's health counts a job's failures once already, and the older path has no limit of attempts. Earlier builds ignore the new field, and states of theirs count from 0: a run of which they counted an end may count once more.

--- a/src/firhook/cell/_job_table.py
+++ b/src/firhook/cell/_job_table.py
@@ -197,6 +197,7 @@
     :ivar idle: tasks that wait for a worker, by index.
     :ivar remaining: number of tasks that are not done.
     :ivar checkpoint: newest checkpoint of a gang, valid for each member.
+    :ivar failed_run: number of the newest run of a gang that counts as failed.
     :ivar expected_s: learned duration of a task at speed 1; 0 if it is not known.
     :ivar high_s: a high quantile of that duration; 0 if it is not known.
     """
@@ -211,6 +212,7 @@
     idle: dict[int, Task] = attrs.field(factory=dict)
     remaining: int = 0
     checkpoint: str = ""
+    failed_run: int = 0
     expected_s: float = 0.0
     high_s: float = 0.0
     # Composing the name took a tenth of a round with 2,000 waiting steps.
@@ -251,7 +253,7 @@
     def to_state(self, workers: dict[tuple[str, int], int]) -> StepState:
         """Return the record of the step; see :meth:`Task.to_state`."""
         rows = tuple(task.to_state(workers) for task in self.tasks)
-        return StepState(self.occurrence, self.number, rows)
+        return StepState(self.occurrence, self.number, rows, self.failed_run)
 
 
 @attrs.define(slots=True, eq=False)
@@ -548,6 +550,7 @@
                 if step.job.status.ended or task.done:
                     self.stop(run, "job_ended")
         step.remaining = sum(not task.done for task in step.tasks)
+        step.failed_run = stored.failed_run
         if step.spec.gang and step.remaining and not all(t.runs for t in step.tasks):
             # The earlier lead may have been stopping the other members.
             for run in step.runs():
@@ -667,7 +670,7 @@
         if end is RunEnd.DONE:
             self._complete_task(run, unix)
         elif end is RunEnd.FAILED:
-            self._record_failure(task, unix)
+            self._record_failure(run, unix)
         if step.spec.gang and not task.done:
             self.stop_gang(step, run.number)
         self._on_run_removed(step, now)
@@ -733,10 +736,21 @@
         for step in steps:
             del job.steps[occurrence, step.number]
 
-    def _record_failure(self, task: Task, unix_now: float) -> None:
-        step = task.step
-        # A failure of one member counts for the whole gang.
-        for member in step.tasks if step.spec.gang else [task]:
+    def _record_failure(self, run: Run, unix_now: float) -> None:
+        """Count a failed run of a task, or of a gang.
+
+        Several members of one run of a gang may fail.  Their ends may be read at
+        different times, and by different leads; they count once.
+        """
+        task, step = run.task, run.task.step
+        tasks = [task]
+        if step.spec.gang:
+            # A gang runs again only when all members of its last run are gone, so
+            # that no end of an earlier run follows one of a later run.
+            if run.number <= step.failed_run:
+                return
+            step.failed_run, tasks = run.number, step.tasks
+        for member in tasks:
             member.failures += 1
         if task.failures >= step.job.queue.max_attempts and not task.done:
             self._end_job(step.job, JobStatus.FAILED, unix_now)
--- a/src/firhook/cell/_records.py
+++ b/src/firhook/cell/_records.py
@@ -145,11 +145,13 @@
     """The state of a step in one occurrence of its job.
 
     :param tasks: its tasks by index; ``None`` for those that were never assigned.
+    :param failed_run: number of the newest run of a gang that counts as failed.
     """
 
     occurrence: int
     number: int
     tasks: tuple[TaskState | None, ...]
+    failed_run: int = 0
 
 
 @attrs.frozen(slots=True)
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -332,6 +332,7 @@
     :ivar sent_bytes: bytes of messages by sender, receiver and kind.
     :ivar longest_wait_s: longest wait of a message at the link, by instance.
     :ivar accepted: path prefix of each accepted job.
+    :ivar gangs: coordinates the gangs on the workers.
     """
 
     def __init__(
@@ -369,7 +370,7 @@
         self.longest_wait_s: Counter[str] = Counter()
         self._link_free_at: dict[str, float] = {}
         self.accepted: dict[str, str] = {}
-        self._gangs = Gangs()
+        self.gangs = Gangs()
         self.workers: dict[str, ModelWorker] = {}
         self.instances: dict[str, ModelInstance] = {}
         self._count = instances
@@ -407,7 +408,7 @@
             zone,
             self.plan_of,
             self.checks,
-            self._gangs,
+            self.gangs,
             self.rng,
             self.bounds.lease_s,
         )
--- a/standins/model/_workers.py
+++ b/standins/model/_workers.py
@@ -73,9 +73,14 @@
 
 
 class Gangs:
-    """Coordinates the members of gangs across all workers."""
+    """Coordinates the members of gangs across all workers.
+
+    :ivar fail_together: whether all members end failed if one does, where otherwise
+        the others end broken.
+    """
 
     def __init__(self) -> None:
+        self.fail_together = False
         self.members: dict[tuple[str, int], dict[str, tuple[ModelWorker, _Run]]] = {}
 
     def add(self, worker: "ModelWorker", run: _Run) -> None:
@@ -107,10 +112,9 @@
         key = (run.task.rpartition(".")[0], run.number)
         members = self.members.pop(key, {})
         members.pop(run.task, None)
+        is_shared = end is RunEnd.DONE or (end is RunEnd.FAILED and self.fail_together)
         for worker, other in members.values():
-            worker.finish(
-                other, RunEnd.DONE if end is RunEnd.DONE else RunEnd.GANG_BROKEN
-            )
+            worker.finish(other, end if is_shared else RunEnd.GANG_BROKEN)
 
 
 class ModelWorker:
