Leave out what another writer left among the runners' entries

With 6 of these (ports 70000 and, an unclosed bracket in two forms, an IPv6 address without brackets, a label of 80 letters) each call raised ValueError or UnicodeError past the typed errors, as the URL was made before its try. Only the last resort of the polls caught it, with an error line at each; an order to such an address would have ended with its run unsettled. - An odd entry that followed a good one of the same name before the next read replaced it. - Any other error while an entry was applied ended the reading of the list for the rest of the term. - A record whose key is cut short deleted the key that is left of it. - A reply with a number over the range of a float raised OverflowError past the typed error, and the text of a deeply nested value needs as deep a stack. - On the older path one odd entry made the whole instance list unreadable, and an address that zmq refuses ended the service that follows it.

An address is checked when it is decoded: an IP address with a port from 1 to 65535; so is a name, which is sent in a header. Each decoder gives a value or its typed error for any bytes, in a shallow and in a deep stack, and every address that decodes can be called (property tests). A call that cannot be made raises the typed errors. An unreadable entry names no worker, and the newest readable one of its name holds. The reading of the list goes on after any error.

--- a/src/firhook/_mesh.py
+++ b/src/firhook/_mesh.py
@@ -205,7 +205,12 @@
         dealer.reconnect_ivl = 100
         dealer.reconnect_ivl_max = 400
         dealer.connect_timeout = _CONNECT_TIMEOUT_MS
-        dealer.connect(f"tcp://{address}")
+        try:
+            dealer.connect(f"tcp://{address}")
+        except zmq.ZMQError as exc:
+            dealer.close()
+            log("peer.address_unusable", level="warning", error=exc.strerror)
+            return
         self._dealers[address] = LoopSocket(dealer, self._on_reply)
         self._dealers[address].start()
 
--- a/src/firhook/cell/_records.py
+++ b/src/firhook/cell/_records.py
@@ -320,7 +320,7 @@
             _INT_DECODER.decode(row[5]),
             raw,
         )
-    except (msgspec.MsgspecError, IndexError, ValueError) as exc:
+    except (msgspec.MsgspecError, IndexError, ValueError, RecursionError) as exc:
         raise RecordMalformedError(f"JobState: {exc}") from exc
 
 
@@ -377,7 +377,13 @@
     """
     try:
         return _row_decoder(cls)(msgspec.msgpack.decode(raw))
-    except (msgspec.MsgspecError, TypeError, ValueError, IndexError) as exc:
+    except (
+        msgspec.MsgspecError,
+        TypeError,
+        ValueError,
+        IndexError,
+        RecursionError,
+    ) as exc:
         raise RecordMalformedError(f"{cls.__name__}: {exc}") from exc
 
 
@@ -442,5 +448,5 @@
 
 def _check_type(cls: type, value: Any) -> Any:
     if not isinstance(value, cls):
-        raise TypeError(f"{value!r} is not {cls.__name__}")
+        raise TypeError(f"a {type(value).__name__} is not {cls.__name__}")
     return value
--- a/src/firhook/platform/_client.py
+++ b/src/firhook/platform/_client.py
@@ -144,7 +144,10 @@
         sock_read=timeout_s if total_timeout_s else None,
         sock_connect=timeout_s if total_timeout_s else None,
     )
-    target = URL(url, encoded=True)
+    try:
+        target = URL(url, encoded=True)
+    except ValueError as exc:
+        raise NotSentError(repr(exc)) from exc
     try:
         async with session.request(
             method,
@@ -162,6 +165,7 @@
         aiohttp.ClientError,
         TimeoutError,
         OSError,
+        ValueError,
         asyncio.IncompleteReadError,
     ) as exc:
         raise NoResponseError(repr(exc)) from exc
--- a/src/firhook/platform/_http.py
+++ b/src/firhook/platform/_http.py
@@ -7,6 +7,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from firhook.address import Address
 from firhook.errors import (
     EndpointFailedError,
     EndpointTimeoutError,
@@ -18,6 +19,7 @@
     WorkerFencedError,
     WorkerUnreachableError,
 )
+from firhook.logs import log
 from firhook.platform._base import (
     Endpoint,
     EndpointClient,
@@ -129,6 +131,34 @@
             raise LogUnavailableError(repr(exc), retry_after_s=_LOG_RETRY_S) from exc
 
 
+_ENDPOINT_ROWS = msgspec.json.Decoder(list[msgspec.Raw])
+_ENDPOINT = msgspec.json.Decoder(Endpoint, strict=False)
+
+
+def decode_endpoints(raw: bytes) -> tuple[Endpoint, ...]:
+    """Decode the instance list; leave out entries that cannot be used.
+
+    One odd entry must not hide all others from the whole fleet.
+
+    :raises PlatformUnavailableError: if the bytes are not a list.
+    """
+    listed = []
+    try:
+        rows = _ENDPOINT_ROWS.decode(raw)
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        raise PlatformUnavailableError(f"the instance list: {exc}") from exc
+    for row in rows:
+        try:
+            endpoint = _ENDPOINT.decode(row)
+            Address.parse(endpoint.address)
+        except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+            error = str(exc)[:200]
+            log("instances.entry_unreadable", level="warning", error=error)
+        else:
+            listed.append(endpoint)
+    return tuple(listed)
+
+
 class HttpInstanceList(InstanceList):
     """HTTP client of the platform's instance list.
 
@@ -160,10 +190,8 @@
                     raise PlatformUnavailableError(
                         f"the platform returned {resp.status}"
                     )
-                listed = msgspec.json.decode(
-                    await resp.read(), type=tuple[Endpoint, ...], strict=False
-                )
-        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as exc:
+                listed = decode_endpoints(await resp.read())
+        except (aiohttp.ClientError, TimeoutError) as exc:
             raise PlatformUnavailableError(repr(exc)) from exc
         # Update both together, and only after the full list was decoded.
         self._listed, self._tag = listed, resp.headers.get("ETag", "")
--- a/src/firhook/platform/_store.py
+++ b/src/firhook/platform/_store.py
@@ -122,7 +122,7 @@
 
 
 def _decode_keyed_record(offset: int, content: bytes) -> StoredRecord | None:
-    if not content:
+    if not content or len(content) <= content[0]:
         return None
     end = 1 + content[0]
     try:
--- a/src/firhook/platform/_workers.py
+++ b/src/firhook/platform/_workers.py
@@ -35,6 +35,10 @@
 from firhook.platform._config import decode_resources
 from firhook.platform._fields import (
     FieldError,
+    check_int,
+    check_number,
+    check_row,
+    check_str,
     get_int,
     get_list,
     get_number,
@@ -75,32 +79,50 @@
         # The labels are the worker's kind, followed by its rack.
         labels = get_str_list(data, "labels")
         return WorkerEntry(
-            name=name,
+            name=_check_name(name),
             # The time at which this incarnation of the worker started.
-            incarnation=get_int(data, "born", 0),
+            incarnation=get_int(data, "born"),
             pool=get_str(data, "service"),
-            address=_host_port(get_str(data, "address")),
+            address=_check_address(get_str(data, "address")),
             zone=get_str(data, "zone"),
             capacity=decode_resources(get_object(data, "capacity")),
             labels=frozenset(labels),
             rack=labels[1] if len(labels) > 1 else "",
-            draining=_DRAINING_BY_STATE[get_str(data, "state")],
+            draining=_decode_draining(get_str(data, "state")),
             leaves_in_s=get_number(data, "drain_remaining_ms", 0) / 1000,
             version=get_str(data, "version", ""),
         )
-    except (FieldError, KeyError) as exc:
+    except FieldError as exc:
         log("worker.entry_unreadable", level="warning", worker=name, error=str(exc))
         return None
 
 
-def _host_port(value: str) -> str:
-    host, _, port = value.rpartition(":")
-    if not host or not port.isdigit():
-        raise FieldError(f"address: {value!r} is not an IP address and port")
-    return value
+def _check_name(name: str) -> str:
+    """Return a name that can be sent in a header."""
+    if not name or not name.isprintable():
+        raise FieldError(f"name: {name[:40]!r} is empty or not printable")
+    return name
 
 
-def _decode_poll_reply(data: dict[str, Any]) -> PollReply:
+def _check_address(value: str) -> str:
+    try:
+        return str(Address.parse(value))
+    except ValueError as exc:
+        raise FieldError(f"address: {value[:40]!r}: {exc}") from exc
+
+
+def _decode_draining(state: str) -> bool:
+    if state not in _DRAINING_BY_STATE:
+        raise FieldError(f"state: {state[:40]!r} is unknown")
+    return _DRAINING_BY_STATE[state]
+
+
+def decode_poll_reply(raw: bytes) -> PollReply:
+    """Decode a worker's reply to a poll.
+
+    :raises FieldError: if it is malformed.
+    """
+    data = parse_json(raw)
     return PollReply(
         incarnation=get_int(data, "born", 0),
         clock_s=get_number(data, "timestamp_ms") / 1000,
@@ -109,17 +131,45 @@
     )
 
 
-def _decode_running_row(row: list[Any]) -> RunningRow:
-    load = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
-    return RunningRow(str(row[0]), int(row[1]), str(row[2]), float(row[3]), load)
+def _decode_running_row(value: Any) -> RunningRow:
+    row = check_row(value, "running", 4)
+    load = row[4] if len(row) > 4 else None
+    return RunningRow(
+        task=check_str(row[0], "running.task"),
+        run=check_int(row[1], "running.run"),
+        checkpoint=check_str(row[2], "running.saved"),
+        percent=check_number(row[3], "running.percent"),
+        load=0.0 if load is None else check_number(load, "running.load"),
+    )
 
 
-def _decode_ended_row(row: list[Any]) -> EndedRow:
+def _decode_ended_row(value: Any) -> EndedRow:
+    row = check_row(value, "finished", 5)
+    how = check_str(row[3], "finished.how")
+    if how not in _ENDS_BY_VALUE:
+        raise FieldError(f"finished.how: {how[:40]!r} is unknown")
     return EndedRow(
-        int(row[0]), str(row[1]), int(row[2]), _ENDS_BY_VALUE[row[3]], str(row[4])
+        number=check_int(row[0], "finished.number"),
+        task=check_str(row[1], "finished.task"),
+        run=check_int(row[2], "finished.run"),
+        end=_ENDS_BY_VALUE[how],
+        checkpoint=check_str(row[4], "finished.saved"),
     )
 
 
+def decode_advice(raw: bytes) -> Advice:
+    """Decode the adviser's answer.
+
+    :raises FieldError: if it is malformed.
+    """
+    data = parse_json(raw)
+    rows = [check_row(row, "good", 2) for row in get_list(data, "good")]
+    tickets = {
+        check_str(row[0], "good.id"): check_str(row[1], "good.ticket") for row in rows
+    }
+    return Advice(tickets, get_number(data, "validity_ms", 0) / 1000)
+
+
 class Workers(ABC):
     """Client of the workers.
 
@@ -238,8 +288,8 @@
         try:
             if response.status != 200:
                 raise FieldError(f"returned {response.status}")
-            return _decode_poll_reply(parse_json(response.body))
-        except (FieldError, IndexError, KeyError, TypeError, ValueError) as exc:
+            return decode_poll_reply(response.body)
+        except FieldError as exc:
             raise WorkerUnreachableError(f"{worker.name}: {exc}") from exc
 
     async def start(self, worker: WorkerEntry, order: StartOrder) -> OrderAnswer:
@@ -284,7 +334,7 @@
             return OrderAnswer(OrderOutcome.NOT_SENT)
         except NoResponseError:
             return OrderAnswer(OrderOutcome.UNKNOWN)
-        return _decode_order_answer(response)
+        return decode_order_answer(response)
 
     @staticmethod
     async def _post(
@@ -309,7 +359,8 @@
         )
 
 
-def _decode_order_answer(response: Response) -> OrderAnswer:
+def decode_order_answer(response: Response) -> OrderAnswer:
+    """Decode a worker's answer to an order; the outcome of others is unknown."""
     try:
         data = parse_json(response.body) if response.body else {}
         incarnation = get_int(data, "born", 0)
@@ -321,7 +372,10 @@
     if response.status == 200:
         outcome = OrderOutcome.APPLIED
     elif response.status == 409:
-        outcome = _OUTCOMES_BY_REASON.get(str(data.get("reason")), OrderOutcome.UNKNOWN)
+        reason = data.get("reason")
+        outcome = OrderOutcome.UNKNOWN
+        if isinstance(reason, str):
+            outcome = _OUTCOMES_BY_REASON.get(reason, outcome)
     elif response.status == 421:
         outcome = OrderOutcome.WRONG_INCARNATION
     elif response.status in (429, 503):
@@ -364,15 +418,7 @@
             response = await call(self._session, "POST", url, timeout_s, body, headers)
             if response.status != 200:
                 raise FieldError(f"returned {response.status}")
-            data = parse_json(response.body)
-            tickets = {str(row[0]): str(row[1]) for row in get_list(data, "good")}
-            return Advice(tickets, get_number(data, "validity_ms", 0) / 1000)
-        except (
-            FieldError,
-            IndexError,
-            TypeError,
-            NotSentError,
-            NoResponseError,
-        ) as exc:
+            return decode_advice(response.body)
+        except (FieldError, NotSentError, NoResponseError) as exc:
             log("advice.failed", level="warning", step=step, error=str(exc))
             return None
--- a/src/firhook/platform/bodies.py
+++ b/src/firhook/platform/bodies.py
@@ -8,15 +8,23 @@
     encode_pending,
     encode_status,
 )
-from firhook.platform._workers import decode_worker
+from firhook.platform._workers import (
+    decode_advice,
+    decode_order_answer,
+    decode_poll_reply,
+    decode_worker,
+)
 
 __all__ = [
     "CONFIG_KEY",
     "JOB_ID",
     "FieldError",
+    "decode_advice",
     "decode_config",
     "decode_drained_zone",
     "decode_job",
+    "decode_order_answer",
+    "decode_poll_reply",
     "decode_worker",
     "encode_pending",
     "encode_status",
--- a/src/firhook/services/_worker_list.py
+++ b/src/firhook/services/_worker_list.py
@@ -39,23 +39,40 @@
             except FirhookError as exc:
                 log("worker_list.retry", level="debug", error=repr(exc))
                 await asyncio.sleep(_RETRY_S)
+            except Exception as exc:
+                # If the reading ended here, the lead would place work on workers that
+                # left, and none on new ones.
+                log("worker_list.failed", level="error", error=repr(exc)[:200])
+                await asyncio.sleep(_RETRY_S)
 
     async def _read(self) -> None:
         records, is_complete = await self._topic.read()
-        latest = {record.key: record.value for record in records}
+        values: dict[str, list[bytes | None]] = {}
+        for record in records:
+            values.setdefault(record.key, []).append(record.value)
         if is_complete:
-            for name in self._names - set(latest):
+            for name in self._names - values.keys():
                 self._apply(name, None)
-        for name, value in latest.items():
-            self._apply(name, value)
+        for name, written in values.items():
+            self._apply_newest(name, written)
         await asyncio.sleep(_BATCH_DELAY_S)
 
-    def _apply(self, name: str, value: bytes | None) -> None:
-        if value is None:
+    def _apply_newest(self, name: str, values: list[bytes | None]) -> None:
+        """Apply the newest of a worker's entries that can be read.
+
+        Another writer may have written under the worker's name.
+
+        :param values: the entries in the order of writing.
+        """
+        for value in reversed(values):
+            entry = None if value is None else decode_worker(name, value)
+            if value is None or entry is not None:
+                self._apply(name, entry)
+                return
+
+    def _apply(self, name: str, entry: WorkerEntry | None) -> None:
+        if entry is None:
             self._names.discard(name)
-            self._on_change(name, None)
-            return
-        entry = decode_worker(name, value)
-        if entry is not None:
+        else:
             self._names.add(name)
-            self._on_change(name, entry)
+        self._on_change(name, entry)
--- a/standins/model/_workers.py
+++ b/standins/model/_workers.py
@@ -235,7 +235,7 @@
         """Return the worker's registration."""
         data = {
             "service": "pool",
-            "address": f"{self.name}:80",
+            "address": "10.1.0.1:80",
             "zone": self.zone,
             "version": "v1",
             "slots": 8,
