Release as many due occurrences at a time as memory bears

A caller may ask for any number of repetitions since 1970, and the lead released all that were due at once: with 30,000 of them that many steps, with 10^9 the end of the process and of each successor. At most 10,000 tasks of one job are open now; the other occurrences stay due and follow as earlier ones end, in order.

--- a/src/firhook/cell/_job_table.py
+++ b/src/firhook/cell/_job_table.py
@@ -38,6 +38,9 @@
 #: changes, which saves an append for each start.  The count of waiting jobs that
 #: callers get may be 2 s old.
 BEGUN_STORE_DELAY_S = 0.25
+#: Tasks that the open occurrences of a periodic job have at most, unless one
+#: occurrence has more.
+_MAX_OPEN_TASKS = 10_000
 #: Each step's part of the critical path, and so of a job's objective, includes an
 #: adviser call about this many workers.
 _ADVICE_WORKERS = 30
@@ -475,10 +478,18 @@
         )
 
     def _add_due(self, job: Job, now: float, unix_now: float) -> None:
+        """Release the occurrences that are due, as many as may be open at once.
+
+        The others stay due.  A caller may ask for any number of repetitions since
+        1970, which would fill the memory of each lead.
+        """
         spec = job.accepted.spec
         while job.next_occurrence < spec.occurrences:
             if spec.due(job.next_occurrence) > unix_now:
                 return
+            tasks = sum(step.count for step in spec.steps)
+            if len(job.open_occurrences) >= max(_MAX_OPEN_TASKS // tasks, 1):
+                return
             self._release(job, now, unix_now)
         self._periodic_jobs.pop(job.id, None)
 
--- a/tests/cell/test_job_table_occurrences.py
+++ b/tests/cell/test_job_table_occurrences.py
@@ -160,6 +160,24 @@
     assert list(job.due_at) == [0]
 
 
+def test_job_with_many_due_occurrences_does_not_fill_the_memory():
+    """Any caller may ask for millions of repetitions since 1970.
+
+    The lead released all of them at once, and so did each successor.
+    """
+    count, most = 30_000, 10_000
+    now = START + count * INTERVAL_S
+    table = table_of(accept((a_step(1),), count), now=now)
+    job = table.jobs[JOB]
+    assert job.open_occurrences == set(range(most))
+    for number in range(2):
+        (run,) = start(table, f"{JOB}.{number}.0", now)
+        end(table, run, now)
+    table.tick(now, now)
+    assert job.open_occurrences == set(range(2, most + 2))
+    assert take_over(table, now).jobs[JOB].open_occurrences == job.open_occurrences
+
+
 @attrs.frozen
 class EarlierState:
     """The fields of a state that builds without releases know."""
