--- a/bench/_lab/_cell.py
+++ b/bench/_lab/_cell.py
@@ -143,7 +143,7 @@
         self.checks = LabChecks()
         self.outcomes = {job.id: Outcome(job) for job in workload.jobs}
         self._lead_type = lead
-        self._gangs = LabGangs()
+        self.gangs = LabGangs()
         self._start_time = 0.0
         self._active_faults: list[Window] = []
         self._submissions: set[asyncio.Task[None]] = set()
