Send a start without a ticket only to the incarnation that it is meant for

A start goes only over a connection whose process has told its incarnation, by a poll that changes nothing when the connection is opened. A connection does not outlive the process that accepted it, and none is used while such a greeting is under way; so no start reaches another incarnation than the one whose entry it was judged by, whatever happens in between. Starts with a ticket need none of this, as another incarnation refuses the ticket. Workers that close each connection cannot be told apart, as with polls.

Cost: one more round trip and one more poll for each new connection for starts without a ticket.

Evidence: tests/platform/test_workers.py over real sockets; the three tests of starts after a restart fail before.

--- a/src/firhook/platform/_client.py
+++ b/src/firhook/platform/_client.py
@@ -99,13 +99,15 @@
 class Sessions:
     """The client sessions of an instance.
 
-    :param calls: for all calls but polls of workers.
+    :param calls: for all calls but polls of workers and starts of runs.
     :param polls: for polls, of which one at a time goes to each worker.  So an open
         connection leads to the process that answered the last poll.
+    :param starts: for starts, on connections that a greeting opened.
     """
 
     calls: aiohttp.ClientSession
     polls: aiohttp.ClientSession
+    starts: aiohttp.ClientSession
 
 
 @contextlib.asynccontextmanager
@@ -113,8 +115,12 @@
     """Open the client sessions of an instance, and close them in the end."""
     tracing = aiohttp.TraceConfig()
     tracing.on_connection_create_start.append(_refuse_new_connection)
-    async with new_session() as calls, new_session(tracing) as polls:
-        yield Sessions(calls, polls)
+    async with (
+        new_session() as calls,
+        new_session(tracing) as polls,
+        new_session(tracing) as starts,
+    ):
+        yield Sessions(calls, polls, starts)
 
 
 async def call(
@@ -134,7 +140,8 @@
     :param total_timeout_s: how long the complete response may take, if longer than
         ``timeout_s``.
     :param on_kept_connection: whether to make the call only on a connection on which
-        an earlier call of the session was answered.  This takes the session for polls.
+        an earlier call of the session was answered.  This takes the session for polls
+        or that for starts.
     :raises NoKeptConnectionError: if there is no such connection.
     :raises NotSentError: if certainly nothing was sent.
     :raises NoResponseError: if the call may have reached the server.
--- a/src/firhook/platform/_workers.py
+++ b/src/firhook/platform/_workers.py
@@ -1,8 +1,9 @@
 """Registrations of workers, and the clients of workers and of the adviser."""
 
 import asyncio
+import contextlib
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import aiohttp
@@ -58,6 +59,9 @@
 #: polled without renewing its lease.
 _UNKEPT_PAUSE_S = 0.25
 
+#: How many connections a start opens at most.  Others may take each of them first.
+_MAX_GREETINGS = 4
+
 _OUTCOMES_BY_REASON = {
     "fence": OrderOutcome.FENCED,
     "old": OrderOutcome.SUPERSEDED,
@@ -216,6 +220,40 @@
         """Limit a run to a percentage of its full speed."""
 
 
+class _StartConnections:
+    """Knows to which process the connections for starts to one worker lead.
+
+    Connections do not outlive the process that accepted them.  So all that are open
+    lead to the newest incarnation that has answered a greeting, unless another greeting
+    is under way.
+
+    :ivar incarnation: the newest incarnation that has answered; 0 if none has.
+    :ivar is_closing: whether the worker announced the end of a new connection.
+    """
+
+    def __init__(self) -> None:
+        self.incarnation = 0
+        self.is_closing = False
+        self._greetings = 0
+        self._changed = asyncio.Event()
+
+    @contextlib.contextmanager
+    def greeting(self) -> Iterator[None]:
+        """Note that a greeting is under way."""
+        self._greetings += 1
+        try:
+            yield
+        finally:
+            self._greetings -= 1
+            self._changed.set()
+            self._changed = asyncio.Event()
+
+    async def wait_until_known(self) -> None:
+        """Wait until no greeting is under way."""
+        while self._greetings:
+            await self._changed.wait()
+
+
 class HttpWorkers(Workers):
     """HTTP client of the workers.
 
@@ -230,6 +268,7 @@
         self._closing: set[str] = set()
         # Workers whose last poll found no open connection.
         self._unkept: set[str] = set()
+        self._start_connections: dict[str, _StartConnections] = {}
 
     async def poll(
         self,
@@ -304,8 +343,60 @@
         if order.checkpoint:
             body["last_checkpoint"] = order.checkpoint
         if order.ticket:
+            # Another incarnation of the worker refuses the ticket.
             body["ticket"] = order.ticket
-        return await self._order(worker, "run-start", body)
+            return await self._order(worker, "run-start", body)
+        return await self._start_on_incarnation(worker, body)
+
+    async def _start_on_incarnation(
+        self, worker: WorkerEntry, body: dict[str, Any]
+    ) -> OrderAnswer:
+        """Send a start to the incarnation that the entry names, and to no other.
+
+        The worker may restart at its address as one of another kind before the start
+        arrives, and nothing in the start names an incarnation.  So the start goes only
+        over a connection whose process has told its incarnation: each connection is
+        opened by a greeting, which changes nothing.
+        """
+        conns = self._start_connections.setdefault(worker.name, _StartConnections())
+        for _ in range(_MAX_GREETINGS):
+            # The connection of a greeting may be used again before its answer is read.
+            await conns.wait_until_known()
+            if conns.incarnation == worker.incarnation:
+                try:
+                    return await self._order(worker, "run-start", body, conns)
+                except NoKeptConnectionError:
+                    pass
+            if not self._may_send():
+                break
+            answer = await self._greet(worker, body["fencing_token"], conns)
+            if conns.is_closing:
+                # Two incarnations of such a worker cannot be told apart.
+                return await self._order(worker, "run-start", body)
+            if answer.outcome is not OrderOutcome.APPLIED:
+                return answer
+            if conns.incarnation != worker.incarnation:
+                return OrderAnswer(OrderOutcome.NOT_SENT, conns.incarnation)
+        return OrderAnswer(OrderOutcome.NOT_SENT)
+
+    async def _greet(
+        self, worker: WorkerEntry, fence: int, conns: "_StartConnections"
+    ) -> OrderAnswer:
+        """Open a connection for starts, and learn which incarnation it leads to."""
+        body = {"fencing_token": fence, "ack_cursor": 0}
+        with conns.greeting():
+            try:
+                response = await self._post(
+                    self._sessions.starts, worker, "hold", body, ORDER_TIMEOUT_S
+                )
+            except (NotSentError, NoResponseError):
+                return OrderAnswer(OrderOutcome.NOT_SENT)
+            answer = decode_order_answer(response)
+            conns.incarnation = max(conns.incarnation, answer.incarnation)
+            conns.is_closing = response.closes
+            known = (OrderOutcome.APPLIED, OrderOutcome.FENCED)
+            outcome = answer.outcome
+            return answer if outcome in known else OrderAnswer(OrderOutcome.NOT_SENT)
 
     async def stop(
         self, worker: WorkerEntry, task: str, run: int, fence: int
@@ -322,13 +413,24 @@
         return await self._order(worker, "pace", body)
 
     async def _order(
-        self, worker: WorkerEntry, name: str, body: dict[str, Any]
+        self,
+        worker: WorkerEntry,
+        name: str,
+        body: dict[str, Any],
+        conns: "_StartConnections | None" = None,
     ) -> OrderAnswer:
+        """Send an order.
+
+        :param conns: if given, the order goes over one of these connections only.
+        :raises NoKeptConnectionError: if none of them is free.
+        """
         if not self._may_send():
             return OrderAnswer(OrderOutcome.NOT_SENT)
+        is_bound = conns is not None
+        session = self._sessions.starts if is_bound else self._sessions.calls
         try:
             response = await self._post(
-                self._sessions.calls, worker, name, body, ORDER_TIMEOUT_S
+                session, worker, name, body, ORDER_TIMEOUT_S, is_bound
             )
         except NotSentError:
             return OrderAnswer(OrderOutcome.NOT_SENT)
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -7,7 +7,13 @@
 import pytest
 from aiohttp import web
 
-from firhook.cell import EndCursor, Resources, WorkerEntry
+from firhook.cell import (
+    EndCursor,
+    OrderOutcome,
+    Resources,
+    StartOrder,
+    WorkerEntry,
+)
 from firhook.errors import WorkerUnreachableError
 from firhook.platform._client import NoKeptConnectionError, call, open_sessions
 from firhook.platform.workers import HttpWorkers
@@ -19,14 +25,24 @@
     """A process of a worker that records the polls that it gets.
 
     :ivar closes: whether it closes the connection after each reply.
+    :ivar reply_after_s: how long a poll takes.
     """
 
     def __init__(self, born, closes=False):
         self._born, self.closes = born, closes
-        self.polls = []
+        self.reply_after_s = 0.0
+        self.polls, self.starts = [], []
+
+    async def _start(self, req):
+        self.starts.append(msgspec.json.decode(await req.read())["task"])
+        resp = web.json_response({"timestamp_ms": 1, "born": self._born})
+        if self.closes:
+            resp.force_close()
+        return resp
 
     async def _hold(self, req):
         self.polls.append(msgspec.json.decode(await req.read()))
+        await asyncio.sleep(self.reply_after_s)
         reply = {"timestamp_ms": 1, "born": self._born, "running": [], "finished": []}
         resp = web.json_response(reply)
         if self.closes:
@@ -38,6 +54,7 @@
         """Listen until the end; yield the port."""
         app = web.Application()
         app.router.add_post("/-/hold", self._hold)
+        app.router.add_post("/-/run-start", self._start)
         runner = web.AppRunner(app, shutdown_timeout=0)
         await runner.setup()
         site = web.TCPSite(runner, "127.0.0.1", port, reuse_address=True)
@@ -145,3 +162,106 @@
         assert process.polls == []
 
     asyncio.run(scenario())
+
+
+def start(workers, port, number=0, ticket=""):
+    """Start a run on the incarnation that :func:`entry` names."""
+    order = StartOrder(f"j.0.0.{number}", 1, "x", 3, 6.0, ticket=ticket)
+    return workers.start(entry(port), order)
+
+
+def test_start_opens_a_connection_with_a_greeting_and_keeps_it():
+    async def scenario():
+        process = Incarnation(1)
+        async with open_sessions() as sessions, process.run() as port:
+            workers = HttpWorkers(sessions, lambda: True)
+            for number in range(3):
+                answer = await start(workers, port, number)
+                assert answer.outcome is OrderOutcome.APPLIED
+        assert process.polls == [{"fencing_token": 3, "ack_cursor": 0}]
+        assert len(process.starts) == 3
+
+    asyncio.run(scenario())
+
+
+def test_starts_sent_together_are_all_carried_out():
+    async def scenario():
+        process = Incarnation(1)
+        async with open_sessions() as sessions, process.run() as port:
+            workers = HttpWorkers(sessions, lambda: True)
+            for _ in range(3):
+                answers = await asyncio.gather(
+                    *(start(workers, port, number) for number in range(12))
+                )
+                assert {a.outcome for a in answers} == {OrderOutcome.APPLIED}
+        assert len(process.starts) == 36
+        assert len(process.polls) <= 24
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("is_known", [False, True])
+def test_start_does_not_reach_a_worker_that_has_restarted(is_known):
+    """A task that requires a label ran on a worker of another kind.
+
+    A worker restarts at its address before a start arrives.
+
+    :param is_known: whether a start was answered before the restart.
+    """
+
+    async def scenario():
+        old, new = Incarnation(1), Incarnation(2)
+        async with open_sessions() as sessions:
+            workers = HttpWorkers(sessions, lambda: True)
+            async with old.run() as port:
+                if is_known:
+                    await start(workers, port)
+            async with new.run(port):
+                answers = [await start(workers, port) for _ in range(3)]
+        assert new.starts == []
+        assert answers[-1].outcome is OrderOutcome.NOT_SENT
+        assert answers[-1].incarnation == 2
+
+    asyncio.run(scenario())
+
+
+def test_start_does_not_use_a_connection_whose_process_is_not_known_yet():
+    """The connection of a greeting may be free before its answer was read."""
+
+    async def scenario():
+        old, new = Incarnation(1), Incarnation(2)
+        async with open_sessions() as sessions:
+            workers = HttpWorkers(sessions, lambda: True)
+            async with old.run() as port:
+                await start(workers, port)
+            new.reply_after_s = 0.1
+            async with new.run(port):
+                await asyncio.gather(
+                    *(start(workers, port, number) for number in range(20))
+                )
+        assert new.starts == []
+
+    asyncio.run(scenario())
+
+
+def test_start_with_a_ticket_needs_no_greeting():
+    async def scenario():
+        process = Incarnation(1)
+        async with open_sessions() as sessions, process.run() as port:
+            workers = HttpWorkers(sessions, lambda: True)
+            await start(workers, port, ticket="t")
+        assert process.polls == []
+        assert len(process.starts) == 1
+
+    asyncio.run(scenario())
+
+
+def test_worker_that_announces_the_end_of_each_connection_gets_starts():
+    async def scenario():
+        process = Incarnation(1, closes=True)
+        async with open_sessions() as sessions, process.run() as port:
+            workers = HttpWorkers(sessions, lambda: True)
+            answers = [await start(workers, port) for _ in range(2)]
+        assert {a.outcome for a in answers} == {OrderOutcome.APPLIED}
+
+    asyncio.run(scenario())
