Soak timed jobs, and workers that come back as another kind

Callers of the soak submit timed jobs whose occurrences overlap, and jobs for workers of one kind, each as large as a worker has room for, so that they wait. Workers restart as ones of another kind and register later.

--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -602,6 +602,7 @@
                 step["count"] if step.get("all_or_nothing") else 0,
                 step.get("enable_checkpoints", False),
                 step.get("run_forever", False),
+                step.get("requirements", ""),
             )
             for k in range(occurrences):
                 self.plans[f"{job_id}.{k}.{number}"] = plan
--- a/standins/model/_workers.py
+++ b/standins/model/_workers.py
@@ -43,6 +43,7 @@
     :param gang: number of members of the task's gang; 0 without a gang.
     :param checkpoints: whether the task saves its progress for the next run.
     :param lasts: whether the task works until it is stopped.
+    :param label: label that the worker must have; empty if any worker will do.
     """
 
     work_s: float
@@ -51,6 +52,7 @@
     gang: int = 0
     checkpoints: bool = False
     lasts: bool = False
+    label: str = ""
 
 
 @attrs.define(eq=False)
@@ -396,6 +398,9 @@
         self.checks.started(now(), order.task, self.name, self.incarnation, order.run)
         if not self._order_is_late:
             self.checks.started_on_time(now(), order.task, self.zone)
+        if plan.label not in ("", self.kind):
+            detail = f"{order.task} requires {plan.label}, {self.name} is {self.kind}"
+            self.checks.record_violation(now(), "label", detail)
         if not self.capacity.covers(self.used()):
             detail = f"{self.name}: {self.used()} of {self.capacity}"
             self.checks.record_violation(now(), "capacity", detail)
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -44,7 +44,9 @@
     async def run_one(seed: int) -> Report:
         async with slots:
             with tempfile.TemporaryDirectory(prefix="firhook-soak-") as folder:
-                report = await run_seed(seed, Path(folder), seconds, instances)
+                report = await run_seed(
+                    seed, Path(folder), seconds, instances, mixed=True
+                )
         print(
             f"seed {seed}: {report.accepted} accepted, {len(report.violations)} broken"
         )
--- a/standins/soak/_callers.py
+++ b/standins/soak/_callers.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from firhook.cell import Resources
+from firhook.clock import unix_time
 from standins.model import KEY, TaskPlan, now
 from standins.soak._fleet import Fleet, Member
 
@@ -17,7 +18,13 @@
 MAX_VISIBILITY_S, MAX_REVOCATION_S, MAX_CANCEL_S = 3.0, 5.0, 3.0
 _REQUEST_TIMEOUT_S = 3.0
 _MAX_ATTEMPTS = 6
+#: The kinds of workers that jobs may require.
+KINDS = ("a", "b")
 _TASK_RESOURCES = {"millicpus": 1000, "task_memory_mb": 100}
+_SMALL = Resources(1000, 100)
+#: A worker has room for one such task, so that they wait for each other.
+_LARGE_RESOURCES = {"millicpus": 5000, "task_memory_mb": 100}
+_LARGE = Resources(5000, 100)
 
 
 @attrs.define(eq=False)
@@ -28,12 +35,14 @@
     :ivar cancelled_at: when its cancelling was confirmed; 0 if it was not
         cancelled, infinite while the outcome is unknown.
     :ivar unknown: whether a submission may have been accepted without a response.
+    :ivar occurrences: number of its occurrences; 0 if it is not periodic.
     """
 
     id: str
     accepted_at: float = 0.0
     cancelled_at: float = 0.0
     unknown: bool = False
+    occurrences: int = 0
 
 
 class Callers:
@@ -59,12 +68,71 @@
                 group.create_task(self._caller(i))
             group.create_task(self._use_withdrawn_key())
 
+    async def submit_periodic_and_labelled(self, rng: random.Random) -> None:
+        """Submit jobs whose occurrences overlap, and jobs for workers of one kind."""
+        async with aiohttp.ClientSession() as http:
+            while not self.stopping:
+                job = SubmittedJob(f"ffff{rng.getrandbits(48):012x}")
+                is_periodic = rng.random() < 0.5
+                body = (
+                    self._make_periodic(job, rng)
+                    if is_periodic
+                    else self._make_labelled(job, rng)
+                )
+                await self._submit(http, job, rng, body)
+                await asyncio.sleep(rng.uniform(0.2, 0.8))
+
+    def _make_periodic(self, job: SubmittedJob, rng: random.Random) -> bytes:
+        """Return the body of a job with overlapping occurrences of two steps."""
+        job.occurrences = rng.randint(2, 5)
+        gang = rng.choice((0, 2))
+        steps = [
+            {**_TASK_RESOURCES, "count": rng.randint(1, 2)},
+            {**_LARGE_RESOURCES, "count": gang or 1, "after": [0]},
+        ]
+        if gang:
+            steps[1]["all_or_nothing"] = True
+        for k in range(job.occurrences):
+            plans = self.fleet.model.plans
+            plans[f"{job.id}.{k}.0"] = TaskPlan(rng.uniform(0.1, 1.0), _SMALL)
+            plan = TaskPlan(rng.uniform(0.5, 2.0), _LARGE, gang=gang)
+            plans[f"{job.id}.{k}.1"] = plan
+        body = {
+            "specification": job.id,
+            "steps": steps,
+            "start_time_ms": int((unix_time() + rng.uniform(0.0, 1.0)) * 1000),
+            "interval_ms": rng.randint(200, 1500),
+            "repetitions": job.occurrences,
+        }
+        return msgspec.json.encode(body)
+
+    def _make_labelled(self, job: SubmittedJob, rng: random.Random) -> bytes:
+        """Return the body of a job whose tasks need a worker of a kind."""
+        label = rng.choice(KINDS)
+        step = {**_LARGE_RESOURCES, "count": rng.randint(1, 4), "requirements": label}
+        plan = TaskPlan(rng.uniform(0.5, 1.5), _LARGE, label=label)
+        self.fleet.model.plans[f"{job.id}.0.0"] = plan
+        return msgspec.json.encode({"specification": job.id, "steps": [step]})
+
+    def find_missing_occurrences(self) -> list[str]:
+        """Return the occurrences of completed jobs of which no task has started."""
+        begun = {
+            task.rpartition(".")[0].rpartition(".")[0]
+            for task in self.fleet.model.checks.last_start
+        }
+        return [
+            f"occurrence {k} of {job.id} never ran"
+            for job in self.jobs
+            for k in range(job.occurrences)
+            if job.accepted_at and not job.cancelled_at and f"{job.id}.{k}" not in begun
+        ]
+
     async def _caller(self, number: int) -> None:
         rng = random.Random(self.rng.random())
         async with aiohttp.ClientSession() as http:
             while not self.stopping:
                 job = SubmittedJob(f"{number:04x}{rng.getrandbits(48):012x}")
-                await self._submit(http, job, rng)
+                await self._submit(http, job, rng, self._make_job(job, rng))
                 await asyncio.sleep(rng.uniform(0.05, 0.4))
                 await self._check_random_job(http, rng)
                 if job.accepted_at and rng.random() < 0.15:
@@ -101,9 +169,12 @@
         return status
 
     async def _submit(
-        self, http: aiohttp.ClientSession, job: SubmittedJob, rng: random.Random
+        self,
+        http: aiohttp.ClientSession,
+        job: SubmittedJob,
+        rng: random.Random,
+        body: bytes,
     ) -> None:
-        body = self._make_job(job, rng)
         self.jobs.append(job)
         for _ in range(_MAX_ATTEMPTS):
             member = rng.choice(self.fleet.members)
--- a/standins/soak/_faults.py
+++ b/standins/soak/_faults.py
@@ -7,7 +7,7 @@
 
 from standins.model import KEY, now
 from standins.model._cell import config_body
-from standins.soak._callers import WITHDRAWN_KEY, Callers
+from standins.soak._callers import KINDS, WITHDRAWN_KEY, Callers
 from standins.soak._fleet import Fleet, Member
 
 #: How long after a fault callers may still see its effects.
@@ -78,6 +78,7 @@
             "forget": self._expire_history,
             "lead_lost": self._lose_lead_with_late_writes,
             "worker_lost": self._restart_worker_without_store,
+            "worker_kind": self._restart_worker_as_other_kind,
         }
         self._kinds = kinds or tuple(self._faults)
 
@@ -202,6 +203,22 @@
         worker.restart()
         self.fleet.model.register(name)
 
+    async def _restart_worker_as_other_kind(
+        self, member: Member, duration_s: float
+    ) -> None:
+        """Restart a worker as one of another kind that registers a little later.
+
+        Two workers keep their kinds, so that each kind has one.
+        """
+        name = self.rng.choice(list(self.fleet.worker_links)[2:])
+        worker = self.fleet.model.workers[name]
+        worker.crash()
+        await asyncio.sleep(duration_s / 2)
+        worker.kind = self.rng.choice(KINDS)
+        worker.restart()
+        await asyncio.sleep(duration_s / 4)
+        self.fleet.model.register(name)
+
     async def _store_busy(self, member: Member, duration_s: float) -> None:
         self._mark_disturbed(self.fleet.members, duration_s)
         self.fleet.model.store.mode["*"] = "busy"
--- a/standins/soak/_seed_run.py
+++ b/standins/soak/_seed_run.py
@@ -8,7 +8,7 @@
 import attrs
 
 from standins.model import HttpModel
-from standins.soak._callers import Callers
+from standins.soak._callers import KINDS, Callers
 from standins.soak._faults import FaultInjector, initial_teams
 from standins.soak._fleet import Fleet
 
@@ -45,16 +45,22 @@
     instances: int = 4,
     workers: int = 6,
     kinds: tuple[str, ...] = (),
+    mixed: bool = False,
 ) -> Report:
     """Run the soak with a seed and return its report.
 
     :param folder: directory for settings files.
     :param seconds: how long faults are injected.
     :param kinds: names of the faults to inject; all if empty.
+    :param mixed: whether there are two kinds of workers, and also periodic jobs and
+        jobs that require a kind.
     """
     rng = random.Random(seed)
     model = HttpModel(workers, seed=seed)
     await model.start()
+    if mixed:
+        for name, kind in zip(model.workers, KINDS * workers, strict=False):
+            model.workers[name].kind = kind
     model.configure(2, tenants=initial_teams())
     fleet = Fleet(model, folder, instances)
     try:
@@ -62,10 +68,14 @@
         callers = Callers(fleet, random.Random(rng.random()))
         await _until_ready(fleet)
         injector = FaultInjector(fleet, callers, random.Random(rng.random()), kinds)
-        load = asyncio.create_task(callers.run(_CALLER_COUNT))
+        load = [asyncio.create_task(callers.run(_CALLER_COUNT))]
+        if mixed:
+            own_rng = random.Random(f"{seed} mixed")
+            submitting = callers.submit_periodic_and_labelled(own_rng)
+            load.append(asyncio.create_task(submitting))
         await injector.run(seconds)
         callers.stopping = True
-        await load
+        await asyncio.gather(*load)
         unfinished = await callers.wait_for_completion(_COMPLETION_TIMEOUT_S)
         violations = [
             f"{b.what}: {b.detail} at {b.at:.1f}" for b in model.checks.violations
@@ -74,6 +84,7 @@
             callers.violations + callers.find_late_starts() + injector.violations
         )
         violations += [f"job {job} did not complete" for job in unfinished]
+        violations += callers.find_missing_occurrences()
         violations += [
             f"{m.name} is not running" for m in fleet.members if not m.is_running
         ]
--- a/tests/failures/test_soak.py
+++ b/tests/failures/test_soak.py
@@ -36,3 +36,15 @@
     report = asyncio.run(run_seed(seed, tmp_path, seconds, kinds=kinds))
     assert report.violations == (), report.history
     assert report.accepted > 20
+
+
+def test_periodic_and_labelled_jobs_run_once_under_overlapping_faults(tmp_path):
+    """Leads are lost, and workers restart as ones of another kind.
+
+    No step that is done runs again, each occurrence runs, and no task starts on a
+    worker without its label.
+    """
+    kinds = ("worker_kind", "lead_lost", "kill", "worker_cut", "worker_restart", "stop")
+    report = asyncio.run(run_seed(202, tmp_path, 12.0, kinds=kinds, mixed=True))
+    assert report.violations == (), report.history
+    assert report.accepted > 20
