--- a/standins/soak/_callers.py
+++ b/standins/soak/_callers.py
@@ -107,8 +107,14 @@
         return msgspec.json.encode(body)
 
     def _make_labelled(self, job: SubmittedJob, rng: random.Random) -> bytes:
-        """Return the body of a job whose tasks need a worker of a kind."""
-        label = rng.choice(KINDS)
+        """Return the body of a job whose tasks need a worker of a kind.
+
+        The adviser permits the worker that keeps this kind, so that the job can run.
+        """
+        number = rng.randrange(len(KINDS))
+        label, keeper = KINDS[number], list(self.fleet.model.workers)[number]
+        while not self.fleet.model.adviser.may_run(f"{job.id}.0.0", keeper):
+            job.id = f"ffff{rng.getrandbits(48):012x}"
         step = {**_LARGE_RESOURCES, "count": rng.randint(1, 4), "requirements": label}
         plan = TaskPlan(rng.uniform(0.5, 1.5), _LARGE, label=label)
         self.fleet.model.plans[f"{job.id}.0.0"] = plan
