Greet again after a greeting that was cancelled as it was answered

A connection is kept as soon as its answer is complete. A greeting that was cancelled in that moment left the connection of a restarted worker among those of its former incarnation, and the next start went over it. A greeting that fails in any way now leaves the process unknown, so that the next start greets first.

Evidence: the new test fails before with a start on the new incarnation.

--- a/src/firhook/platform/_workers.py
+++ b/src/firhook/platform/_workers.py
@@ -223,9 +223,8 @@
 class _StartConnections:
     """Knows to which process the connections for starts to one worker lead.
 
-    Connections do not outlive the process that accepted them.  So all that are open
-    lead to the newest incarnation that has answered a greeting, unless another greeting
-    is under way.
+    Connections do not outlive the process that accepted them.  So all that were opened
+    before the answer to a greeting lead to the incarnation that answered, or to nobody.
 
     :ivar incarnation: the newest incarnation that has answered; 0 if none has.
     :ivar is_closing: whether the worker announced the end of a new connection.
@@ -239,10 +238,17 @@
 
     @contextlib.contextmanager
     def greeting(self) -> Iterator[None]:
-        """Note that a greeting is under way."""
+        """Note that a greeting is under way.
+
+        One that fails may leave its connection open without its answer having been
+        read, so that the next start has to greet again.
+        """
         self._greetings += 1
         try:
             yield
+        except BaseException:
+            self.incarnation = 0
+            raise
         finally:
             self._greetings -= 1
             self._changed.set()
@@ -384,19 +390,19 @@
     ) -> OrderAnswer:
         """Open a connection for starts, and learn which incarnation it leads to."""
         body = {"fencing_token": fence, "ack_cursor": 0}
-        with conns.greeting():
-            try:
+        try:
+            with conns.greeting():
                 response = await self._post(
                     self._sessions.starts, worker, "hold", body, ORDER_TIMEOUT_S
                 )
-            except (NotSentError, NoResponseError):
-                return OrderAnswer(OrderOutcome.NOT_SENT)
-            answer = decode_order_answer(response)
-            conns.incarnation = max(conns.incarnation, answer.incarnation)
-            conns.is_closing = response.closes
-            known = (OrderOutcome.APPLIED, OrderOutcome.FENCED)
-            outcome = answer.outcome
-            return answer if outcome in known else OrderAnswer(OrderOutcome.NOT_SENT)
+                answer = decode_order_answer(response)
+                conns.incarnation = max(conns.incarnation, answer.incarnation)
+                conns.is_closing = response.closes
+        except (NotSentError, NoResponseError):
+            return OrderAnswer(OrderOutcome.NOT_SENT)
+        if answer.outcome not in (OrderOutcome.APPLIED, OrderOutcome.FENCED):
+            return OrderAnswer(OrderOutcome.NOT_SENT)
+        return answer
 
     async def stop(
         self, worker: WorkerEntry, task: str, run: int, fence: int
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -244,6 +244,35 @@
     asyncio.run(scenario())
 
 
+def test_start_greets_again_after_a_greeting_that_was_cancelled_as_it_was_answered():
+    """Its connection is kept, though nobody has read which process it leads to."""
+
+    async def scenario():
+        old, new = Incarnation(1), Incarnation(2)
+        async with open_sessions() as sessions:
+            workers = HttpWorkers(sessions, lambda: True)
+            async with old.run() as port:
+                await start(workers, port)
+            async with new.run(port):
+                post = workers._post
+
+                async def answered_and_cancelled(*args):
+                    await post(*args)
+                    raise asyncio.CancelledError
+
+                workers._post = answered_and_cancelled
+                with contextlib.suppress(asyncio.CancelledError):
+                    await workers._greet(
+                        entry(port), 3, workers._start_connections["w"]
+                    )
+                workers._post = post
+                answer = await start(workers, port)
+        assert new.starts == []
+        assert answer.incarnation == 2
+
+    asyncio.run(scenario())
+
+
 def test_start_with_a_ticket_needs_no_greeting():
     async def scenario():
         process = Incarnation(1)
