--- a/src/firhook/platform/_workers.py
+++ b/src/firhook/platform/_workers.py
@@ -349,7 +349,7 @@
         if order.checkpoint:
             body["last_checkpoint"] = order.checkpoint
         if order.ticket:
-            # Another incarnation of the worker refuses the ticket.
+            # An incarnation that the ticket was not issued to refuses it.
             body["ticket"] = order.ticket
             return await self._order(worker, "run-start", body)
         return await self._start_on_incarnation(worker, body)
--- a/tests/services/test_worker_kinds.py
+++ b/tests/services/test_worker_kinds.py
@@ -90,3 +90,26 @@
         assert now() - began < 1.0
 
     run_scenario(scenario, workers=1)
+
+
+def test_ticket_for_a_new_incarnation_does_not_start_what_its_former_kind_may_run():
+    """The ticket is of the incarnation at the answer, not of that at the question."""
+
+    async def scenario(cell):
+        cell.adviser.permitted_share = 1.0
+        worker = cell.workers["w0"]
+        worker.kind = "b"
+        cell.register("w0")
+        await pause(1.0)
+        before, answer = worker.incarnation, cell.adviser.answer
+
+        async def restart_and_answer(*args):
+            if worker.incarnation == before:
+                restart_as(worker, "a")
+            return await answer(*args)
+
+        cell.adviser.answer = restart_and_answer
+        await submit_for_b(cell)
+        await pause(1.0)
+
+    run_scenario(scenario, instances=1, workers=1, advised=True)
