Bind starts with a ticket to an incarnation as well

Callers saw: a task that requires a label could run on a worker without it (ROUTE), if the worker restarted as another kind between the question to the adviser and its answer.

Cause: the adviser issues a ticket to the incarnation that runs when it answers, not to the one that it was asked about. Such a start was not bound to an incarnation, because the ticket was thought to do that.

Change: each start goes only over a connection whose process has told its incarnation, with a ticket or without one. As connections do not outlive the process that accepted them, a start reaches the incarnation of the entry or nobody, in every order of events; workers that close each connection after its answer are the exception, as before.

The model of the workers refused nothing, so that it could not show this; it delivers starts to the incarnation of the entry now.

--- a/src/firhook/platform/_workers.py
+++ b/src/firhook/platform/_workers.py
@@ -205,7 +205,11 @@
 
     @abstractmethod
     async def start(self, worker: WorkerEntry, order: StartOrder) -> OrderAnswer:
-        """Order a run to be started."""
+        """Order a run to be started.
+
+        The order reaches only the incarnation that the entry names.  If another one
+        answers, the order is not sent, and the answer names that incarnation.
+        """
 
     @abstractmethod
     async def stop(
@@ -349,9 +353,7 @@
         if order.checkpoint:
             body["last_checkpoint"] = order.checkpoint
         if order.ticket:
-            # An incarnation that the ticket was not issued to refuses it.
             body["ticket"] = order.ticket
-            return await self._order(worker, "run-start", body)
         return await self._start_on_incarnation(worker, body)
 
     async def _start_on_incarnation(
@@ -360,9 +362,10 @@
         """Send a start to the incarnation that the entry names, and to no other.
 
         The worker may restart at its address as one of another kind before the start
-        arrives, and nothing in the start names an incarnation.  So the start goes only
-        over a connection whose process has told its incarnation: each connection is
-        opened by a greeting, which changes nothing.
+        arrives.  Nothing in the start names an incarnation: a ticket may have been
+        issued to the one that runs now.  So the start goes only over a connection whose
+        process has told its incarnation: each connection is opened by a greeting, which
+        changes nothing.
         """
         conns = self._start_connections.setdefault(worker.name, _StartConnections())
         for _ in range(_MAX_GREETINGS):
--- a/standins/model/_workers.py
+++ b/standins/model/_workers.py
@@ -137,6 +137,8 @@
     :ivar rejects_starts: whether it rejects all starts as malformed.
     :ivar rejected_starts: number of starts that it rejected as malformed.
     :ivar loses_starts: whether starts do not arrive, though other calls do.
+    :ivar closes_connections: whether it announces the end of each connection, so that
+        a start may reach another incarnation.
     :ivar stalled: whether new runs make no progress.
     :ivar draining_s: remaining time of a graceful stop, as shown in the registration;
         ``None`` if the worker is not stopping.
@@ -175,6 +177,7 @@
         self.rejects_starts = False
         self.rejected_starts = 0
         self.loses_starts = False
+        self.closes_connections = False
         self.stalled = False
         self.draining_s: float | None = None
         self.incarnation = 1_000_000 + rng.randrange(1000)
@@ -515,7 +518,21 @@
         if target is not None and target.loses_starts:
             await pause(ORDER_TIMEOUT_S)
             return OrderAnswer(OrderOutcome.UNKNOWN)
-        return await self._order(worker.name, lambda w: w.start(order))
+        if target is None or target.closes_connections:
+            return await self._order(worker.name, lambda w: w.start(order))
+        # A greeting opens the connection, and the answer names the incarnation.
+        reached = self._find_reachable(worker.name)
+        if reached is not None and reached.incarnation != worker.incarnation:
+            await pause(2 * NETWORK_DELAY_S)
+            return OrderAnswer(OrderOutcome.NOT_SENT, reached.incarnation)
+        return await self._order(
+            worker.name,
+            lambda w: (
+                w.start(order)
+                if w.incarnation == worker.incarnation
+                else OrderAnswer(OrderOutcome.UNKNOWN)
+            ),
+        )
 
     async def stop(
         self, worker: WorkerEntry, task: str, run: int, fence: int
--- a/tests/services/test_starts.py
+++ b/tests/services/test_starts.py
@@ -242,7 +242,9 @@
     that the start names does not end, so that it lasts as long as the worker permits.
     """
     worker = cell.workers["w0"]
-    # The start is assigned before the lead knows of the restart.
+    # The start is assigned before the lead knows of the restart, and is not bound to
+    # the incarnation of the entry.
+    worker.closes_connections = True
     worker.on_restart = None
     worker.restart(clock_s=0.0)
     worker.late_s = 12.0
