Name an instance as the last lead from its claim on

Operators saw: `firhook waiting` printed "no lead is reachable" without the last known lead, or with its predecessor.

Cause: the description of the lead came from the replica, which knows a claim only once it has been read back. A term begins earlier, with the store's answer.

The term had ended before its claim was read.

Change: the election learns a claim from the store's answer, and the description takes the lead from the election. So an instance knows its own claim before its term begins, in every order.

test_instance_names_itself_as_the_lead_from_its_claim_on fixes the order in virtual time; it failed before (epoch 1 instead of 5).

--- a/src/firhook/services/_events.py
+++ b/src/firhook/services/_events.py
@@ -197,6 +197,14 @@
     """The name of another instance that leads and is reachable, or an empty string."""
 
 
+@attrs.frozen(slots=True)
+class LastLead(Query[tuple[str, int]]):
+    """The name and the epoch of the newest lead that is known; it need not be alive.
+
+    Without one the name is empty and the epoch 0.
+    """
+
+
 @attrs.frozen(slots=True)
 class StoreLatency(Query[float]):
     """The recent latency of the store, in seconds.
--- a/src/firhook/services/_lead.py
+++ b/src/firhook/services/_lead.py
@@ -46,6 +46,7 @@
     DrainedZonesChanged,
     IsFollowingStore,
     JobChanged,
+    LastLead,
     LeadHeard,
     LeadRecordSeen,
     LiveLead,
@@ -141,6 +142,7 @@
         self.bus.subscribe(PartitionRebuilt, self._on_rebuilt)
         self.bus.subscribe(StopBegun, self._on_stop_begun)
         self.bus.register_handler(LiveLead, self._current_lead)
+        self.bus.register_handler(LastLead, self._last_lead)
         self._waiting_queries = WaitingQueries(self, lambda: self.term, self.may_act)
         self._worker_queries = WorkerQueries(self, lambda: self.term)
 
@@ -247,6 +249,9 @@
             return ""
         return name
 
+    async def _last_lead(self, query: LastLead) -> tuple[str, int]:
+        return self._election.lead, self._election.epoch
+
     async def _can_lead(self) -> bool:
         """Return whether this instance could lead.
 
@@ -367,6 +372,7 @@
             )
         except LogMovedError:
             return None
+        self._election.learn_lead(epoch, name)
         return epoch
 
     async def _on_offer(self, msg: LeadOffer) -> LeadOfferReply:
--- a/src/firhook/services/_lead_reports.py
+++ b/src/firhook/services/_lead_reports.py
@@ -7,23 +7,23 @@
 from firhook._peer_messages import WaitingReply, WorkersReply
 from firhook.errors import PeerUnreachableError
 from firhook.instance import InstanceService
-from firhook.services._events import AskInstance
+from firhook.services._events import AskInstance, LastLead
 
 #: Time limit for asking the lead.
 _ASK_TIMEOUT_S = 2.0
 
 
-def describe_lead(service: InstanceService, name: str) -> dict[str, Any]:
+async def describe_lead(service: InstanceService, name: str) -> dict[str, Any]:
     """Return what an instance knows of the lead.
 
-    :param name: the lead that is reachable; the last one on record if empty.
+    :param name: the lead that is reachable; the last one that is known if empty.
     """
-    record = service.replica.lead
-    name = name or (record.name if record is not None else "")
+    last, epoch = await service.bus.ask(LastLead())
+    name = name or last
     peer = service.replica.peers.get(name)
     return {
         "name": name,
-        "epoch": record.epoch if record is not None else 0,
+        "epoch": epoch,
         "zone": peer.zone if peer is not None else "",
         "address": peer.address if peer is not None else "",
     }
--- a/src/firhook/services/_waiting_queries.py
+++ b/src/firhook/services/_waiting_queries.py
@@ -68,7 +68,7 @@
         else:
             name = self._name
         return answer | {
-            "lead": describe_lead(self._service, name),
+            "lead": await describe_lead(self._service, name),
             "report": report,
             "error": error,
         }
--- a/src/firhook/services/_worker_queries.py
+++ b/src/firhook/services/_worker_queries.py
@@ -49,7 +49,7 @@
             name = await self._service.bus.ask(LiveLead())
             ask = WorkersAsk(_bounded(query.limit))
             report, error = await ask_lead(self._service, name, ask, WorkersReply)
-        lead = describe_lead(self._service, name)
+        lead = await describe_lead(self._service, name)
         return answer | {"lead": lead, "report": report, "error": error}
 
     def _serve(self, msg: WorkersAsk) -> WorkersReply:
--- a/tests/services/test_waiting.py
+++ b/tests/services/test_waiting.py
@@ -8,7 +8,7 @@
 from firhook.services._events import CountWaiting, DescribeWaiting
 from firhook.services._exposition import render_metrics
 from firhook.services._waiting_queries import MAX_STEPS
-from standins.model import pause
+from standins.model import now, pause
 from tests.services.scenarios import run_scenario, step
 
 
@@ -134,6 +134,28 @@
     run_scenario(scenario, workers=1)
 
 
+def test_instance_names_itself_as_the_lead_from_its_claim_on():
+    """It has not read its own claim yet, and named its predecessor or nobody."""
+
+    async def scenario(cell):
+        others = followers(cell)
+        cell.kill(cell.lead_name())
+        killed_at = now()
+        while not (leads := [i for i in others if i.lead.term]):
+            assert now() < killed_at + 5.0
+            await pause(0.0001)
+        (successor,) = leads
+        answer = await describe(successor)
+        assert answer["lead"]["name"] == answer["instance"]
+        assert answer["lead"]["epoch"] == answer["report"]["epoch"]
+        await successor.lead.drain()
+        answer = await describe(successor)
+        assert answer["error"] == "no lead is reachable"
+        assert answer["lead"]["name"] == answer["instance"]
+
+    run_scenario(scenario, workers=1)
+
+
 def test_size_of_a_report_is_bounded():
     async def scenario(cell):
         for _ in range(MAX_STEPS + 30):
