Fill the queue of a refused send by construction

test_message_that_arrived_before_a_refused_send_is_received failed once beside load: it took five refusals in 0.1 s for a full queue, while the operating system's buffers still drained.

The sockets of this test are connected in the process, where exactly the limits of both sockets are queued and nothing drains.

--- a/tests/test_loop_socket.py
+++ b/tests/test_loop_socket.py
@@ -11,18 +11,27 @@
 
 
 class ConnectedSockets:
-    """A socket read by the event loop, connected to a synchronous one."""
+    """A socket read by the event loop, connected to a synchronous one.
 
-    def __init__(self, on_message=None):
+    :param in_process: whether they are connected without the operating system, whose
+        buffers take messages beyond the limits of both sockets.
+    """
+
+    def __init__(self, on_message=None, in_process=False):
         self.received = []
         self.ctx = zmq.Context()
         self.peer = self.ctx.socket(zmq.DEALER)
         self.peer.rcvhwm = 1
-        port = self.peer.bind_to_random_port("tcp://127.0.0.1")
+        if in_process:
+            address = "inproc://peer"
+            self.peer.bind(address)
+        else:
+            port = self.peer.bind_to_random_port("tcp://127.0.0.1")
+            address = f"tcp://127.0.0.1:{port}"
         sock = self.ctx.socket(zmq.DEALER)
         sock.sndhwm = 1
         sock.linger = 0
-        sock.connect(f"tcp://127.0.0.1:{port}")
+        sock.connect(address)
         self.loop_socket = LoopSocket(sock, on_message or self.record)
         self.loop_socket.start()
 
@@ -44,9 +53,9 @@
 def run_scenario():
     """Return a function that runs a scenario with connected sockets."""
 
-    def run(scenario, on_message=None):
+    def run(scenario, on_message=None, in_process=False):
         async def main():
-            sockets = ConnectedSockets(on_message)
+            sockets = ConnectedSockets(on_message, in_process)
             try:
                 await asyncio.sleep(0.05)
                 await asyncio.wait_for(scenario(sockets), 5.0)
@@ -111,12 +120,12 @@
     """A send that fails clears the only notification, as a successful one does."""
 
     async def scenario(sockets):
-        refusals = 0
-        while refusals < 5:
-            refusals = 0 if sockets.loop_socket.send([bytes(1 << 20)]) else refusals + 1
-            await asyncio.sleep(0.02)
+        limit = sockets.loop_socket.sock.sndhwm + sockets.peer.rcvhwm
+        for _ in range(limit):
+            assert sockets.loop_socket.send([b"x"])
+        assert not sockets.loop_socket.send([b"x"])
         sockets.send(1)
         assert not sockets.loop_socket.send([b"x"])
         await wait_for_messages(sockets, 1)
 
-    run_scenario(scenario)
+    run_scenario(scenario, in_process=True)
