Date the configuration by a read that reached the end

Callers would have seen: a withdrawn key accepted for longer than permitted, and starts for a drained zone repeated for too long.

Cause: the configuration counted as read as of when the latest read was sent, also if its answer ended before the end of the topic, as the store limits its size. If the store failed then, what the rest withdraws was unknown while the keys counted as fresh.

Change: the reader knows the time of which every record was read. It is the sending of a read that reached the end, or the end that an earlier read reported; so it is never too late, whatever the sizes of the answers, and it follows a topic that grows without a pause.

--- a/src/firhook/_instance.py
+++ b/src/firhook/_instance.py
@@ -60,7 +60,7 @@
 
     :param revocation_s: seconds after which a withdrawn key must be refused.
     :ivar drained_zones: the zones that operators have drained.
-    :ivar read_at: boot-clock time at which the latest read was sent.  The
+    :ivar read_at: boot-clock time of which every change has been read.  The
         configuration and the drained zones contain every change acknowledged to
         operators before that time.
     """
--- a/src/firhook/services/_operator.py
+++ b/src/firhook/services/_operator.py
@@ -138,7 +138,7 @@
 
     async def _read(self) -> None:
         view = self.instance.config
-        sent_at, last_read_at = boot_time(), view.read_at
+        last_read_at = view.read_at
         records, is_complete = await self._reader.read()
         # Drains first: a new lead must not place work before it knows them.
         self._apply_drains(records, is_complete, last_read_at)
@@ -146,7 +146,7 @@
             if record.key == CONFIG_KEY and record.value:
                 self._apply(record.value)
         if view.config is not None:
-            view.read_at = max(view.read_at, sent_at)
+            view.read_at = max(view.read_at, self._reader.as_of)
 
     def _apply_drains(
         self,
@@ -157,7 +157,7 @@
         """Apply the drains among records that were read from the store.
 
         :param is_complete: whether the records are the newest ones of all keys.
-        :param last_read_at: when the read before this one was sent.
+        :param last_read_at: the time of which everything had been read before.
         """
         rows = [(zone, r) for r in records if (zone := self._drained_zone(r))]
         end = self._reader.next_offset
--- a/standins/model/_store.py
+++ b/standins/model/_store.py
@@ -140,6 +140,7 @@
     :ivar link_bytes_s: bandwidth of an instance's link for the cell's records, in
         bytes per second by instance; unlimited if absent.
     :ivar full_reads: number of reads of a full partition, by instance.
+    :ivar max_read_records: the largest number of records in an answer.
     """
 
     def __init__(self, seed: int = 1) -> None:
@@ -156,6 +157,7 @@
         self.partition_read_s: dict[tuple[str, int], float] = {}
         self.link_bytes_s: dict[str, float] = {}
         self.full_reads: Counter[str] = Counter()
+        self.max_read_records = 1_000_000
         self.writes = 0
         self.reads = 0
 
@@ -313,11 +315,12 @@
                 break
         if offset < part.first:
             raise LogTrimmedError(topic)
+        next_offset = min(part.end, offset + self._store.max_read_records)
         records = tuple(
             StoredRecord(i, *split_keyed(part.records[i - part.first]))
-            for i in range(offset, part.end)
+            for i in range(offset, next_offset)
         )
-        done = Slice(records, part.end, part.end)
+        done = Slice(records, next_offset, part.end)
         await self._transfer(topic, partition, records)
         await self._end_call()
         return done
