Model the claims of a lead and the acknowledgement of ends

spec/lead_claims.py: each claim has a higher epoch than those before it, and the log tells the newest, with late writes, restarts and compaction. spec/end_acknowledgements.py: a worker deletes no end that is not stored, with restarts, changes of the lead and late polls.

--- a/spec/test_spec.py
+++ b/spec/test_spec.py
@@ -5,9 +5,12 @@
 """
 
 import pytest
+import z3
 
 from spec._checker import find_counterexample, is_reachable, is_safe
 from spec.config_versions import ConfigVersions
+from spec.end_acknowledgements import EndAcknowledgements
+from spec.lead_claims import LeadClaims
 from spec.limit_transfer import LimitTransfer
 from spec.once_claim import OnceClaim
 from spec.task_lease import TaskLease
@@ -17,6 +20,8 @@
     pytest.param(LimitTransfer, marks=pytest.mark.row(4)),
     pytest.param(ConfigVersions, marks=pytest.mark.row(10)),
     pytest.param(OnceClaim, marks=[pytest.mark.row(6), pytest.mark.row(7)]),
+    pytest.param(LeadClaims),
+    pytest.param(EndAcknowledgements),
 )
 DEPTH = 20
 
@@ -25,6 +30,8 @@
     LimitTransfer: lambda s: s["receiver_runs"] > 1,
     ConfigVersions: lambda s: s["version"] > 2,
     OnceClaim: lambda s: s["b_sent"],
+    LeadClaims: lambda s: z3.And(s["former"] > 0, s["end"] > s["newest"]),
+    EndAcknowledgements: lambda s: z3.And(s["deleted"] > 1, s["incarnation"] > 1),
 }
 
 
