Search random scenarios for jobs that do not end

The generator knows which jobs cannot end, so that every other one is a finding, and so is a task that lasts and is not at work in the end.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,7 +1,8 @@
 """``python -m bench [NAME ...]`` runs the named measures, or all of them.
 
-``python -m bench --list`` prints their names, and ``python -m bench lab``
-compares scheduling policies, see ``python -m bench lab --help``.
+``python -m bench --list`` prints their names.  ``python -m bench lab`` compares
+scheduling policies, and ``python -m bench search`` looks for jobs that do not end; see
+their ``--help``.
 """
 
 import importlib
@@ -10,7 +11,7 @@
 import sys
 
 import bench
-from bench import lab
+from bench import lab, search
 from bench._registry import MEASURES
 
 
@@ -21,6 +22,8 @@
     """
     if names[:1] == ["lab"]:
         return lab.main(names[1:])
+    if names[:1] == ["search"]:
+        return search.main(names[1:])
     for module in pkgutil.iter_modules(bench.__path__):
         if not module.name.startswith("_"):
             importlib.import_module(f"bench.{module.name}")
--- a/standins/model/__init__.py
+++ b/standins/model/__init__.py
@@ -14,6 +14,7 @@
 from standins.model._http import HttpModel
 from standins.model._ports import ReservedPorts
 from standins.model._processes import KEY, Process, Processes, until
+from standins.model._search import SEARCHES, SearchScenario
 from standins.model._store import ModelAppend, ModelStore
 from standins.model._time import VirtualLoop, now, pause
 from standins.model._workers import ModelWorker, TaskPlan
@@ -21,6 +22,7 @@
 __all__ = [
     "INITIAL_FAULT_KINDS",
     "KEY",
+    "SEARCHES",
     "Checks",
     "FaultScenario",
     "HttpModel",
@@ -35,6 +37,7 @@
     "Process",
     "Processes",
     "ReservedPorts",
+    "SearchScenario",
     "TaskPlan",
     "Violation",
     "VirtualLoop",
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -332,6 +332,8 @@
     :ivar sent_bytes: bytes of messages by sender, receiver and kind.
     :ivar longest_wait_s: longest wait of a message at the link, by instance.
     :ivar accepted: path prefix of each accepted job.
+    :ivar team_limit: what a team may use at once, as operators write it, unless its
+        configuration has a limit of its own; unlimited if empty.
     :ivar gangs: coordinates the gangs on the workers.
     """
 
@@ -370,6 +372,7 @@
         self.longest_wait_s: Counter[str] = Counter()
         self._link_free_at: dict[str, float] = {}
         self.accepted: dict[str, str] = {}
+        self.team_limit: dict[str, int] = {}
         self.gangs = Gangs()
         self.workers: dict[str, ModelWorker] = {}
         self.instances: dict[str, ModelInstance] = {}
@@ -391,6 +394,8 @@
     def configure(self, version: int, **changes: Any) -> None:
         """Write a configuration as operators do."""
         body = config_body(version, **changes)
+        for team in body["tenants"]:
+            team["upper_limit"] = team["upper_limit"] or self.team_limit
         if self.advised:
             for queue in body["routes"]:
                 defaults = {"decision_ms": 50, "per_item_ms": 1, "validity_ms": 2000}
--- a/standins/model/_faults.py
+++ b/standins/model/_faults.py
@@ -98,6 +98,7 @@
         )
         self._failing_jobs: set[str] = set()
         self._cancelled: set[str] = set()
+        self._unending_jobs: set[str] = set()
         self._restarts: set[asyncio.Task[None]] = set()
 
     async def run(self) -> Outcome:
@@ -109,12 +110,16 @@
             await self._act()
             await pause(self.rng.expovariate(4.0))
         await self._clear_faults()
+        await self._settle()
+        self._checking.cancel()
+        return self._outcome()
+
+    async def _settle(self) -> None:
+        """Wait until everything that can end has ended."""
         try:
             await self.cell.all_done(SETTLE_TIMEOUT_S)
         except TimeoutError:
             self.record("some jobs did not end")
-        self._checking.cancel()
-        return self._outcome()
 
     async def _check_lead(self) -> None:
         while True:
@@ -365,15 +370,21 @@
             self._cancelled.add(job)
             await self.cell.cancel(job)
 
+    def _final_status(self, job: str) -> str | None:
+        """Return the status with which a job has ended, or ``None``."""
+        return self.cell.final(job).name if self.cell.ended(job) else None
+
     def _outcome(self) -> Outcome:
-        unfinished = [j for j in self.cell.accepted if not self.cell.ended(j)]
-        wrong_status = []
+        unfinished, wrong_status = [], []
         for job in self.cell.accepted:
-            if job in unfinished or job in self._cancelled:
-                continue
-            status = self.cell.final(job).name
-            if status != ("FAILED" if job in self._failing_jobs else "COMPLETED"):
-                wrong_status.append(f"{job} {status}")
+            status = self._final_status(job)
+            if status is None:
+                if job not in self._unending_jobs:
+                    unfinished.append(job)
+            elif job not in self._cancelled:
+                is_failing = job in self._failing_jobs
+                if status != ("FAILED" if is_failing else "COMPLETED"):
+                    wrong_status.append(f"{job} {status}")
         return Outcome(
             tuple(self.cell.checks.violations),
             tuple(unfinished),
--- a/standins/model/_workers.py
+++ b/standins/model/_workers.py
@@ -305,6 +305,13 @@
             self._gangs.ended(run, end)
         self._changed.set()
 
+    def fail_lasting(self) -> None:
+        """End one of the runs that last as failed, if there is one."""
+        for run in list(self.runs.values()):
+            if run.plan.lasts and run.working:
+                self.finish(run, RunEnd.FAILED)
+                return
+
     def _checkpoint(self, run: _Run) -> str:
         if not run.plan.checkpoints or not run.working:
             return ""
