--- a/src/firhook/decide/_held_capacity.py
+++ b/src/firhook/decide/_held_capacity.py
@@ -62,6 +62,7 @@
         self._held: dict[str, list[tuple[float, Resources]]] = {}
         self._held_by_team: dict[str, float] = {}
         self._steps: set[str] = set()
+        self._may_keep_off: dict[str, bool] = {}
         self._free: dict[str, Resources] = {}
         if shares.is_crowded:
             self._free = {name: pool.free for name, pool in shares.pools.items()}
@@ -84,7 +85,12 @@
     def may_keep_off(self, step: Step) -> bool:
         """Return whether a gang may keep other work off its pool's free capacity."""
         pool = step.job.queue.pool
-        return self._idle_holds.may_hold(pool, self._shares.pools.get(pool), self._now)
+        found = self._may_keep_off.get(pool)
+        if found is None:
+            capacity = self._shares.pools.get(pool)
+            found = self._idle_holds.may_hold(pool, capacity, self._now)
+            self._may_keep_off[pool] = found
+        return found
 
     def hold(self, step: Step, ready_at: float | None) -> None:
         """Hold capacity for a gang that does not fit yet.
