--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -394,8 +394,9 @@
     def configure(self, version: int, **changes: Any) -> None:
         """Write a configuration as operators do."""
         body = config_body(version, **changes)
-        for team in body["tenants"]:
-            team["upper_limit"] = team["upper_limit"] or self.team_limit
+        if self.team_limit:
+            for team in body["tenants"]:
+                team["upper_limit"] = team.get("upper_limit") or self.team_limit
         if self.advised:
             for queue in body["routes"]:
                 defaults = {"decision_ms": 50, "per_item_ms": 1, "validity_ms": 2000}
