Show that a worker may stay on probation and keep a gang waiting

The worker is on probation, takes one task a round, and gets no other work in an idle cell, so that neither ends.

--- a/tests/services/test_search.py
+++ b/tests/services/test_search.py
@@ -17,6 +17,12 @@
     assert outcome.passed, f"seed {seed}: {outcome}"
 
 
+def test_gang_starts_on_a_worker_that_was_on_probation_and_got_no_other_work():
+    """It may run on one worker only, which takes a single task while on probation."""
+    outcome = run_virtual(SEARCHES["limits"](20112).run())
+    assert outcome.passed, outcome
+
+
 class ForgottenJob(SearchScenario):
     """A job is taken for accepted that the cell knows nothing of."""
 
