End a probation 30 s after the last failure

Cause: the worker was on probation, so that it takes one task a round and the gang does not fit; only a run there ends the probation, and nothing else came.

Change: failures over 30 s old say nothing of a worker's present state, as for their count, so the probation ends then as well.

--- a/src/firhook/decide/_worker_health.py
+++ b/src/firhook/decide/_worker_health.py
@@ -42,6 +42,8 @@
     than the failed ones: tasks that last never complete.  Runs from before say
     nothing of what starts now, so they neither end the probation nor are on trial.  A
     run on trial that shows nothing delays the next one by the longest backoff at most.
+    Probation also ends once the last failure is long ago: a gang with several members
+    for one worker never fits while it lasts, and nothing else may come there.
 
     :ivar failed_at: when jobs last failed on it, since it last proved to be sound.
     :ivar longest_failed_s: how long the longest of these runs had run.
@@ -111,6 +113,13 @@
                 return True
         return False
 
+    def expire(self, now: float) -> bool:
+        """End a probation whose last failure is long ago; return whether it ended."""
+        if not self.probation or now - self.judged_at < FAILURE_WINDOW_S:
+            return False
+        self._clear()
+        return True
+
     def count_on_trial(self, runs: Iterable[Run], now: float) -> int:
         """Return how many of its runs are on trial; none unless it is on probation."""
         if not self.probation:
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -486,6 +486,8 @@
         runs = self.job_table.worker_runs.get(link.name, {})
         if link.health.record_work(runs.values(), now):
             log("worker.recovered", worker=link.name, by="work")
+        elif link.health.expire(now):
+            log("worker.recovered", worker=link.name, by="time")
         link.has_orphaned_runs = bool(orphaned)
         self._hold_ends(link, reply)
         for task, number in orphaned:
--- a/tests/decide/test_worker_health.py
+++ b/tests/decide/test_worker_health.py
@@ -79,6 +79,17 @@
     assert accepts(health, [silent], 12.0 + MAX_BACKOFF_S)
 
 
+def test_probation_ends_long_after_the_last_failure_though_nothing_runs():
+    """A gang that only this worker may run found room for one member for ever."""
+    health = WorkerHealth()
+    fail_often(health, 10.0)
+    health.record_end("3", RunEnd.FAILED, 20.0, 0.005)
+    assert not health.expire(20.0 + FAILURE_WINDOW_S - 0.01)
+    assert health.expire(20.0 + FAILURE_WINDOW_S)
+    assert not health.probation
+    assert not health.expire(60.0)
+
+
 def test_failures_far_apart_do_not_add_up():
     health = WorkerHealth()
     for n in range(10):
