Show that a task runs twice if the answer to a copy of its start is discarded

Cause, by the first of the hypotheses: a start waits for a greeting that the worker leaves unanswered, its second copy for another one. The first copy returns as not sent; that counts as an answer, and nobody awaits the second copy, which the worker carries out a moment later. Its answer takes the number of open copies down to 0, so that the start is given up as never carried out while the run executes.

The model can now delay a greeting or leave it unanswered.

--- a/standins/model/_workers.py
+++ b/standins/model/_workers.py
@@ -137,6 +137,8 @@
     :ivar rejects_starts: whether it rejects all starts as malformed.
     :ivar rejected_starts: number of starts that it rejected as malformed.
     :ivar loses_starts: whether starts do not arrive, though other calls do.
+    :ivar greetings: how long the answers to the next greetings take, in seconds;
+        ``None`` for one that is not answered.  Starts go at once if it is empty.
     :ivar closes_connections: whether it announces the end of each connection, so that
         a start may reach another incarnation.
     :ivar stalled: whether new runs make no progress.
@@ -177,6 +179,7 @@
         self.rejects_starts = False
         self.rejected_starts = 0
         self.loses_starts = False
+        self.greetings: list[float | None] = []
         self.closes_connections = False
         self.stalled = False
         self.draining_s: float | None = None
@@ -527,6 +530,11 @@
             return OrderAnswer(OrderOutcome.UNKNOWN)
         if target is None or target.closes_connections:
             return await self._order(worker.name, lambda w: w.start(order))
+        if target.greetings:
+            answer_s = target.greetings.pop(0)
+            await pause(ORDER_TIMEOUT_S if answer_s is None else answer_s)
+            if answer_s is None:
+                return OrderAnswer(OrderOutcome.NOT_SENT)
         # A greeting opens the connection, and the answer names the incarnation.
         reached = self._find_reachable(worker.name)
         if reached is not None and reached.incarnation != worker.incarnation:
