Log each copy of a start, and the ends of runs that the lead does not have

The logs did not tell which copies of the start were answered, how and when, nor that an end which was acknowledged belonged to a run that had been given up.

The lines tell the three hypotheses of docs/incidents/discarded-answer.md apart. No logic changes.

--- a/src/firhook/cell/_job_table.py
+++ b/src/firhook/cell/_job_table.py
@@ -605,6 +605,19 @@
             if step.ready_at is not None:
                 self.open_steps[step.name] = step
 
+    def find_task(self, name: str) -> Task | None:
+        """Return the task with a name; ``None`` if its step is not in the table."""
+        job_id, _, rest = name.partition(".")
+        job = self.jobs.get(job_id)
+        numbers = rest.split(".")
+        if job is None or len(numbers) != 3 or not all(n.isdecimal() for n in numbers):
+            return None
+        occurrence, step_number, index = map(int, numbers)
+        step = job.steps.get((occurrence, step_number))
+        if step is None or index >= len(step.tasks):
+            return None
+        return step.tasks[index]
+
     # Runs.
 
     def plan(
--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -285,6 +285,7 @@
         # still arrive.
         run.unanswered_starts += 1
         run.start_orders += 1
+        copy = run.start_orders
         run.sent_at = boot_time()
         sent_at = run.sent_at
         call = link.pending_calls.note_sent(sent_at)
@@ -306,8 +307,24 @@
         if answer.incarnation:
             link.on_order_answer(answer.incarnation, answer.clock_s, boot_time())
         self._meters.count("starts", answer.outcome.value)
+        if copy > 1 or answer.outcome is not OrderOutcome.APPLIED:
+            self._log_copy(run, copy, answer, sent_at)
         return answer
 
+    @staticmethod
+    def _log_copy(run: Run, copy: int, answer: OrderAnswer, began: float) -> None:
+        log(
+            "start.copy",
+            task=run.task.name,
+            run=run.number,
+            worker=run.worker,
+            copy=copy,
+            outcome=answer.outcome.value,
+            open=run.unanswered_starts,
+            current=run in run.task.runs,
+            took_ms=round((boot_time() - began) * 1000, 1),
+        )
+
     def _handle_start_answer(self, run: Run, answer: OrderAnswer, began: float) -> bool:
         """Handle the answer to a start; return whether the start is settled."""
         outcome = answer.outcome
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -474,6 +474,7 @@
     def on_poll(self, link: WorkerLink, reply: PollReply, sent_at: float) -> None:
         """Handle a worker's poll reply."""
         now, unix = boot_time(), unix_time()
+        self._log_unknown_ends(link, reply)
         orphaned = self.job_table.apply_poll_reply(link.name, reply, sent_at, now, unix)
         self.estimates.record_poll(
             self.job_table.worker_runs.get(link.name, {}).values(),
@@ -498,6 +499,29 @@
         self._stop_stalled(link, now)
         self._wake.set()
 
+    def _log_unknown_ends(self, link: WorkerLink, reply: PollReply) -> None:
+        """Log the ends of runs that are not in the job table, each once.
+
+        Of a task that is not done, such an end shows a run that was given up although
+        the worker executed it.
+        """
+        runs = self.job_table.worker_runs.get(link.name, {})
+        for row in reply.ended:
+            is_new = row.number > link.processed.number
+            if (row.task, row.run) in runs or not is_new or self._is_skipped(row.task):
+                continue
+            task = self.job_table.find_task(row.task)
+            log(
+                "end.unknown",
+                level="info" if task is None or task.done else "warning",
+                worker=link.name,
+                task=row.task,
+                run=row.run,
+                end=row.end.value,
+                state="gone" if task is None else "done" if task.done else "open",
+                last_run=task.last_run if task is not None else 0,
+            )
+
     def _hold_ends(self, link: WorkerLink, reply: PollReply) -> None:
         """Keep the ends of skipped jobs, which may be taken over yet.
 
