Settle each copy of a start by its own answer

Cause: a run counted the copies of its start that had no answer. The lead awaited the first known outcome of the copies, and a copy that was not sent, since its greeting had no answer, counted as one. Another copy that the worker carried out a moment later was awaited by nobody: its answer only took the count down to 0, and the start was given up as never carried out while the run executed. Class: the outcome of one copy stood for another.

Property now: each copy is open until its own answer came. A run is voided without asking its worker only if no copy is open and neither an answer nor a poll has ever shown the run. That holds in every order of copies, answers and polls, as nothing is counted: the answer to a copy is taken over whether or not anybody awaits it, and a start ends with the first sign that the worker has the run.

Related: a start was repeated, and after 2.5 s stopped, though a poll listed the run; it is settled by the poll now. An exception from a call left a copy open for ever; it counts as no answer. A restarted worker may carry out an open copy of a start that another copy settled: without a ticket the run is stopped there, and not voided at once.

--- a/src/firhook/cell/_job_table.py
+++ b/src/firhook/cell/_job_table.py
@@ -25,12 +25,11 @@
 )
 from firhook.cell._resources import NO_RESOURCES, Resources
 from firhook.cell._spec import StepSpec
+from firhook.cell._start_copies import MAX_ORDER_DELAY_S, StartCopies
 from firhook.cell._workers import EndedRow, PollReply, RunEnd, RunningRow
 
 #: Progress, in percentage points, from which a run's observed speed is used.
 _MIN_MEASURED_PERCENT = 5.0
-#: A worker may still carry out an unanswered order up to 12 s after it was sent.
-MAX_ORDER_DELAY_S = 12.5
 #: A lead sends orders for this time after it sent the last append that the store
 #: accepted, and so for as long beside its successor.
 PROOF_S = 0.75
@@ -57,10 +56,7 @@
     :ivar restored: whether an earlier lead assigned the run.
     :ivar stored: whether the assignment is on the log; orders are sent only then.
     :ivar confirmed: whether the worker has confirmed a start order or listed the run.
-    :ivar unanswered_starts: number of start orders without an answer; the worker may
-        still carry out each of them seconds later.
-    :ivar start_orders: number of start orders that this lead has sent.
-    :ivar sent_at: when the last start order was sent.
+    :ivar copies: the copies of the start order that this lead has sent.
     :ivar absence_conclusive_after: if a poll sent after this time does not list the
         run, it neither runs nor will start.
     :ivar ticket: the adviser's ticket, if the queue requires one.
@@ -75,9 +71,7 @@
     restored: bool = False
     stored: bool = False
     confirmed: bool = False
-    unanswered_starts: int = 0
-    start_orders: int = 0
-    sent_at: float = -math.inf
+    copies: StartCopies = attrs.field(factory=StartCopies)
     absence_conclusive_after: float = math.inf
     ticket: str = ""
     stop_reason: str = ""
@@ -96,12 +90,21 @@
 
         It is minus infinity if the outcome of all starts is known.
         """
-        if self.unanswered_starts:
-            return self.sent_at + MAX_ORDER_DELAY_S
+        if self.copies.may_arrive:
+            return self.copies.latest_arrival
         if self.restored and not self.confirmed:
             return self.started_at + PROOF_S + MAX_ORDER_DELAY_S
         return -math.inf
 
+    def may_reach_restarted(self, now: float) -> bool:
+        """Return whether an incarnation that began later may carry out a start.
+
+        It refuses one with a ticket, which was issued to the incarnation before.
+        """
+        if self.needs_ticket:
+            return self.copies.may_arrive
+        return now < self.copies.latest_arrival
+
     @property
     def needs_ticket(self) -> bool:
         """Whether its start names a ticket, which only one incarnation accepts."""
@@ -117,6 +120,7 @@
     def update_progress(self, row: RunningRow, now: float) -> None:
         """Record the progress and the checkpoint that the worker reports."""
         self.confirmed = True
+        self.copies.take()
         if row.checkpoint:
             self.task.update_checkpoint(row.checkpoint)
         if self.first_percent < 0:
@@ -865,8 +869,8 @@
             return
         is_conclusive = run.absence_conclusive_after < sent_at and reply.lists_all_ends
         if reply.incarnation > run.incarnation:
-            if run.unanswered_starts:
-                # The unanswered order may still reach the new incarnation.
+            if run.may_reach_restarted(now):
+                # An open copy may still reach the new incarnation.
                 run.incarnation = reply.incarnation
                 self.stop(run, "worker_restarted")
             elif is_conclusive or not run.was_carried_out:
@@ -895,7 +899,7 @@
     def _certain_end(run: Run, lease_s: float) -> float:
         """Return when a run that nobody hears of has ended, apart from known leases."""
         if not run.needs_ticket:
-            return run.latest_start_at() + lease_s
+            return max(run.latest_start_at(), run.copies.latest_arrival) + lease_s
         return -math.inf if run.restored else run.latest_start_at()
 
     # Changes to store and orders to send.
--- a/src/firhook/cell/job_table.py
+++ b/src/firhook/cell/job_table.py
@@ -2,7 +2,6 @@
 
 from firhook.cell._job_table import (
     BEGUN_STORE_DELAY_S,
-    MAX_ORDER_DELAY_S,
     PROOF_S,
     Job,
     JobTable,
@@ -11,6 +10,7 @@
     Task,
     critical_paths_s,
 )
+from firhook.cell._start_copies import MAX_ORDER_DELAY_S, StartCopies
 
 __all__ = [
     "BEGUN_STORE_DELAY_S",
@@ -19,6 +19,7 @@
     "Job",
     "JobTable",
     "Run",
+    "StartCopies",
     "Step",
     "Task",
     "critical_paths_s",
--- a/src/firhook/decide/_eviction.py
+++ b/src/firhook/decide/_eviction.py
@@ -344,7 +344,7 @@
             return False
         if spec.max_unavailable or queue.priority != self._lowest.get(queue.pool):
             return False
-        if not run.stored or not run.confirmed or run.unanswered_starts:
+        if not run.stored or not run.confirmed or run.copies.may_arrive:
             return False
         if task.done or len(task.runs) != 1:
             return False
--- a/src/firhook/decide/_speeds.py
+++ b/src/firhook/decide/_speeds.py
@@ -459,9 +459,9 @@
     It is not if the start order was sent by an earlier lead, more than once or with a
     late answer, or if the worker listed the run before that answer arrived.
     """
-    if not run.confirmed or run.start_orders != 1:
+    if not run.confirmed or run.copies.count != 1:
         return False
-    if not 0 <= run.started_at - run.sent_at <= _MAX_START_S:
+    if not 0 <= run.started_at - run.copies.sent_at <= _MAX_START_S:
         return False
     return run.first_percent < 0 or run.first_percent_at >= run.started_at
 
--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -23,7 +23,6 @@
 from firhook.platform.instance import Bounds
 from firhook.platform.workers import Workers
 from firhook.services._worker_link import WorkerLink
-from firhook.tasks import log_failure
 
 #: The delay before an order without an answer is repeated.
 _ORDER_RETRY_S = 0.1
@@ -50,8 +49,6 @@
     OrderOutcome.SUPERSEDED,
     OrderOutcome.NO_CAPACITY,
 )
-#: Logs a failed start that nobody awaits any more, as another copy was answered.
-_LOG_FAILURE = log_failure("run.start_failed")
 
 
 class OrderOwner(Protocol):
@@ -175,7 +172,12 @@
             if step.spec.gang
             else _START_RETRY_LIMIT_S
         )
-        while run in run.task.runs and not run.stop_reason and not self._term.lost:
+        calls: set[asyncio.Task[OrderAnswer]] = set()
+        while self._is_wanted(run):
+            if run.confirmed:
+                # The answer to any copy, or a poll, shows that the worker has the run.
+                self._note_started(run, began)
+                return
             if boot_time() - began > limit_s:
                 self._note_unanswered(run, began)
                 self._abandon_start(run, "start_unanswered")
@@ -187,11 +189,18 @@
                 self._abandon_start(run, "worker_restarted")
                 return
             if not self._is_unheard(run):
-                answer = await self._send_start(run)
-                if self._handle_start_answer(run, answer, began):
+                answer = await self._send_start(run, calls)
+                if self._handle_start_answer(run, answer):
                     return
+                if run.confirmed:
+                    continue
             await asyncio.sleep(_ORDER_RETRY_S)
 
+    def _is_wanted(self, run: Run) -> bool:
+        """Return whether a run is still to be started."""
+        is_current = run in run.task.runs and not run.stop_reason
+        return is_current and not self._term.lost
+
     def _is_unheard(self, run: Run) -> bool:
         """Return whether the worker answered nothing since a start without an answer.
 
@@ -200,7 +209,7 @@
         one order answers polls, once a second at least.
         """
         heard_at = self._term.links[run.worker].last_heard_at
-        return run.unanswered_starts > 0 and heard_at < run.sent_at
+        return run.copies.may_arrive and heard_at < run.copies.sent_at
 
     def _note_unanswered(self, run: Run, began: float) -> None:
         """Keep new work off a worker that answers polls but not a start.
@@ -210,7 +219,7 @@
         """
         link = self._term.links[run.worker]
         answers_polls = link.last_reply_at > began + OVERDUE_S
-        if run.unanswered_starts and not run.confirmed and answers_polls:
+        if run.copies.may_arrive and answers_polls:
             self._record_refusal(run.worker)
 
     def _has_other_incarnation(self, run: Run) -> bool:
@@ -231,38 +240,51 @@
         zone = self._term.links[run.worker].entry.zone
         if zone not in zones:
             return False
-        if not run.unanswered_starts:
+        if not run.copies.may_arrive:
             return True
         drain_s = self._bounds.zone_drain_s - _DRAIN_MARGIN_S
         return not zones.may_repeat_start(zone, boot_time(), drain_s)
 
-    async def _send_start(self, run: Run) -> OrderAnswer:
+    async def _send_start(
+        self, run: Run, calls: set[asyncio.Task[OrderAnswer]]
+    ) -> OrderAnswer:
         """Send a start, and a second copy of it if the first is not answered soon.
 
-        :return: the first answer; an unknown outcome only if both copies have one.
+        :param calls: the calls of earlier copies without an answer, which this adds to.
+        :return: the first answer to any copy that settles the start; else that of the
+            last one sent here.
         """
         self._hedge_timer.record_order()
-        calls = [self._begin_start(run)]
+        sent = {self._begin_start(run)}
+        calls |= sent
+        first, delay_s = asyncio.FIRST_COMPLETED, self._hedge_timer.delay_s()
         try:
-            await asyncio.wait(calls, timeout=self._hedge_timer.delay_s())
-            if not calls[0].done() and self._may_hedge(run):
+            done, _ = await asyncio.wait(calls, timeout=delay_s, return_when=first)
+            if not done and self._may_hedge(run):
                 self._meters.count("starts_hedged")
-                calls.append(self._begin_start(run))
-            return await _first_known_answer(calls)
+                second = self._begin_start(run)
+                sent.add(second)
+                calls.add(second)
+            while True:
+                done, _ = await asyncio.wait(calls, return_when=first)
+                calls -= done
+                for answer in (call.result() for call in done):
+                    if answer.outcome not in _RETRIED_OUTCOMES:
+                        return answer
+                if run.confirmed or not sent & calls:
+                    return answer
         except asyncio.CancelledError:
             for call in calls:
                 call.cancel()
             raise
 
     def _begin_start(self, run: Run) -> asyncio.Task[OrderAnswer]:
-        call = asyncio.create_task(self._send_start_once(run))
-        call.add_done_callback(_LOG_FAILURE)
-        return call
+        return asyncio.create_task(self._send_start_once(run))
 
     def _may_hedge(self, run: Run) -> bool:
-        is_current = run in run.task.runs and not run.stop_reason
         return (
-            is_current
+            self._is_wanted(run)
+            and not run.confirmed
             and self._term.may_act()
             and not self._is_drained(run)
             and not self._has_other_incarnation(run)
@@ -270,6 +292,10 @@
         )
 
     async def _send_start_once(self, run: Run) -> OrderAnswer:
+        """Send one copy of a start, and take over what its answer says.
+
+        An answer counts whether or not anybody awaits it any more.
+        """
         link = self._term.links[run.worker]
         step = run.task.step
         order = StartOrder(
@@ -283,34 +309,42 @@
         )
         # Counted before it is sent, so that other tasks treat it as one that may
         # still arrive.
-        run.unanswered_starts += 1
-        run.start_orders += 1
-        copy = run.start_orders
-        run.sent_at = boot_time()
-        sent_at = run.sent_at
+        sent_at = boot_time()
+        copy = run.copies.send(sent_at)
         call = link.pending_calls.note_sent(sent_at)
         try:
             answer = await self._term.workers.start(link.entry, order)
+        except Exception as exc:
+            log("run.start_failed", level="error", task=run.task.name, error=repr(exc))
+            answer = OrderAnswer(OrderOutcome.UNKNOWN)
         finally:
             link.pending_calls.note_finished(call)
         if answer.outcome is OrderOutcome.UNKNOWN:
-            # A second copy may have been answered meanwhile.
-            link.suspected = link.suspected or run.unanswered_starts > 0
-            self._unanswered_starts.setdefault(run.worker, {})[run.key] = run.sent_at
+            # Another copy may have been answered meanwhile.
+            link.suspected = link.suspected or run.copies.may_arrive
+            self._unanswered_starts.setdefault(run.worker, {})[run.key] = sent_at
         else:
-            # The answer to another copy may have shown already that the worker has
-            # the run, which makes this copy void.
-            run.unanswered_starts = max(run.unanswered_starts - 1, 0)
+            run.copies.settle(copy)
             self._hedge_timer.record_answer(boot_time() - sent_at)
         if answer.outcome in _LEASING_OUTCOMES:
             link.lease.note_start_answered(boot_time())
         if answer.incarnation:
             link.on_order_answer(answer.incarnation, answer.clock_s, boot_time())
+        if answer.outcome in (OrderOutcome.APPLIED, OrderOutcome.SUPERSEDED):
+            self._note_taken(run, answer)
         self._meters.count("starts", answer.outcome.value)
         if copy > 1 or answer.outcome is not OrderOutcome.APPLIED:
             self._log_copy(run, copy, answer, sent_at)
         return answer
 
+    @staticmethod
+    def _note_taken(run: Run, answer: OrderAnswer) -> None:
+        """Record that the worker has a run, or refuses to start it from now on."""
+        run.copies.take()
+        run.confirmed = run.confirmed or answer.outcome is OrderOutcome.APPLIED
+        run.absence_conclusive_after = boot_time()
+        run.incarnation = max(run.incarnation, answer.incarnation)
+
     @staticmethod
     def _log_copy(run: Run, copy: int, answer: OrderAnswer, began: float) -> None:
         log(
@@ -320,29 +354,22 @@
             worker=run.worker,
             copy=copy,
             outcome=answer.outcome.value,
-            open=run.unanswered_starts,
+            open=run.copies.open_count,
             current=run in run.task.runs,
             took_ms=round((boot_time() - began) * 1000, 1),
         )
 
-    def _handle_start_answer(self, run: Run, answer: OrderAnswer, began: float) -> bool:
-        """Handle the answer to a start; return whether the start is settled."""
+    def _handle_start_answer(self, run: Run, answer: OrderAnswer) -> bool:
+        """Handle the answer to a start; return whether nothing is left to do."""
         outcome = answer.outcome
         step = run.task.step
-        if outcome in (OrderOutcome.APPLIED, OrderOutcome.SUPERSEDED):
-            # The worker has the run, so that earlier copies of the start are void.
-            run.unanswered_starts = 0
-            run.absence_conclusive_after = boot_time()
-            if answer.incarnation > run.incarnation:
-                run.incarnation = answer.incarnation
-            if outcome is OrderOutcome.APPLIED:
-                self._note_started(run, began)
-            return True
-        if outcome in _RETRIED_OUTCOMES:
-            return False
         if outcome is OrderOutcome.FENCED:
             self._term.on_fenced(run.worker)
             return True
+        if outcome is OrderOutcome.SUPERSEDED:
+            return True
+        if run.confirmed or outcome in _RETRIED_OUTCOMES:
+            return False
         log(
             "run.refused",
             level="warning",
@@ -378,9 +405,9 @@
     def _abandon_start(self, run: Run, reason: str) -> None:
         if run not in run.task.runs:
             return
-        if run.unanswered_starts:
-            # A copy of the start may still be carried out.  Only a confirmed stop
-            # rules that out.
+        if run.copies.may_arrive or run.confirmed:
+            # A copy of the start was or may still be carried out.  Only a confirmed
+            # stop rules that out.
             self._term.job_table.stop(run, reason)
             if run.task.step.spec.gang:
                 self._term.job_table.stop_gang(run.task.step, run.number)
@@ -389,7 +416,6 @@
         self._wake()
 
     def _note_started(self, run: Run, began: float) -> None:
-        run.confirmed = True
         now = boot_time()
         rejections = self._term.tickets.rejections
         for worker in rejections.record_acceptance(run.task.step, run.worker):
@@ -425,23 +451,10 @@
                     link.entry, run.task.name, run.number, self._term.fence
                 )
                 if answer.outcome in (OrderOutcome.APPLIED, OrderOutcome.SUPERSEDED):
-                    run.unanswered_starts = 0
+                    run.copies.take()
                     run.absence_conclusive_after = boot_time()
                     return
                 if answer.outcome is OrderOutcome.FENCED:
                     self._term.on_fenced(run.worker)
                     return
             await asyncio.sleep(_ORDER_RETRY_S)
-
-
-async def _first_known_answer(calls: list[asyncio.Task[OrderAnswer]]) -> OrderAnswer:
-    """Return the first answer whose outcome is known, else that of the last call.
-
-    Calls without an answer by then go on, as their end shows whether the worker
-    answers.
-    """
-    for earliest in asyncio.as_completed(calls):
-        answer = await earliest
-        if answer.outcome is not OrderOutcome.UNKNOWN:
-            return answer
-    return answer
--- a/tests/cell/test_job_table_machine.py
+++ b/tests/cell/test_job_table_machine.py
@@ -141,7 +141,7 @@
     def start_stays_unanswered(self, pick):
         run = self.pick_run(pick)
         if run is not None:
-            run.unanswered_starts, run.sent_at = 1, self.now
+            run.copies.send(self.now)
             self.table.stop(run, "start_unanswered")
             if run.task.step.spec.gang:
                 self.table.stop_gang(run.task.step, run.number)
@@ -153,7 +153,7 @@
             runs = list(self.table.worker_runs.get(worker, {}).values())
             for run in runs:
                 if run.stored and run.stop_reason:
-                    run.unanswered_starts = 0
+                    run.copies.take()
                     run.absence_conclusive_after = self.now - 1
             self.reply(worker, [r for r in runs if r.stored and not r.stop_reason])
 
--- a/tests/decide/test_durations.py
+++ b/tests/decide/test_durations.py
@@ -95,7 +95,7 @@
 def running(world, step, worker="w0", task=0):
     (run,) = world.book.plan(step, [(step.tasks[task], worker, 1)], world.now)
     run.stored = run.confirmed = True
-    run.start_orders, run.sent_at = 1, run.started_at
+    run.copies.send(run.started_at)
     return run
 
 
@@ -142,8 +142,8 @@
         runs = world.book.plan(step, rows, world.now)
         for run, started_s in zip(runs, (0.1, 0.9), strict=True):
             run.stored = run.confirmed = True
-            run.start_orders, run.sent_at = 1, world.now + started_s
-            run.started_at = run.sent_at
+            run.copies.send(world.now + started_s)
+            run.started_at = run.copies.sent_at
         for run in runs:
             world.book.end(run, RunEnd.DONE, "", world.now + 2.9, 0.0)
             estimates.record_poll((), [(run, RunEnd.DONE)], world.now + 2.9)
--- a/tests/decide/test_eviction.py
+++ b/tests/decide/test_eviction.py
@@ -268,7 +268,7 @@
     for run in list(bulk.runs())[:9]:
         run.confirmed = False
     for run in list(bulk.runs())[9:]:
-        run.unanswered_starts = 1
+        run.copies.send(world.now)
     submit_urgent(world)
     assert world.round() == []
 
--- a/tests/decide/test_speeds.py
+++ b/tests/decide/test_speeds.py
@@ -80,10 +80,14 @@
     name = "s.0"
 
 
-def report(estimator, worker, percent, took_s, task=Sibling, number=1, **more):
+def report(
+    estimator, worker, percent, took_s, task=Sibling, number=1, sent=(9.99,), **more
+):
     """Record the progress of a run on a worker, whose start is known."""
-    run = Run(task, number, worker, 1, 10.0, confirmed=True, start_orders=1)
-    run.sent_at, run.percent, run.percent_at = 9.99, percent, 10.0 + took_s
+    run = Run(task, number, worker, 1, 10.0, confirmed=True)
+    for at in sent:
+        run.copies.send(at)
+    run.percent, run.percent_at = percent, 10.0 + took_s
     for name, value in more.items():
         setattr(run, name, value)
     # Each worker has another task of the step.
@@ -154,9 +158,9 @@
         {"spec": {"gang": True}},
         {"spec": {"checkpoints": True}, "number": 2},
         {"stop_reason": "stalled"},
-        {"start_orders": 0},
-        {"start_orders": 2},
-        {"sent_at": 8.0},
+        {"sent": ()},
+        {"sent": (9.98, 9.99)},
+        {"sent": (8.0,)},
         {"first_percent": 50.0, "first_percent_at": 9.995},
     ],
     ids=["gang", "resumed", "stalled", "restored", "resent", "late_answer", "listed"],
--- a/tests/decide/uneven_cell.py
+++ b/tests/decide/uneven_cell.py
@@ -145,7 +145,7 @@
             durations = [max(durations)] * len(runs)
         for run, took_s in zip(runs, durations, strict=True):
             run.stored = run.confirmed = True
-            run.start_orders, run.sent_at = 1, self.now
+            run.copies.send(self.now)
             run.started_at = self.now + START_S
             self.true_durations[run.key] = took_s
             self.at(run.started_at + took_s + END_REPORT_S, self._end, run)
--- a/tests/services/test_seeded_defects.py
+++ b/tests/services/test_seeded_defects.py
@@ -10,6 +10,7 @@
 import pytest
 
 from firhook.cell import EndCursor, JobTable
+from firhook.cell.job_table import StartCopies
 from firhook.services._order_sender import OrderSender
 from firhook.services._term import Term
 from firhook.services._worker_link import WorkerLink
@@ -81,7 +82,7 @@
     abandon_start = OrderSender._abandon_start
 
     def defective(self, run, reason):
-        run.unanswered_starts = 0
+        run.copies = StartCopies()
         abandon_start(self, run, reason)
 
     monkeypatch.setattr(OrderSender, "_abandon_start", defective)
