Compose a start when its connection is ready

Cause: the check and the sending were two steps with waits between them.

Property now: the client asks for the order when the connection is ready, with no wait between that and the sending. A run that is given up before is never sent, so that a copy is open only once it is sent, and the time for which it may be carried out counts from then.

A second copy is sent only once the first one is: before it would wait for a connection as well, and use up the budget of second copies.

--- a/src/firhook/cell/_start_copies.py
+++ b/src/firhook/cell/_start_copies.py
@@ -18,26 +18,33 @@
     :ivar sent_at: when the last copy was sent, in seconds; minus infinity if none was.
     """
 
-    __slots__ = ("_is_taken", "_open", "count", "sent_at")
+    __slots__ = ("_is_taken", "_last", "_open", "count", "sent_at")
 
     def __init__(self) -> None:
         self.count = 0
         self.sent_at = -math.inf
+        self._last = 0
         self._open: dict[int, float] = {}
         self._is_taken = False
 
     def send(self, now: float) -> int:
         """Record that a copy is sent; return its number."""
         self.count += 1
+        self._last += 1
         self.sent_at = now
-        self._open[self.count] = now
+        self._open[self._last] = now
         self._is_taken = False
-        return self.count
+        return self._last
 
     def settle(self, copy: int) -> None:
-        """Record that a copy was answered, or was not sent after all."""
+        """Record that a copy was answered."""
         self._open.pop(copy, None)
 
+    def withdraw(self, copy: int) -> None:
+        """Record that a copy was not sent after all."""
+        if self._open.pop(copy, None) is not None:
+            self.count -= 1
+
     def take(self) -> None:
         """Record that the worker has the run, or refuses to start it from now on.
 
--- a/src/firhook/platform/_workers.py
+++ b/src/firhook/platform/_workers.py
@@ -204,11 +204,18 @@
         """
 
     @abstractmethod
-    async def start(self, worker: WorkerEntry, order: StartOrder) -> OrderAnswer:
+    async def start(
+        self, worker: WorkerEntry, fence: int, compose: Callable[[], StartOrder | None]
+    ) -> OrderAnswer:
         """Order a run to be started.
 
         The order reaches only the incarnation that the entry names.  If another one
         answers, the order is not sent, and the answer names that incarnation.
+
+        :param fence: fencing token of the lead.
+        :param compose: returns the order, or ``None`` if it must not be sent any more.
+            It is called when the connection is ready, with no await between the call
+            and the sending, and again only if nothing was sent.
         """
 
     @abstractmethod
@@ -341,25 +348,10 @@
         except FieldError as exc:
             raise WorkerUnreachableError(f"{worker.name}: {exc}") from exc
 
-    async def start(self, worker: WorkerEntry, order: StartOrder) -> OrderAnswer:
-        """See :meth:`Workers.start`."""
-        body: dict[str, Any] = {
-            "task": order.task,
-            "run": order.run,
-            "specification": order.text,
-            "deadline_ms": int(order.lease_until_s * 1000),
-            "fencing_token": order.fence,
-        }
-        if order.checkpoint:
-            body["last_checkpoint"] = order.checkpoint
-        if order.ticket:
-            body["ticket"] = order.ticket
-        return await self._start_on_incarnation(worker, body)
-
-    async def _start_on_incarnation(
-        self, worker: WorkerEntry, body: dict[str, Any]
+    async def start(
+        self, worker: WorkerEntry, fence: int, compose: Callable[[], StartOrder | None]
     ) -> OrderAnswer:
-        """Send a start to the incarnation that the entry names, and to no other.
+        """See :meth:`Workers.start`.
 
         The worker may restart at its address as one of another kind before the start
         arrives.  Nothing in the start names an incarnation: a ticket may have been
@@ -373,21 +365,32 @@
             await conns.wait_until_known()
             if conns.incarnation == worker.incarnation:
                 try:
-                    return await self._order(worker, "run-start", body, conns)
+                    return await self._send_start(worker, compose, conns)
                 except NoKeptConnectionError:
                     pass
             if not self._may_send():
                 break
-            answer = await self._greet(worker, body["fencing_token"], conns)
+            answer = await self._greet(worker, fence, conns)
             if conns.is_closing:
                 # Two incarnations of such a worker cannot be told apart.
-                return await self._order(worker, "run-start", body)
+                return await self._send_start(worker, compose)
             if answer.outcome is not OrderOutcome.APPLIED:
                 return answer
             if conns.incarnation != worker.incarnation:
                 return OrderAnswer(OrderOutcome.NOT_SENT, conns.incarnation)
         return OrderAnswer(OrderOutcome.NOT_SENT)
 
+    async def _send_start(
+        self,
+        worker: WorkerEntry,
+        compose: Callable[[], StartOrder | None],
+        conns: "_StartConnections | None" = None,
+    ) -> OrderAnswer:
+        order = compose()
+        if order is None:
+            return OrderAnswer(OrderOutcome.NOT_SENT)
+        return await self._order(worker, "run-start", _start_body(order), conns)
+
     async def _greet(
         self, worker: WorkerEntry, fence: int, conns: "_StartConnections"
     ) -> OrderAnswer:
@@ -470,6 +473,21 @@
         )
 
 
+def _start_body(order: StartOrder) -> dict[str, Any]:
+    body: dict[str, Any] = {
+        "task": order.task,
+        "run": order.run,
+        "specification": order.text,
+        "deadline_ms": int(order.lease_until_s * 1000),
+        "fencing_token": order.fence,
+    }
+    if order.checkpoint:
+        body["last_checkpoint"] = order.checkpoint
+    if order.ticket:
+        body["ticket"] = order.ticket
+    return body
+
+
 def decode_order_answer(response: Response) -> OrderAnswer:
     """Decode a worker's answer to an order; the outcome of others is unknown."""
     try:
--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -80,6 +80,28 @@
         """Handle that a worker has seen a higher fencing token."""
 
 
+class _Copy:
+    """One copy of a run's start, from the call for it to its answer.
+
+    :ivar number: its number; 0 while it is not sent.
+    :ivar sent_at: when it was sent.
+    """
+
+    def __init__(self, run: Run) -> None:
+        self.run = run
+        self.number = 0
+        self.sent_at = 0.0
+
+    def send(self, now: float) -> None:
+        """Record that the copy is sent now."""
+        self.number, self.sent_at = self.run.copies.send(now), now
+
+    def withdraw(self) -> None:
+        """Record that the copy was not sent after all."""
+        self.run.copies.withdraw(self.number)
+        self.number = 0
+
+
 class OrderSender:
     """Sends the starts and stops of runs, each until it is settled.
 
@@ -255,11 +277,15 @@
             last one sent here.
         """
         self._hedge_timer.record_order()
+        before = run.copies.count
         sent = {self._begin_start(run)}
         calls |= sent
         first, delay_s = asyncio.FIRST_COMPLETED, self._hedge_timer.delay_s()
         try:
             done, _ = await asyncio.wait(calls, timeout=delay_s, return_when=first)
+            while not done and run.copies.count == before:
+                # It still waits for a connection, as a second copy would.
+                done, _ = await asyncio.wait(calls, timeout=delay_s, return_when=first)
             if not done and self._may_hedge(run):
                 self._meters.count("starts_hedged")
                 second = self._begin_start(run)
@@ -282,14 +308,7 @@
         return asyncio.create_task(self._send_start_once(run))
 
     def _may_hedge(self, run: Run) -> bool:
-        return (
-            self._is_wanted(run)
-            and not run.confirmed
-            and self._term.may_act()
-            and not self._is_drained(run)
-            and not self._has_other_incarnation(run)
-            and self._hedge_timer.take()
-        )
+        return self._may_send(run) and self._term.may_act() and self._hedge_timer.take()
 
     async def _send_start_once(self, run: Run) -> OrderAnswer:
         """Send one copy of a start, and take over what its answer says.
@@ -297,8 +316,45 @@
         An answer counts whether or not anybody awaits it any more.
         """
         link = self._term.links[run.worker]
+        copy = _Copy(run)
+
+        def compose() -> StartOrder | None:
+            # The run may have been given up, or the lease extended, while the
+            # connection was being opened.
+            copy.withdraw()
+            return self._compose(link, copy) if self._may_send(run) else None
+
+        began = boot_time()
+        call = link.pending_calls.note_sent(began)
+        try:
+            answer = await self._term.workers.start(
+                link.entry, self._term.fence, compose
+            )
+        except Exception as exc:
+            log("run.start_failed", level="error", task=run.task.name, error=repr(exc))
+            answer = OrderAnswer(OrderOutcome.UNKNOWN)
+        finally:
+            link.pending_calls.note_finished(call)
+        self._note_answer(link, copy, answer)
+        self._meters.count("starts", answer.outcome.value)
+        if copy.number > 1 or answer.outcome is not OrderOutcome.APPLIED:
+            self._log_copy(copy, answer, began)
+        return answer
+
+    def _may_send(self, run: Run) -> bool:
+        """Return whether a copy of a start may be sent at this moment."""
+        return (
+            self._is_wanted(run)
+            and not run.confirmed
+            and not self._is_drained(run)
+            and not self._has_other_incarnation(run)
+        )
+
+    def _compose(self, link: WorkerLink, copy: "_Copy") -> StartOrder:
+        run = copy.run
         step = run.task.step
-        order = StartOrder(
+        copy.send(boot_time())
+        return StartOrder(
             task=run.task.name,
             run=run.number,
             text=step.job.accepted.spec.text,
@@ -307,35 +363,26 @@
             checkpoint=step.start_checkpoint(run.task),
             ticket=run.ticket,
         )
-        # Counted before it is sent, so that other tasks treat it as one that may
-        # still arrive.
-        sent_at = boot_time()
-        copy = run.copies.send(sent_at)
-        call = link.pending_calls.note_sent(sent_at)
-        try:
-            answer = await self._term.workers.start(link.entry, order)
-        except Exception as exc:
-            log("run.start_failed", level="error", task=run.task.name, error=repr(exc))
-            answer = OrderAnswer(OrderOutcome.UNKNOWN)
-        finally:
-            link.pending_calls.note_finished(call)
+
+    def _note_answer(
+        self, link: WorkerLink, copy: "_Copy", answer: OrderAnswer
+    ) -> None:
+        run, now = copy.run, boot_time()
         if answer.outcome is OrderOutcome.UNKNOWN:
             # Another copy may have been answered meanwhile.
             link.suspected = link.suspected or run.copies.may_arrive
-            self._unanswered_starts.setdefault(run.worker, {})[run.key] = sent_at
+            self._unanswered_starts.setdefault(run.worker, {})[run.key] = copy.sent_at
+        elif answer.outcome is OrderOutcome.NOT_SENT:
+            copy.withdraw()
         else:
-            run.copies.settle(copy)
-            self._hedge_timer.record_answer(boot_time() - sent_at)
+            run.copies.settle(copy.number)
+            self._hedge_timer.record_answer(now - copy.sent_at)
         if answer.outcome in _LEASING_OUTCOMES:
-            link.lease.note_start_answered(boot_time())
+            link.lease.note_start_answered(now)
         if answer.incarnation:
-            link.on_order_answer(answer.incarnation, answer.clock_s, boot_time())
+            link.on_order_answer(answer.incarnation, answer.clock_s, now)
         if answer.outcome in (OrderOutcome.APPLIED, OrderOutcome.SUPERSEDED):
             self._note_taken(run, answer)
-        self._meters.count("starts", answer.outcome.value)
-        if copy > 1 or answer.outcome is not OrderOutcome.APPLIED:
-            self._log_copy(run, copy, answer, sent_at)
-        return answer
 
     @staticmethod
     def _note_taken(run: Run, answer: OrderAnswer) -> None:
@@ -346,17 +393,19 @@
         run.incarnation = max(run.incarnation, answer.incarnation)
 
     @staticmethod
-    def _log_copy(run: Run, copy: int, answer: OrderAnswer, began: float) -> None:
+    def _log_copy(copy: "_Copy", answer: OrderAnswer, began: float) -> None:
+        run, now = copy.run, boot_time()
         log(
             "start.copy",
             task=run.task.name,
             run=run.number,
             worker=run.worker,
-            copy=copy,
+            copy=copy.number,
             outcome=answer.outcome.value,
             open=run.copies.open_count,
             current=run in run.task.runs,
-            took_ms=round((boot_time() - began) * 1000, 1),
+            took_ms=round((now - began) * 1000, 1),
+            sent_ms=round((copy.sent_at - began) * 1000, 1) if copy.number else None,
         )
 
     def _handle_start_answer(self, run: Run, answer: OrderAnswer) -> bool:
--- a/standins/model/_workers.py
+++ b/standins/model/_workers.py
@@ -522,24 +522,31 @@
         await pause(NETWORK_DELAY_S)
         return reply
 
-    async def start(self, worker: WorkerEntry, order: StartOrder) -> OrderAnswer:
+    async def start(
+        self, worker: WorkerEntry, fence: int, compose: Callable[[], StartOrder | None]
+    ) -> OrderAnswer:
         """See :meth:`Workers.start`."""
         target = self._workers.get(worker.name)
-        if target is not None and target.loses_starts:
-            await pause(ORDER_TIMEOUT_S)
-            return OrderAnswer(OrderOutcome.UNKNOWN)
-        if target is None or target.closes_connections:
-            return await self._order(worker.name, lambda w: w.start(order))
-        if target.greetings:
+        closes = target is None or target.closes_connections
+        if not closes and target.greetings:
             answer_s = target.greetings.pop(0)
             await pause(ORDER_TIMEOUT_S if answer_s is None else answer_s)
             if answer_s is None:
                 return OrderAnswer(OrderOutcome.NOT_SENT)
         # A greeting opens the connection, and the answer names the incarnation.
         reached = self._find_reachable(worker.name)
-        if reached is not None and reached.incarnation != worker.incarnation:
+        is_other = reached is not None and reached.incarnation != worker.incarnation
+        if is_other and not closes:
             await pause(2 * NETWORK_DELAY_S)
             return OrderAnswer(OrderOutcome.NOT_SENT, reached.incarnation)
+        order = compose() if self._may_send() else None
+        if order is None:
+            return OrderAnswer(OrderOutcome.NOT_SENT)
+        if target is not None and target.loses_starts:
+            await pause(ORDER_TIMEOUT_S)
+            return OrderAnswer(OrderOutcome.UNKNOWN)
+        if closes:
+            return await self._order(worker.name, lambda w: w.start(order))
         return await self._order(
             worker.name,
             lambda w: (
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -167,7 +167,7 @@
 def start(workers, port, number=0, ticket=""):
     """Start a run on the incarnation that :func:`entry` names."""
     order = StartOrder(f"j.0.0.{number}", 1, "x", 3, 6.0, ticket=ticket)
-    return workers.start(entry(port), order)
+    return workers.start(entry(port), 3, lambda: order)
 
 
 @pytest.mark.parametrize("ticket", ["", "t"])
