Stop an open copy of a start at each incarnation that may carry it out

Cause: a stop that was confirmed before the restart counted for the incarnation after it, which knows of no stop. And starts of runs that had ended were stopped there with one call, whose answer was not looked at; where orders go unanswered, so does that one.

Change: a confirmed stop counts for the incarnations that were known when it was sent; a later one is stopped anew before the run is void. Starts of ended runs are stopped until the worker confirms it, or none can arrive any more (services/_late_starts).

Property: for a run that the lead still has, its next run starts only once the incarnation that answers has confirmed that it refuses the former one, or no copy is open.

--- a/src/firhook/cell/_job_table.py
+++ b/src/firhook/cell/_job_table.py
@@ -59,6 +59,8 @@
     :ivar copies: the copies of the start order that this lead has sent.
     :ivar absence_conclusive_after: if a poll sent after this time does not list the
         run, it neither runs nor will start.
+    :ivar stopped_at: the incarnation that a confirmed stop has reached, or a later one;
+        0 if none was confirmed.
     :ivar ticket: the adviser's ticket, if the queue requires one.
     :ivar stop_reason: why the run is to be stopped; empty if it is not.
     """
@@ -73,6 +75,7 @@
     confirmed: bool = False
     copies: StartCopies = attrs.field(factory=StartCopies)
     absence_conclusive_after: float = math.inf
+    stopped_at: int = 0
     ticket: str = ""
     stop_reason: str = ""
     first_percent: float = -1.0
@@ -117,6 +120,14 @@
         """Whether a worker has answered that it carried out a start or a stop."""
         return self.absence_conclusive_after < math.inf
 
+    def confirm_stop(self, incarnation: int, now: float) -> None:
+        """Record that a worker confirmed a stop, and so refuses later starts.
+
+        :param incarnation: the newest that was known when the stop was sent.
+        """
+        self.copies.take()
+        self.stopped_at, self.absence_conclusive_after = incarnation, now
+
     def update_progress(self, row: RunningRow, now: float) -> None:
         """Record the progress and the checkpoint that the worker reports."""
         self.confirmed = True
@@ -869,10 +880,13 @@
             return
         is_conclusive = run.absence_conclusive_after < sent_at and reply.lists_all_ends
         if reply.incarnation > run.incarnation:
-            if run.may_reach_restarted(now):
-                # An open copy may still reach the new incarnation.
+            if run.may_reach_restarted(now) and run.stopped_at < reply.incarnation:
+                # An open copy may still reach the new incarnation, which knows of no
+                # stop that an earlier one confirmed.
                 run.incarnation = reply.incarnation
-                self.stop(run, "worker_restarted")
+                run.absence_conclusive_after = math.inf
+                run.stop_reason = run.stop_reason or "worker_restarted"
+                self.to_stop.append(run)
             elif is_conclusive or not run.was_carried_out:
                 # The answer to a start may be that of the new incarnation.
                 self.void(run, "worker_restarted", now)
--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -13,7 +13,6 @@
     Run,
     StartOrder,
 )
-from firhook.cell.job_table import MAX_ORDER_DELAY_S
 from firhook.clock import boot_time
 from firhook.decide.hedging import HedgeTimer
 from firhook.decide.suspicion import OVERDUE_S
@@ -22,10 +21,9 @@
 from firhook.meters import Meters
 from firhook.platform.instance import Bounds
 from firhook.platform.workers import Workers
+from firhook.services._late_starts import ORDER_RETRY_S, LateStarts
 from firhook.services._worker_link import WorkerLink
 
-#: The delay before an order without an answer is repeated.
-_ORDER_RETRY_S = 0.1
 #: A start is repeated for this time.  After that the run is stopped, which every
 #: worker that answers at all confirms.
 _START_RETRY_LIMIT_S = 2.5
@@ -122,25 +120,16 @@
         self._meters = meters
         self._spawn = spawn
         self._wake = wake
-        self._unanswered_starts: dict[str, dict[tuple[str, int], float]] = {}
+        self._late_starts = LateStarts(term)
         self._queued_starts: list[tuple[float, int, Run]] = []
         self._queued_count = 0
         self._free_slots = _MAX_CONCURRENT_STARTS
         self._hedge_timer = HedgeTimer()
 
     def stop_late_starts(self, link: WorkerLink, now: float) -> None:
-        """Stop starts to a worker's previous incarnation that may still arrive.
-
-        A start without an answer was stopped in the previous incarnation, or its
-        lease expired there.  The new incarnation knows of neither.  If the start
-        arrives late, it would run the task beside the task's next run.
-        """
-        term = self._term
-        starts = self._unanswered_starts.pop(link.name, {})
-        for (task, number), sent_at in starts.items():
-            active = (task, number) in term.job_table.worker_runs.get(link.name, {})
-            if now - sent_at < MAX_ORDER_DELAY_S and not active:
-                self._spawn(term.workers.stop(link.entry, task, number, term.fence))
+        """Stop starts to a worker's previous incarnation that may still arrive."""
+        for run in self._late_starts.take(link.name, now):
+            self._spawn(self._late_starts.stop(run))
 
     def start_runs(self, runs: list[Run]) -> None:
         """Queue the starts of runs whose assignments are now stored."""
@@ -216,7 +205,7 @@
                     return
                 if run.confirmed:
                     continue
-            await asyncio.sleep(_ORDER_RETRY_S)
+            await asyncio.sleep(ORDER_RETRY_S)
 
     def _is_wanted(self, run: Run) -> bool:
         """Return whether a run is still to be started."""
@@ -371,7 +360,7 @@
         if answer.outcome is OrderOutcome.UNKNOWN:
             # Another copy may have been answered meanwhile.
             link.suspected = link.suspected or run.copies.may_arrive
-            self._unanswered_starts.setdefault(run.worker, {})[run.key] = copy.sent_at
+            self._late_starts.record(run, copy.sent_at, now)
         elif answer.outcome is OrderOutcome.NOT_SENT:
             copy.withdraw()
         else:
@@ -496,14 +485,19 @@
                 return
             link = self._term.links.get(run.worker)
             if link is not None and self._term.may_act():
+                incarnation = max(run.incarnation, link.newest_incarnation)
                 answer = await self._term.workers.stop(
                     link.entry, run.task.name, run.number, self._term.fence
                 )
-                if answer.outcome in (OrderOutcome.APPLIED, OrderOutcome.SUPERSEDED):
-                    run.copies.take()
-                    run.absence_conclusive_after = boot_time()
+                is_confirmed = answer.outcome in (
+                    OrderOutcome.APPLIED,
+                    OrderOutcome.SUPERSEDED,
+                )
+                # Else an earlier incarnation may have confirmed it.
+                if is_confirmed and run.incarnation <= incarnation:
+                    run.confirm_stop(incarnation, boot_time())
                     return
                 if answer.outcome is OrderOutcome.FENCED:
                     self._term.on_fenced(run.worker)
                     return
-            await asyncio.sleep(_ORDER_RETRY_S)
+            await asyncio.sleep(ORDER_RETRY_S)
--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -143,9 +143,14 @@
             return False
         return now - self.last_reply_at < _SILENCE_LIMIT_S
 
+    @property
+    def newest_incarnation(self) -> int:
+        """The newest incarnation that an answer or the entry shows."""
+        return max(self.incarnation, self.entry.incarnation)
+
     def has_restarted_since(self, incarnation: int) -> bool:
         """Return whether an answer or the entry shows a later incarnation."""
-        return max(self.incarnation, self.entry.incarnation) > incarnation
+        return self.newest_incarnation > incarnation
 
     def set_entry(self, entry: WorkerEntry) -> None:
         """Take over the worker's newest entry."""
--- a/tests/cell/test_job_table_absence.py
+++ b/tests/cell/test_job_table_absence.py
@@ -50,3 +50,35 @@
     run = assign(table, "j")
     poll(table, sent_at=NOW - 1, incarnation=INCARNATION + 1)
     assert run not in run.task.runs
+
+
+def test_stop_confirmed_before_a_restart_does_not_void_an_open_copy_after_it():
+    """A restarted worker may carry out the copy beside the task's next run."""
+    table = make_table("j", count=1)
+    run = assign(table, "j")
+    run.copies.send(NOW)
+    table.stop(run, "start_unanswered")
+    run.confirm_stop(INCARNATION, NOW)
+    table.take_to_stop()
+    poll(table, sent_at=NOW + 1, incarnation=INCARNATION + 1)
+    assert run in run.task.runs
+    assert table.take_to_stop() == [run]
+    poll(table, sent_at=NOW + 2, incarnation=INCARNATION + 1)
+    assert run in run.task.runs
+    run.confirm_stop(INCARNATION + 1, NOW + 2)
+    poll(table, sent_at=NOW + 3, incarnation=INCARNATION + 1)
+    assert run not in run.task.runs
+
+
+@pytest.mark.parametrize("answers", [0, 1, 2])
+def test_restart_voids_a_run_at_once_only_if_each_copy_was_answered(answers):
+    """The answer to one copy says nothing of another at the next incarnation."""
+    table = make_table("j", count=1)
+    run = assign(table, "j")
+    copies = [run.copies.send(NOW), run.copies.send(NOW)]
+    run.copies.take()
+    run.confirmed, run.absence_conclusive_after = True, NOW
+    for copy in copies[:answers]:
+        run.copies.settle(copy)
+    poll(table, sent_at=NOW + 1, incarnation=INCARNATION + 1)
+    assert (run in run.task.runs) == (answers < 2)
