Know each connection for starts by itself

A worker that came again with a lower time of its start never got a start again, as the highest one counted.

Now each connection has a session of its own, which makes calls over it alone, and is known by the answer to the greeting that opened it. A connection leads to one process for its life and is never opened again, so a start that goes over it reaches the incarnation that answered there, or nobody, in whatever order greetings are answered. A start takes the connection that becomes free first. A connection from which no answer came in time counts no more, and others are opened for the starts that wait. Greetings run apart from the starts that caused them, so that the end of a start leaves them alone.

--- a/src/firhook/platform/_client.py
+++ b/src/firhook/platform/_client.py
@@ -1,9 +1,7 @@
 """The HTTP client that all calls to the platform and to workers share."""
 
 import asyncio
-import contextlib
 import socket
-from collections.abc import AsyncIterator
 from types import SimpleNamespace
 from typing import Any
 
@@ -24,9 +22,9 @@
 )
 #: An idle connection is kept open for this time: new connections to workers are
 #: charged for, and each costs a round trip.
-_IDLE_CONNECTION_S = 30.0
+IDLE_CONNECTION_S = 30.0
 #: Limit of the connections to each worker and to the store.
-_MAX_CONNECTIONS_PER_HOST = 32
+MAX_CONNECTIONS_PER_HOST = 32
 _SUPPRESSED_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -78,12 +76,15 @@
         raise NoKeptConnectionError
 
 
-def new_session(*tracing: aiohttp.TraceConfig) -> aiohttp.ClientSession:
-    """Return a client session, which keeps connections open for later calls."""
+def new_session(*tracing: aiohttp.TraceConfig, limit: int = 0) -> aiohttp.ClientSession:
+    """Return a client session, which keeps connections open for later calls.
+
+    :param limit: limit of the connections; 0 for no other than that for each host.
+    """
     connector = aiohttp.TCPConnector(
-        limit=0,
-        limit_per_host=_MAX_CONNECTIONS_PER_HOST,
-        keepalive_timeout=_IDLE_CONNECTION_S,
+        limit=limit,
+        limit_per_host=MAX_CONNECTIONS_PER_HOST,
+        keepalive_timeout=IDLE_CONNECTION_S,
         socket_factory=_make_socket,
     )
     return aiohttp.ClientSession(
@@ -95,32 +96,11 @@
     )
 
 
-@attrs.frozen(slots=True)
-class Sessions:
-    """The client sessions of an instance.
-
-    :param calls: for all calls but polls of workers and starts of runs.
-    :param polls: for polls, of which one at a time goes to each worker.  So an open
-        connection leads to the process that answered the last poll.
-    :param starts: for starts, on connections that a greeting opened.
-    """
-
-    calls: aiohttp.ClientSession
-    polls: aiohttp.ClientSession
-    starts: aiohttp.ClientSession
-
-
-@contextlib.asynccontextmanager
-async def open_sessions() -> AsyncIterator[Sessions]:
-    """Open the client sessions of an instance, and close them in the end."""
+def new_tracing() -> aiohttp.TraceConfig:
+    """Return what lets a session make calls on kept connections only."""
     tracing = aiohttp.TraceConfig()
     tracing.on_connection_create_start.append(_refuse_new_connection)
-    async with (
-        new_session() as calls,
-        new_session(tracing) as polls,
-        new_session(tracing) as starts,
-    ):
-        yield Sessions(calls, polls, starts)
+    return tracing
 
 
 async def call(
@@ -140,8 +120,8 @@
     :param total_timeout_s: how long the complete response may take, if longer than
         ``timeout_s``.
     :param on_kept_connection: whether to make the call only on a connection on which
-        an earlier call of the session was answered.  This takes the session for polls
-        or that for starts.
+        an earlier call of the session was answered.  This takes a session with
+        :func:`new_tracing`.
     :raises NoKeptConnectionError: if there is no such connection.
     :raises NotSentError: if certainly nothing was sent.
     :raises NoResponseError: if the call may have reached the server.
--- a/src/firhook/platform/_connections.py
+++ b/src/firhook/platform/_connections.py
@@ -3,8 +3,8 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 
-from firhook.platform._client import Sessions
 from firhook.platform._instance import InstanceSettings
+from firhook.platform._sessions import Sessions
 from firhook.platform._store import HttpStore, Store
 from firhook.platform._workers import Adviser, HttpAdviser, HttpWorkers, Workers
 
@@ -21,11 +21,15 @@
     adviser: Adviser | None
 
     @abstractmethod
-    def workers(self, may_send: Callable[[], bool]) -> Workers:
+    def workers(
+        self, may_send: Callable[[], bool], answer_delay_s: Callable[[], float]
+    ) -> Workers:
         """Return a client of the workers.
 
         :param may_send: returns whether the sender may still give orders; called
             before each order is sent.
+        :param answer_delay_s: returns the time in seconds within which a worker that
+            answers an order does so.
         """
 
 
@@ -39,6 +43,8 @@
             HttpAdviser(sessions.calls, settings.adviser) if settings.adviser else None
         )
 
-    def workers(self, may_send: Callable[[], bool]) -> Workers:
+    def workers(
+        self, may_send: Callable[[], bool], answer_delay_s: Callable[[], float]
+    ) -> Workers:
         """See :meth:`Connections.workers`."""
-        return HttpWorkers(self._sessions, may_send)
+        return HttpWorkers(self._sessions, may_send, answer_delay_s)
--- a/src/firhook/platform/_workers.py
+++ b/src/firhook/platform/_workers.py
@@ -1,9 +1,8 @@
 """Registrations of workers, and the clients of workers and of the adviser."""
 
 import asyncio
-import contextlib
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -30,7 +29,6 @@
     NoResponseError,
     NotSentError,
     Response,
-    Sessions,
     call,
 )
 from firhook.platform._config import decode_resources
@@ -48,6 +46,8 @@
     get_str_list,
     parse_json,
 )
+from firhook.platform._sessions import Sessions
+from firhook.platform._start_connections import Greeted, Greeter
 
 #: Added to the time that a poll asks the worker to wait.
 _POLL_SLACK_S = 1.0
@@ -59,8 +59,8 @@
 #: polled without renewing its lease.
 _UNKEPT_PAUSE_S = 0.25
 
-#: How many connections a start opens at most.  Others may take each of them first.
-_MAX_GREETINGS = 4
+#: When a greeting is repeated, unless the sender knows how fast workers answer.
+_ANSWER_DELAY_S = 0.1
 
 _OUTCOMES_BY_REASON = {
     "fence": OrderOutcome.FENCED,
@@ -231,61 +231,48 @@
         """Limit a run to a percentage of its full speed."""
 
 
-class _StartConnections:
-    """Knows to which process the connections for starts to one worker lead.
+class _WorkerGreeter(Greeter):
+    """Greets a worker with a poll that changes nothing."""
 
-    Connections do not outlive the process that accepted them.  So all that were opened
-    before the answer to a greeting lead to the incarnation that answered, or to nobody.
+    def __init__(self, workers: "HttpWorkers", worker: WorkerEntry, fence: int) -> None:
+        self.incarnation, self.fence = worker.incarnation, fence
+        self._workers, self._worker = workers, worker
 
-    :ivar incarnation: the newest incarnation that has answered; 0 if none has.
-    :ivar is_closing: whether the worker announced the end of a new connection.
-    """
-
-    def __init__(self) -> None:
-        self.incarnation = 0
-        self.is_closing = False
-        self._greetings = 0
-        self._changed = asyncio.Event()
+    def may_send(self) -> bool:
+        """See :meth:`Greeter.may_send`."""
+        return self._workers.may_send()
 
-    @contextlib.contextmanager
-    def greeting(self) -> Iterator[None]:
-        """Note that a greeting is under way.
-
-        One that fails may leave its connection open without its answer having been
-        read, so that the next start has to greet again.
-        """
-        self._greetings += 1
-        try:
-            yield
-        except BaseException:
-            self.incarnation = 0
-            raise
-        finally:
-            self._greetings -= 1
-            self._changed.set()
-            self._changed = asyncio.Event()
+    def answer_delay_s(self) -> float:
+        """See :meth:`Greeter.answer_delay_s`."""
+        return self._workers.answer_delay_s()
 
-    async def wait_until_known(self) -> None:
-        """Wait until no greeting is under way."""
-        while self._greetings:
-            await self._changed.wait()
+    async def greet(self, session: aiohttp.ClientSession) -> Greeted:
+        """See :meth:`Greeter.greet`."""
+        return await self._workers.greet(session, self._worker, self.fence)
 
 
 class HttpWorkers(Workers):
     """HTTP client of the workers.
 
     :param may_send: returns whether the sender may still give orders.
+    :param answer_delay_s: returns the time in seconds within which a worker that
+        answers an order does so.  After it a greeting is repeated.
     """
 
-    def __init__(self, sessions: Sessions, may_send: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        sessions: Sessions,
+        may_send: Callable[[], bool],
+        answer_delay_s: Callable[[], float] = lambda: _ANSWER_DELAY_S,
+    ) -> None:
         self._sessions = sessions
-        self._may_send = may_send
+        self.may_send = may_send
+        self.answer_delay_s = answer_delay_s
         # Workers that announced the end even of a connection that was just opened, as a
         # stopping one does not.  Two incarnations of them cannot be told apart.
         self._closing: set[str] = set()
         # Workers whose last poll found no open connection.
         self._unkept: set[str] = set()
-        self._start_connections: dict[str, _StartConnections] = {}
 
     async def poll(
         self,
@@ -359,56 +346,54 @@
         process has told its incarnation: each connection is opened by a greeting, which
         changes nothing.
         """
-        conns = self._start_connections.setdefault(worker.name, _StartConnections())
-        for _ in range(_MAX_GREETINGS):
-            # The connection of a greeting may be used again before its answer is read.
-            await conns.wait_until_known()
-            if conns.incarnation == worker.incarnation:
-                try:
-                    return await self._send_start(worker, compose, conns)
-                except NoKeptConnectionError:
-                    pass
-            if not self._may_send():
-                break
-            answer = await self._greet(worker, fence, conns)
-            if conns.is_closing:
-                # Two incarnations of such a worker cannot be told apart.
-                return await self._send_start(worker, compose)
-            if answer.outcome is not OrderOutcome.APPLIED:
+        greeter = _WorkerGreeter(self, worker, fence)
+        until = asyncio.get_running_loop().time() + ORDER_TIMEOUT_S
+        while True:
+            conns = self._sessions.starts.to(worker.name, worker.address)
+            left_s = max(until - asyncio.get_running_loop().time(), 0)
+            grant = await conns.take(greeter, left_s)
+            if isinstance(grant, OrderAnswer):
+                return grant
+            if grant is None:
+                return await self._send_start(worker, compose, self._sessions.calls)
+            answer = OrderAnswer(OrderOutcome.UNKNOWN)
+            try:
+                answer = await self._send_start(worker, compose, grant.session, True)
                 return answer
-            if conns.incarnation != worker.incarnation:
-                return OrderAnswer(OrderOutcome.NOT_SENT, conns.incarnation)
-        return OrderAnswer(OrderOutcome.NOT_SENT)
+            except NoKeptConnectionError:
+                pass
+            finally:
+                if answer.outcome is OrderOutcome.UNKNOWN:
+                    conns.give_up(grant)
+                else:
+                    conns.give_back(grant)
 
     async def _send_start(
         self,
         worker: WorkerEntry,
         compose: Callable[[], StartOrder | None],
-        conns: "_StartConnections | None" = None,
+        session: aiohttp.ClientSession,
+        on_kept_connection: bool = False,
     ) -> OrderAnswer:
         order = compose()
         if order is None:
             return OrderAnswer(OrderOutcome.NOT_SENT)
-        return await self._order(worker, "run-start", _start_body(order), conns)
+        body = _start_body(order)
+        return await self._order(worker, "run-start", body, session, on_kept_connection)
 
-    async def _greet(
-        self, worker: WorkerEntry, fence: int, conns: "_StartConnections"
-    ) -> OrderAnswer:
+    async def greet(
+        self, session: aiohttp.ClientSession, worker: WorkerEntry, fence: int
+    ) -> Greeted:
         """Open a connection for starts, and learn which incarnation it leads to."""
         body = {"fencing_token": fence, "ack_cursor": 0}
         try:
-            with conns.greeting():
-                response = await self._post(
-                    self._sessions.starts, worker, "hold", body, ORDER_TIMEOUT_S
-                )
-                answer = decode_order_answer(response)
-                conns.incarnation = max(conns.incarnation, answer.incarnation)
-                conns.is_closing = response.closes
+            response = await self._post(session, worker, "hold", body, ORDER_TIMEOUT_S)
         except (NotSentError, NoResponseError):
-            return OrderAnswer(OrderOutcome.NOT_SENT)
+            return Greeted(OrderAnswer(OrderOutcome.NOT_SENT))
+        answer = decode_order_answer(response)
         if answer.outcome not in (OrderOutcome.APPLIED, OrderOutcome.FENCED):
-            return OrderAnswer(OrderOutcome.NOT_SENT)
-        return answer
+            answer = OrderAnswer(OrderOutcome.NOT_SENT)
+        return Greeted(answer, response.closes)
 
     async def stop(
         self, worker: WorkerEntry, task: str, run: int, fence: int
@@ -429,20 +414,25 @@
         worker: WorkerEntry,
         name: str,
         body: dict[str, Any],
-        conns: "_StartConnections | None" = None,
+        session: aiohttp.ClientSession | None = None,
+        on_kept_connection: bool = False,
     ) -> OrderAnswer:
         """Send an order.
 
-        :param conns: if given, the order goes over one of these connections only.
-        :raises NoKeptConnectionError: if none of them is free.
+        :param session: the session to use instead of that for most calls.
+        :param on_kept_connection: see :func:`call`.
+        :raises NoKeptConnectionError: see :func:`call`.
         """
-        if not self._may_send():
+        if not self.may_send():
             return OrderAnswer(OrderOutcome.NOT_SENT)
-        is_bound = conns is not None
-        session = self._sessions.starts if is_bound else self._sessions.calls
         try:
             response = await self._post(
-                session, worker, name, body, ORDER_TIMEOUT_S, is_bound
+                session or self._sessions.calls,
+                worker,
+                name,
+                body,
+                ORDER_TIMEOUT_S,
+                on_kept_connection,
             )
         except NotSentError:
             return OrderAnswer(OrderOutcome.NOT_SENT)
--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -128,6 +128,10 @@
         self._free_slots = _MAX_CONCURRENT_STARTS
         self._hedge_timer = HedgeTimer()
 
+    def answer_delay_s(self) -> float:
+        """Return the time in seconds within which a worker that answers does so."""
+        return self._hedge_timer.delay_s()
+
     def stop_late_starts(self, link: WorkerLink, now: float) -> None:
         """Stop starts to a worker's previous incarnation that may still arrive.
 
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -151,7 +151,9 @@
         self._replica = instance.replica
         self._meters = instance.meters
         self._bounds = instance.settings.bounds
-        self.workers = instance.platform.workers(self.may_act)
+        self.workers = instance.platform.workers(
+            self.may_act, lambda: self._order_sender.answer_delay_s()
+        )
         self.links: dict[str, WorkerLink] = {}
         self.tickets = TicketTable()
         self.estimates = Estimates(instance.meters.count)
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -109,7 +109,9 @@
             _GatedClient(cell.adviser.client(name), gate) if cell.adviser else None
         )
 
-    def workers(self, may_send: Callable[[], bool]) -> Workers:
+    def workers(
+        self, may_send: Callable[[], bool], answer_delay_s: Callable[[], float]
+    ) -> Workers:
         """See :meth:`Connections.workers`."""
         cell = self._cell
         client = ModelWorkers(
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -15,7 +15,8 @@
     WorkerEntry,
 )
 from firhook.errors import WorkerUnreachableError
-from firhook.platform._client import NoKeptConnectionError, call, open_sessions
+from firhook.platform._client import NoKeptConnectionError, call
+from firhook.platform._sessions import open_sessions
 from firhook.platform.workers import HttpWorkers
 
 ACK = EndCursor(1, 57)
@@ -258,17 +259,15 @@
             async with new.run(port):
                 post = workers._post
 
-                async def answered_and_cancelled(*args):
-                    await post(*args)
-                    raise asyncio.CancelledError
+                async def answered_and_cancelled(session, worker, name, *args):
+                    response = await post(session, worker, name, *args)
+                    if name == "hold" and len(new.polls) == 1:
+                        raise asyncio.CancelledError
+                    return response
 
                 workers._post = answered_and_cancelled
-                with contextlib.suppress(asyncio.CancelledError):
-                    await workers._greet(
-                        entry(port), 3, workers._start_connections["w"]
-                    )
-                workers._post = post
                 answer = await start(workers, port)
+        assert len(new.polls) == 2
         assert new.starts == []
         assert answer.incarnation == 2
 
