Send no start to a worker whose greeting shows another incarnation as it closes

A worker that announced the end of each connection got a start although its greeting had just named another incarnation than the start's. Nothing binds the start to a process of such a worker, but what the greeting showed is known: the start is not sent, and its answer names that incarnation. A greeting on a kept connection that names none binds nothing, so its connection is given up.

--- a/src/firhook/platform/_start_connections.py
+++ b/src/firhook/platform/_start_connections.py
@@ -24,7 +24,8 @@
 class Greeted:
     """What a greeting on a new connection showed.
 
-    :ivar answer: the answer; NOT_SENT if there is no usable one.
+    :ivar answer: the answer; NOT_SENT if there is no usable one.  One that was applied
+        names the incarnation, unless the worker closes the connection.
     :ivar closes: whether the worker announced the end of the connection.
     """
 
@@ -271,12 +272,12 @@
         self._greeting.discard(conn)
         answer = greeted.answer
         if answer.outcome is OrderOutcome.APPLIED:
-            self._tell_others(conn, answer.incarnation)
-            if greeted.closes:
-                self._send_unbound(answer.incarnation)
-            else:
+            if answer.incarnation:
+                self._tell_others(conn, answer.incarnation)
+            if not greeted.closes:
                 self._note_known(conn, answer.incarnation)
                 return
+            self._send_unbound(answer.incarnation)
         elif answer.outcome is OrderOutcome.FENCED:
             for waiter in tuple(self._waiters):
                 if waiter.greeter.fence <= greeter.fence:
@@ -304,9 +305,12 @@
         self._greet()
 
     def _send_unbound(self, incarnation: int) -> None:
-        """Let the starts go on any connection: the worker closes each one."""
+        """Let the starts go on any connection: the worker closes each one.
+
+        :param incarnation: the incarnation that answered; 0 if it does not say.
+        """
         for waiter in tuple(self._waiters):
-            if waiter.greeter.incarnation == incarnation:
+            if incarnation in (0, waiter.greeter.incarnation):
                 self._settle(waiter, None)
 
     def _tell_others(self, conn: StartConnection, incarnation: int) -> None:
--- a/src/firhook/platform/_workers.py
+++ b/src/firhook/platform/_workers.py
@@ -391,7 +391,9 @@
         except (NotSentError, NoResponseError):
             return Greeted(OrderAnswer(OrderOutcome.NOT_SENT))
         answer = decode_order_answer(response)
-        if answer.outcome not in (OrderOutcome.APPLIED, OrderOutcome.FENCED):
+        is_known = answer.incarnation or response.closes
+        is_usable = is_known and answer.outcome is OrderOutcome.APPLIED
+        if not is_usable and answer.outcome is not OrderOutcome.FENCED:
             answer = OrderAnswer(OrderOutcome.NOT_SENT)
         return Greeted(answer, response.closes)
 
--- a/tests/platform/test_start_connections.py
+++ b/tests/platform/test_start_connections.py
@@ -23,7 +23,8 @@
     :ivar starts: the task and the connection of each start.
     :ivar silent_greetings: the numbers of the greetings that it does not answer.
     :ivar silent_tasks: the tasks whose starts it does not answer.
-    :ivar status: the status of each answer to a greeting.
+    :ivar fence: the highest fencing token that it has seen.
+    :ivar closes: whether it closes each connection after an answer.
     :ivar connections: the connections that are open.
     """
 
@@ -31,7 +32,7 @@
         self.born = born
         self.greetings, self.starts = [], []
         self.silent_greetings, self.silent_tasks = set(), set()
-        self.status = 200
+        self.fence, self.closes = 0, False
         self.connections = set()
         self._tasks = set()
 
@@ -47,9 +48,14 @@
             silent = body["task"] in self.silent_tasks
         if silent:
             await asyncio.sleep(5)
-        reply = {"timestamp_ms": 1, "born": self.born, "running": [], "finished": []}
-        status = self.status if is_greeting else 200
-        return web.json_response({**reply, "reason": "fence"}, status=status)
+        reply = {"timestamp_ms": 1, "running": [], "finished": [], "reason": "fence"}
+        if self.born:
+            reply["born"] = self.born
+        status = 409 if body["fencing_token"] < self.fence else 200
+        resp = web.json_response(reply, status=status)
+        if self.closes:
+            resp.force_close()
+        return resp
 
     @property
     def open_connections(self):
@@ -115,9 +121,10 @@
         process = Process(1)
         process.silent_greetings = {0}
         async with process.run() as port, client() as (workers, _):
-            async with asyncio.timeout(ORDER_TIMEOUT_S):
-                assert await start_many(workers, port, 1) == [APPLIED]
-                assert await start_many(workers, port, 5, 1) == [APPLIED] * 5
+            assert await start_many(workers, port, 1) == [APPLIED]
+            assert await start_many(workers, port, 5, 1) == [APPLIED] * 5
+            # The first greeting is still under way.
+            assert not process.greetings[0].is_closing()
 
     asyncio.run(scenario())
 
@@ -237,10 +244,39 @@
     asyncio.run(scenario())
 
 
-def test_fenced_greeting_fences_the_start():
+def test_worker_that_closes_each_connection_gets_no_start_for_another_incarnation():
+    """Its greeting shows the incarnation that runs, though nothing binds the start."""
+
+    async def scenario():
+        process = Process(2)
+        process.closes = True
+        async with process.run() as port, client() as (workers, _):
+            answer = await start(workers, port, 0, born=1)
+            assert (answer.outcome, answer.incarnation) == (OrderOutcome.NOT_SENT, 2)
+            assert (await start(workers, port, 1, born=2)).outcome is APPLIED
+        assert [task for task, _ in process.starts] == ["j.0.0.1"]
+
+    asyncio.run(scenario())
+
+
+def test_greeting_that_names_no_incarnation_gets_no_start():
+    async def scenario():
+        process = Process(0)
+        async with process.run() as port, client() as (workers, starts):
+            for born in (0, 1):
+                answer = await start(workers, port, born=born)
+                assert answer.outcome is OrderOutcome.NOT_SENT
+            await until(lambda: not starts._tasks)
+        assert process.starts == []
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("closes", [False, True])
+def test_fenced_greeting_fences_the_start(closes):
     async def scenario():
         process = Process(1)
-        process.status = 409
+        process.fence, process.closes = 4, closes
         async with process.run() as port, client() as (workers, _):
             answers = await start_many(workers, port, 3)
         assert answers == [OrderOutcome.FENCED] * 3
@@ -249,6 +285,25 @@
     asyncio.run(scenario())
 
 
+def test_greeting_of_an_earlier_lead_does_not_fence_a_later_one():
+    """Both lead from one instance, whose later term the worker knows already."""
+
+    async def scenario():
+        process = Process(1)
+        process.fence = 4
+        async with process.run() as port, client() as (workers, _):
+            entry = WorkerEntry("w", 1, "pool", f"127.0.0.1:{port}", "z0", Resources())
+            early = asyncio.create_task(start(workers, port))
+            await asyncio.sleep(0)
+            late = asyncio.create_task(
+                workers.start(entry, 4, lambda: StartOrder("j.0.0.1", 1, "x", 4, 6.0))
+            )
+            assert (await early).outcome is OrderOutcome.FENCED
+            assert (await late).outcome is APPLIED
+
+    asyncio.run(scenario())
+
+
 def test_nothing_is_sent_by_a_lead_that_may_not_send():
     async def scenario():
         process, allowed, sent = Process(1), True, []
