Open the session of a connection for starts in the task that closes it

The end of an instance cancelled the tasks of connections. One that had not begun to run never closed its session, which had been opened before.

--- a/src/firhook/platform/_start_connections.py
+++ b/src/firhook/platform/_start_connections.py
@@ -62,15 +62,16 @@
 class StartConnection:
     """A connection to a worker, from before it is opened.
 
-    :ivar session: makes calls over this connection only.
+    :ivar session: makes calls over this connection only; set when it is opened.
     :ivar number: a connection that was begun later has a higher number.
     :ivar incarnation: the incarnation that it leads to; 0 while that is unknown.
     :ivar idle_since: when its last call ended, in seconds of the loop's clock.
     :ivar ended: set when it is given up.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, number: int) -> None:
-        self.session = session
+    session: aiohttp.ClientSession
+
+    def __init__(self, number: int) -> None:
         self.number = number
         self.incarnation = 0
         self.idle_since = 0.0
@@ -238,7 +239,7 @@
 
     def _open_connection(self, greeter: Greeter) -> None:
         self._count += 1
-        conn = StartConnection(self._open_session(), self._count)
+        conn = StartConnection(self._count)
         self._open.add(conn)
         self._greeting.add(conn)
         self._expect_soon(conn, greeter)
@@ -247,7 +248,7 @@
     async def _keep(self, conn: StartConnection, greeter: Greeter) -> None:
         """Open a connection, and close it after its use."""
         try:
-            async with conn.session:
+            async with self._open_session() as conn.session:
                 greeted = await self._ask(conn, greeter)
                 self._on_greeted(conn, greeter, greeted)
                 await conn.ended.wait()
--- a/tests/platform/test_start_connections.py
+++ b/tests/platform/test_start_connections.py
@@ -388,6 +388,29 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("turns", range(6))
+def test_closing_leaves_no_session_open_that_was_just_begun(turns):
+    async def scenario():
+        opened = []
+        async with Process(1).run() as port, client() as (workers, starts):
+            open_session = starts._open_session
+
+            def recorded():
+                opened.append(open_session())
+                return opened[-1]
+
+            starts._open_session = recorded
+            call = asyncio.create_task(start(workers, port))
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            await starts.close()
+            call.cancel()
+            await asyncio.wait({call})
+            assert all(session.closed for session in opened)
+
+    asyncio.run(scenario())
+
+
 def test_idle_connections_are_few_and_are_closed_in_time(monkeypatch):
     async def scenario():
         process = Process(1)
