Search orders of events around the starts of few tasks

The model's greetings and polls may be lost or late at random, and two assumptions about the platform are switches, off by default: a late order reaches the next incarnation, and what refuses a repeated run is forgotten with its end. The search `starts` plays short tasks on one to three workers with lost, late, hedged and repeated starts, late polls, restarts, changes of the lead and cancelled jobs.

--- a/standins/model/__init__.py
+++ b/standins/model/__init__.py
@@ -14,7 +14,9 @@
 from standins.model._http import HttpModel
 from standins.model._ports import ReservedPorts
 from standins.model._processes import KEY, Process, Processes, until
-from standins.model._search import SEARCHES, SearchScenario
+from standins.model._search import SearchScenario
+from standins.model._searches import SEARCHES
+from standins.model._start_search import StartSearch
 from standins.model._store import ModelAppend, ModelStore
 from standins.model._time import VirtualLoop, now, pause
 from standins.model._workers import ModelWorker, TaskPlan
@@ -38,6 +40,7 @@
     "Processes",
     "ReservedPorts",
     "SearchScenario",
+    "StartSearch",
     "TaskPlan",
     "Violation",
     "VirtualLoop",
--- a/standins/model/_search.py
+++ b/standins/model/_search.py
@@ -228,11 +228,3 @@
             "interval_ms": rng.choice((500, 1000, 4000)),
             "repetitions": rng.choice((1, 3, 6)),
         }
-
-
-#: The kinds of searches by name.
-SEARCHES: dict[str, type[SearchScenario]] = {
-    "lasting": LastingSearch,
-    "limits": LimitSearch,
-    "timed": TimedSearch,
-}
--- a/standins/model/_workers.py
+++ b/standins/model/_workers.py
@@ -1,6 +1,7 @@
 """Model of the workers, which run tasks under leases."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
@@ -139,6 +140,17 @@
     :ivar loses_starts: whether starts do not arrive, though other calls do.
     :ivar greetings: how long the answers to the next greetings take, in seconds;
         ``None`` for one that is not answered.  Starts go at once if it is empty.
+    :ivar lost_greeting_share: share of the other greetings that are not answered, so
+        that the start is not sent.
+    :ivar late_greeting_share: share of them that are answered up to 0.7 s late.
+    :ivar late_poll_share: share of polls that are not answered and take effect seconds
+        later, with their lease and their acknowledgement.
+    :ivar late_orders_reach_next: whether an order that is carried out late reaches the
+        incarnation that runs by then.  An assumption about the platform, which its
+        documentation leaves open; firhook relies on its opposite.
+    :ivar forgets_with_ends: whether a run whose end was acknowledged may be started
+        again.  An assumption about the platform: by its documentation only the ends
+        are forgotten.
     :ivar closes_connections: whether it announces the end of each connection, so that
         a start may reach another incarnation.
     :ivar stalled: whether new runs make no progress.
@@ -180,6 +192,11 @@
         self.rejected_starts = 0
         self.loses_starts = False
         self.greetings: list[float | None] = []
+        self.lost_greeting_share = 0.0
+        self.late_greeting_share = 0.0
+        self.late_poll_share = 0.0
+        self.late_orders_reach_next = False
+        self.forgets_with_ends = False
         self.closes_connections = False
         self.stalled = False
         self.draining_s: float | None = None
@@ -354,6 +371,8 @@
         for row in self.ends:
             if row.number <= ack and row.number in self._done_at:
                 self.checks.acknowledged(now(), row.task, self._done_at[row.number])
+            if row.number <= ack and self.forgets_with_ends:
+                self._highest_ended.pop(row.task, None)
         self.ends = [row for row in self.ends if row.number > ack]
         if until_s is not None:
             self._extend_lease(until_s)
@@ -375,7 +394,8 @@
         self, incarnation: int, act: Callable[["ModelWorker"], OrderAnswer]
     ) -> None:
         """Carry out a delayed order, unless the process that received it is gone."""
-        if not self.up or self.incarnation != incarnation:
+        is_gone = self.incarnation != incarnation and not self.late_orders_reach_next
+        if not self.up or is_gone:
             return
         self._order_is_late = True
         try:
@@ -383,6 +403,31 @@
         finally:
             self._order_is_late = False
 
+    def poll_late(
+        self, incarnation: int, fence: int, ack: int, until_s: float | None
+    ) -> None:
+        """Carry out a delayed poll, unless the process that received it is gone."""
+        if self.up and self.incarnation == incarnation:
+            with contextlib.suppress(WorkerFencedError):
+                self.poll(fence, ack, until_s)
+
+    def start_sent_to(self, incarnation: int, order: StartOrder) -> OrderAnswer:
+        """Handle a start that was sent to one incarnation."""
+        reaches_next = self._order_is_late and self.late_orders_reach_next
+        if self.incarnation == incarnation or reaches_next:
+            return self.start(order)
+        return OrderAnswer(OrderOutcome.UNKNOWN)
+
+    def greeting_s(self, rng: random.Random) -> float | None:
+        """Return how long the answer to a greeting takes; ``None`` if there is none."""
+        if self.greetings:
+            return self.greetings.pop(0)
+        if self.lost_greeting_share > 0 and rng.random() < self.lost_greeting_share:
+            return None
+        if self.late_greeting_share > 0 and rng.random() < self.late_greeting_share:
+            return 0.7 * rng.random()
+        return 0.0
+
     def start(self, order: StartOrder) -> OrderAnswer:
         """See :meth:`Workers.start`."""
         if order.fence < self.fence:
@@ -508,6 +553,20 @@
         if target is None:
             await pause(wait_s + 1.0)
             raise WorkerUnreachableError(worker.name)
+        share = target.late_poll_share
+        if share > 0 and self._rng.random() < share:
+            # The delayed poll is lost with the process that received it.
+            is_bound = ack.incarnation == target.incarnation
+            asyncio.get_running_loop().call_later(
+                2 + 10 * self._rng.random(),
+                target.poll_late,
+                target.incarnation,
+                fence,
+                ack.number if is_bound else 0,
+                lease_until_s if is_bound else None,
+            )
+            await pause(wait_s + 1.0)
+            raise WorkerUnreachableError(worker.name)
         # A kept connection leads to the incarnation that accepted it, or nowhere.
         if ack.incarnation == target.incarnation:
             target.poll(fence, ack.number, lease_until_s)
@@ -528,11 +587,13 @@
         """See :meth:`Workers.start`."""
         target = self._workers.get(worker.name)
         closes = target is None or target.closes_connections
-        if not closes and target.greetings:
-            answer_s = target.greetings.pop(0)
-            await pause(ORDER_TIMEOUT_S if answer_s is None else answer_s)
+        if not closes:
+            answer_s = target.greeting_s(self._rng)
             if answer_s is None:
+                await pause(ORDER_TIMEOUT_S)
                 return OrderAnswer(OrderOutcome.NOT_SENT)
+            if answer_s > 0:
+                await pause(answer_s)
         # A greeting opens the connection, and the answer names the incarnation.
         reached = self._find_reachable(worker.name)
         is_other = reached is not None and reached.incarnation != worker.incarnation
@@ -549,11 +610,7 @@
             return await self._order(worker.name, lambda w: w.start(order))
         return await self._order(
             worker.name,
-            lambda w: (
-                w.start(order)
-                if w.incarnation == worker.incarnation
-                else OrderAnswer(OrderOutcome.UNKNOWN)
-            ),
+            lambda w: w.start_sent_to(worker.incarnation, order),
         )
 
     async def stop(
