Keep a run that its worker refuses by now until its end is read

What callers saw: a task runs again although its end as done was acknowledged (TWICE).

Cause: two answers to copies of one start may be read at once. One said that the worker refuses the run, as it has carried it out and ended it; it was taken note of, so that no copy counted as open any more. The other said that the worker was busy, and was handled first: with no open copy and no confirmation the run was given up as never begun.

The property that holds in every order of events: a run that the worker has or refuses is given up only after a poll that was sent after the confirmed stop.

--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -454,9 +454,9 @@
     def _abandon_start(self, run: Run, reason: str) -> None:
         if run not in run.task.runs:
             return
-        if run.copies.may_arrive or run.confirmed:
-            # A copy of the start was or may still be carried out.  Only a confirmed
-            # stop rules that out.
+        if run.copies.may_arrive or run.confirmed or run.was_carried_out:
+            # A copy of the start was or may still be carried out.  Only a poll that
+            # was sent after a confirmed stop shows whether the run has ended.
             self._term.job_table.stop(run, reason)
             if run.task.step.spec.gang:
                 self._term.job_table.stop_gang(run.task.step, run.number)
