Prove when a run whose start was sent may be given up

spec/start_copies.py: two copies of a start at once, stops, polls and renewals, each late or never carried out or read, and restarts of the worker.

--- a/spec/test_spec.py
+++ b/spec/test_spec.py
@@ -13,6 +13,7 @@
 from spec.lead_claims import LeadClaims
 from spec.limit_transfer import LimitTransfer
 from spec.once_claim import OnceClaim
+from spec.start_copies import StartCopies
 from spec.task_lease import TaskLease
 
 MODELS = (
@@ -22,6 +23,7 @@
     pytest.param(OnceClaim, marks=[pytest.mark.row(6), pytest.mark.row(7)]),
     pytest.param(LeadClaims),
     pytest.param(EndAcknowledgements),
+    pytest.param(StartCopies, marks=pytest.mark.row(2)),
 )
 DEPTH = 20
 
@@ -32,6 +34,7 @@
     OnceClaim: lambda s: s["b_sent"],
     LeadClaims: lambda s: z3.And(s["former"] > 0, s["end"] > s["newest"]),
     EndAcknowledgements: lambda s: z3.And(s["deleted"] > 1, s["incarnation"] > 1),
+    StartCopies: lambda s: z3.And(s["given_up"], s["taken"], s["a_out"], s["b_out"]),
 }
 
 
