Let the tasks of a worker run elsewhere if its number went back

What callers saw: none yet; a task on such a worker never ended.

Cause: an incarnation is named by the wall clock at its start. If that clock went back, the replies of the new incarnation were passed over as those of an earlier one, without end: the worker was neither used nor lost, and its lease never counted as lapsed.

Such a reply now counts as a poll without an answer. The property that holds in every order of events: a run is ended by a reply of its worker's newest incarnation, or else by the end of its lease. The worker itself gets work again only from the next lead.

--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -245,12 +245,12 @@
         try:
             await self._poll_once()
         except WorkerUnreachableError as exc:
-            self._on_poll_failed(exc)
+            self._on_poll_failed(str(exc))
             return False
         except WorkerFencedError:
             self._owner.on_fenced(self.name)
             return False
-        return True
+        return not self._last_poll_failed
 
     async def _poll_once(self) -> None:
         sent_at = boot_time()
@@ -282,7 +282,10 @@
         self._last_poll_failed = False
         now = self.last_heard_at = boot_time()
         if reply.incarnation < self.incarnation:
-            # Sent before a restart that another answer has already shown.
+            # Sent before a restart that another answer has already shown; the next poll
+            # is answered by the later incarnation.  If the worker's wall clock went
+            # back, it never is, and the tasks there wait until the lease has expired.
+            self._on_poll_failed("an earlier incarnation replied")
             return
         if reply.incarnation > self.incarnation:
             self._begin_incarnation(reply.incarnation)
@@ -343,12 +346,12 @@
         except TimeoutError:
             log("worker.ends_unstored", level="debug", worker=self.name)
 
-    def _on_poll_failed(self, exc: Exception) -> None:
+    def _on_poll_failed(self, error: str) -> None:
         now = boot_time()
         self.suspected = self._last_poll_failed = True
         if not self._unreachable:
             self._unreachable = True
-            log("worker.lost", level="warning", worker=self.name, error=str(exc)[:200])
+            log("worker.lost", level="warning", worker=self.name, error=error[:200])
         self._owner.on_unreachable(self)
         if now > self.lease.expires_at and self._owner.job_table.worker_runs.get(
             self.name
--- a/tests/services/test_worker_link.py
+++ b/tests/services/test_worker_link.py
@@ -145,3 +145,20 @@
         assert link._owner.workers.poll.call_args.args[3] is None
 
     run_virtual(scenario())
+
+
+def test_tasks_of_a_worker_whose_clock_went_back_run_elsewhere():
+    """Its new incarnation has a lower number; they waited for it without end."""
+
+    async def scenario(cell):
+        job, _ = await cell.submit([step(4, 4000)], work_s=2.0)
+        await cell.until(
+            lambda: all(worker.runs for worker in cell.workers.values()), 5.0
+        )
+        worker = cell.workers["w0"]
+        worker.crash()
+        worker.incarnation -= 5000
+        worker.restart()
+        await cell.until(lambda: cell.ended(job), 60.0)
+
+    run_scenario(scenario, workers=2)
