--- a/standins/model/_start_search.py
+++ b/standins/model/_start_search.py
@@ -6,7 +6,7 @@
 from standins.model._cell import ModelCell
 from standins.model._faults import DRAINABLE_ZONES
 from standins.model._search import SearchScenario
-from standins.model._time import now, pause
+from standins.model._time import now
 
 
 class StartSearch(SearchScenario):
@@ -20,6 +20,8 @@
         "cancel",
         "cancel",
         "freeze",
+        "freeze_briefly",
+        "freeze_briefly",
         "kill",
         "kill",
         "lead_steps_down",
@@ -29,6 +31,8 @@
         "worker_reborn_anew",
         "worker_reborn_anew",
         "worker_mute_briefly",
+        "worker_refuses_briefly",
+        "worker_refuses_briefly",
         "store_slow",
         "store_loses",
     )
@@ -51,8 +55,8 @@
         self._shares = {
             "late_share": rng.choice((0.0, 0.1, 0.3)),
             "lost_share": rng.choice((0.0, 0.05, 0.2)),
-            "lost_greeting_share": rng.choice((0.0, 0.2, 0.5)),
-            "late_greeting_share": rng.choice((0.0, 0.3, 0.7)),
+            "lost_greeting_share": rng.choice((0.0, 0.3, 0.6)),
+            "late_greeting_share": rng.choice((0.0, 0.4, 0.8)),
             "late_poll_share": rng.choice((0.0, 0.02, 0.1)),
         }
         self._fault_share = rng.choice((0.05, 0.15, 0.3))
@@ -63,7 +67,6 @@
         self._refill_hedges()
         if self.rng.random() >= self._fault_share:
             await self._submit()
-            await pause(0.3 * self.rng.random())
             return
         kind = self.rng.choice(self.kinds)
         self.record(kind)
@@ -89,7 +92,7 @@
             "millicpus": 500,
             "task_memory_mb": 100,
             "estimated_ms": 1000,
-            "work_s": rng.choice((0.2, 0.5, 1.0, 2.0)),
+            "work_s": rng.choice((0.2, 0.2, 0.5, 1.0, 2.0)),
         }
         if number:
             step["after"] = [number - 1]
@@ -121,6 +124,19 @@
         worker.late_s = 2 + 10 * self.rng.random()
         self.schedule(0.1 + self.rng.random(), setattr, worker, "late_s", None)
 
+    async def fault_freeze_briefly(self) -> None:
+        """Freeze an instance, so that it reads several answers at once."""
+        name = self._pick_instance()
+        if name is not None:
+            self.cell.freeze(name)
+            self.schedule(0.05 + 0.6 * self.rng.random(), self._unfreeze, name)
+
+    async def fault_worker_refuses_briefly(self) -> None:
+        """Make a worker refuse starts for a moment."""
+        worker = self._pick_worker()
+        worker.refuses = True
+        self.schedule(0.05 + 0.5 * self.rng.random(), setattr, worker, "refuses", False)
+
     async def fault_worker_mute_briefly(self) -> None:
         """Leave the calls of a worker without answers for a moment."""
         worker = self._pick_worker()
