--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -32,6 +32,7 @@
 from firhook.clock import boot_time, unix_time
 from firhook.decide.adviser_slots import SlotPlan
 from firhook.decide.estimates import Estimates
+from firhook.decide.lost_calls import LostCalls
 from firhook.decide.stalls import stalled_runs
 from firhook.decide.tickets import TicketTable
 from firhook.decide.worker_health import may_back_off
@@ -155,6 +156,7 @@
             self.may_act, lambda: self._order_sender.answer_delay_s()
         )
         self.links: dict[str, WorkerLink] = {}
+        self.lost_calls = LostCalls()
         self.tickets = TicketTable()
         self.estimates = Estimates(instance.meters.count)
         config = instance.config.config
