Free the slot of a start once

What callers would see: starts that are late, as more and more of them are under way at once over the lead's link.

Cause: a slot is freed by a timer, or when the start ends. The event loop runs a timer up to the clock's resolution before it is due, and a start that ended at that moment took it for one that had not run: the slot was freed twice. Evidence: on the model, a burst of 1,920 starts over a link of 300 a second left 53 free slots of 24.

Change: the slot knows whether it was freed. Measured: 24 of 24 slots are free after the same burst.

--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -164,21 +164,23 @@
             self._free_slots -= 1
             self._spawn(self._start(run))
 
-    def _release_slot(self) -> None:
-        self._free_slots += 1
-        self._send_queued()
-
     async def _start(self, run: Run) -> None:
+        is_released = False
+
+        def release_slot() -> None:
+            nonlocal is_released
+            if not is_released:
+                is_released = True
+                self._free_slots += 1
+                self._send_queued()
+
         # A worker that does not answer delays other starts only briefly.
-        loop = asyncio.get_running_loop()
-        slot = loop.call_later(_SLOT_HOLD_S, self._release_slot)
-        began = boot_time()
+        timer = asyncio.get_running_loop().call_later(_SLOT_HOLD_S, release_slot)
         try:
-            await self._start_until_settled(run, began)
+            await self._start_until_settled(run, boot_time())
         finally:
-            if not slot.cancelled() and slot.when() > loop.time():
-                slot.cancel()
-                self._release_slot()
+            timer.cancel()
+            release_slot()
 
     async def _start_until_settled(self, run: Run, began: float) -> None:
         step = run.task.step
