Drop a start whose ticket has expired in the lead's queue

Cause: the lead sends at most 24 starts at a time, some 300 a second. After a burst, and a change of the lead, more wait than it can send within the life of a ticket, 1.5 s. Sent in turn, each one arrives with a ticket that has expired, is refused, asks for advice again and is queued behind the others. The queue never gets shorter, as refused starts take as long as others and all tasks come back, so that the burst need not last. Only starts that succeeded counted for how long starts take, so that tickets were used as before. Class: a metastable overload; work that has missed its deadline takes the place of work that has not.

Property now: a start goes out only while its ticket holds; one whose ticket has expired is void without an order. A start also keeps its slot for as long as answers take at present, so that a slow link or lead gets no more orders than it carries.

Evidence: test_starts_whose_tickets_expired_in_the_queue_do_not_hold_up_the_others failed before.

--- a/src/firhook/cell/_job_table.py
+++ b/src/firhook/cell/_job_table.py
@@ -62,6 +62,7 @@
     :ivar stopped_at: the incarnation that a confirmed stop has reached, or a later one;
         0 if none was confirmed.
     :ivar ticket: the adviser's ticket, if the queue requires one.
+    :ivar ticket_until: when the ticket expires, on the boot clock.
     :ivar stop_reason: why the run is to be stopped; empty if it is not.
     """
 
@@ -77,6 +78,7 @@
     absence_conclusive_after: float = math.inf
     stopped_at: int = 0
     ticket: str = ""
+    ticket_until: float = math.inf
     stop_reason: str = ""
     first_percent: float = -1.0
     first_percent_at: float = 0.0
--- a/src/firhook/decide/_tickets.py
+++ b/src/firhook/decide/_tickets.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from firhook.cell import Advice, Step
+from firhook.cell import Advice, Run, Step
 from firhook.decide._start_rejections import StartRejections
 
 #: A ticket is not used for this long before it expires: the assignment has to be
@@ -150,10 +150,11 @@
             advice = self._steps[step.name] = StepAdvice()
         return advice
 
-    def ticket_text(self, step: Step, worker: str) -> str:
-        """Return the newest ticket of a step for a worker, or an empty string."""
-        ticket = self.advice_for(step).permitted.get(worker)
-        return ticket.text if ticket is not None else ""
+    def add_ticket(self, run: Run) -> None:
+        """Give a run the newest ticket of its step for its worker, if there is one."""
+        ticket = self.advice_for(run.task.step).permitted.get(run.worker)
+        if ticket is not None:
+            run.ticket, run.ticket_until = ticket.text, ticket.expires_at
 
     def retain_jobs(self, jobs: Container[str]) -> None:
         """Delete the advice for steps of jobs that have ended.
--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -1,7 +1,6 @@
 """Sends the orders of a lead's term to the workers: starts and stops of runs."""
 
 import asyncio
-import heapq
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, Protocol
 
@@ -15,6 +14,7 @@
 )
 from firhook.clock import boot_time
 from firhook.decide.hedging import HedgeTimer
+from firhook.decide.start_queue import StartQueue, has_valid_ticket
 from firhook.decide.suspicion import OVERDUE_S
 from firhook.decide.tickets import TicketTable
 from firhook.logs import log
@@ -29,8 +29,6 @@
 _START_RETRY_LIMIT_S = 2.5
 #: The maximum number of starts in flight.
 _MAX_CONCURRENT_STARTS = 24
-#: Urgent starts precede others that were queued up to this much earlier.
-_URGENT_HEAD_START_S = 0.4
 #: A start without an answer stops counting as in flight after this.
 _SLOT_HOLD_S = 0.1
 #: All members of a gang must have started within this fraction of the time for which
@@ -121,8 +119,7 @@
         self._spawn = spawn
         self._wake = wake
         self._late_starts = LateStarts(term)
-        self._queued_starts: list[tuple[float, int, Run]] = []
-        self._queued_count = 0
+        self._queue = StartQueue()
         self._free_slots = _MAX_CONCURRENT_STARTS
         self._hedge_timer = HedgeTimer()
 
@@ -144,10 +141,7 @@
                 # Cancelled while its assignment was being stored; nothing was sent.
                 self._term.job_table.void(run, "not_sent", now)
                 continue
-            urgent = run.task.step.job.queue.priority == 0
-            self._queued_count += 1
-            due = now if urgent else now + _URGENT_HEAD_START_S
-            heapq.heappush(self._queued_starts, (due, self._queued_count, run))
+            self._queue.add(run, now)
         self._send_queued()
 
     def _send_queued(self) -> None:
@@ -159,11 +153,36 @@
         wait.  Sent only after all urgent starts, they could wait without end, and
         their tickets would expire.
         """
-        while self._queued_starts and self._free_slots > 0:
-            _, _, run = heapq.heappop(self._queued_starts)
+        while self._queue and self._free_slots > 0:
+            run = self._queue.take()
+            if not self._is_wanted(run):
+                continue
+            if not has_valid_ticket(run, boot_time()):
+                self._drop_expired(run)
+                continue
             self._free_slots -= 1
             self._spawn(self._start(run))
 
+    def may_plan(self) -> bool:
+        """Return whether further starts would be sent soon."""
+        return self._queue.may_plan(boot_time())
+
+    def _drop_expired(self, run: Run) -> None:
+        """Void a queued run whose ticket expired, with the rest of its gang.
+
+        Nothing was sent, so that nothing needs to be stopped either.
+        """
+        now, step = boot_time(), run.task.step
+        members = [run]
+        if step.spec.gang:
+            members = [r for r in step.runs() if r.number == run.number]
+        for member in members:
+            if not member.copies.count and not member.confirmed:
+                self._meters.count("starts_expired")
+                self._term.tickets.record_start(now - member.started_at)
+                self._term.job_table.void(member, "ticket_expired", now)
+        self._wake()
+
     async def _start(self, run: Run) -> None:
         is_released = False
 
@@ -174,8 +193,11 @@
                 self._free_slots += 1
                 self._send_queued()
 
-        # A worker that does not answer delays other starts only briefly.
-        timer = asyncio.get_running_loop().call_later(_SLOT_HOLD_S, release_slot)
+        # A worker that does not answer delays other starts only briefly.  If all answers
+        # are slow, the lead or its link is saturated, and more starts would only wait
+        # there, until their tickets have expired.
+        hold_s = max(_SLOT_HOLD_S, self._hedge_timer.delay_s())
+        timer = asyncio.get_running_loop().call_later(hold_s, release_slot)
         try:
             await self._start_until_settled(run, boot_time())
         finally:
@@ -202,6 +224,9 @@
             if self._is_drained(run):
                 self._abandon_start(run, "zone_drained")
                 return
+            if not has_valid_ticket(run, boot_time()):
+                self._abandon_start(run, "ticket_expired")
+                return
             if self._has_other_incarnation(run):
                 self._abandon_start(run, "worker_restarted")
                 return
@@ -341,6 +366,7 @@
         return (
             self._is_wanted(run)
             and not run.confirmed
+            and has_valid_ticket(run, boot_time())
             and not self._is_drained(run)
             and not self._has_other_incarnation(run)
         )
--- a/src/firhook/services/_placer.py
+++ b/src/firhook/services/_placer.py
@@ -96,7 +96,7 @@
             started = len(placement.tasks) * core_s
             self.rates.drain.record((step.job.team,), started, now)
             for run in self._job_table.plan(step, placement.tasks, now):
-                run.ticket = self._tickets.ticket_text(step, run.worker)
+                self._tickets.add_ticket(run)
             if step.job.queue.priority == 0:
                 self.urgent_need.update(step.spec.reserved.cpu_m)
             if not step.occurrence and step.number == 0:
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -663,7 +663,7 @@
                 continue
             self.job_table.tick(boot_time(), unix_time())
             self._expire_unlisted_workers()
-            if self.may_act():
+            if self.may_act() and self._order_sender.may_plan():
                 self._placer.place(boot_time())
             else:
                 self._placer.skip_round()
--- a/tests/services/test_starts.py
+++ b/tests/services/test_starts.py
@@ -293,3 +293,17 @@
         assert cell.workers["w1"].started_runs == 1
 
     run_scenario(scenario, instances=1, workers=1, advised=True)
+
+
+def test_starts_whose_tickets_expired_in_the_queue_do_not_hold_up_the_others():
+    """After a burst every start was sent with an expired ticket, and nothing ran."""
+
+    async def scenario(cell):
+        lead = cell.lead_name()
+        cell.order_bytes = 900
+        cell.link_bytes_s[lead] = 400 * cell.order_bytes
+        for _ in range(16):
+            await cell.submit([step(120, cpu_m=50)], work_s=0.2, prefix="/quote/")
+        await cell.all_done(15.0)
+
+    run_scenario(scenario, workers=20, advised=True, instances=1)
