Tell single lost calls from workers and zones that are silent

Cause: two states that the lost calls of others renewed without end. A worker counted as silent from 0.2 s after a call until that call was given up, though it answered others. And two silent workers in a zone kept all those of it off work that had not answered since the later call: with lost calls all the time, that was 0.2 to 0.3 s ago.

An answer now ends a worker's silence for all calls that were due before it. While calls are known to get lost, a zone in which two workers have answered since is not suspected. Of a zone that is isolated no worker answers any more, so it is suspected as before: by the first two calls due after that moment, whatever was lost before it. Without lost calls nothing changes for zones. Leases are extended as before only without an overdue call.

--- a/src/firhook/decide/_suspicion.py
+++ b/src/firhook/decide/_suspicion.py
@@ -1,5 +1,7 @@
 """Suspects workers of having failed before a timeout proves it."""
 
+import math
+from collections import Counter
 from collections.abc import Iterable
 
 #: A reply is overdue after this.  Workers usually answer within about 10 ms.
@@ -25,6 +27,7 @@
         self._due: dict[int, float] = {}
         self._count = 0
         self._silent_since: float | None = None
+        self._replied_at = -math.inf
 
     def note_sent(self, due: float) -> int:
         """Record that a call was sent, and return its number.
@@ -45,28 +48,34 @@
         if self._silent_since is None and now - due > OVERDUE_S:
             self._silent_since = due
 
-    def note_reply(self) -> None:
+    def note_reply(self, now: float) -> None:
         """Record that the worker answered a call."""
-        self._silent_since = None
+        self._silent_since, self._replied_at = None, now
 
     def overdue_since(self, now: float) -> float | None:
         """Return when the oldest overdue reply was due; ``None`` if none is overdue."""
-        if not self._due:
-            return None
-        oldest = min(self._due.values())
-        return oldest if now - oldest > OVERDUE_S else None
+        return _overdue(min(self._due.values(), default=math.inf), now)
 
     def silent_since(self, now: float) -> float | None:
         """Return since when the worker does not answer; ``None`` if it does.
 
-        Further calls without an answer do not change the time.
+        Further calls without an answer do not change the time.  A call that is overdue
+        since before the last answer got lost alone.
         """
         if self._silent_since is not None:
             return self._silent_since
-        return self.overdue_since(now)
+        due = (at for at in self._due.values() if at >= self._replied_at)
+        return _overdue(min(due, default=math.inf), now)
 
 
-def suspected_zones(silent: Iterable[tuple[str, float | None]]) -> dict[str, float]:
+def _overdue(due: float, now: float) -> float | None:
+    return due if now - due > OVERDUE_S else None
+
+
+def suspected_zones(
+    silent: Iterable[tuple[str, float | None]],
+    replies: Iterable[tuple[str, float]] = (),
+) -> dict[str, float]:
     """Return the zones whose workers are suspected, each with a time.
 
     A network partition isolates all workers of a zone together.  A worker that has
@@ -80,13 +89,18 @@
 
     :param silent: for each worker its zone, and since when it has not answered;
         ``None`` if it answers.
+    :param replies: for each worker its zone, and when it last answered.  They are given
+        while workers leave single calls unanswered, which two or more of a zone do at
+        any time.  A zone in which as many have answered since is not isolated then.
     """
     times: dict[str, list[float]] = {}
     for zone, since in silent:
         if since is not None:
             times.setdefault(zone, []).append(since)
-    return {
+    cutoffs = {
         zone: sorted(found)[-_MIN_OVERDUE]
         for zone, found in times.items()
         if len(found) >= _MIN_OVERDUE
     }
+    answered = Counter(zone for zone, at in replies if at > cutoffs.get(zone, math.inf))
+    return {z: at for z, at in cutoffs.items() if answered[z] < _MIN_OVERDUE}
--- a/src/firhook/services/_placer.py
+++ b/src/firhook/services/_placer.py
@@ -12,6 +12,7 @@
 from firhook.clock import boot_time
 from firhook.decide.estimates import Estimates
 from firhook.decide.load_table import LoadRates, Shares, task_core_s
+from firhook.decide.lost_calls import LostCalls
 from firhook.decide.schedule import (
     RoundMemory,
     RoundResult,
@@ -40,6 +41,7 @@
     :param place_round: decides which waiting tasks start, and on which workers.
     :param drained_zones: the zones whose workers get no new work.
     :param evictor: stops runs after a round for work that found no capacity.
+    :param lost_calls: the calls that workers left unanswered.
     :ivar urgent_need: the CPU need of recent urgent work.
     :ivar rates: the rates at which work starts and arrives.
     :ivar placed_at: when the last round began.
@@ -56,6 +58,7 @@
         place_round: PlaceRound,
         drained_zones: DrainedZones,
         evictor: Evictor,
+        lost_calls: LostCalls,
     ) -> None:
         self._job_table = job_table
         self._links = links
@@ -68,6 +71,7 @@
         self.urgent_need = UrgentNeed()
         self._urgent_headroom = UrgentHeadroom()
         self._evictor = evictor
+        self._lost_calls = lost_calls
         self._memory = RoundMemory()
         self._last_result = RoundResult()
         self._last_views: dict[str, WorkerView] = {}
@@ -136,10 +140,16 @@
             name: link.pending_calls.silent_since(now)
             for name, link in self._links.items()
         }
+        links = self._links.values()
         cutoffs = suspected_zones(
-            (self._links[name].entry.zone, since)
-            for name, since in silent.items()
-            if since is not None
+            (
+                (self._links[name].entry.zone, since)
+                for name, since in silent.items()
+                if since is not None
+            ),
+            ((link.entry.zone, link.last_heard_at) for link in links)
+            if self._lost_calls.are_frequent(now)
+            else (),
         )
         for name, link in self._links.items():
             if silent[name] is not None or not link.usable(now):
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -183,6 +183,7 @@
             lead.place,
             self.drained_zones,
             Evictor(self.job_table, self.tickets, self._meters, self._bounds),
+            self.lost_calls,
         )
         self.waiting = WaitingReporter(
             self.job_table,
