Show that a worker with an earlier start than before is lost until the lead changes

Incarnations are ordered by the start that they name, in the time of day of the worker. If its clock was set back before it restarts, by more than it ran, all its answers are discarded as those of an earlier incarnation: it gets no work, and the runs that it had neither end nor lapse, as its polls do not fail. Nothing ends that in the term.

--- a/tests/services/test_lost_calls.py
+++ b/tests/services/test_lost_calls.py
@@ -31,3 +31,18 @@
         assert sorted(waits_s)[5] < 0.5
 
     run_scenario(scenario, instances=1, workers=30, seed=3)
+
+
+def test_worker_whose_clock_was_set_back_gets_work_again():
+    """Its later incarnation names an earlier time as its start."""
+
+    async def scenario(cell):
+        worker = cell.workers["w0"]
+        await cell.submit([step(1)], work_s=0.5)
+        await pause(0.2)
+        worker.incarnation -= 3000
+        worker.restart()
+        await cell.submit([step(1)], work_s=0.5)
+        await cell.all_done(20.0)
+
+    run_scenario(scenario, instances=1, workers=1)
