Give a worker whose clock went back work again

Cause: incarnations are ordered by the wall clock at their start. If that clock went back before a restart, every reply of the new incarnation is taken for one from before a restart that another answer has shown.

Property: such replies renew no lease, so that the lease of the last incarnation expires and its runs are void; from then on nothing depends on the order of the two, and the next incarnation that replies counts as the first one. A reply that really is from before a restart is followed by one of the later incarnation and changes nothing.

--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -193,9 +193,9 @@
                 self._free_slots += 1
                 self._send_queued()
 
-        # A worker that does not answer delays other starts only briefly.  If all answers
-        # are slow, the lead or its link is saturated, and more starts would only wait
-        # there, until their tickets have expired.
+        # A worker that does not answer delays other starts only briefly.  If all
+        # answers are slow, the lead or its link is saturated, and more starts would
+        # only wait there, until their tickets have expired.
         hold_s = max(_SLOT_HOLD_S, self._hedge_timer.delay_s())
         timer = asyncio.get_running_loop().call_later(hold_s, release_slot)
         try:
--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -247,6 +247,20 @@
             # discard what an earlier lead learned about the worker.
             self._owner.on_incarnation(self)
 
+    def _forget_expired_incarnation(self, now: float) -> None:
+        """Take the next incarnation that replies as the first one, whatever its number.
+
+        Its number may be lower than that of the last one for good.  Once no run is left
+        of the last one and its lease has expired, nothing depends on their order.
+        """
+        has_runs = bool(self._owner.job_table.worker_runs.get(self.name))
+        if has_runs or now <= self.lease.expires_at:
+            return
+        log("worker.number_fell", worker=self.name, life=self.incarnation)
+        self.ack = self.processed = EndCursor()
+        self.held_end = math.inf
+        self._owner.on_incarnation(self)
+
     async def run(self) -> None:
         """Poll the worker until cancelled."""
         while True:
@@ -313,6 +327,7 @@
             # is answered by the later incarnation.  If the worker's wall clock went
             # back, it never is, and the tasks there wait until the lease has expired.
             self._on_poll_failed("an earlier incarnation replied")
+            self._forget_expired_incarnation(now)
             return
         if reply.incarnation > self.incarnation:
             self._begin_incarnation(reply.incarnation)
--- a/tests/services/test_lost_calls.py
+++ b/tests/services/test_lost_calls.py
@@ -40,6 +40,7 @@
         worker = cell.workers["w0"]
         await cell.submit([step(1)], work_s=0.5)
         await pause(0.2)
+        worker.crash()
         worker.incarnation -= 3000
         worker.restart()
         await cell.submit([step(1)], work_s=0.5)
--- a/tests/services/test_worker_link.py
+++ b/tests/services/test_worker_link.py
@@ -9,7 +9,6 @@
 from firhook.cell.records import STATE_PREFIX
 from firhook.clock import boot_time
 from firhook.decide.worker_lease import WorkerLease
-from firhook.errors import WorkerUnreachableError
 from firhook.services._worker_link import WorkerLink
 from standins.model import now, pause, run_virtual
 from tests.services.scenarios import run_scenario, step
@@ -236,7 +235,7 @@
             await pause(0.8)
             return PollReply(1, 5000.0, (), ())
 
-        link._on_poll_failed(WorkerUnreachableError("w0"))
+        link._on_poll_failed("no answer")
         link._owner.lost_calls.are_frequent.return_value = False
         link._owner.workers.poll = poll
         polling = asyncio.create_task(link.run())
