Plan no more starts than the lead can send soon

Cause: rounds were held back only once a start had waited for 0.5 s, and one round plans hundreds.

Change: a round plans as many starts as are sent in 0.4 s at the present rate, less those that wait.

--- a/src/firhook/decide/_start_queue.py
+++ b/src/firhook/decide/_start_queue.py
@@ -1,7 +1,7 @@
 """Decides which start a lead sends next, and when it plans no more of them."""
 
 import heapq
-import math
+from collections import deque
 
 import attrs
 
@@ -9,8 +9,12 @@
 
 #: Urgent starts precede others that were queued up to this much earlier.
 URGENT_HEAD_START_S = 0.4
-#: No more starts are planned while one has waited for this time.
-_MAX_WAIT_S = 0.5
+#: Starts are planned for this time ahead, at the rate at which they are sent.
+_AHEAD_S = 0.4
+#: The span over which that rate is measured.
+_RATE_SPAN_S = 1.0
+#: A lead sends at least this many a second while all of them are answered.
+_MIN_RATE = 240
 
 
 @attrs.frozen(slots=True, order=True)
@@ -27,15 +31,15 @@
     can be sent.  Sent in turn, each start arrives with a ticket that has expired
     meanwhile, is refused and is planned again behind the others, so that nothing
     starts any more, also long after the burst.  So a start is dropped once its ticket
-    has expired, which costs no order, and none is planned while others have to wait
-    long.  Then the queue is empty within the validity of a ticket, however slowly
-    starts are sent.
+    has expired, which costs no order, and no more are planned than can be sent soon.
+    Then the queue is empty within the validity of a ticket, however slowly starts are
+    sent.
     """
 
     def __init__(self) -> None:
         self._heap: list[_QueuedStart] = []
-        self._queued_at: dict[int, float] = {}
         self._count = 0
+        self._sent_at: deque[float] = deque()
 
     def __len__(self) -> int:
         """Return the number of starts that wait."""
@@ -47,18 +51,25 @@
         due = now if is_urgent else now + URGENT_HEAD_START_S
         self._count += 1
         heapq.heappush(self._heap, _QueuedStart(due, self._count, run))
-        self._queued_at[self._count] = now
 
     def take(self) -> Run:
         """Remove and return the start that goes next."""
-        start = heapq.heappop(self._heap)
-        del self._queued_at[start.number]
-        return start.run
-
-    def may_plan(self, now: float) -> bool:
-        """Return whether further starts would be sent soon."""
-        oldest_at = next(iter(self._queued_at.values()), math.inf)
-        return now - oldest_at < _MAX_WAIT_S
+        return heapq.heappop(self._heap).run
+
+    def note_sent(self, now: float) -> None:
+        """Record that a start is sent."""
+        self._sent_at.append(now)
+        self._forget_old(now)
+
+    def free_places(self, now: float) -> int:
+        """Return how many starts may be planned now."""
+        self._forget_old(now)
+        rate = max(len(self._sent_at) / _RATE_SPAN_S, _MIN_RATE)
+        return max(int(rate * _AHEAD_S) - len(self._heap), 0)
+
+    def _forget_old(self, now: float) -> None:
+        while self._sent_at and now - self._sent_at[0] > _RATE_SPAN_S:
+            self._sent_at.popleft()
 
 
 def has_valid_ticket(run: Run, now: float) -> bool:
--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -161,11 +161,12 @@
                 self._drop_expired(run)
                 continue
             self._free_slots -= 1
+            self._queue.note_sent(boot_time())
             self._spawn(self._start(run))
 
-    def may_plan(self) -> bool:
-        """Return whether further starts would be sent soon."""
-        return self._queue.may_plan(boot_time())
+    def free_places(self) -> int:
+        """Return how many starts may be planned now, so that each is sent soon."""
+        return self._queue.free_places(boot_time())
 
     def _drop_expired(self, run: Run) -> None:
         """Void a queued run whose ticket expired, with the rest of its gang.
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -664,8 +664,9 @@
                 continue
             self.job_table.tick(boot_time(), unix_time())
             self._expire_unlisted_workers()
-            if self.may_act() and self._order_sender.may_plan():
-                self._placer.place(boot_time())
+            places = self._order_sender.free_places()
+            if self.may_act() and places:
+                self._placer.place(boot_time(), places)
             else:
                 self._placer.skip_round()
             self.waiting.update(boot_time())
