--- a/src/firhook/decide/_suspicion.py
+++ b/src/firhook/decide/_suspicion.py
@@ -27,7 +27,6 @@
         self._due: dict[int, float] = {}
         self._count = 0
         self._silent_since: float | None = None
-        self._replied_at = -math.inf
 
     def note_sent(self, due: float) -> int:
         """Record that a call was sent, and return its number.
@@ -48,28 +47,25 @@
         if self._silent_since is None and now - due > OVERDUE_S:
             self._silent_since = due
 
-    def note_reply(self, now: float) -> None:
+    def note_reply(self) -> None:
         """Record that the worker answered a call."""
-        self._silent_since, self._replied_at = None, now
+        self._silent_since = None
 
     def overdue_since(self, now: float) -> float | None:
         """Return when the oldest overdue reply was due; ``None`` if none is overdue."""
-        return _overdue(min(self._due.values(), default=math.inf), now)
+        if not self._due:
+            return None
+        oldest = min(self._due.values())
+        return oldest if now - oldest > OVERDUE_S else None
 
     def silent_since(self, now: float) -> float | None:
         """Return since when the worker does not answer; ``None`` if it does.
 
-        Further calls without an answer do not change the time.  A call that is overdue
-        since before the last answer got lost alone.
+        Further calls without an answer do not change the time.
         """
         if self._silent_since is not None:
             return self._silent_since
-        due = (at for at in self._due.values() if at >= self._replied_at)
-        return _overdue(min(due, default=math.inf), now)
-
-
-def _overdue(due: float, now: float) -> float | None:
-    return due if now - due > OVERDUE_S else None
+        return self.overdue_since(now)
 
 
 def suspected_zones(
--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -214,7 +214,7 @@
         if clock_s is not None:
             self.lease.read_clock(incarnation, clock_s, now)
         self.last_heard_at = now
-        self.pending_calls.note_reply(now)
+        self.pending_calls.note_reply()
         self.suspected = False
 
     def _begin_incarnation(self, incarnation: int) -> None:
@@ -296,8 +296,8 @@
             raise
         finally:
             self.pending_calls.note_finished(call)
+        self.pending_calls.note_reply()
         now = self.last_heard_at = boot_time()
-        self.pending_calls.note_reply(now)
         self._note_latency(now - sent_at - wait_s)
         if self._failed_polls == 1 and reply.incarnation == self.incarnation:
             self._owner.lost_calls.record(now)
