Forget workers that left for good

A state without an end: a worker that had left was polled four times a second until the lead changed, under a name that may never be used again. Workers of a pool that come and go cost the lead more with each.

A link is removed once its worker was neither registered nor heard for 25 s, its last lease has expired and no run is left under its name. Orders to a worker end within 12.5 s of its last answer, and are carried out within 12.5 s of their sending, so that none can arrive after that; its runs ended with its lease. If it is registered again, it gets a new link, which polls it before it gets work, as at the beginning of a term.

The test fails before. What polling less saves was not measured.

--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -21,7 +21,7 @@
     RunEnd,
     WorkerEntry,
 )
-from firhook.cell.job_table import PROOF_S
+from firhook.cell.job_table import MAX_ORDER_DELAY_S, PROOF_S
 from firhook.cell.records import (
     JOB_PREFIX,
     LEAD_KEY,
@@ -89,6 +89,9 @@
 #: A predecessor's lease expires its duration after the last renewal.  The factor
 #: allows for clocks that run 2% slow.
 _OLD_LEASE_FACTOR = 1.03
+#: A worker that left for good is forgotten after this.  Each order to it was sent
+#: within the first half, and is carried out within the second if at all.
+_FORGET_AFTER_S = 2 * MAX_ORDER_DELAY_S
 #: The interval at which the lead appends a proof if it has nothing else to write.
 _PROOF_INTERVAL_S = 0.2
 #: Logs a failed background task of a term, such as an order or an adviser request.
@@ -662,6 +665,7 @@
                 continue
             self.job_table.tick(boot_time(), unix_time())
             self._expire_unlisted_workers()
+            self._forget_gone_workers()
             if self.may_act():
                 self._placer.place(boot_time())
             else:
@@ -700,6 +704,24 @@
                 lease_s = self._bounds.lease_s * _OLD_LEASE_FACTOR
                 self.job_table.expire_lease(name, now, lease_s)
 
+    def _forget_gone_workers(self) -> None:
+        """Stop polling workers that left for good, and under whose name nothing runs.
+
+        Workers come and go under new names as long as a term lasts.  One that is
+        registered again gets a new link.
+        """
+        now = boot_time()
+        gone = [
+            link
+            for link in self.links.values()
+            if link.is_gone(now, _FORGET_AFTER_S)
+            and not self.job_table.worker_runs.get(link.name)
+        ]
+        for link in gone:
+            log("worker.forgotten", worker=link.name, life=link.incarnation)
+            del self.links[link.name]
+            self._link_tasks.pop(link.name).cancel()
+
     def _old_leases_expire_at(self) -> float:
         """Return when all leases granted by earlier leads have expired."""
         longest_s = self._bounds.lease_s * _OLD_LEASE_FACTOR
--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -158,6 +158,16 @@
             return False
         return now - self.last_reply_at < _SILENCE_LIMIT_S
 
+    def is_gone(self, now: float, after_s: float) -> bool:
+        """Return whether the worker left for good, and its last lease has expired.
+
+        :param after_s: how long it must have been neither registered nor heard.
+        """
+        if self.unlisted_at is None or not self._unreachable:
+            return False
+        last_at = max(self.unlisted_at, self.last_heard_at)
+        return now - last_at > after_s and now > self.lease.expires_at
+
     def has_restarted_since(self, incarnation: int) -> bool:
         """Return whether an answer or the entry shows a later incarnation."""
         return max(self.incarnation, self.entry.incarnation) > incarnation
--- a/tests/services/test_worker_link.py
+++ b/tests/services/test_worker_link.py
@@ -228,3 +228,25 @@
         polling.cancel()
 
     run_virtual(scenario())
+
+
+def test_worker_that_left_for_good_is_polled_no_more():
+    """Names that are never used again were polled four times a second for ever."""
+
+    async def scenario(cell):
+        links, worker = cell.lead().lead.term.links, cell.workers["w0"]
+        job, _ = await cell.submit([step(2, 8000)], work_s=20.0)
+        await cell.until(lambda: worker.runs, 3.0)
+        cell.unregister("w0")
+        worker.crash()
+        await pause(10.0)
+        assert "w0" in links
+        await cell.until(lambda: "w0" not in links, 30.0)
+        worker.restart()
+        cell.register("w0")
+        await cell.submit([step(3, 8000)], work_s=0.5)
+        await cell.until(lambda: worker.started_runs > 1, 30.0)
+        await cell.all_done(60.0)
+        assert cell.final(job).name == "COMPLETED"
+
+    run_scenario(scenario, instances=1, workers=2)
