--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -163,6 +163,16 @@
         """The newest incarnation that an answer or the entry shows."""
         return max(self.incarnation, self.entry.incarnation)
 
+    def is_gone(self, now: float, after_s: float) -> bool:
+        """Return whether the worker left for good, and its last lease has expired.
+
+        :param after_s: how long it must have been neither registered nor heard.
+        """
+        if self.unlisted_at is None or not self._unreachable:
+            return False
+        last_at = max(self.unlisted_at, self.last_heard_at)
+        return now - last_at > after_s and now > self.lease.expires_at
+
     def has_restarted_since(self, incarnation: int) -> bool:
         """Return whether an answer or the entry shows a later incarnation."""
         return self.newest_incarnation > incarnation
@@ -219,7 +229,7 @@
         if clock_s is not None:
             self.lease.read_clock(incarnation, clock_s, now)
         self.last_heard_at = now
-        self.pending_calls.note_reply(now)
+        self.pending_calls.note_reply()
         self.suspected = False
 
     def _begin_incarnation(self, incarnation: int) -> None:
@@ -316,8 +326,8 @@
             raise
         finally:
             self.pending_calls.note_finished(call)
+        self.pending_calls.note_reply()
         now = self.last_heard_at = boot_time()
-        self.pending_calls.note_reply(now)
         self._note_latency(now - sent_at - wait_s)
         if self._failed_polls == 1 and reply.incarnation == self.incarnation:
             self._owner.lost_calls.record(now)
