Have fewer starts under way while answers are slow

What callers would see: over a thin link nothing starts while much is due, as with the fault of expired starts: the queue in the network is what starts wait in.

Cause: 24 starts are under way at once, also where the link carries 15 a second beside other messages. Each takes 1.7 s, its ticket lives for 2 s with the wait before. A slot was freed after 0.1 s without an answer, so that there were even more.

Property now: a slot is freed without an answer only if a start that was sent later has one, so that a silent worker does not delay the others; and the window shrinks by 0.7 once for all starts under way while answers take over 0.25 s, and grows by one for each window of fast answers, as TCP's does. So the time that a start takes on its way follows what the link carries, at any rate.

--- a/src/firhook/decide/_start_queue.py
+++ b/src/firhook/decide/_start_queue.py
@@ -1,6 +1,7 @@
 """Decides which start a lead sends next, and when it plans no more of them."""
 
 import heapq
+import math
 from collections import deque
 
 import attrs
@@ -13,8 +14,14 @@
 _AHEAD_S = 0.4
 #: The span over which that rate is measured.
 _RATE_SPAN_S = 1.0
-#: A lead sends at least this many a second while all of them are answered.
-_MIN_RATE = 240
+#: The most starts that are under way at once.
+MAX_WINDOW = 24
+#: Answers that take longer show that starts wait on their way.
+_MAX_ANSWER_S = 0.25
+#: The factor by which the window shrinks then, as for the congestion window of TCP.
+_SHRINK_FACTOR = 0.7
+#: Time within which a start is usually answered.
+_USUAL_ANSWER_S = 0.1
 
 
 @attrs.frozen(slots=True, order=True)
@@ -61,10 +68,13 @@
         self._sent_at.append(now)
         self._forget_old(now)
 
-    def free_places(self, now: float) -> int:
-        """Return how many starts may be planned now."""
+    def free_places(self, window: int, now: float) -> int:
+        """Return how many starts may be planned now.
+
+        :param window: how many may be under way at once.
+        """
         self._forget_old(now)
-        rate = max(len(self._sent_at) / _RATE_SPAN_S, _MIN_RATE)
+        rate = max(len(self._sent_at) / _RATE_SPAN_S, window / _USUAL_ANSWER_S)
         return max(int(rate * _AHEAD_S) - len(self._heap), 0)
 
     def _forget_old(self, now: float) -> None:
@@ -72,6 +82,43 @@
             self._sent_at.popleft()
 
 
+class StartWindow:
+    """Decides how many starts may be under way at once.
+
+    Over a link that carries 15 starts a second, 24 at once take longer than tickets
+    hold, so that all of them are refused.  So the window shrinks while answers are
+    slow, and grows by one for each window of fast ones.
+
+    :ivar in_flight: how many starts are under way.
+    """
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self._size = float(MAX_WINDOW)
+        self._shrunk_at = -math.inf
+
+    @property
+    def size(self) -> int:
+        """How many starts may be under way."""
+        return int(self._size)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether another start may be sent."""
+        return self.in_flight < self.size
+
+    def record_answer(self, sent_at: float, now: float) -> None:
+        """Record the answer to a start.
+
+        Starts that were sent before the window shrank say nothing of its size.
+        """
+        if now - sent_at <= _MAX_ANSWER_S:
+            self._size = min(self._size + 1 / self._size, MAX_WINDOW)
+        elif sent_at >= self._shrunk_at:
+            self._size = max(self._size * _SHRINK_FACTOR, 1.0)
+            self._shrunk_at = now
+
+
 def has_valid_ticket(run: Run, now: float) -> bool:
     """Return whether a worker still accepts the start of a run by its ticket."""
     return now < run.ticket_until
--- a/src/firhook/decide/start_queue.py
+++ b/src/firhook/decide/start_queue.py
@@ -1,5 +1,10 @@
 """Decides which start a lead sends next, and when it plans no more of them."""
 
-from firhook.decide._start_queue import StartQueue, has_valid_ticket
+from firhook.decide._start_queue import (
+    MAX_WINDOW,
+    StartQueue,
+    StartWindow,
+    has_valid_ticket,
+)
 
-__all__ = ["StartQueue", "has_valid_ticket"]
+__all__ = ["MAX_WINDOW", "StartQueue", "StartWindow", "has_valid_ticket"]
--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -14,7 +14,7 @@
 )
 from firhook.clock import boot_time
 from firhook.decide.hedging import HedgeTimer
-from firhook.decide.start_queue import StartQueue, has_valid_ticket
+from firhook.decide.start_queue import StartQueue, StartWindow, has_valid_ticket
 from firhook.decide.suspicion import OVERDUE_S
 from firhook.decide.tickets import TicketTable
 from firhook.logs import log
@@ -27,9 +27,8 @@
 #: A start is repeated for this time.  After that the run is stopped, which every
 #: worker that answers at all confirms.
 _START_RETRY_LIMIT_S = 2.5
-#: The maximum number of starts in flight.
-_MAX_CONCURRENT_STARTS = 24
-#: A start without an answer stops counting as in flight after this.
+#: A start without an answer stops counting as in flight after this, if starts that were
+#: sent later have one.
 _SLOT_HOLD_S = 0.1
 #: All members of a gang must have started within this fraction of the time for which
 #: they wait for each other.
@@ -120,7 +119,9 @@
         self._wake = wake
         self._late_starts = LateStarts(term)
         self._queue = StartQueue()
-        self._free_slots = _MAX_CONCURRENT_STARTS
+        # When the last one of the starts with an answer was sent.
+        self._answered_until = float("-inf")
+        self._window = StartWindow()
         self._hedge_timer = HedgeTimer()
 
     def answer_delay_s(self) -> float:
@@ -153,20 +154,20 @@
         wait.  Sent only after all urgent starts, they could wait without end, and
         their tickets would expire.
         """
-        while self._queue and self._free_slots > 0:
+        while self._queue and self._window.is_open:
             run = self._queue.take()
             if not self._is_wanted(run):
                 continue
             if not has_valid_ticket(run, boot_time()):
                 self._drop_expired(run)
                 continue
-            self._free_slots -= 1
+            self._window.in_flight += 1
             self._queue.note_sent(boot_time())
             self._spawn(self._start(run))
 
     def free_places(self) -> int:
         """Return how many starts may be planned now, so that each is sent soon."""
-        return self._queue.free_places(boot_time())
+        return self._queue.free_places(self._window.size, boot_time())
 
     def _drop_expired(self, run: Run) -> None:
         """Void a queued run whose ticket expired, with the rest of its gang.
@@ -185,22 +186,28 @@
         self._wake()
 
     async def _start(self, run: Run) -> None:
-        is_released = False
+        loop, began, is_released = asyncio.get_running_loop(), boot_time(), False
 
         def release_slot() -> None:
             nonlocal is_released
             if not is_released:
                 is_released = True
-                self._free_slots += 1
+                self._window.in_flight -= 1
                 self._send_queued()
 
-        # A worker that does not answer delays other starts only briefly.  If all
-        # answers are slow, the lead or its link is saturated, and more starts would
-        # only wait there, until their tickets have expired.
-        hold_s = max(_SLOT_HOLD_S, self._hedge_timer.delay_s())
-        timer = asyncio.get_running_loop().call_later(hold_s, release_slot)
+        def release_if_overtaken() -> None:
+            nonlocal timer
+            # A worker that does not answer delays other starts only briefly: those that
+            # were sent later are answered.  If none is, the lead or its link is
+            # saturated, and more starts would only wait there.
+            if max(began, run.copies.sent_at) < self._answered_until:
+                release_slot()
+            else:
+                timer = loop.call_later(_SLOT_HOLD_S, release_if_overtaken)
+
+        timer = loop.call_later(_SLOT_HOLD_S, release_if_overtaken)
         try:
-            await self._start_until_settled(run, boot_time())
+            await self._start_until_settled(run, began)
         finally:
             timer.cancel()
             release_slot()
@@ -398,6 +405,8 @@
             copy.withdraw()
         else:
             run.copies.settle(copy.number)
+            self._answered_until = max(self._answered_until, copy.sent_at)
+            self._window.record_answer(copy.sent_at, now)
             self._hedge_timer.record_answer(now - copy.sent_at)
         if answer.outcome in _LEASING_OUTCOMES:
             link.lease.note_start_answered(now)
--- a/tests/decide/test_start_queue.py
+++ b/tests/decide/test_start_queue.py
@@ -5,7 +5,12 @@
 
 import pytest
 
-from firhook.decide.start_queue import StartQueue, has_valid_ticket
+from firhook.decide.start_queue import (
+    MAX_WINDOW,
+    StartQueue,
+    StartWindow,
+    has_valid_ticket,
+)
 
 
 def planned(priority=1, ticket_until=math.inf):
@@ -31,7 +36,7 @@
     queue, waiting, valid_s, now, started = StartQueue(), 1000, 1.0, 0.0, []
     while len(started) < 1000:
         assert now < 100.0
-        places = min(queue.free_places(now), waiting)
+        places = min(queue.free_places(MAX_WINDOW, now), waiting)
         waiting -= places
         for _ in range(places):
             queue.add(planned(ticket_until=now + valid_s), now)
@@ -49,17 +54,41 @@
 
 def test_no_more_is_planned_than_can_be_sent_soon():
     queue = StartQueue()
-    burst = queue.free_places(0.0)
+    burst = queue.free_places(MAX_WINDOW, 0.0)
     for _ in range(burst):
         queue.add(planned(), 0.0)
-    assert queue.free_places(0.0) == 0
+    assert queue.free_places(MAX_WINDOW, 0.0) == 0
     queue.take()
-    assert queue.free_places(0.0) == 1
+    assert queue.free_places(MAX_WINDOW, 0.0) == 1
 
 
 def test_more_is_planned_ahead_by_a_lead_that_sends_faster():
     slow, fast = StartQueue(), StartQueue()
     for at in range(1000):
         fast.note_sent(at / 1000)
-    assert fast.free_places(1.0) > 3 * slow.free_places(1.0)
-    assert fast.free_places(3.0) == slow.free_places(3.0)
+    assert fast.free_places(MAX_WINDOW, 1.0) > 3 * slow.free_places(MAX_WINDOW, 1.0)
+    assert fast.free_places(MAX_WINDOW, 3.0) == slow.free_places(MAX_WINDOW, 3.0)
+
+
+@pytest.mark.parametrize("rate", [5, 15, 60, 1000])
+def test_window_follows_what_the_link_carries(rate):
+    """All starts arrived after their tickets had expired, however few were due."""
+    window, now, sent, took_s = StartWindow(), 0.0, [], []
+    while now < 60.0:
+        while len(sent) < window.size:
+            sent.append(now)
+        now += 1 / rate
+        sent_at = sent.pop(0)
+        window.record_answer(sent_at, now)
+        took_s.append(now - sent_at)
+    later = took_s[len(took_s) // 2 :]
+    assert max(later) < 1.0
+    if rate == 1000:
+        assert window.size == MAX_WINDOW
+
+
+def test_window_shrinks_once_for_all_starts_that_were_under_way():
+    window = StartWindow()
+    for _ in range(10):
+        window.record_answer(0.0, 1.0)
+    assert window.size > MAX_WINDOW // 2
