Keep the load figures while no start is planned

Cause: a round that is left out for the queue of starts cleared the shares of the last one, without which the load table is empty, so that instances admit everything.

Change: only a lead that may not act clears them.

--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -666,10 +666,10 @@
             self._expire_unlisted_workers()
             self._forget_gone_workers()
             places = self._order_sender.free_places()
-            if self.may_act() and places:
-                self._placer.place(boot_time(), places)
-            else:
+            if not self.may_act():
                 self._placer.skip_round()
+            elif places:
+                self._placer.place(boot_time(), places)
             self.waiting.update(boot_time())
             for run in self.job_table.take_to_stop():
                 self._spawn(self._order_sender.stop(run))
