Send no start to an incarnation with a lower number than the one it is meant for

Cause: a start was held back if a later incarnation was known, and the entry of one with a lower number is not later. Its end was then skipped by the next lead, as it came from an incarnation before that of the run, and acknowledged.

Property now: a start goes out only while the entry is the one by which it was planned, and a run is never void by a reply that lists its own end.

--- a/src/firhook/cell/_job_table.py
+++ b/src/firhook/cell/_job_table.py
@@ -861,7 +861,7 @@
             if job is not None:
                 self.mark_begun(job, now)
         for run in list(runs.values()):
-            if run.key in ended and run.incarnation <= reply.incarnation:
+            if run.key in ended:
                 # A worker lists only runs that it began, however they ended.
                 self.mark_begun(run.task.step.job, now)
                 self._apply_end(run, ended[run.key], now, unix_now)
--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -174,8 +174,12 @@
         return now - last_at > after_s and now > self.lease.expires_at
 
     def has_restarted_since(self, incarnation: int) -> bool:
-        """Return whether an answer or the entry shows a later incarnation."""
-        return self.newest_incarnation > incarnation
+        """Return whether an answer or the entry shows another incarnation by now.
+
+        :param incarnation: one that was in the entry before.
+        """
+        is_later = self.incarnation > incarnation
+        return is_later or self.entry.incarnation != incarnation
 
     def set_entry(self, entry: WorkerEntry) -> None:
         """Take over the worker's newest entry."""
