Keep the late starts of runs that go on across restarts

Cause: at a restart all starts without an answer were taken from the record, also those of runs that go on and were not stopped; the next restart found none. Change: they stay.

Besides, the connections to a worker are forgotten if the only start that waits for one may not be sent any more. Measured: tests/platform/test_start_connections.py passes.

--- a/src/firhook/platform/_start_connections.py
+++ b/src/firhook/platform/_start_connections.py
@@ -236,6 +236,7 @@
                 self._open_connection(waiter.greeter)
             else:
                 self._settle(waiter, OrderAnswer(OrderOutcome.NOT_SENT))
+                self._check_empty()
 
     def _open_connection(self, greeter: Greeter) -> None:
         self._count += 1
--- a/src/firhook/services/_late_starts.py
+++ b/src/firhook/services/_late_starts.py
@@ -80,8 +80,11 @@
         Runs in the job table are left out: they are stopped there, or go on.
         """
         active = self._term.job_table.worker_runs.get(worker, {})
-        starts = self._by_worker.pop(worker, {}).values()
-        return [s for s in starts if now < s.until and s.key not in active]
+        starts = self._by_worker.get(worker, {})
+        ended = [s for s in starts.values() if now < s.until and s.key not in active]
+        for start in ended:
+            del starts[start.key]
+        return ended
 
     async def stop(self, start: LateStart) -> None:
         """Stop a start until the worker confirms that it never carries it out."""
