Treat starts that wait, expire or are answered late as review asks

What callers would see, each found by review on the model: (1) a silent worker holds up all starts for 2.4 s if 24 starts to it are under way, 0.3 s before the window, 0.025 s on; (2) a run that works is stopped, with its gang, since its ticket expired while its worker was unheard for a moment; (3) a copy whose call ends after the restart was noticed is stopped nowhere (TWICE, under the assumption of docs/QUESTIONS.md); (4) an answer of an incarnation that is gone counts for the present one; (5) members of a gang of which nothing was sent are stopped, for which a lost worker is awaited.

Cause and change: (1) a slot was kept until a later start was answered, which none is if all are to one worker; the overdue starts to one worker keep half of the slots at most. (2) an expired ticket ended a start also with an open copy; it only ends the sending now. (3) the copy is stopped at once if a restart is known by then. (4) it settles its copy only. (5) they are void, as nothing was sent. A start is also dropped if its ticket expires before it would arrive. Calls that nobody awaits are kept from the garbage collector.

--- a/src/firhook/decide/_hedging.py
+++ b/src/firhook/decide/_hedging.py
@@ -41,6 +41,11 @@
         self._deviation_s += _DEVIATION_WEIGHT * (offset_s - self._deviation_s)
         self._mean_s += _MEAN_WEIGHT * (took_s - self._mean_s)
 
+    @property
+    def mean_s(self) -> float:
+        """How long answers take in the mean, in seconds."""
+        return self._mean_s
+
     def delay_s(self) -> float:
         """Return how long to wait for an answer before a second copy, in seconds."""
         expected_s = self._mean_s + _DEVIATIONS * self._deviation_s
--- a/src/firhook/decide/_start_queue.py
+++ b/src/firhook/decide/_start_queue.py
@@ -17,7 +17,7 @@
 #: The most starts that are under way at once.
 MAX_WINDOW = 24
 #: Answers that take longer show that starts wait on their way.
-_MAX_ANSWER_S = 0.25
+MAX_ANSWER_S = 0.25
 #: The factor by which the window shrinks then, as for the congestion window of TCP.
 _SHRINK_FACTOR = 0.7
 #: Time within which a start is usually answered.
@@ -112,7 +112,7 @@
 
         Starts that were sent before the window shrank say nothing of its size.
         """
-        if now - sent_at <= _MAX_ANSWER_S:
+        if now - sent_at <= MAX_ANSWER_S:
             self._size = min(self._size + 1 / self._size, MAX_WINDOW)
         elif sent_at >= self._shrunk_at:
             self._size = max(self._size * _SHRINK_FACTOR, 1.0)
--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -14,7 +14,12 @@
 )
 from firhook.clock import boot_time
 from firhook.decide.hedging import HedgeTimer
-from firhook.decide.start_queue import StartQueue, StartWindow, has_valid_ticket
+from firhook.decide.start_queue import (
+    MAX_ANSWER_S,
+    StartQueue,
+    StartWindow,
+    has_valid_ticket,
+)
 from firhook.decide.suspicion import OVERDUE_S
 from firhook.decide.tickets import TicketTable
 from firhook.logs import log
@@ -46,6 +51,10 @@
 )
 
 
+#: The outcomes after which the worker has the run, or refuses to start it.
+_TAKEN_OUTCOMES = (OrderOutcome.APPLIED, OrderOutcome.SUPERSEDED)
+
+
 class OrderOwner(Protocol):
     """What an order sender needs from the lead's term.
 
@@ -75,21 +84,28 @@
         """Handle that a worker has seen a higher fencing token."""
 
 
+#: The overdue starts to one worker take up half of the window at most.
+_OVERDUE_DIVISOR = 2
+
+
 class _Copy:
     """One copy of a run's start, from the call for it to its answer.
 
     :ivar number: its number; 0 while it is not sent.
     :ivar sent_at: when it was sent.
+    :ivar incarnation: the incarnation that it was sent to.
     """
 
     def __init__(self, run: Run) -> None:
         self.run = run
         self.number = 0
         self.sent_at = 0.0
+        self.incarnation = 0
 
     def send(self, now: float) -> None:
         """Record that the copy is sent now."""
         self.number, self.sent_at = self.run.copies.send(now), now
+        self.incarnation = self.run.incarnation
 
     def withdraw(self) -> None:
         """Record that the copy was not sent after all."""
@@ -122,6 +138,10 @@
         # When the last one of the starts with an answer was sent.
         self._answered_until = float("-inf")
         self._window = StartWindow()
+        # The starts that are overdue and still count as in flight, by worker.
+        self._overdue: dict[str, set[tuple[str, int]]] = {}
+        # The loop holds tasks by weak references only, and some are awaited by nobody.
+        self._calls: set[asyncio.Task[OrderAnswer]] = set()
         self._hedge_timer = HedgeTimer()
 
     def answer_delay_s(self) -> float:
@@ -158,7 +178,7 @@
             run = self._queue.take()
             if not self._is_wanted(run):
                 continue
-            if not has_valid_ticket(run, boot_time()):
+            if not self._ticket_holds(run):
                 self._drop_expired(run)
                 continue
             self._window.in_flight += 1
@@ -169,21 +189,35 @@
         """Return how many starts may be planned now, so that each is sent soon."""
         return self._queue.free_places(self._window.size, boot_time())
 
+    def _ticket_holds(self, run: Run) -> bool:
+        """Return whether a start that is sent now arrives before its ticket expires."""
+        arrives_in_s = min(self._hedge_timer.mean_s, MAX_ANSWER_S)
+        return has_valid_ticket(run, boot_time() + arrives_in_s)
+
     def _drop_expired(self, run: Run) -> None:
-        """Void a queued run whose ticket expired, with the rest of its gang.
+        """Void a queued run whose ticket expired."""
+        self._meters.count("starts_expired")
+        self._term.tickets.record_start(boot_time() - run.started_at)
+        self._void(run, "ticket_expired")
+        self._wake()
 
-        Nothing was sent, so that nothing needs to be stopped either.
+    def _void(self, run: Run, reason: str) -> None:
+        """Void a run, and the members of its gang of which nothing was sent.
+
+        Those need no stop, for which a worker that is lost would have to be awaited.
         """
-        now, step = boot_time(), run.task.step
+        step, now = run.task.step, boot_time()
         members = [run]
         if step.spec.gang:
-            members = [r for r in step.runs() if r.number == run.number]
+            members += [
+                other
+                for other in step.runs()
+                if other is not run
+                and other.number == run.number
+                and not (other.copies.count or other.confirmed)
+            ]
         for member in members:
-            if not member.copies.count and not member.confirmed:
-                self._meters.count("starts_expired")
-                self._term.tickets.record_start(now - member.started_at)
-                self._term.job_table.void(member, "ticket_expired", now)
-        self._wake()
+            self._term.job_table.void(member, reason, now)
 
     async def _start(self, run: Run) -> None:
         loop, began, is_released = asyncio.get_running_loop(), boot_time(), False
@@ -192,26 +226,41 @@
             nonlocal is_released
             if not is_released:
                 is_released = True
+                overdue = self._overdue.get(run.worker, set())
+                overdue.discard(run.key)
+                if not overdue:
+                    self._overdue.pop(run.worker, None)
                 self._window.in_flight -= 1
                 self._send_queued()
 
-        def release_if_overtaken() -> None:
+        def release_unless_saturated() -> None:
             nonlocal timer
-            # A worker that does not answer delays other starts only briefly: those that
-            # were sent later are answered.  If none is, the lead or its link is
-            # saturated, and more starts would only wait there.
-            if max(began, run.copies.sent_at) < self._answered_until:
-                release_slot()
+            if self._may_be_saturated(run, began):
+                timer = loop.call_later(_SLOT_HOLD_S, release_unless_saturated)
             else:
-                timer = loop.call_later(_SLOT_HOLD_S, release_if_overtaken)
+                release_slot()
 
-        timer = loop.call_later(_SLOT_HOLD_S, release_if_overtaken)
+        timer = loop.call_later(_SLOT_HOLD_S, release_unless_saturated)
         try:
             await self._start_until_settled(run, began)
         finally:
             timer.cancel()
             release_slot()
 
+    def _may_be_saturated(self, run: Run, began: float) -> bool:
+        """Return whether a start may lack an answer since the lead or its link is slow.
+
+        More starts would only wait there, until their tickets have expired.  A worker
+        that does not answer delays other starts only briefly: starts that were sent
+        later are answered, or many others to this worker are overdue as well.
+        """
+        if max(began, run.copies.sent_at) < self._answered_until:
+            return False
+        overdue = self._overdue.setdefault(run.worker, set())
+        if len(overdue) < max(self._window.size // _OVERDUE_DIVISOR, 1):
+            overdue.add(run.key)
+        return run.key in overdue
+
     async def _start_until_settled(self, run: Run, began: float) -> None:
         step = run.task.step
         limit_s = (
@@ -232,13 +281,13 @@
             if self._is_drained(run):
                 self._abandon_start(run, "zone_drained")
                 return
-            if not has_valid_ticket(run, boot_time()):
+            if not self._ticket_holds(run) and not run.copies.may_arrive:
                 self._abandon_start(run, "ticket_expired")
                 return
             if self._has_other_incarnation(run):
                 self._abandon_start(run, "worker_restarted")
                 return
-            if not self._is_unheard(run):
+            if self._may_send(run) and not self._is_unheard(run):
                 answer = await self._send_start(run, calls)
                 if self._handle_start_answer(run, answer):
                     return
@@ -333,7 +382,10 @@
             raise
 
     def _begin_start(self, run: Run) -> asyncio.Task[OrderAnswer]:
-        return asyncio.create_task(self._send_start_once(run))
+        call = asyncio.create_task(self._send_start_once(run))
+        self._calls.add(call)
+        call.add_done_callback(self._calls.discard)
+        return call
 
     def _may_hedge(self, run: Run) -> bool:
         return self._may_send(run) and self._term.may_act() and self._hedge_timer.take()
@@ -360,7 +412,10 @@
             )
         except Exception as exc:
             log("run.start_failed", level="error", task=run.task.name, error=repr(exc))
-            answer = OrderAnswer(OrderOutcome.UNKNOWN)
+            is_sent = copy.number > 0
+            answer = OrderAnswer(
+                OrderOutcome.UNKNOWN if is_sent else OrderOutcome.NOT_SENT
+            )
         finally:
             link.pending_calls.note_finished(call)
         self._note_answer(link, copy, answer)
@@ -374,7 +429,7 @@
         return (
             self._is_wanted(run)
             and not run.confirmed
-            and has_valid_ticket(run, boot_time())
+            and self._ticket_holds(run)
             and not self._is_drained(run)
             and not self._has_other_incarnation(run)
         )
@@ -401,6 +456,9 @@
             # Another copy may have been answered meanwhile.
             link.suspected = link.suspected or run.copies.may_arrive
             self._late_starts.record(run, copy.sent_at, now)
+            if link.has_restarted_since(copy.incarnation):
+                # The restart was noticed while the copy was still awaited.
+                self.stop_late_starts(link, now)
         elif answer.outcome is OrderOutcome.NOT_SENT:
             copy.withdraw()
         else:
@@ -412,7 +470,9 @@
             link.lease.note_start_answered(now)
         if answer.incarnation:
             link.on_order_answer(answer.incarnation, answer.clock_s, now)
-        if answer.outcome in (OrderOutcome.APPLIED, OrderOutcome.SUPERSEDED):
+        # Else an incarnation answered of which the lead knows that it is gone.
+        is_current = copy.incarnation >= run.incarnation
+        if is_current and answer.outcome in _TAKEN_OUTCOMES:
             self._note_taken(run, answer)
 
     @staticmethod
@@ -492,7 +552,7 @@
             if run.task.step.spec.gang:
                 self._term.job_table.stop_gang(run.task.step, run.number)
         else:
-            self._term.job_table.void(run, reason, boot_time())
+            self._void(run, reason)
         self._wake()
 
     def _note_started(self, run: Run, began: float) -> None:
@@ -515,6 +575,8 @@
 
     async def stop(self, run: Run) -> None:
         """Send a stop of a run until the worker confirms it."""
+        if run not in run.task.runs:
+            return
         log(
             "run.stopping",
             task=run.task.name,
