Send no start whose ticket cannot hold until it arrives

One half of the state in which all starts are refused: starts that waited in the queue for longer than their tickets hold were sent all the same, took the turn of others for as long as a call takes, and were refused. In each round, a start that was not sent yet now gets the newest ticket for its worker; without one that holds for 0.2 s more it is void at once, and its turn costs nothing. A copy that is composed is left alone, and a call that waits for its connection finds that the run is not wanted any more, so nothing is sent.

The new test fails before.

--- a/src/firhook/decide/_tickets.py
+++ b/src/firhook/decide/_tickets.py
@@ -13,6 +13,8 @@
 #: store is fast.  A start with an expired ticket is refused and the work has to wait
 #: for another answer.
 _MIN_MARGIN_S = 0.12
+#: A start is not sent any more if its ticket expires sooner than this.
+_MIN_SENDING_S = 0.2
 #: The maximum margin, as a fraction of the validity of tickets.
 _MAX_MARGIN_FRACTION = 0.4
 #: The weights of the newest start in the moving averages of the start latency and of
@@ -150,6 +152,11 @@
             advice = self._steps[step.name] = StepAdvice()
         return advice
 
+    def may_arrive(self, step: Step, worker: str, now: float) -> bool:
+        """Return whether a start that is sent now may arrive with a valid ticket."""
+        ticket = self.advice_for(step).permitted.get(worker)
+        return ticket is not None and ticket.expires_at - now > _MIN_SENDING_S
+
     def ticket_text(self, step: Step, worker: str) -> str:
         """Return the newest ticket of a step for a worker, or an empty string."""
         ticket = self.advice_for(step).permitted.get(worker)
--- a/src/firhook/services/_placer.py
+++ b/src/firhook/services/_placer.py
@@ -87,6 +87,7 @@
         """Assign the tasks that may run now, and ask the adviser about others."""
         self.skip_round()
         self.placed_at = now
+        self._renew_tickets(now)
         if not self._job_table.open_steps:
             return
         self._estimates.durations.refresh(self._job_table, now)
@@ -115,6 +116,22 @@
         took_s = boot_time() - now
         self._meters.record_duration("round", "", took_s)
 
+    def _renew_tickets(self, now: float) -> None:
+        """Renew the tickets of starts that wait to be sent; void those that expired.
+
+        Sent in vain they would keep others waiting until theirs have expired as well.
+        """
+        for runs in list(self._job_table.worker_runs.values()):
+            for run in list(runs.values()):
+                if not run.ticket or run.confirmed or run.stop_reason:
+                    continue
+                if not run.stored or run.copies.open_count:
+                    continue
+                if self._tickets.may_arrive(run.task.step, run.worker, now):
+                    run.ticket = self._tickets.ticket_text(run.task.step, run.worker)
+                else:
+                    self._job_table.void(run, "ticket_expired", now)
+
     @property
     def shares(self) -> Shares | None:
         """The shares of the teams in the last round, if it computed them."""
--- a/tests/services/test_start_backlog.py
+++ b/tests/services/test_start_backlog.py
@@ -20,3 +20,23 @@
         assert sum(worker.started_runs for worker in cell.workers.values()) > 200
 
     run_virtual(scenario())
+
+
+def test_starts_that_wait_to_be_sent_go_with_valid_tickets_or_not_at_all():
+    """They were sent in vain, and those behind them waited until theirs expired."""
+
+    async def scenario():
+        cell = ModelCell(workers=10, advised=True, seed=3)
+        await cell.begin()
+        sender = cell.lead().lead.term._order_sender
+        sender._free_slots = 0
+        for _ in range(10):
+            await cell.submit([step(4, 500)], work_s=0.3, prefix="/quote/")
+        await pause(4.0)
+        sender._free_slots = 24
+        sender._send_queued()
+        await cell.all_done(5.0)
+        assert not any(worker.expired_tickets for worker in cell.workers.values())
+        assert cell.checks.violations == []
+
+    run_virtual(scenario())
