Plan all that can start in a round again

Cause, by reading: what a round leaves out is placed anew in each of the next ones, whose figures are no longer those of the blocked steps that rounds remember; the lead's processor goes into rounds. Not measured apart.

Change: rounds are left out while a start has waited for 0.5 s, as before, and plan all that can start.

--- a/src/firhook/decide/_start_queue.py
+++ b/src/firhook/decide/_start_queue.py
@@ -2,7 +2,6 @@
 
 import heapq
 import math
-from collections import deque
 
 import attrs
 
@@ -10,18 +9,14 @@
 
 #: Urgent starts precede others that were queued up to this much earlier.
 URGENT_HEAD_START_S = 0.4
-#: Starts are planned for this time ahead, at the rate at which they are sent.
-_AHEAD_S = 0.4
-#: The span over which that rate is measured.
-_RATE_SPAN_S = 1.0
+#: No more starts are planned while one has waited for this time.
+_MAX_WAIT_S = 0.5
 #: The most starts that are under way at once.
 MAX_WINDOW = 24
 #: Answers that take longer show that starts wait on their way.
 MAX_ANSWER_S = 0.25
 #: The factor by which the window shrinks then, as for the congestion window of TCP.
 _SHRINK_FACTOR = 0.7
-#: Time within which a start is usually answered.
-_USUAL_ANSWER_S = 0.1
 
 
 @attrs.frozen(slots=True, order=True)
@@ -38,15 +33,16 @@
     can be sent.  Sent in turn, each start arrives with a ticket that has expired
     meanwhile, is refused and is planned again behind the others, so that nothing
     starts any more, also long after the burst.  So a start is dropped once its ticket
-    has expired, which costs no order, and no more are planned than can be sent soon.
-    Then the queue is empty within the validity of a ticket, however slowly starts are
-    sent.
+    has expired, which costs no order, and none is planned while another one has waited
+    long.  Then the starts with tickets leave the queue within the validity of these,
+    however slowly they are sent.
     """
 
     def __init__(self) -> None:
         self._heap: list[_QueuedStart] = []
         self._count = 0
-        self._sent_at: deque[float] = deque()
+        # When each start was queued, the oldest first.
+        self._queued_at: dict[int, float] = {}
 
     def __len__(self) -> int:
         """Return the number of starts that wait."""
@@ -58,28 +54,18 @@
         due = now if is_urgent else now + URGENT_HEAD_START_S
         self._count += 1
         heapq.heappush(self._heap, _QueuedStart(due, self._count, run))
+        self._queued_at[self._count] = now
 
     def take(self) -> Run:
         """Remove and return the start that goes next."""
-        return heapq.heappop(self._heap).run
-
-    def note_sent(self, now: float) -> None:
-        """Record that a start is sent."""
-        self._sent_at.append(now)
-        self._forget_old(now)
-
-    def free_places(self, window: int, now: float) -> int:
-        """Return how many starts may be planned now.
-
-        :param window: how many may be under way at once.
-        """
-        self._forget_old(now)
-        rate = max(len(self._sent_at) / _RATE_SPAN_S, window / _USUAL_ANSWER_S)
-        return max(int(rate * _AHEAD_S) - len(self._heap), 0)
-
-    def _forget_old(self, now: float) -> None:
-        while self._sent_at and now - self._sent_at[0] > _RATE_SPAN_S:
-            self._sent_at.popleft()
+        start = heapq.heappop(self._heap)
+        del self._queued_at[start.number]
+        return start.run
+
+    def may_plan(self, now: float) -> bool:
+        """Return whether further starts would be sent soon."""
+        oldest_at = next(iter(self._queued_at.values()), math.inf)
+        return now - oldest_at < _MAX_WAIT_S
 
 
 class StartWindow:
--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -182,12 +182,11 @@
                 self._drop_expired(run)
                 continue
             self._window.in_flight += 1
-            self._queue.note_sent(boot_time())
             self._spawn(self._start(run))
 
-    def free_places(self) -> int:
-        """Return how many starts may be planned now, so that each is sent soon."""
-        return self._queue.free_places(self._window.size, boot_time())
+    def may_plan(self) -> bool:
+        """Return whether further starts would be sent soon."""
+        return self._queue.may_plan(boot_time())
 
     def _ticket_holds(self, run: Run) -> bool:
         """Return whether a start that is sent now arrives before its ticket expires."""
--- a/src/firhook/services/_placer.py
+++ b/src/firhook/services/_placer.py
@@ -83,12 +83,8 @@
         """Skip a round, after which the reasons why steps wait are unknown."""
         self._last_result, self._last_views = RoundResult(), {}
 
-    def place(self, now: float, places: int) -> None:
-        """Assign the tasks that may run now, and ask the adviser about others.
-
-        :param places: how many starts may be planned.  The placement that reaches this
-            number is the last one, as a gang starts as a whole.
-        """
+    def place(self, now: float) -> None:
+        """Assign the tasks that may run now, and ask the adviser about others."""
         self.skip_round()
         self.placed_at = now
         if not self._job_table.open_steps:
@@ -99,9 +95,6 @@
             self._job_table, views, self._tickets, now, self._memory
         )
         for placement in result.placements:
-            if places <= 0:
-                break
-            places -= len(placement.tasks)
             step = placement.step
             core_s = task_core_s(step.spec.need.cpu_m, step.duration_s)
             started = len(placement.tasks) * core_s
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -665,11 +665,10 @@
             self.job_table.tick(boot_time(), unix_time())
             self._expire_unlisted_workers()
             self._forget_gone_workers()
-            places = self._order_sender.free_places()
             if not self.may_act():
                 self._placer.skip_round()
-            elif places:
-                self._placer.place(boot_time(), places)
+            elif self._order_sender.may_plan():
+                self._placer.place(boot_time())
             self.waiting.update(boot_time())
             for run in self.job_table.take_to_stop():
                 self._spawn(self._order_sender.stop(run))
