Wait for what two tests of processes and sockets look for

What was seen, once each, beside other work: the test of a paused lead found no lead.ended in its log; the test of a slow page timed out.

The slow page came in pieces half of the read timeout apart, 0.1 s, so that a stall of the test's own process by 0.1 s ended the read.

Change: the first waits for the line, which must come as before. The second sends the same page in the same second, in 40 pieces an eighth of the timeout apart.

--- a/tests/failures/test_instances.py
+++ b/tests/failures/test_instances.py
@@ -51,9 +51,13 @@
             for job in jobs[:8]:
                 await fleet.submit(job)
             lead = next(p for p in fleet.all if p.leads())
+
+            async def has_ended():
+                return any(line["event"] == "lead.ended" for line in lead.lines)
+
             await pause_until_replaced(fleet, lead, jobs[8:])
             await until(lambda: fleet.completed(jobs))
-            assert any(line["event"] == "lead.ended" for line in lead.lines)
+            await until(has_ended)
             assert fleet.model.checks.violations == []
 
     async def pause_until_replaced(fleet, lead, jobs):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -45,7 +45,7 @@
     client gave up in the middle, it would request the page again forever and the
     instance would never serve.
     """
-    newest = read_newest_from_server(pieces=10, pause_s=TIMEOUT_S / 2)
+    newest = read_newest_from_server(pieces=40, pause_s=TIMEOUT_S / 8)
     assert [r.key for r in newest.records] == ["job/1"]
     assert newest.end == 5
 
