Read an answer of a gone incarnation as no refusal, and order the constants of starts

Cause: such an answer settles its copy only, and the loop of the start took it for a refusal. Change: the start goes on, and the restart ends it. Measured: the tests of starts, their copies, orders and backlog pass.

--- a/src/firhook/services/_order_sender.py
+++ b/src/firhook/services/_order_sender.py
@@ -49,10 +49,10 @@
     OrderOutcome.SUPERSEDED,
     OrderOutcome.NO_CAPACITY,
 )
-
-
 #: The outcomes after which the worker has the run, or refuses to start it.
 _TAKEN_OUTCOMES = (OrderOutcome.APPLIED, OrderOutcome.SUPERSEDED)
+#: The overdue starts to one worker take up half of the window at most.
+_OVERDUE_DIVISOR = 2
 
 
 class OrderOwner(Protocol):
@@ -84,10 +84,6 @@
         """Handle that a worker has seen a higher fencing token."""
 
 
-#: The overdue starts to one worker take up half of the window at most.
-_OVERDUE_DIVISOR = 2
-
-
 class _Copy:
     """One copy of a run's start, from the call for it to its answer.
 
@@ -150,8 +146,8 @@
 
     def stop_late_starts(self, link: WorkerLink, now: float) -> None:
         """Stop starts to a worker's previous incarnation that may still arrive."""
-        for run in self._late_starts.take(link.name, now):
-            self._spawn(self._late_starts.stop(run))
+        for start in self._late_starts.take(link.name, now):
+            self._spawn(self._late_starts.stop(start))
 
     def start_runs(self, runs: list[Run]) -> None:
         """Queue the starts of runs whose assignments are now stored."""
@@ -219,6 +215,7 @@
             self._term.job_table.void(member, reason, now)
 
     async def _start(self, run: Run) -> None:
+        """Start a run, which takes up a slot of the window for a while."""
         loop, began, is_released = asyncio.get_running_loop(), boot_time(), False
 
         def release_slot() -> None:
@@ -507,7 +504,7 @@
             return True
         if outcome is OrderOutcome.SUPERSEDED:
             return True
-        if run.confirmed or outcome in _RETRIED_OUTCOMES:
+        if run.confirmed or outcome in (*_RETRIED_OUTCOMES, OrderOutcome.APPLIED):
             return False
         log(
             "run.refused",
@@ -592,10 +589,7 @@
                 answer = await self._term.workers.stop(
                     link.entry, run.task.name, run.number, self._term.fence
                 )
-                is_confirmed = answer.outcome in (
-                    OrderOutcome.APPLIED,
-                    OrderOutcome.SUPERSEDED,
-                )
+                is_confirmed = answer.outcome in _TAKEN_OUTCOMES
                 # Else an earlier incarnation may have confirmed it.
                 if is_confirmed and run.incarnation <= incarnation:
                     run.confirm_stop(incarnation, boot_time())
