--- a/review/10/case.py
+++ b/review/10/case.py
@@ -15,10 +15,10 @@
 LIVE = 5
 AT_ONCE = 2
 REPLACED = int(os.environ.get("REPLACED", "70")) if TROUBLE else 0
-REPLACING_S = 70.0
+REPLACING_S = 50.0
 CALM_S = 4.0
 WINDOW_S = 3.0
-WATCH_S = 24.0
+WATCH_S = 18.0
 
 
 def small_job():
--- a/review/platform3.py
+++ b/review/platform3.py
@@ -32,6 +32,8 @@
 STOP_S = 0.2
 STORE_ANSWER_S = 0.004
 ADVICE_S = 0.02
+#: A script ends its processes and exits after this time, which is under two minutes.
+LIMIT_S = 110.0
 TICKET_VALID_S = 1.5
 
 SETTINGS = """\
@@ -665,9 +667,9 @@
 
 
 def run(main):
-    """Run a script; exit with 2 if it could not run."""
+    """Run a script; exit with 2 if it could not run, or not in time."""
     try:
-        code = asyncio.run(main())
+        code = asyncio.run(asyncio.wait_for(main(), LIMIT_S))
     except Exception as exc:
         print(f"the case could not run: {exc!r}", file=sys.stderr)
         code = 2
