--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,6 @@
-"""Machines are removed for good, one or two at a time, and new ones come.
+"""One accepted job of many tasks, on machines with the memory of the users' page.
 
-TROUBLE=0 leaves the machines alone but for the last removal.
+TROUBLE=0 sends the same job with 100 tasks a step instead of 10,000.
 """
 
 import asyncio
@@ -12,134 +12,80 @@
 
 HERE = Path(__file__).resolve().parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-LIVE = 5
-AT_ONCE = 2
-REPLACED = int(os.environ.get("REPLACED", "70")) if TROUBLE else 0
-REPLACING_S = 50.0
-CALM_S = 4.0
-WINDOW_S = 3.0
-WATCH_S = 18.0
-
-
-def small_job():
-    """Return a job of two tasks."""
-    step = {"count": 2, "millicpus": 500, "task_memory_mb": 64, "estimated_ms": 400}
-    return {"specification": "check", "steps": [step]}
-
-
-class Fleet:
-    """The machines, of which some are removed and others added."""
-
-    def __init__(self, platform):
-        self.platform, self.live, self.number = platform, [], 0
-
-    def add(self):
-        """Add a machine under a new name at a new address."""
-        self.number += 1
-        instance = self.platform.add_instance(f"frontend-z-a-{self.number}")
-        instance.start()
-        self.live.append(instance)
-        self.platform.recorder.note("added", machine=instance.name)
-        return instance
-
-    def remove(self, instance):
-        """Remove a machine for good, without SIGTERM."""
-        instance.kill()
-        self.live.remove(instance)
-        self.platform.recorder.note("removed", machine=instance.name)
-
-    async def are_ready(self):
-        """Return whether all machines are ready."""
-        return all([await self.platform.is_ready(i) for i in self.live])
-
-
-async def replace(fleet):
-    """Remove the oldest machines, once those that take their place are ready."""
-    platform, ended_at = fleet.platform, time.monotonic() + REPLACING_S
-    removed = 0
-    while removed < REPLACED and time.monotonic() < ended_at:
-        for instance in fleet.live[:AT_ONCE]:
-            fleet.remove(instance)
-            removed += 1
-        for _ in range(AT_ONCE):
-            fleet.add()
-        await platform.until(fleet.are_ready, 4.0)
-    platform.recorder.note("note", text=f"{removed} machines were removed in turn")
-
-
-async def load(platform, fleet, jobs, until):
-    """Submit a job each half second."""
-    number = 0
-    while time.monotonic() < until:
-        number += 1
-        job = f"{0xA000 + number:016x}"
-        instance = fleet.live[number % len(fleet.live)]
-        status, _ = await platform.call(instance, "POST", f"/q/{job}", small_job())
-        if status == 200:
-            jobs[job] = time.monotonic()
-        await asyncio.sleep(0.5)
+STEPS = 200
+COUNT = 10_000 if TROUBLE else 100
+BIG = "b" * 16
+MEMORY_MB = 300
+RESTART_S = 0.5
+WATCH_S = 60.0
+#: RULES, Fault: on two machines at least, three times.
+MACHINES, ENDS = 2, 3
+
+
+def big_job():
+    """Return a job of 200 steps that depend on nothing."""
+    step = {"count": COUNT, "millicpus": 100, "task_memory_mb": 16}
+    step |= {"estimated_ms": 400, "anti_affinity": 1}
+    return {"specification": "nightly", "steps": [dict(step) for _ in range(STEPS)]}
+
+
+def rss_mb(pid):
+    """Return the memory of a process."""
+    try:
+        text = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return 0.0
+    rows = [line for line in text.splitlines() if line.startswith("VmRSS")]
+    return int(rows[0].split()[1]) / 1024 if rows else 0.0
+
+
+async def keep_memory(platform, ends, peaks):
+    """Kill a process that exceeds its memory, and start it again, as the platform."""
+    while True:
+        for instance in platform.instances.values():
+            process = instance.process
+            if process.poll() is not None:
+                continue
+            used = rss_mb(process.pid)
+            peaks[instance.name] = max(peaks.get(instance.name, 0), int(used))
+            if used > MEMORY_MB:
+                ends[instance.name] = ends.get(instance.name, 0) + 1
+                platform.recorder.note("memory", machine=instance.name, mb=int(used))
+                instance.kill()
+                await asyncio.sleep(RESTART_S)
+                instance.start()
+        await asyncio.sleep(0.1)
 
 
 async def main():
     """Run the case."""
-    async with Platform(HERE / "record.txt", advised=True) as platform:
-        rec, fleet = platform.recorder, Fleet(platform)
-        for _ in range(LIVE):
-            fleet.add()
-        if not await platform.until(fleet.are_ready, 20):
-            return 2
-        await replace(fleet)
-        if not await platform.until(fleet.are_ready, 10):
-            return 2
+    async with Platform(HERE / "record.txt") as platform:
+        rec = platform.recorder
+        instances = [platform.add_instance(f"frontend-z-a-{i}") for i in range(3)]
+        for instance in instances:
+            instance.start()
 
-        # Nothing happens for a while, so that a lead holds the cell.
-        async def led():
-            return platform.lead() in fleet.live
+        async def ready():
+            return all([await platform.is_ready(i) for i in instances])
 
-        if not await platform.until(led, 15, 0.2):
-            rec.note("note", text="no machine leads before the last removal")
+        if not await platform.until(ready, 20):
+            return 2
+        ends, peaks = {}, {}
+        keeping = asyncio.create_task(keep_memory(platform, ends, peaks))
         await asyncio.sleep(3)
-        jobs = {}
-        end = time.monotonic() + 5 + WATCH_S
-        loading = asyncio.create_task(load(platform, fleet, jobs, end - 8))
-        await asyncio.sleep(5)
-        before = set(jobs)
-        lead = platform.lead()
-        removed_at = time.monotonic()
-        fleet.remove(lead)
-        calm_from = removed_at + CALM_S
-        longest, starved, since = 0.0, set(), {}
-        while time.monotonic() < end:
-            now = time.monotonic()
-            runners = platform.runners.values()
-            begun = {t[:16] for r in runners for t in r.begun}
-            for job, accepted_at in jobs.items():
-                if job in begun:
-                    since.pop(job, None)
-                    continue
-                since.setdefault(job, max(accepted_at, calm_from))
-                waited = now - since[job]
-                longest = max(longest, waited)
-                if waited > WINDOW_S:
-                    starved.add(job)
-            await asyncio.sleep(0.05)
-        await loading
-        # The next lead's takeover is the first start of a task after the removal.
-        starts = [t for r in runners for rows in r.begun.values() for _, t in rows]
-        later = [t - removed_at for t in starts if t > removed_at + 0.3]
-        first = f"{min(later):.1f} s" if later else "none"
-        rec.note("started", first_after_removal=first)
-        terms = [i.events("lead.began") for i in platform.instances.values()]
-        rec.note("lead", before=lead.name, terms=sum(map(len, terms)))
-        rec.note("lapsed", runs=sum(r.lapsed for r in platform.runners.values()))
-        rec.note("jobs", accepted=len(jobs), before=len(before), starved=len(starved))
-        listed = set()
-        for number in range(4):
-            listed |= set(platform.store.part("keyed.firhook", number).newest)
-        names = sorted(k for k in listed if k.startswith("peer/"))
-        rec.note("registered", count=len(names), live=len(fleet.live))
-        rec.note("result", broken=bool(starved), longest_s=round(longest, 1))
-        return 1 if starved else 0
+        began = time.monotonic()
+        # A machine that ends as it takes the job gives no answer.
+        accepted = await platform.submit(BIG, big_job(), instances)
+        rec.note("note", accepted=accepted)
+        while time.monotonic() < began + WATCH_S:
+            if sum(n >= ENDS for n in ends.values()) >= MACHINES:
+                break
+            await asyncio.sleep(0.1)
+        keeping.cancel()
+        rec.note("ends over the memory limit", by_machine=ends, peak_mb=peaks)
+        broken = sum(n >= ENDS for n in ends.values()) >= MACHINES
+        rec.note("result", broken=broken, after_s=round(time.monotonic() - began, 1))
+        return 1 if broken else 0
 
 
 if __name__ == "__main__":
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,6 +1,6 @@
-"""One accepted job of many tasks, on machines with the memory of the users' page.
+"""Writes of the store are carried out late; the client cancels its job meanwhile.
 
-TROUBLE=0 sends the same job with 100 tasks a step instead of 10,000.
+TROUBLE=0 answers the writes at once.
 """
 
 import asyncio
@@ -12,49 +12,17 @@
 
 HERE = Path(__file__).resolve().parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-STEPS = 200
-COUNT = 10_000 if TROUBLE else 100
-BIG = "b" * 16
-MEMORY_MB = 300
-RESTART_S = 0.5
-WATCH_S = 60.0
-#: RULES, Fault: on two machines at least, three times.
-MACHINES, ENDS = 2, 3
-
-
-def big_job():
-    """Return a job of 200 steps that depend on nothing."""
-    step = {"count": COUNT, "millicpus": 100, "task_memory_mb": 16}
-    step |= {"estimated_ms": 400, "anti_affinity": 1}
-    return {"specification": "nightly", "steps": [dict(step) for _ in range(STEPS)]}
-
-
-def rss_mb(pid):
-    """Return the memory of a process."""
-    try:
-        text = Path(f"/proc/{pid}/status").read_text()
-    except OSError:
-        return 0.0
-    rows = [line for line in text.splitlines() if line.startswith("VmRSS")]
-    return int(rows[0].split()[1]) / 1024 if rows else 0.0
-
-
-async def keep_memory(platform, ends, peaks):
-    """Kill a process that exceeds its memory, and start it again, as the platform."""
-    while True:
-        for instance in platform.instances.values():
-            process = instance.process
-            if process.poll() is not None:
-                continue
-            used = rss_mb(process.pid)
-            peaks[instance.name] = max(peaks.get(instance.name, 0), int(used))
-            if used > MEMORY_MB:
-                ends[instance.name] = ends.get(instance.name, 0) + 1
-                platform.recorder.note("memory", machine=instance.name, mb=int(used))
-                instance.kill()
-                await asyncio.sleep(RESTART_S)
-                instance.start()
-        await asyncio.sleep(0.1)
+LATE_S = 6.0
+WINDOW_S = 4.5
+CANCEL_S = 3.0
+CONTACT_S = 3.0
+JOB = "c" * 16
+
+
+def small_job():
+    """Return a job of two tasks."""
+    step = {"count": 2, "millicpus": 500, "task_memory_mb": 64, "estimated_ms": 400}
+    return {"specification": "check", "steps": [step]}
 
 
 async def main():
@@ -70,21 +38,56 @@
 
         if not await platform.until(ready, 20):
             return 2
-        ends, peaks = {}, {}
-        keeping = asyncio.create_task(keep_memory(platform, ends, peaks))
-        await asyncio.sleep(3)
-        began = time.monotonic()
-        # A machine that ends as it takes the job gives no answer.
-        accepted = await platform.submit(BIG, big_job(), instances)
-        rec.note("note", accepted=accepted)
-        while time.monotonic() < began + WATCH_S:
-            if sum(n >= ENDS for n in ends.values()) >= MACHINES:
+        first = f"{1:016x}"
+        if not await platform.submit(first, small_job(), instances):
+            return 2
+
+        async def done():
+            return await platform.state(first, instances) == "completed"
+
+        if not await platform.until(done, 15, 0.3):
+            return 2
+        await asyncio.sleep(2)
+        lost = []
+
+        def lose(keys):
+            now = time.monotonic()
+            in_time = not lost or now - lost[0] < WINDOW_S
+            if f"job/{JOB}" in keys and in_time and TROUBLE:
+                lost.append(now)
+                rec.note("store.late", keys=keys, carried_out_in_s=LATE_S)
+                return LATE_S
+            return None
+
+        platform.store.lose = lose
+        others = [i for i in instances if i is not platform.lead()]
+        status, _ = await platform.call(others[0], "POST", f"/q/{JOB}", small_job())
+        if TROUBLE and (not lost or status in (200, 429, 503)):
+            rec.note("note", text=f"the writes were not lost; answered {status}")
+            return 2
+        # The client does not wait any longer and cancels until it has an answer.
+        acked_at = None
+        for attempt in range(5):
+            instance = others[(attempt + 1) % len(others)]
+            status, _ = await platform.call(instance, "DELETE", f"/q/{JOB}")
+            if status == 410 or 200 <= status < 300:
+                acked_at = time.monotonic()
                 break
-            await asyncio.sleep(0.1)
-        keeping.cancel()
-        rec.note("ends over the memory limit", by_machine=ends, peak_mb=peaks)
-        broken = sum(n >= ENDS for n in ends.values()) >= MACHINES
-        rec.note("result", broken=broken, after_s=round(time.monotonic() - began, 1))
+            await asyncio.sleep(0.4)
+        if acked_at is None:
+            return 2
+        rec.note("cancelled", status=status)
+        await asyncio.sleep(12)
+        broken = []
+        for runner in platform.runners.values():
+            for task, starts in runner.begun.items():
+                for number, at in starts:
+                    calm = not lost or at - lost[-1] > CONTACT_S
+                    if task.startswith(JOB) and at - acked_at > CANCEL_S and calm:
+                        broken.append((task, number, round(at - acked_at, 2)))
+        state = await platform.state(JOB, instances)
+        rec.note("state", shown=state)
+        rec.note("result", broken=bool(broken), started_after_the_answer_s=broken)
         return 1 if broken else 0
 
 
