--- a/src/firhook/cell/__init__.py
+++ b/src/firhook/cell/__init__.py
@@ -9,7 +9,8 @@
     key_digest,
 )
 from firhook.cell._drained_zones import DrainedZones, ZoneDrain
-from firhook.cell._job_table import Job, JobTable, Run, Step, Task
+from firhook.cell._job import Job, Run, Step, Task
+from firhook.cell._job_table import JobTable
 from firhook.cell._records import (
     AcceptedJob,
     JobState,
