--- a/src/firhook/_errors.py
+++ b/src/firhook/_errors.py
@@ -218,6 +218,20 @@
     "The id belongs to another job",
     "Choose another id and submit the job under it; nothing was recorded.",
 )
+JobTooLargeError = _define_error(
+    "JobTooLargeError",
+    "job.too_large",
+    413,
+    "The job is larger than this cell can hold",
+    "Split it into jobs with fewer tasks or steps; nothing was accepted.",
+)
+NoRoomError = _define_error(
+    "NoRoomError",
+    "job.no_room",
+    503,
+    "The accepted jobs fill the memory of the smallest instance",
+    "Submit the same id again after the time given; nothing was accepted.",
+)
 SubmissionUnknownError = _define_error(
     "SubmissionUnknownError",
     "job.submission_unknown",
--- a/src/firhook/cell/_job.py
+++ b/src/firhook/cell/_job.py
@@ -1,23 +1,33 @@
 """A job of the lead's job table, with its steps, tasks and runs."""
 
+import functools
 import math
 from collections.abc import Iterator
 
 import attrs
 
 from firhook.cell._config import Queue
+from firhook.cell._job_limits import (
+    MAX_LISTED_TASKS,
+    JobLimits,
+    checkpoint_bytes,
+    task_row_bytes,
+)
 from firhook.cell._records import (
     AcceptedJob,
+    ActiveTask,
     JobState,
     JobStatus,
     Releases,
     RunState,
     StepState,
+    TaskRanges,
     TaskState,
     WorkerIncarnation,
 )
 from firhook.cell._spec import StepSpec
 from firhook.cell._start_copies import MAX_ORDER_DELAY_S, StartCopies
+from firhook.cell._step_tasks import IdleTasks, StepTasks
 from firhook.cell._workers import RunningRow
 
 #: Progress, in percentage points, from which a run's observed speed is used.
@@ -165,9 +175,15 @@
         return f"{self.step.name}.{self.index}"
 
     def update_checkpoint(self, checkpoint: str) -> None:
-        """Keep the newest checkpoint; the members of a gang share one."""
+        """Keep the newest checkpoint; the members of a gang share one.
+
+        One that is too long is not kept, so that the task would resume from an earlier
+        one or start anew.
+        """
         if not self.step.spec.checkpoints:
             return
+        if len(checkpoint.encode()) > self.step.job.checkpoint_bytes:
+            return
         if self.step.spec.gang:
             self.step.checkpoint = checkpoint
         else:
@@ -197,10 +213,12 @@
 
     :param critical_path_s: estimated duration of the longest chain of steps from this
         one to the end of the job.
+    :param is_done: whether its tasks were done before this lead's term.
     :ivar name: its name in requests to the adviser.
-    :ivar ready_at: when all steps that it depends on were done; ``None`` before.
+    :ivar tasks: its tasks by index.
     :ivar idle: tasks that wait for a worker, by index.
-    :ivar remaining: number of tasks that are not done.
+    :ivar ready_at: when all steps that it depends on were done; ``None`` before.
+    :ivar is_closed: whether its job or its occurrence has ended.
     :ivar checkpoint: newest checkpoint of a gang, valid for each member.
     :ivar failed_run: number of the newest run of a gang that counts as failed.
     :ivar expected_s: learned duration of a task at speed 1; 0 if it is not known.
@@ -212,29 +230,43 @@
     number: int
     spec: StepSpec
     critical_path_s: float
-    tasks: list[Task] = attrs.field(factory=list)
+    is_done: bool = False
     ready_at: float | None = None
-    idle: dict[int, Task] = attrs.field(factory=dict)
-    remaining: int = 0
+    is_closed: bool = False
     checkpoint: str = ""
     failed_run: int = 0
     expected_s: float = 0.0
     high_s: float = 0.0
     # Composing the name took a tenth of a round with 2,000 waiting steps.
     name: str = attrs.field(init=False)
+    tasks: StepTasks[Task] = attrs.field(init=False)
+    idle: IdleTasks[Task] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.name = f"{self.job.id}.{self.occurrence}.{self.number}"
+        make_task = functools.partial(Task, self)
+        self.tasks = StepTasks(make_task, self.spec.count, self.is_done)
+        self.idle = IdleTasks(self.tasks)
 
     @property
     def duration_s(self) -> float:
         """The expected duration of a task at speed 1."""
         return self.expected_s or self.spec.estimate_s
 
+    @property
+    def remaining(self) -> int:
+        """The number of tasks that are not done."""
+        return self.tasks.remaining
+
     @property
     def started(self) -> bool:
         """Whether any of its tasks was ever assigned."""
-        return any(task.last_run for task in self.tasks)
+        return self.tasks.started_before > 0
+
+    @property
+    def row_bytes(self) -> int:
+        """The bytes that each active task takes in the job's state at most."""
+        return task_row_bytes(self.spec, self.job.checkpoint_bytes)
 
     @property
     def is_open(self) -> bool:
@@ -244,9 +276,24 @@
 
     def runs(self) -> Iterator[Run]:
         """Yield the runs that may still be executing."""
-        for task in self.tasks:
+        for task in list(self.tasks.active.values()):
             yield from task.runs
 
+    def update_task(self, task: Task) -> int:
+        """Record that a task was started, is done, or got or lost a run.
+
+        :return: by how much the number of active tasks grew.
+        """
+        grown = self.tasks.update(task)
+        self.job.active_row_bytes += grown * self.row_bytes
+        self.refresh_idle()
+        return grown
+
+    def refresh_idle(self) -> None:
+        """Update the idle tasks; those of a gang wait until all of them do."""
+        is_whole = not self.spec.gang or self.tasks.waiting == self.spec.count
+        self.idle.refresh(is_whole and not self.is_closed)
+
     def start_checkpoint(self, task: Task) -> str:
         """Return the checkpoint that the task's next run resumes from."""
         return self.checkpoint if self.spec.gang else task.checkpoint
@@ -255,10 +302,31 @@
         """Return the latest start time at which the job still meets its objective."""
         return self.job.objective_at(self.occurrence) - self.critical_path_s
 
-    def to_state(self, workers: dict[tuple[str, int], int]) -> StepState:
-        """Return the record of the step; see :meth:`Task.to_state`."""
-        rows = tuple(task.to_state(workers) for task in self.tasks)
-        return StepState(self.occurrence, self.number, rows, self.failed_run)
+    def to_state(
+        self, workers: dict[tuple[str, int], int], is_large: bool = False
+    ) -> StepState:
+        """Return the record of the step; see :meth:`Task.to_state`.
+
+        :param is_large: whether to list only the active tasks.
+        """
+        if not is_large:
+            rows = tuple(task.to_state(workers) for task in self.tasks)
+            return StepState(self.occurrence, self.number, rows, self.failed_run)
+        tasks = self.tasks
+        active = tuple(
+            ActiveTask(index, state)
+            for index, task in tasks.active.items()
+            if (state := task.to_state(workers)) is not None
+        )
+        if self.spec.gang:
+            active = active[:1] + tuple(
+                attrs.evolve(row, state=attrs.evolve(row.state, checkpoint=""))
+                for row in active[1:]
+            )
+        ranges = TaskRanges(
+            tasks.done_before, tasks.started_before, tasks.done_bits(), active
+        )
+        return StepState(self.occurrence, self.number, None, self.failed_run, ranges)
 
 
 @attrs.define(slots=True, eq=False)
@@ -268,6 +336,10 @@
     :param queue: current configuration of its queue, or the last one if the queue
         was removed.
     :param accepted_at: on the lead's boot clock.
+    :param limits: limits on what the cell's jobs take.
+    :ivar checkpoint_bytes: length of the longest checkpoint that is kept of a task.
+    :ivar active_row_bytes: bytes that its active tasks take in its state at most.
+    :ivar repeat_bytes: memory counted for its open occurrences beyond the first.
     :ivar status: queued until a worker reports the first run of one of its tasks.
     :ivar ended_at: seconds since 1970; 0 if the job has not ended.
     :ivar steps: steps by occurrence and number.
@@ -281,6 +353,7 @@
     accepted: AcceptedJob
     queue: Queue
     accepted_at: float
+    limits: JobLimits = attrs.field(factory=JobLimits)
     status: JobStatus = JobStatus.QUEUED
     ended_at: float = 0.0
     steps: dict[tuple[int, int], Step] = attrs.field(factory=dict)
@@ -290,6 +363,12 @@
     critical_path_s: float = 0.0
     reported: bool = False
     durations_at: float = -math.inf
+    active_row_bytes: int = 0
+    repeat_bytes: int = 0
+    checkpoint_bytes: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.checkpoint_bytes = checkpoint_bytes(self.accepted.spec, self.limits)
 
     @property
     def id(self) -> str:
@@ -331,6 +410,11 @@
         for step in self.steps.values():
             step.critical_path_s = paths_s[step.number]
 
+    def startable_tasks(self, step: Step) -> int:
+        """Return for how many more active tasks of a step the job's state has room."""
+        left = self.limits.steps_bytes - self.active_row_bytes
+        return max(left // step.row_bytes, 0)
+
     def runs(self) -> Iterator[Run]:
         """Yield the runs that may still be executing."""
         for step in self.steps.values():
@@ -339,18 +423,22 @@
     def to_state(self, version: int = 0) -> JobState:
         """Return the record of the job.
 
+        The state of a large job lists only the active tasks one by one.
+
         A step without a row was never started if its occurrence is open, and is done
         if it is not.  A job or an occurrence that ended has rows only of the steps that
         still have runs: the next lead has to continue stopping them.
         """
         workers: dict[tuple[str, int], int] = {}
         open_occurrences = set() if self.status.ended else self.open_occurrences
-        steps = tuple(
-            step.to_state(workers)
+        listed = [
+            step
             for step in self.steps.values()
             if any(step.runs())
             or (step.started and step.occurrence in open_occurrences)
-        )
+        ]
+        is_large = sum(step.spec.count for step in listed) > MAX_LISTED_TASKS
+        steps = tuple(step.to_state(workers, is_large) for step in listed)
         incarnations = tuple(
             WorkerIncarnation(name, incarnation) for name, incarnation in workers
         )
@@ -378,10 +466,8 @@
     """
     paths_s = [0.0] * len(job_steps)
     for number in range(len(job_steps) - 1, -1, -1):
-        after = (
-            paths_s[later]
-            for later in range(number + 1, len(job_steps))
-            if number in job_steps[later].after
-        )
-        paths_s[number] = durations_s[number] + advice_s + max(after, default=0)
+        # So far this is the longest path of the steps that depend on it.
+        paths_s[number] += durations_s[number] + advice_s
+        for earlier in job_steps[number].after:
+            paths_s[earlier] = max(paths_s[earlier], paths_s[number])
     return paths_s
--- a/src/firhook/cell/_job_table.py
+++ b/src/firhook/cell/_job_table.py
@@ -12,6 +12,13 @@
 
 from firhook.cell._config import CellConfig
 from firhook.cell._job import Job, Run, Step, Task
+from firhook.cell._job_limits import (
+    MAX_TASK_RUNS,
+    JobLimits,
+    active_memory_bytes,
+    max_open_occurrences,
+    repeat_memory_bytes,
+)
 from firhook.cell._records import AcceptedJob, JobState, JobStatus, StepState
 from firhook.cell._resources import NO_RESOURCES, Resources
 from firhook.cell._workers import EndedRow, PollReply, RunEnd
@@ -20,14 +27,12 @@
 #: changes, which saves an append for each start.  The count of waiting jobs that
 #: callers get may be 2 s old.
 BEGUN_STORE_DELAY_S = 0.25
-#: Tasks that the open occurrences of a periodic job have at most, unless one
-#: occurrence has more.
-_MAX_OPEN_TASKS = 10_000
 
 
 class JobTable:
     """The jobs that have not ended or still have runs, with their tasks and runs.
 
+    :param limits: limits on what the jobs take together.
     :ivar jobs: jobs by id.
     :ivar open_steps: ready steps that have idle tasks, by name.
     :ivar worker_runs: runs by worker and by :attr:`Run.key`.
@@ -38,10 +43,14 @@
     :ivar ended_runs: reported ends, which the lead's term logs and clears.
     :ivar voided: runs that were voided, each with the reason; the lead's term logs
         and clears them.
+    :ivar jobs_bytes: memory that the jobs take at most, apart from the next two.
+    :ivar active_bytes: memory that their active tasks take at most.
+    :ivar repeat_bytes: memory that their open occurrences beyond the first take.
     """
 
-    def __init__(self, config: CellConfig) -> None:
+    def __init__(self, config: CellConfig, limits: JobLimits | None = None) -> None:
         self.config = config
+        self.limits = limits or JobLimits()
         self.jobs: dict[str, Job] = {}
         self.open_steps: dict[str, Step] = {}
         self.worker_runs: dict[str, dict[tuple[str, int], Run]] = {}
@@ -56,9 +65,20 @@
         # oldest first.
         self._unstored_begins: dict[str, float] = {}
         self._periodic_jobs: dict[str, Job] = {}
+        self.jobs_bytes = 0
+        self.active_bytes = 0
+        self.repeat_bytes = 0
 
     # Jobs.
 
+    def has_room(self, accepted: AcceptedJob) -> bool:
+        """Return whether to add a job of which no task was started.
+
+        A job that is larger than the limit is added if there is no other one.
+        """
+        size = accepted.memory_bytes
+        return not self.jobs or self.jobs_bytes + size <= self.limits.jobs_bytes
+
     def set_config(self, config: CellConfig) -> None:
         """Apply another version of the configuration."""
         self.config = config
@@ -85,9 +105,10 @@
         # The wall clock may have jumped since the job was accepted, or differ from
         # that of the accepting instance, so its age is bounded.
         age_s = min(max(unix_now - accepted.accepted_at, 0.0), 60.0)
-        job = Job(accepted, queue, now - age_s)
+        job = Job(accepted, queue, now - age_s, self.limits)
         job.critical_path_s = max(job.critical_paths_s(), default=0.0)
         self.jobs[job.id] = job
+        self.jobs_bytes += accepted.memory_bytes
         if state is not None:
             self._restore(job, state, now, unix_now)
         if job.status.ended:
@@ -121,23 +142,32 @@
         """Release the occurrences that are due, as many as may be open at once.
 
         The others stay due.  A caller may ask for any number of repetitions since
-        1970, which would fill the memory of each lead.
+        1970, which would fill the memory of each lead and the job's state.
         """
         spec = job.accepted.spec
         while job.next_occurrence < spec.occurrences:
             if spec.due(job.next_occurrence) > unix_now:
                 return
-            tasks = sum(step.count for step in spec.steps)
-            if len(job.open_occurrences) >= max(_MAX_OPEN_TASKS // tasks, 1):
+            is_full = self.repeat_bytes >= self.limits.repeat_bytes
+            most = 1 if is_full else max_open_occurrences(spec, job.limits)
+            if len(job.open_occurrences) >= most:
                 return
             self._release(job, now, unix_now)
         self._periodic_jobs.pop(job.id, None)
 
+    def _count_repeats(self, job: Job) -> None:
+        """Update the memory counted for a job's occurrences beyond the first."""
+        repeats = max(len(job.open_occurrences) - 1, 0)
+        taken = repeats and repeats * repeat_memory_bytes(job.accepted.spec)
+        self.repeat_bytes += taken - job.repeat_bytes
+        job.repeat_bytes = taken
+
     def _release(self, job: Job, now: float, unix_now: float) -> None:
         """Release the next occurrence of a job."""
         occurrence = job.next_occurrence
         job.next_occurrence += 1
         job.open_occurrences.add(occurrence)
+        self._count_repeats(job)
         self._add_steps(job, occurrence, now, unix_now)
         for number in range(len(job.accepted.spec.steps)):
             self._update_step(job.steps[occurrence, number], now)
@@ -152,9 +182,7 @@
             age_s = min(max(unix_now - spec.due(occurrence), 0.0), 60.0)
             job.due_at[occurrence] = now - age_s
         for number, step_spec in enumerate(spec.steps):
-            step = Step(job, occurrence, number, step_spec, paths_s[number])
-            step.tasks = [Task(step, i, done=is_done) for i in range(step_spec.count)]
-            step.remaining = 0 if is_done else step_spec.count
+            step = Step(job, occurrence, number, step_spec, paths_s[number], is_done)
             job.steps[occurrence, number] = step
 
     def _restore(self, job: Job, state: JobState, now: float, unix_now: float) -> None:
@@ -171,6 +199,7 @@
             first = state.first_occurrence or 0
             job.next_occurrence = max(listed, default=first - 1) + 1
             job.open_occurrences = set(range(first, job.next_occurrence))
+        self._count_repeats(job)
         for occurrence in sorted(job.open_occurrences | listed):
             self._add_steps(job, occurrence, now, unix_now)
         for key, stored in stored_steps.items():
@@ -184,13 +213,21 @@
     def _restore_step(
         self, step: Step, stored: StepState, state: JobState, now: float
     ) -> None:
-        for task, stored_task in zip(step.tasks, stored.tasks, strict=False):
-            if stored_task is None:
+        if stored.ranges is not None:
+            done = stored.ranges
+            step.tasks.restore(done.done_before, done.started_before, done.done)
+        for index, stored_task in stored.rows():
+            if index >= step.spec.count:
                 continue
-            task.done = task.done or stored_task.done
+            task = step.tasks[index]
+            if stored_task.done and not task.done:
+                step.tasks.complete(task)
             task.last_run = stored_task.last_run
             task.failures = stored_task.failures
-            task.update_checkpoint(stored_task.checkpoint)
+            # The members of a large gang share the checkpoint of the first one.
+            if stored_task.checkpoint:
+                task.update_checkpoint(stored_task.checkpoint)
+            self._update_task(task)
             for row in stored_task.runs:
                 worker = state.workers[row.worker]
                 run = Run(task, row.number, worker.name, worker.incarnation, now, True)
@@ -200,9 +237,8 @@
                 self._add_run(run)
                 if step.job.status.ended or task.done:
                     self.stop(run, "job_ended")
-        step.remaining = sum(not task.done for task in step.tasks)
         step.failed_run = stored.failed_run
-        if step.spec.gang and step.remaining and not all(t.runs for t in step.tasks):
+        if step.spec.gang and step.remaining and step.tasks.waiting:
             # The earlier lead may have been stopping the other members.
             for run in step.runs():
                 self.stop(run, "gang_broken")
@@ -217,15 +253,14 @@
 
     def _update_step(self, step: Step, now: float) -> None:
         """Update the step's idle tasks and whether it is ready."""
-        if not step.is_open:
-            step.idle = {}
+        step.is_closed = not step.is_open
+        step.idle.clear_copies()
+        step.refresh_idle()
+        if step.is_closed:
             self.open_steps.pop(step.name, None)
             return
         if step.ready_at is None and self._predecessors_done(step):
             step.ready_at = now
-        step.idle = {t.index: t for t in step.tasks if not t.done and not t.runs}
-        if step.spec.gang and len(step.idle) < step.spec.count:
-            step.idle = {}
         if step.ready_at is not None and step.idle:
             self.open_steps[step.name] = step
         else:
@@ -240,8 +275,10 @@
     def allow_duplicate(self, task: Task) -> None:
         """Let a task start on another worker beside its runs, if it may run twice."""
         step = task.step
+        if len(task.runs) >= MAX_TASK_RUNS:
+            return
         if step.spec.duplicates and not task.done and step.is_open:
-            step.idle[task.index] = task
+            step.idle.add_copy(task)
             if step.ready_at is not None:
                 self.open_steps[step.name] = step
 
@@ -254,7 +291,7 @@
             return None
         occurrence, step_number, index = map(int, numbers)
         step = job.steps.get((occurrence, step_number))
-        if step is None or index >= len(step.tasks):
+        if step is None or index >= step.spec.count:
             return None
         return step.tasks[index]
 
@@ -272,21 +309,29 @@
         chosen = list(tasks)
         shared = max(task.last_run for task, _, _ in chosen) + 1
         runs: list[Run] = []
-        for task, worker, incarnation in chosen:
+        for idle_task, worker, incarnation in chosen:
+            task = step.tasks.adopt(idle_task)
             number = shared if step.spec.gang else task.last_run + 1
             task.last_run = number
             run = Run(task, number, worker, incarnation, now)
             self._add_run(run)
             runs.append(run)
-            step.idle.pop(task.index, None)
+            step.idle.remove_copy(task.index)
         if not step.idle:
             self.open_steps.pop(step.name, None)
         self._dirty[step.job.id] = step.job
         self.planned += runs
         return runs
 
+    def _update_task(self, task: Task) -> None:
+        """Record that a task was started, is done, or got or lost a run."""
+        grown = task.step.update_task(task)
+        if grown:
+            self.active_bytes += grown * active_memory_bytes(task.step.row_bytes)
+
     def _add_run(self, run: Run) -> None:
         run.task.runs.append(run)
+        self._update_task(run.task)
         spec = run.task.step.spec
         team = run.task.step.job.team
         self.worker_runs.setdefault(run.worker, {})[run.key] = run
@@ -296,6 +341,7 @@
 
     def _remove_run(self, run: Run) -> None:
         run.task.runs.remove(run)
+        self._update_task(run.task)
         spec = run.task.step.spec
         team = run.task.step.job.team
         del self.worker_runs[run.worker][run.key]
@@ -348,8 +394,10 @@
         self._delete_if_finished(step.job)
 
     def _update_successors(self, step: Step, now: float) -> None:
-        for (occurrence, _), later in step.job.steps.items():
-            if occurrence == step.occurrence and step.number in later.spec.after:
+        specs = step.job.accepted.spec.steps
+        for number in range(step.number + 1, len(specs)):
+            later = step.job.steps.get((step.occurrence, number))
+            if later is not None and step.number in later.spec.after:
                 self._update_step(later, now)
 
     def _complete_task(self, task: Task, number: int, unix_now: float) -> None:
@@ -362,8 +410,9 @@
         for member in step.tasks if step.spec.gang else [task]:
             if member.done:
                 continue
-            member.done, member.checkpoint = True, ""
-            step.remaining -= 1
+            member.checkpoint = ""
+            step.tasks.complete(member)
+            self._update_task(member)
             for other in member.runs:
                 if other.number != number or not step.spec.gang:
                     self.stop(other, "copy_done")
@@ -385,6 +434,7 @@
         """Note that an occurrence is done if all its steps are."""
         if not any(s.remaining for s in self._occurrence_steps(job, occurrence)):
             job.open_occurrences.discard(occurrence)
+            self._count_repeats(job)
 
     def _delete_occurrence_if_finished(self, job: Job, occurrence: int) -> None:
         """Delete the steps of an occurrence that is done and has no runs.
@@ -435,7 +485,9 @@
         self._dirty[job.id] = job
         self._periodic_jobs.pop(job.id, None)
         for step in job.steps.values():
-            step.idle = {}
+            step.is_closed = True
+            step.idle.clear_copies()
+            step.refresh_idle()
             self.open_steps.pop(step.name, None)
         for run in list(job.runs()):
             # The members of a gang that is done end together without being stopped.
@@ -445,8 +497,18 @@
 
     def _delete_if_finished(self, job: Job) -> None:
         if job.status.ended and not any(job.runs()):
-            self._periodic_jobs.pop(job.id, None)
-            self.jobs.pop(job.id, None)
+            self._forget(job)
+
+    def _forget(self, job: Job) -> None:
+        """Remove a job, and what it counts, from the table."""
+        self._periodic_jobs.pop(job.id, None)
+        if self.jobs.pop(job.id, None) is None:
+            return
+        self.jobs_bytes -= job.accepted.memory_bytes
+        self.repeat_bytes -= job.repeat_bytes
+        for step in job.steps.values():
+            active = len(step.tasks.active)
+            self.active_bytes -= active * active_memory_bytes(step.row_bytes)
 
     def stop(self, run: Run, reason: str) -> None:
         """Schedule a run to be stopped, unless it already is."""
--- a/src/firhook/cell/_records.py
+++ b/src/firhook/cell/_records.py
@@ -11,7 +11,7 @@
 
 import enum
 import types
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from functools import cache
 from typing import Any, TypeVar, Union, get_args, get_origin, get_type_hints
 
@@ -19,6 +19,7 @@
 import msgspec
 
 from firhook.cell._config import Queue
+from firhook.cell._job_limits import memory_bytes
 from firhook.cell._spec import JobSpec
 from firhook.errors import RecordMalformedError
 
@@ -95,6 +96,8 @@
     :param queue: the queue as it was configured then.  These values apply if the queue
         is later removed.
     :param accepted_at: seconds since 1970 by the accepting instance's clock.
+    :param size_bytes: memory that it takes at most on an instance that leads, also if
+        the specification is left out; 0 if an earlier build accepted it.
     """
 
     id: str
@@ -102,6 +105,7 @@
     queue: Queue
     accepted_at: float
     spec: JobSpec
+    size_bytes: int = 0
 
     @property
     def owner(self) -> tuple[str, str]:
@@ -113,6 +117,11 @@
         """Whether the job's specification was left out; a full job has steps."""
         return not self.spec.steps
 
+    @property
+    def memory_bytes(self) -> int:
+        """The memory that the job takes at most on an instance that leads."""
+        return self.size_bytes or memory_bytes(self.spec)
+
 
 @attrs.frozen(slots=True)
 class RunState:
@@ -140,18 +149,53 @@
     runs: tuple[RunState, ...] = ()
 
 
+@attrs.frozen(slots=True)
+class ActiveTask:
+    """A task of a large job that was assigned and is not done, or still has runs."""
+
+    index: int
+    state: TaskState
+
+
+@attrs.frozen(slots=True)
+class TaskRanges:
+    """The tasks of a step of a large job.
+
+    :param done_before: all tasks before this index are done.
+    :param started_before: no task from this index on was ever assigned.
+    :param done: a bit for each task in between, the first one lowest; set if done.
+    :param active: the active tasks.
+    """
+
+    done_before: int
+    started_before: int
+    done: bytes
+    active: tuple[ActiveTask, ...]
+
+
 @attrs.frozen(slots=True)
 class StepState:
     """The state of a step in one occurrence of its job.
 
     :param tasks: its tasks by index; ``None`` for those that were never assigned.
+        A step of a large job has ``ranges`` instead.  Earlier builds take such a state
+        for malformed, and leave the job and its runs alone.
     :param failed_run: number of the newest run of a gang that counts as failed.
     """
 
     occurrence: int
     number: int
-    tasks: tuple[TaskState | None, ...]
+    tasks: tuple[TaskState | None, ...] | None
     failed_run: int = 0
+    ranges: TaskRanges | None = None
+
+    def rows(self) -> Iterator[tuple[int, TaskState]]:
+        """Yield the tasks that the state lists, with their indexes."""
+        for index, task in enumerate(self.tasks or ()):
+            if task is not None:
+                yield index, task
+        for row in self.ranges.active if self.ranges is not None else ():
+            yield row.index, row.state
 
 
 @attrs.frozen(slots=True)
@@ -237,6 +281,7 @@
     :param strength: its processor capacity, in standard cores.
     :param catching_up: whether it has not yet read the cell's records to their end;
         these records may saturate its network link.
+    :param memory_mb: its memory; 0 if that is not known.
     """
 
     name: str
@@ -245,6 +290,7 @@
     zone: str
     strength: float = 1.0
     catching_up: bool = False
+    memory_mb: float = 0.0
 
 
 @attrs.frozen(slots=True)
@@ -297,7 +343,7 @@
         :raises RecordMalformedError: if the record is malformed or a digest.
         """
         state = decode_record(JobState, self.raw)
-        tasks = (task for step in state.steps for task in step.tasks if task)
+        tasks = [task for step in state.steps for _, task in step.rows()]
         workers = {run.worker for task in tasks for run in task.runs}
         if not workers <= set(range(len(state.workers))):
             raise RecordMalformedError("JobState: a run on a worker that is not listed")
@@ -345,16 +391,22 @@
         raise RecordMalformedError(f"AcceptedJob: {exc}") from exc
 
 
+def digest_of(job: AcceptedJob) -> AcceptedJob:
+    """Return an accepted job without its specification."""
+    return attrs.evolve(job, spec=_NO_SPEC)
+
+
 def digest_value(value: Any) -> bytes:
     """Return the encoded digest of a record's decoded value."""
     if isinstance(value, StateSummary):
         return digest_state(value)
     if isinstance(value, AcceptedJob):
-        return encode_record(attrs.evolve(value, spec=JobSpec("", ())))
+        return encode_record(digest_of(value))
     # ``True`` stands for the value of a key of which only the existence matters.
     return b"\x01" if value is True else encode_record(value)
 
 
+_NO_SPEC = JobSpec("", ())
 _EMPTY_SPEC = msgspec.Raw(msgspec.msgpack.encode(["", []]))
 _RAW_ROW_DECODER = msgspec.msgpack.Decoder(list[msgspec.Raw])
 _INT_DECODER = msgspec.msgpack.Decoder(int)
--- a/src/firhook/cell/_replica.py
+++ b/src/firhook/cell/_replica.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from firhook.cell._config import Queue
+from firhook.cell._job_limits import CANCEL_MEMORY_BYTES, ENDED_MEMORY_BYTES
 from firhook.cell._records import (
     CANCEL_PREFIX,
     CLAIM_KEY,
@@ -22,6 +24,7 @@
     StateSummary,
     decode_record,
     decode_state_summary,
+    digest_of,
 )
 
 _JOB_PREFIXES = (JOB_PREFIX, CANCEL_PREFIX, STATE_PREFIX)
@@ -52,6 +55,19 @@
             return False
         return owner in self.owners
 
+    @property
+    def is_over(self) -> bool:
+        """Whether the lead stored that the job ended and none of its runs is left."""
+        state = self.state
+        return state is not None and state.status.ended and state.has_no_steps
+
+    @property
+    def memory_bytes(self) -> int:
+        """The memory that the job takes at most on an instance that leads."""
+        if self.accepted is None:
+            return CANCEL_MEMORY_BYTES
+        return ENDED_MEMORY_BYTES if self.is_over else self.accepted.memory_bytes
+
     @property
     def status(self) -> JobStatus:
         """The job's status.
@@ -131,6 +147,7 @@
     then continue with the records that follow.
 
     :ivar jobs: jobs by id.
+    :ivar jobs_bytes: memory that the jobs take at most on an instance that leads.
     :ivar peers: instances by name.
     :ivar lead: the lead with the highest epoch of all that were applied; ``None`` if
         none was.
@@ -139,10 +156,13 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobView] = {}
+        self.jobs_bytes = 0
         self.peers: dict[str, PeerRecord] = {}
         self.lead: LeadRecord | None = None
         self.mesh_keys: MeshKeys | None = None
         self._partitions: dict[int, _Partition] = {}
+        # One object for all equal queues; each submission names its queue in full.
+        self._queues: dict[Queue, Queue] = {}
 
     def apply(
         self, offset: int, key: str, value: bytes | None, partition: int = 0
@@ -166,6 +186,9 @@
         if not newer and not (prefix == JOB_PREFIX and part.is_undeleted(offset, key)):
             return None
         decoded = _decode(prefix, value) if value else None
+        if isinstance(decoded, AcceptedJob):
+            queue = self._queues.setdefault(decoded.queue, decoded.queue)
+            decoded = attrs.evolve(decoded, queue=queue)
         if prefix == JOB_PREFIX and self._has_other_owner(part, key, decoded):
             # The store keeps the newest record, but the earliest submission is valid.
             known_at, known = part.entries[key]
@@ -271,6 +294,7 @@
 
     def _update_job_view(self, prefix: str, job_id: str, values: list[Any]) -> None:
         job = self.jobs.get(job_id) or JobView()
+        before = job.memory_bytes if job_id in self.jobs else 0
         if prefix == JOB_PREFIX:
             job.accepted = _earliest(values)
             if len(values) > 1:
@@ -281,8 +305,25 @@
             job.cancelled = bool(values)
         if job.accepted is None and job.state is None and not job.cancelled:
             self.jobs.pop(job_id, None)
-        else:
-            self.jobs[job_id] = job
+            self.jobs_bytes -= before
+            return
+        self.jobs[job_id] = job
+        if job.is_over and job.accepted is not None and not job.accepted.is_digest:
+            self._drop_specification(job_id, job)
+        self.jobs_bytes += job.memory_bytes - before
+
+    def _drop_specification(self, job_id: str, job: JobView) -> None:
+        """Keep only the digest of the submission of a job that is over.
+
+        Ended jobs are kept for minutes, and most of the memory that they took was that
+        of specifications which nobody needs any more.
+        """
+        key = JOB_PREFIX + job_id
+        for part in self._partitions.values():
+            if key in part.entries:
+                offset, value = part.entries[key]
+                part.entries[key] = (offset, digest_of(value))
+        job.accepted = digest_of(job.accepted)
 
     def find(self, job_id: str) -> JobView | None:
         """Return an accepted job; ``None`` if there is none with this id."""
--- a/src/firhook/cell/_spec.py
+++ b/src/firhook/cell/_spec.py
@@ -72,6 +72,11 @@
     interval_s: float = 0.0
     occurrences: int = 0
 
+    @property
+    def tasks(self) -> int:
+        """The number of tasks of one occurrence."""
+        return sum(step.count for step in self.steps)
+
     @property
     def periodic(self) -> bool:
         """Whether the job's occurrences are due at set times."""
--- /dev/null
+++ b/src/firhook/cell/job_limits.py
@@ -0,0 +1,17 @@
+"""What a job may take in the cell's records and in the memory of its instances."""
+
+from firhook.cell._job_limits import (
+    MAX_TASK_RUNS,
+    JobLimits,
+    active_memory_bytes,
+    find_excess,
+    memory_bytes,
+)
+
+__all__ = [
+    "MAX_TASK_RUNS",
+    "JobLimits",
+    "active_memory_bytes",
+    "find_excess",
+    "memory_bytes",
+]
--- a/src/firhook/decide/_schedule.py
+++ b/src/firhook/decide/_schedule.py
@@ -6,11 +6,12 @@
 
 import itertools
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import attrs
 
 from firhook.cell import JobTable, Queue, Resources, Step, Task
+from firhook.cell.job_limits import active_memory_bytes
 from firhook.decide._advice_planner import AdvicePlanner
 from firhook.decide._blocked_steps import ALL_WORKERS, Obstacle
 from firhook.decide._gang_reservations import GangRooms, reserve_gang
@@ -150,6 +151,9 @@
         self._indexes: dict[tuple[str, str], RoomIndex] = {}
         self._team_use = dict(book.team_usage)
         self._placement_numbers: dict[str, int] = {}
+        # Bytes of the states of jobs, and of memory, for the tasks that become active.
+        self._new_row_bytes: Counter[str] = Counter()
+        self._new_active_bytes = 0
         self.result = RoundResult(shares=self._shares)
 
     def run(self) -> RoundResult:
@@ -313,7 +317,7 @@
         if not limit:
             self._block_held(step)
             return False
-        return self._place_tasks(step, limit) == limit and bool(self._idle(step))
+        return self._place_tasks(step, limit) == limit and self._idle_count(step) > 0
 
     def _block_held(self, step: Step) -> None:
         """Record that what is free is held for others; look again soon."""
@@ -420,13 +424,37 @@
             found = self._indexes[key] = RoomIndex(workers, self._memory.bits)
         return found
 
-    def _idle(self, step: Step) -> list[Task]:
-        """Return the step's tasks that wait and were not placed in this round."""
-        tasks = list(step.idle.values())
+    def _placed_count(self, step: Step) -> int:
+        """Return how many of the step's tasks were placed in this round."""
         number = self._placement_numbers.get(step.name)
-        if number is not None:
-            tasks = tasks[len(self.result.placements[number].tasks) :]
-        return tasks
+        return 0 if number is None else len(self.result.placements[number].tasks)
+
+    def _idle_count(self, step: Step) -> int:
+        """Return how many of the step's tasks wait and were not placed."""
+        return len(step.idle) - self._placed_count(step)
+
+    def _idle(self, step: Step, limit: int) -> Iterator[Task]:
+        """Yield the step's tasks that wait and were not placed, up to a number.
+
+        A step may have many thousands of tasks, few of which start in one round.
+        """
+        placed = self._placed_count(step)
+        for index in itertools.islice(step.idle, placed, placed + limit):
+            yield step.idle[index]
+
+    def _startable_count(self, step: Step) -> int:
+        """Return how many tasks the records and the memory of a lead have room for.
+
+        Tasks that were started before take no more room than they have.
+        """
+        again, placed = len(step.tasks.waiting_again), self._placed_count(step)
+        job_id, row_bytes = step.job.id, step.row_bytes
+        in_state = step.job.startable_tasks(step)
+        in_state -= -(-self._new_row_bytes[job_id] // row_bytes)
+        free = self._book.limits.active_bytes - self._book.active_bytes
+        free = max(free - self._new_active_bytes, 0)
+        in_memory = free / active_memory_bytes(row_bytes)
+        return max(again - placed, 0) + max(int(min(in_state, in_memory)), 0)
 
     def _permitted_count(self, step: Step, idle: int) -> int:
         """Return how many more tasks of the step the team's limit permits.
@@ -495,20 +523,24 @@
 
     def _place_tasks(self, step: Step, limit: int) -> int:
         """Place up to a number of a step's tasks; return how many were placed."""
-        idle = self._idle(step)
-        permitted = self._permitted_count(step, len(idle))
+        idle = self._idle_count(step)
+        permitted = self._permitted_count(step, idle)
         if not permitted:
             self._block(step, WaitReason.TEAM_LIMIT)
             return 0
+        startable = self._startable_count(step)
+        if not startable:
+            self._record_wait(step, WaitReason.JOB_FULL)
+            return 0
         index = self._index(step)
         self._advice.request(step, index)
         usable = self._usable(step, index)
         usable &= index.with_room(step.spec.reserved)
         is_passed_over = bool(usable) and not self._may_look(step)
-        wanted = min(permitted, limit)
+        wanted = min(permitted, limit, startable)
         chosen: list[tuple[Task, str, int]] = []
         if usable and not is_passed_over:
-            chosen = self._choose(step, idle[:wanted], index, usable)
+            chosen = self._choose(step, self._idle(step, wanted), index, usable)
         if chosen:
             self._add_placement(step, chosen)
         elif not is_passed_over:
@@ -518,9 +550,11 @@
             self._block(step, reason, index, bool(usable), is_passed_over)
             return 0
         self._blocked.clear(step)
-        if len(chosen) == permitted < len(idle):
+        if len(chosen) == permitted < idle:
             self._record_wait(step, WaitReason.TEAM_LIMIT)
-        elif len(chosen) < len(idle):
+        elif len(chosen) == startable < idle:
+            self._record_wait(step, WaitReason.JOB_FULL)
+        elif len(chosen) < idle:
             self._record_wait(step, self._wait_reason(step, index))
         else:
             self.result.wait_reasons.pop(step.name, None)
@@ -566,7 +600,7 @@
         )
 
     def _choose(
-        self, step: Step, tasks: list[Task], index: RoomIndex, usable: int
+        self, step: Step, tasks: Iterable[Task], index: RoomIndex, usable: int
     ) -> list[tuple[Task, str, int]]:
         """Choose a worker for each task, as far as there is capacity."""
         workers = index.select(usable)
@@ -604,6 +638,9 @@
 
     def _add_placement(self, step: Step, chosen: list[tuple[Task, str, int]]) -> None:
         team, placements = step.job.team, self.result.placements
+        new = sum(task.last_run == 0 for task, _, _ in chosen)
+        self._new_row_bytes[step.job.id] += new * step.row_bytes
+        self._new_active_bytes += new * active_memory_bytes(step.row_bytes)
         used = self._team_use.get(team, Resources())
         self._team_use[team] = used.add(step.spec.need, len(chosen))
         self._shares.take(team, step.spec.need, len(chosen))
@@ -623,6 +660,9 @@
         if self._permitted_count(step, len(step.idle)) < spec.count:
             self._block(step, WaitReason.TEAM_LIMIT)
             return False
+        if self._startable_count(step) < spec.count:
+            self._record_wait(step, WaitReason.JOB_FULL)
+            return False
         index = self._index(step)
         self._advice.request(step, index)
         usable = self._usable(step, index)
--- a/src/firhook/decide/_wait_reasons.py
+++ b/src/firhook/decide/_wait_reasons.py
@@ -10,6 +10,9 @@
     NO_WORKER = "no_worker"
     #: Its team is at its limit.
     TEAM_LIMIT = "team_limit"
+    #: As many tasks of its job, or of all jobs, were started and are not done as the
+    #: records and the memory of a lead hold.
+    JOB_FULL = "job_full"
     #: A request to the adviser waits for a free adviser slot.
     ADVICE_DUE = "advice_due"
     #: A request to the adviser has not been answered yet.
--- a/src/firhook/decide/_waiting.py
+++ b/src/firhook/decide/_waiting.py
@@ -242,7 +242,7 @@
             return found
         if len(step.idle) == step.remaining:
             return WaitReason.NOT_LOOKED_AT
-        if all(task.done or task.runs for task in step.tasks):
+        if not step.tasks.waiting:
             return WaitReason.RUNS_BOUND
         if step.spec.gang and any(step.runs()):
             return WaitReason.GANG_INCOMPLETE
--- a/src/firhook/platform/_instance.py
+++ b/src/firhook/platform/_instance.py
@@ -92,6 +92,7 @@
         platform has no such service.
     :param strength: CPU capacity in standard cores.
     :param zones: names of all availability zones; empty if they are not known.
+    :param memory_mb: memory of the process, in megabytes; 0 if it is not limited.
     """
 
     name: str
@@ -108,6 +109,7 @@
     bounds: Bounds
     store_limits: StoreLimits
     zones: frozenset[str] = frozenset()
+    memory_mb: float = 0.0
 
 
 def load_instance_settings(path: Path) -> InstanceSettings:
@@ -149,6 +151,7 @@
         bounds=_decode_bounds(get_object(data, "bounds")),
         store_limits=_decode_store_limits(get_object(data, "platform")),
         zones=frozenset(get_object(data, "zones")),
+        memory_mb=get_number(limits, "memory_mb", 0),
     )
 
 
--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -14,7 +14,8 @@
     wait_connections_closed,
 )
 from firhook.address import Address
-from firhook.cell import AcceptedJob, CellConfig, JobSpec, Queue
+from firhook.cell import AcceptedJob, CellConfig, Queue
+from firhook.cell.job_limits import memory_bytes
 from firhook.cell.records import CANCEL_PREFIX, JOB_PREFIX, encode_record
 from firhook.clock import boot_time, unix_time
 from firhook.errors import (
@@ -25,6 +26,7 @@
     KeyMissingError,
     KeyRefusedError,
     LogOutcomeUnknownError,
+    LogUnavailableError,
     NotReadyError,
     OverloadedTeamError,
     QueueLateError,
@@ -46,6 +48,7 @@
     AppendRecord,
     IsFollowingStore,
 )
+from firhook.services._job_room import JobRoom
 from firhook.services._load import LoadKeeper
 from firhook.services._lookups import Lookups
 from firhook.services._outage import OutageClock
@@ -89,6 +92,7 @@
         self._open_requests = 0
         self._lookups = Lookups(self)
         self.load = LoadKeeper(self)
+        self._room = JobRoom(self)
         self._outage = OutageClock(self.settings.name)
 
     async def on_started(self) -> None:
@@ -226,12 +230,16 @@
         if self.replica.find(job_id) is not None:
             raise JobIdTakenError(job_id)
         spec = decode_job(await _read_body(req, config.max_body_bytes))
-        accepted = AcceptedJob(job_id, team, queue, unix_time(), spec)
+        accepted = AcceptedJob(
+            job_id, team, queue, unix_time(), spec, memory_bytes(spec)
+        )
+        self._room.check_size(accepted)
         value = encode_record(accepted)
         if len(value) > self.settings.store_limits.record_bytes - 256:
             raise BodyTooLargeError("the job is too large for a record")
-        if not await self._check_load(queue, team, job_id, spec, until):
+        if not await self._check_load(accepted, until):
             return _json_response(b"{}")
+        self._room.note_submitted(accepted)
         began = boot_time()
         try:
             offset = await self.bus.ask(
@@ -239,6 +247,9 @@
             )
         except LogOutcomeUnknownError as exc:
             raise SubmissionUnknownError(exc.detail) from exc
+        except LogUnavailableError:
+            self._room.note_refused(accepted)
+            raise
         finally:
             self.load.settle(job_id)
         self._outage.note_stored()
@@ -260,21 +271,22 @@
         )
         return _json_response(b"{}")
 
-    async def _check_load(
-        self, queue: Queue, team: str, job_id: str, spec: JobSpec, until: float
-    ) -> bool:
+    async def _check_load(self, job: AcceptedJob, until: float) -> bool:
         """Return whether to append a submission; it need not be if it was before.
 
         A repeat may arrive before this instance knows of the first submission, which
         another one accepted.  It is refused only after a read of the log has shown that
-        there is none.  If the log cannot be read, nothing is refused, and the append
-        decides.
+        there is none.  If the log cannot be read, no work is refused as too late, and
+        the append decides.
 
         :raises OverloadedTeamError: if the work of a team above its share is too late.
         :raises QueueLateError: if the work would be too late to be of value.
+        :raises NoRoomError: if the accepted jobs leave no room for this one.
+        :raises SubmissionUnknownError: if there is no room, and the log cannot be read.
         """
+        job_id, queue, team, spec = job.id, job.queue, job.team, job.spec
         refusal = self.load.check(job_id, queue, team, spec)
-        if refusal is None:
+        if refusal is None and self._room.has_room(job):
             return True
         is_read = await self._lookups.read_for_refusal(until)
         if self._lookups.find_job(queue, team, job_id) is not None:
@@ -283,6 +295,13 @@
         if self.replica.find(job_id) is not None:
             self.load.forget(job_id)
             raise JobIdTakenError(job_id)
+        if not self._room.has_room(job):
+            self.load.forget(job_id)
+            if not is_read:
+                raise SubmissionUnknownError("an earlier submission may be stored")
+            raise self._room.refusal_error()
+        if refusal is None:
+            return True
         if is_read and self.load.is_in_force(job_id, refusal):
             raise self.load.refusal_error(job_id, queue, team, refusal)
         self.load.accept(job_id, queue, team, spec)
--- a/src/firhook/services/_eviction.py
+++ b/src/firhook/services/_eviction.py
@@ -133,9 +133,8 @@
         """Count what became of the steps for which runs were stopped."""
         for name, decision in list(self._open.items()):
             step = decision.step
-            started = all(
-                step.tasks[i].last_run > last for i, last in decision.last_runs.items()
-            )
+            waited = ((step.tasks[i], last) for i, last in decision.last_runs.items())
+            started = all(task.done or task.last_run > last for task, last in waited)
             is_late = now > step.latest_start() + step.job.queue.target_s
             if started:
                 outcome = "started"
--- /dev/null
+++ b/src/firhook/services/_job_room.py
@@ -0,0 +1,79 @@
+"""Refuses submissions that the cell's instances could not hold."""
+
+from firhook.cell import AcceptedJob
+from firhook.cell.job_limits import JobLimits, find_excess
+from firhook.clock import boot_time
+from firhook.decide.job_budget import has_room, job_limits, smallest_memory_mb
+from firhook.errors import JobTooLargeError, NoRoomError
+from firhook.instance import InstanceService
+
+#: Time after which a submission of unknown outcome that was not read is not expected
+#: any more: longer than the store takes to carry out a call.
+_UNSEEN_S = 10.0
+#: Delay before a refused submission may be repeated.  Jobs end all the time.
+_RETRY_S = 3.0
+
+
+class JobRoom:
+    """Compares submissions with what the smallest instance of the cell can hold.
+
+    Any instance may have to lead, and a lead holds all accepted jobs.
+    """
+
+    def __init__(self, service: InstanceService) -> None:
+        self._settings = service.settings
+        self._replica = service.replica
+        self._unseen: dict[str, tuple[int, float]] = {}
+
+    def limits(self) -> JobLimits:
+        """Return what the jobs of the cell may take."""
+        peers = self._replica.peers.values()
+        memory_mb = smallest_memory_mb(self._settings.memory_mb, peers)
+        return job_limits(memory_mb, self._settings.store_limits.record_bytes)
+
+    def check_size(self, job: AcceptedJob) -> None:
+        """Refuse a job that the cell can never hold.
+
+        :raises JobTooLargeError: if the job alone is too large.
+        """
+        limits = self.limits()
+        excess = find_excess(job.spec, limits)
+        if excess:
+            raise JobTooLargeError(excess)
+        if job.memory_bytes > limits.jobs_bytes:
+            raise JobTooLargeError(
+                f"the job takes {job.memory_bytes} bytes of memory; all jobs together "
+                f"have {int(limits.jobs_bytes)}"
+            )
+
+    def has_room(self, job: AcceptedJob) -> bool:
+        """Return whether a job fits beside all that were accepted."""
+        now = boot_time()
+        self._unseen = {
+            job_id: row
+            for job_id, row in self._unseen.items()
+            if row[1] > now and self._replica.find(job_id) is None
+        }
+        return has_room(
+            job.memory_bytes,
+            self._replica.jobs_bytes,
+            sum(size for job_id, (size, _) in self._unseen.items() if job_id != job.id),
+            len(self._replica.peers),
+            self.limits(),
+        )
+
+    def note_submitted(self, job: AcceptedJob) -> None:
+        """Record that a submission is about to be appended."""
+        self._unseen[job.id] = (job.memory_bytes, boot_time() + _UNSEEN_S)
+
+    def note_refused(self, job: AcceptedJob) -> None:
+        """Record that a submission was certainly not stored."""
+        self._unseen.pop(job.id, None)
+
+    def refusal_error(self) -> NoRoomError:
+        """Return the error for a job that does not fit now."""
+        return NoRoomError(
+            f"accepted jobs take {self._replica.jobs_bytes} of "
+            f"{int(self.limits().jobs_bytes)} bytes of memory",
+            retry_after_s=_RETRY_S,
+        )
--- a/src/firhook/services/_members.py
+++ b/src/firhook/services/_members.py
@@ -114,6 +114,7 @@
             settings.zone,
             settings.strength,
             reading,
+            settings.memory_mb,
         )
 
     def _is_listed_as(self, own_record: PeerRecord) -> bool:
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -21,6 +21,7 @@
     RunEnd,
     WorkerEntry,
 )
+from firhook.cell.job_limits import JobLimits
 from firhook.cell.job_table import MAX_ORDER_DELAY_S, PROOF_S
 from firhook.cell.records import (
     JOB_PREFIX,
@@ -32,6 +33,7 @@
 from firhook.clock import boot_time, unix_time
 from firhook.decide.adviser_slots import SlotPlan
 from firhook.decide.estimates import Estimates
+from firhook.decide.job_budget import job_limits, smallest_memory_mb
 from firhook.decide.lost_calls import LostCalls
 from firhook.decide.stalls import stalled_runs
 from firhook.decide.tickets import TicketTable
@@ -92,6 +94,8 @@
 #: A worker that left for good is forgotten after this.  Each order to it was sent
 #: within the first half, and is carried out within the second if at all.
 _FORGET_AFTER_S = 2 * MAX_ORDER_DELAY_S
+#: The interval at which the limits on what jobs may take are updated.
+_LIMITS_INTERVAL_S = 1.0
 #: The interval at which the lead appends a proof if it has nothing else to write.
 _PROOF_INTERVAL_S = 0.2
 #: Logs a failed background task of a term, such as an order or an adviser request.
@@ -101,6 +105,12 @@
 _OWNER_PRECEDENCE_S = 0.001
 
 
+def _accepted_at(row: tuple[str, JobView]) -> float:
+    """Return when a job was accepted, in seconds since 1970."""
+    accepted = row[1].accepted
+    return 0.0 if accepted is None else accepted.accepted_at
+
+
 class TermOwner(Protocol):
     """What a term needs from the lead service.
 
@@ -164,10 +174,12 @@
         self.estimates = Estimates(instance.meters.count)
         config = instance.config.config
         assert config is not None
-        self.job_table = JobTable(config)
+        self.job_table = JobTable(config, self._job_limits())
         self.drained_zones = instance.config.drained_zones
         self._known_jobs: set[str] = set()
         self._skipped_jobs: set[str] = set()
+        self._held_jobs: set[str] = set()
+        self._limits_due_at = 0.0
         self._held_ends: dict[str, dict[tuple[str, int], EndedRow]] = {}
         self._writer = FencedWriter(self._store, epoch, lead.note_proof)
         self._version_count = 0
@@ -302,7 +314,9 @@
                 await asyncio.sleep(_RETRY_S)
         self.takeover_stage = "jobs"
         now, unix = boot_time(), unix_time()
-        for job_id, job in list(self._replica.unfinished_jobs()):
+        # Jobs that were begun are added whether or not the table has room.
+        unfinished = list(self._replica.unfinished_jobs())
+        for job_id, job in sorted(unfinished, key=lambda row: row[1].state is None):
             self._add_job(job_id, job, now, unix)
             self._resolve_owner(job_id, job)
         # From here on changes are handled as they are read.  There is no await
@@ -346,7 +360,7 @@
             # Jobs that ended in this term are known as well.  A late repeat of a
             # submission may be read before the job's final record is, and must
             # not start the job again.
-            if view.status.ended and not view.cancelled:
+            if view.is_over or (view.status.ended and not view.cancelled):
                 self._known_jobs.add(job_id)
                 self._skipped_jobs.discard(job_id)
             elif not self._add_job(job_id, view, boot_time(), unix_time()):
@@ -359,10 +373,11 @@
         self._wake.set()
 
     def _add_job(self, job_id: str, view: JobView, now: float, unix: float) -> bool:
-        """Add a job to the table; return whether its records could be decoded.
+        """Add a job to the table; return whether that was possible.
 
         Without its state a job would run from the start, beside tasks that may still
-        run.  It is skipped until its records change or were read again.
+        run.  It is skipped until its records change or were read again.  A job of which
+        nothing was started is held back while the table is full.
         """
         assert view.accepted is not None
         try:
@@ -376,6 +391,13 @@
                 log("record.malformed", level="error", job=job_id, detail=exc.detail)
             self._skipped_jobs.add(job_id)
             return False
+        has_begun = state is not None or view.cancelled
+        if not has_begun and not self.job_table.has_room(view.accepted):
+            if job_id not in self._held_jobs:
+                log("job.held", level="warning", job=job_id)
+            self._held_jobs.add(job_id)
+            return False
+        self._held_jobs.discard(job_id)
         self._known_jobs.add(job_id)
         self._skipped_jobs.discard(job_id)
         job = self.job_table.add(view.accepted, state, now, unix)
@@ -387,6 +409,28 @@
             self.job_table.cancel(job_id, unix)
         return True
 
+    def _job_limits(self) -> JobLimits:
+        """Return what the jobs may take on the smallest instance of the cell."""
+        settings = self._instance.settings
+        peers = self._replica.peers.values()
+        memory_mb = smallest_memory_mb(settings.memory_mb, peers)
+        return job_limits(memory_mb, settings.store_limits.record_bytes)
+
+    def _add_held_jobs(self) -> None:
+        """Add the jobs that were held back and now have room, the oldest first."""
+        now = boot_time()
+        if now >= self._limits_due_at:
+            self._limits_due_at = now + _LIMITS_INTERVAL_S
+            self.job_table.limits = self._job_limits()
+        views = self._replica.jobs
+        held = [(i, views[i]) for i in self._held_jobs if i in views]
+        self._held_jobs &= views.keys()
+        for job_id, view in sorted(held, key=_accepted_at):
+            accepted = view.accepted
+            if accepted is None or not self.job_table.has_room(accepted):
+                break
+            self._add_job(job_id, view, now, unix_time())
+
     async def _reload_skipped_jobs(self) -> None:
         """Read all records again while the records of some jobs cannot be decoded."""
         delay_s = _MIN_RELOAD_DELAY_S
@@ -662,6 +706,7 @@
             self._wake.clear()
             if self._writes_paused:
                 continue
+            self._add_held_jobs()
             self.job_table.tick(boot_time(), unix_time())
             self._expire_unlisted_workers()
             self._forget_gone_workers()
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -323,6 +323,7 @@
     :param strengths: CPU capacity in cores by instance; 1 if absent.
     :param zones: zone by instance; the same zone if absent.
     :param worker_zones: zones of the workers, which take turns.
+    :param memory_mb: memory of each instance; 0 if it is not limited.
     :ivar plans: plans of the tasks of a step.
     :ivar cut_links: pairs of instances that cannot reach each other.
     :ivar drop_share: share of one-way messages between instances that are lost.
@@ -349,7 +350,9 @@
         strengths: dict[str, float] | None = None,
         zones: dict[str, str] | None = None,
         worker_zones: tuple[str, ...] = ("z0",),
+        memory_mb: float = 0.0,
     ) -> None:
+        self.memory_mb = memory_mb
         self.strengths = strengths or {}
         self.zones = zones or {}
         self.worker_zones = worker_zones
@@ -480,6 +483,7 @@
             heartbeat_s=1.5,
             bounds=self.bounds,
             store_limits=StoreLimits(),
+            memory_mb=self.memory_mb,
         )
         gate = _Gate()
         instance = Instance(
--- a/tests/services/test_stuck.py
+++ b/tests/services/test_stuck.py
@@ -238,8 +238,10 @@
 async def new_submission(cell):
     """Return a job as an instance accepts it, which the cell does not know yet."""
     first, _ = await cell.submit([step(2)], work_s=0.2)
+    replica = cell.lead().instance.replica
+    await cell.until(lambda: replica.find(first), 1.0)
+    accepted = replica.jobs[first].accepted
     await cell.all_done(5.0)
-    accepted = cell.lead().instance.replica.jobs[first].accepted
     job = attrs.evolve(accepted, id=cell.new_job_id())
     cell.plans[f"{job.id}.0.0"] = cell.plans[f"{first}.0.0"]
     cell.accepted[job.id] = "/plan/"
--- a/tests/services/test_waiting.py
+++ b/tests/services/test_waiting.py
@@ -94,7 +94,7 @@
         assert found['firhook_waiting_overdue_steps{reason="no_room"}'] == 8
         assert 60 <= found['firhook_waiting_longest_seconds{reason="no_room"}'] < 62
         assert sum(v for n, v in found.items() if "jobs_unknown" in n) == 0
-        assert len(found) == 3 * 9 + 5
+        assert len(found) == 3 * 10 + 5
 
     run_scenario(scenario, workers=1)
 
