Store the cancellation of a job that is not known yet

Cause: DELETE of an id that no instance knows stored nothing. The store may carry out the submission seconds after it was sent, and so may an instance that stood still; nothing then told the lead that the job had been cancelled.

Now such a cancellation is stored before it is answered, under the job's id and its owner, so that the job of another team or queue under the same id is not concerned. The lead looks at the cancellations when a submission appears, whichever of the two it reads first and whichever lead reads them, and ends the job in the same pass. The same holds if the log cannot be read (200 instead of 503), and if the id was lost to another owner. A submission that arrives after the cancellation of its id is refused with 409. Cancellations without a job are kept as long as ended jobs, three times status_s, count as memory of accepted jobs, and are refused when that is used up.

Evidence: test_job_that_appears_after_its_cancellation_was_answered_does_not_start failed before, with and without a change of the lead.

--- a/src/firhook/_errors.py
+++ b/src/firhook/_errors.py
@@ -232,6 +232,13 @@
     "The accepted jobs fill the memory of the smallest instance",
     "Submit the same id again after the time given; nothing was accepted.",
 )
+JobCancelledError = _define_error(
+    "JobCancelledError",
+    "job.cancelled",
+    409,
+    "The job was cancelled before it was submitted",
+    "Submit it under another id if it is to run; nothing was accepted.",
+)
 SubmissionUnknownError = _define_error(
     "SubmissionUnknownError",
     "job.submission_unknown",
--- a/src/firhook/cell/_records.py
+++ b/src/firhook/cell/_records.py
@@ -10,6 +10,7 @@
 """
 
 import enum
+import hashlib
 import types
 from collections.abc import Callable, Iterable, Iterator
 from functools import cache
@@ -123,6 +124,35 @@
         return self.size_bytes or memory_bytes(self.spec)
 
 
+@attrs.frozen(slots=True)
+class CancelRequest:
+    """A cancellation, which may be stored before the submission of its job.
+
+    :param queue: address of the queue, and
+    :param team: the team whose submission it concerns.
+    """
+
+    queue: str
+    team: str
+
+    @property
+    def owner(self) -> tuple[str, str]:
+        """The owner of the job."""
+        return self.queue, self.team
+
+
+def cancel_key(job_id: str, owner: tuple[str, str] | None = None) -> str:
+    """Return the key of the cancellation of a job.
+
+    :param owner: who cancels the job; ``None`` if the job is known, whose key names no
+        owner, so that earlier builds understand it.
+    """
+    if owner is None:
+        return CANCEL_PREFIX + job_id
+    name = hashlib.sha256("\n".join(owner).encode()).hexdigest()[:16]
+    return f"{CANCEL_PREFIX}{job_id}/{name}"
+
+
 @attrs.frozen(slots=True)
 class RunState:
     """A run that may still be executing.
--- a/src/firhook/cell/_replica.py
+++ b/src/firhook/cell/_replica.py
@@ -1,7 +1,7 @@
 """An instance's replica of the records in the cell's topic."""
 
 import heapq
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
 import attrs
@@ -17,6 +17,7 @@
     PEER_PREFIX,
     STATE_PREFIX,
     AcceptedJob,
+    CancelRequest,
     JobStatus,
     LeadRecord,
     MeshKeys,
@@ -27,6 +28,7 @@
     digest_of,
 )
 
+_NO_CANCELS: Mapping[str, tuple[str, str] | None] = {}
 _JOB_PREFIXES = (JOB_PREFIX, CANCEL_PREFIX, STATE_PREFIX)
 #: Tombstones kept per partition.  The lead deletes at most some hundred keys a second,
 #: and a partition is read from its start in less than a minute.
@@ -40,13 +42,15 @@
     :ivar accepted: the accepted job; ``None`` while only a cancellation or a state is
         known.
     :ivar owners: all owners that submitted the id, if there are several.
-    :ivar cancelled: whether a cancellation is recorded.
+    :ivar cancels: the recorded cancellations: the owner whose submission each concerns,
+        or ``None`` if it concerns that of any owner, by the name that the key has after
+        the job's id.
     :ivar state: the newest state written by a lead; ``None`` before the first.
     """
 
     accepted: AcceptedJob | None = None
     owners: frozenset[tuple[str, str]] = frozenset()
-    cancelled: bool = False
+    cancels: Mapping[str, tuple[str, str] | None] = _NO_CANCELS
     state: StateSummary | None = None
 
     def is_rejected(self, owner: tuple[str, str]) -> bool:
@@ -55,6 +59,20 @@
             return False
         return owner in self.owners
 
+    @property
+    def cancelled(self) -> bool:
+        """Whether a cancellation of the job is recorded."""
+        owners = self.cancels.values()
+        if not owners:
+            return False
+        return None in owners or (
+            self.accepted is not None and self.accepted.owner in owners
+        )
+
+    def is_cancelled_by(self, owner: tuple[str, str]) -> bool:
+        """Return whether a cancellation by an owner is recorded, with a job or not."""
+        return owner in self.cancels.values()
+
     @property
     def is_over(self) -> bool:
         """Whether the lead stored that the job ended and none of its runs is left."""
@@ -65,7 +83,7 @@
     def memory_bytes(self) -> int:
         """The memory that the job takes at most on an instance that leads."""
         if self.accepted is None:
-            return CANCEL_MEMORY_BYTES
+            return CANCEL_MEMORY_BYTES * max(len(self.cancels), 1)
         return ENDED_MEMORY_BYTES if self.is_over else self.accepted.memory_bytes
 
     @property
@@ -185,7 +203,7 @@
         newer = part.is_newer(offset, key)
         if not newer and not (prefix == JOB_PREFIX and part.is_undeleted(offset, key)):
             return None
-        decoded = _decode(prefix, value) if value else None
+        decoded = _decode(prefix, name, value) if value else None
         if isinstance(decoded, AcceptedJob):
             queue = self._queues.setdefault(decoded.queue, decoded.queue)
             decoded = attrs.evolve(decoded, queue=queue)
@@ -276,8 +294,9 @@
         """
         values = list(self.values_of(key).values())
         if prefix in _JOB_PREFIXES:
-            self._update_job_view(prefix, name, values)
-            return name
+            job_id, _, rest = name.partition("/")
+            self._update_job_view(prefix, job_id, rest, values)
+            return job_id
         if prefix == PEER_PREFIX:
             if not values:
                 self.peers.pop(name, None)
@@ -292,7 +311,9 @@
             self.mesh_keys = latest or values[0]
         return None
 
-    def _update_job_view(self, prefix: str, job_id: str, values: list[Any]) -> None:
+    def _update_job_view(
+        self, prefix: str, job_id: str, rest: str, values: list[Any]
+    ) -> None:
         job = self.jobs.get(job_id) or JobView()
         before = job.memory_bytes if job_id in self.jobs else 0
         if prefix == JOB_PREFIX:
@@ -302,8 +323,10 @@
         elif prefix == STATE_PREFIX:
             job.state = _first(values, lambda v: -v.version)
         else:
-            job.cancelled = bool(values)
-        if job.accepted is None and job.state is None and not job.cancelled:
+            others = {k: v for k, v in job.cancels.items() if k != rest}
+            added = {rest: getattr(values[0], "owner", None)} if values else {}
+            job.cancels = {**others, **added}
+        if job.accepted is None and job.state is None and not job.cancels:
             self.jobs.pop(job_id, None)
             self.jobs_bytes -= before
             return
@@ -382,12 +405,14 @@
     return min(values, key=rank, default=None)
 
 
-def _decode(prefix: str, value: bytes) -> Any:
+def _decode(prefix: str, name: str, value: bytes) -> Any:
     """Decode a record's value; ``True`` if only the existence of its key matters."""
     if prefix == JOB_PREFIX:
         return decode_record(AcceptedJob, value)
     if prefix == STATE_PREFIX:
         return decode_state_summary(value)
+    if prefix == CANCEL_PREFIX and "/" in name:
+        return decode_record(CancelRequest, value)
     if prefix == PEER_PREFIX:
         return decode_record(PeerRecord, value)
     if prefix in (CLAIM_KEY, LEAD_KEY):
--- a/src/firhook/cell/job_limits.py
+++ b/src/firhook/cell/job_limits.py
@@ -1,6 +1,7 @@
 """What a job may take in the cell's records and in the memory of its instances."""
 
 from firhook.cell._job_limits import (
+    CANCEL_MEMORY_BYTES,
     MAX_TASK_RUNS,
     JobLimits,
     active_memory_bytes,
@@ -9,6 +10,7 @@
 )
 
 __all__ = [
+    "CANCEL_MEMORY_BYTES",
     "MAX_TASK_RUNS",
     "JobLimits",
     "active_memory_bytes",
--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -16,11 +16,17 @@
 from firhook.address import Address
 from firhook.cell import AcceptedJob, CellConfig, Queue
 from firhook.cell.job_limits import memory_bytes
-from firhook.cell.records import CANCEL_PREFIX, JOB_PREFIX, encode_record
+from firhook.cell.records import (
+    JOB_PREFIX,
+    CancelRequest,
+    cancel_key,
+    encode_record,
+)
 from firhook.clock import boot_time, unix_time
 from firhook.errors import (
     BodyTooLargeError,
     FirhookError,
+    JobCancelledError,
     JobGoneError,
     JobIdTakenError,
     KeyMissingError,
@@ -229,6 +235,8 @@
             return _json_response(b"{}")
         if self.replica.find(job_id) is not None:
             raise JobIdTakenError(job_id)
+        if self._is_cancelled(queue, team, job_id):
+            raise JobCancelledError(job_id)
         spec = decode_job(await _read_body(req, config.max_body_bytes))
         accepted = AcceptedJob(
             job_id, team, queue, unix_time(), spec, memory_bytes(spec)
@@ -310,20 +318,53 @@
     async def _cancel(
         self, queue: Queue, team: str, job_id: str, until: float
     ) -> web.Response:
+        """Cancel a job, also if its submission may still be under way.
+
+        The store may carry out a submission seconds after it was sent, and so may an
+        instance that stood still.  A job that is not known is therefore cancelled like
+        any other: the lead finds the cancellation when the submission appears.
+        """
         try:
             status = await self._lookups.status(queue, team, job_id, until)
-        except JobIdTakenError as exc:
-            # There is nothing to cancel; any other answer would make the caller retry.
+        except (JobGoneError, JobIdTakenError) as exc:
+            # There is nothing to cancel yet; any other answer would make the caller
+            # retry.
+            if not self._is_cancelled(queue, team, job_id):
+                await self._cancel_unknown(queue, team, job_id, until)
             raise JobGoneError(job_id) from exc
+        except NotReadyError:
+            # Whether there is such a job cannot be read now.
+            await self._cancel_unknown(queue, team, job_id, until)
+            return _json_response(b"{}")
         if status.ended:
             return _json_response(encode_status(status))
-        record = KeyedRecord(CANCEL_PREFIX + job_id, b"\x01")
+        record = KeyedRecord(cancel_key(job_id), b"\x01")
         offset = await self.bus.ask(AppendRecord(record, until))
         self._outage.note_stored()
         log("job.cancelled", job=job_id, offset=offset)
         # The job may still end before the cancellation takes effect.
         return _json_response(b"{}")
 
+    def _is_cancelled(self, queue: Queue, team: str, job_id: str) -> bool:
+        """Return whether a cancellation by this caller is stored for a job."""
+        view = self.replica.jobs.get(job_id)
+        return view is not None and view.is_cancelled_by(queue.owner(team))
+
+    async def _cancel_unknown(
+        self, queue: Queue, team: str, job_id: str, until: float
+    ) -> None:
+        """Store a cancellation for a job that has not appeared.
+
+        :raises NoRoomError: if the instances hold as many jobs as they can.
+        """
+        if not self._room.has_room_for_cancel():
+            raise self._room.refusal_error()
+        request = CancelRequest(*queue.owner(team))
+        record = KeyedRecord(cancel_key(job_id, request.owner), encode_record(request))
+        offset = await self.bus.ask(AppendRecord(record, until))
+        self._outage.note_stored()
+        log("job.cancelled_unknown", job=job_id, offset=offset)
+
     def _wait_deadline(self, req: web.BaseRequest) -> float:
         """Return the time until which a request may wait for the log or for peers."""
         wait_s = _DEFAULT_TIMEOUT_S
--- a/src/firhook/services/_job_room.py
+++ b/src/firhook/services/_job_room.py
@@ -1,7 +1,7 @@
 """Refuses submissions that the cell's instances could not hold."""
 
 from firhook.cell import AcceptedJob
-from firhook.cell.job_limits import JobLimits, find_excess
+from firhook.cell.job_limits import CANCEL_MEMORY_BYTES, JobLimits, find_excess
 from firhook.clock import boot_time
 from firhook.decide.job_budget import has_room, job_limits, smallest_memory_mb
 from firhook.errors import JobTooLargeError, NoRoomError
@@ -62,6 +62,11 @@
             self.limits(),
         )
 
+    def has_room_for_cancel(self) -> bool:
+        """Return whether another cancellation of an unknown job may be stored."""
+        taken = self._replica.jobs_bytes + CANCEL_MEMORY_BYTES
+        return taken <= self.limits().jobs_bytes
+
     def note_submitted(self, job: AcceptedJob) -> None:
         """Record that a submission is about to be appended."""
         self._unseen[job.id] = (job.memory_bytes, boot_time() + _UNSEEN_S)
--- a/src/firhook/services/_retention.py
+++ b/src/firhook/services/_retention.py
@@ -1,11 +1,12 @@
 """Deletes the records of jobs whose retention time is over."""
 
 import asyncio
+import itertools
 from collections.abc import Awaitable, Callable
 
 from firhook.cell import Replica
 from firhook.cell.records import CANCEL_PREFIX, JOB_PREFIX, STATE_PREFIX
-from firhook.clock import unix_time
+from firhook.clock import boot_time, unix_time
 from firhook.errors import FirhookError
 from firhook.logs import log
 
@@ -36,14 +37,17 @@
         A state has no meaning without the submission, so the state is deleted last.
     """
     retention_s = status_s * _RETENTION_FACTOR
+    early_cancels = _EarlyCancels(replica, retention_s)
     while True:
         await asyncio.sleep(_INTERVAL_S)
         job_ids = _expired_jobs(replica, unix_time() - retention_s)[:_BATCH_JOBS]
         try:
+            await _delete_everywhere(replica, early_cancels.expired(), delete)
             for prefix in (CANCEL_PREFIX, JOB_PREFIX, STATE_PREFIX):
-                keys = {job_id: prefix + job_id for job_id in job_ids}
-                await _delete_everywhere(replica, list(keys.values()), delete)
-                job_ids = [i for i in job_ids if not replica.partitions_of(keys[i])]
+                keys = {job_id: _keys_of(replica, prefix, job_id) for job_id in job_ids}
+                at_once = list(itertools.chain.from_iterable(keys.values()))
+                await _delete_everywhere(replica, at_once, delete)
+                job_ids = [i for i in job_ids if not _are_stored(replica, keys[i])]
                 if prefix == JOB_PREFIX:
                     for job_id in job_ids:
                         on_deleted(job_id)
@@ -51,6 +55,52 @@
             log("job.forget_failed", level="debug", error=exc.detail)
 
 
+def _keys_of(replica: Replica, prefix: str, job_id: str) -> list[str]:
+    """Return the keys of a job with a prefix; it may have several cancellations."""
+    if prefix != CANCEL_PREFIX:
+        return [prefix + job_id]
+    view = replica.jobs.get(job_id)
+    names = view.cancels if view is not None else ()
+    return [f"{prefix}{job_id}/{name}" if name else prefix + job_id for name in names]
+
+
+def _are_stored(replica: Replica, keys: list[str]) -> bool:
+    return any(replica.partitions_of(key) for key in keys)
+
+
+class _EarlyCancels:
+    """The cancellations of jobs that never appeared, and since when each is known.
+
+    A submission that the store or an instance carries out late must find them.
+
+    :param retention_s: for how long they are kept.
+    """
+
+    def __init__(self, replica: Replica, retention_s: float) -> None:
+        self._replica = replica
+        self._retention_s = retention_s
+        self._known_since: dict[str, float] = {}
+
+    def expired(self) -> list[str]:
+        """Return the keys to delete now, up to a limit."""
+        now, known = boot_time(), self._known_since
+        self._known_since = {
+            job_id: known.get(job_id, now)
+            for job_id, view in self._replica.jobs.items()
+            if view.accepted is None and view.state is None
+        }
+        expired = [
+            job_id
+            for job_id, since in self._known_since.items()
+            if now - since >= self._retention_s
+        ]
+        return [
+            key
+            for job_id in expired[:_BATCH_JOBS]
+            for key in _keys_of(self._replica, CANCEL_PREFIX, job_id)
+        ]
+
+
 async def _delete_everywhere(
     replica: Replica, keys: list[str], delete: DeleteKeys
 ) -> None:
