Let a record that the store refuses for good concern its job alone

Cause: the state of a job is one record. It listed every task of every started step and outgrew record_bytes, which nobody compared it with; the store refused it with 400; the lead took that for a lost answer, repeated the append for ever and stored nothing else. A successor read the same job and stopped there too.

The lead appends the others of the batch, sets the job of the refused record aside, acknowledges none of its ends and reads it again later, at growing intervals. The same holds for a job that raises an exception when it is added. The queue of the callers' records and the lead's answers to other instances tell a refused record from the rest of its batch as well. The model's store has the store's limit now and so refuses such records.

--- a/src/firhook/_errors.py
+++ b/src/firhook/_errors.py
@@ -197,6 +197,13 @@
     "The platform's log has no space left",
     "Have ended jobs dropped sooner, or the platform's space enlarged.",
 )
+LogRecordRefusedError = _define_error(
+    "LogRecordRefusedError",
+    "log.record_refused",
+    413,
+    "The platform's log refuses the record for good",
+    "Make what it describes smaller; the same record is refused each time.",
+)
 QueueUnknownError = _define_error(
     "QueueUnknownError",
     "queue.unknown",
--- a/src/firhook/cell/_job_table.py
+++ b/src/firhook/cell/_job_table.py
@@ -499,6 +499,24 @@
         if job.status.ended and not any(job.runs()):
             self._forget(job)
 
+    def set_aside(self, job_id: str) -> None:
+        """Remove a job and its runs, which go on at their workers, from the table.
+
+        What was not stored of it is not known to the table any more.
+        """
+        job = self.jobs.get(job_id)
+        if job is None:
+            return
+        for run in list(job.runs()):
+            self._remove_run(run)
+        for step in job.steps.values():
+            self.open_steps.pop(step.name, None)
+        self._dirty.pop(job_id, None)
+        self._unstored_begins.pop(job_id, None)
+        self.planned = [r for r in self.planned if r.task.step.job is not job]
+        self.to_stop = [r for r in self.to_stop if r.task.step.job is not job]
+        self._forget(job)
+
     def _forget(self, job: Job) -> None:
         """Remove a job, and what it counts, from the table."""
         self._periodic_jobs.pop(job.id, None)
--- a/src/firhook/platform/_store.py
+++ b/src/firhook/platform/_store.py
@@ -16,6 +16,7 @@
     LogFullError,
     LogMovedError,
     LogOutcomeUnknownError,
+    LogRecordRefusedError,
     LogSequenceError,
     LogTrimmedError,
     LogUnavailableError,
@@ -160,6 +161,7 @@
         :raises LogSequenceError: if the sequence number is not the next one.
         :raises LogMovedError: if the partition does not end at ``expected_end``.
         :raises LogFullError: if the store is full.
+        :raises LogRecordRefusedError: if it refuses one of the records each time.
         """
 
     @abstractmethod
@@ -348,6 +350,8 @@
         return LogSequenceError("unexpected sequence number", **_sequence_fields(data))
     if response.status == 412:
         return LogMovedError("unexpected end of the partition", end=data.get("end"))
+    if response.status in (400, 413):
+        return LogRecordRefusedError(f"the store returned {response.status}")
     if response.status == 507:
         return LogFullError("the store is full", retry_after_s=_RETRY_S)
     return LogOutcomeUnknownError(f"the store returned {response.status}")
--- a/src/firhook/services/_appends.py
+++ b/src/firhook/services/_appends.py
@@ -7,7 +7,12 @@
 
 from firhook.clock import boot_time
 from firhook.decide.store_reachability import StoreReachability
-from firhook.errors import FirhookError, LogOutcomeUnknownError, LogUnavailableError
+from firhook.errors import (
+    FirhookError,
+    LogOutcomeUnknownError,
+    LogRecordRefusedError,
+    LogUnavailableError,
+)
 from firhook.logs import log
 from firhook.platform.store import (
     CELL_TOPIC,
@@ -41,6 +46,8 @@
 
     :ivar until: time on the boot clock at which the requester gives up.
     :ivar done: resolves to the offset of the record.
+    :ivar alone: whether to append the record without others, as the store refused a
+        batch with it.
     :ivar unresolved: number of appends of the record, by this instance or the lead,
         that are under way or were not answered.
     """
@@ -51,6 +58,7 @@
         factory=lambda: asyncio.get_running_loop().create_future()
     )
     unresolved: int = 0
+    alone: bool = False
 
     def resolve(self, offset: int) -> None:
         """Set the offset of the record, unless the outcome is set already."""
@@ -74,6 +82,11 @@
             error = LogUnavailableError(exc.detail, retry_after_s=exc.retry_after_s)
             self.done.set_exception(error)
 
+    def refuse(self, exc: LogRecordRefusedError) -> None:
+        """Give up, as the store refuses the record for good."""
+        if not self.done.done():
+            self.done.set_exception(exc)
+
     def abandon(self) -> None:
         """Stop trying, as the requester no longer waits.
 
@@ -160,6 +173,8 @@
         if not batch:
             return []
         count = len(split_records([row.record for row in batch], self._max_bytes)[0])
+        if any(row.alone for row in batch):
+            count = 1
         batch, rest = batch[:count], batch[count:]
         left_s = max(row.until for row in batch) - boot_time()
         partition = self._choose_partition()
@@ -177,6 +192,15 @@
             self._failed_at[partition] = boot_time()
             self._reach.note_failed(partition, call)
             return _fail_expired(batch, exc) + rest
+        except LogRecordRefusedError as exc:
+            self._reach.note_answered(partition, call, boot_time())
+            for row in batch:
+                row.unresolved -= 1
+                row.alone = True
+            if len(batch) > 1:
+                return batch + rest
+            batch[0].refuse(exc)
+            return rest
         except FirhookError as exc:
             self._failed_at[partition] = boot_time()
             self._reach.note_failed(partition, call)
--- a/src/firhook/services/_fenced_writer.py
+++ b/src/firhook/services/_fenced_writer.py
@@ -1,13 +1,18 @@
 """Appends of the lead, which the store refuses once a newer lead has begun."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 import attrs
 
 from firhook.clock import boot_time
 from firhook.decide.store_reachability import StoreReachability
-from firhook.errors import LogOutcomeUnknownError, LogUnavailableError
+from firhook.errors import (
+    LogOutcomeUnknownError,
+    LogRecordRefusedError,
+    LogUnavailableError,
+)
 from firhook.logs import log
 from firhook.platform.store import CELL_TOPIC, Producer, Store
 from firhook.services._events import LEAD_PARTITIONS
@@ -96,8 +101,9 @@
         async with self._lock:
             now = boot_time()
             for part in sorted(self._partitions, key=lambda p: p.backoff_until > now):
-                if await self._repeat_unanswered(part) is None:
-                    continue
+                with contextlib.suppress(LogRecordRefusedError):
+                    if await self._repeat_unanswered(part) is None:
+                        continue
                 if await self._append_once(part, contents) is not None:
                     return
 
@@ -105,6 +111,8 @@
         """Append records; return the partition and the offset of the first one.
 
         :raises LogFencedError: if a newer lead has begun.
+        :raises LogRecordRefusedError: if the store refuses one of the records for good.
+            None of them is stored then.
         """
         async with self._lock:
             return await self._append(contents)
@@ -118,8 +126,9 @@
         async with self._lock:
             if part.backoff_until > boot_time():
                 return None
-            if await self._repeat_unanswered(part) is None:
-                return None
+            with contextlib.suppress(LogRecordRefusedError):
+                if await self._repeat_unanswered(part) is None:
+                    return None
             return await self._append_once(part, contents)
 
     async def _append(self, contents: list[bytes]) -> tuple[int, int]:
@@ -128,7 +137,12 @@
             ready = [p for p in self._partitions if p.backoff_until <= now]
             for part in ready or self._partitions:
                 is_repeat = part.unanswered is contents
-                offset = await self._repeat_unanswered(part)
+                try:
+                    offset = await self._repeat_unanswered(part)
+                except LogRecordRefusedError:
+                    if is_repeat:
+                        raise
+                    offset = 0
                 if offset is not None and not is_repeat:
                     offset = await self._append_once(part, contents)
                 if offset is not None:
@@ -149,7 +163,12 @@
         """
         if not part.unanswered:
             return 0
-        offset = await self._append_once(part, part.unanswered)
+        try:
+            offset = await self._append_once(part, part.unanswered)
+        except LogRecordRefusedError:
+            # It was not carried out, and never will be.
+            part.unanswered = []
+            raise
         if offset is not None:
             part.unanswered = []
         return offset
@@ -171,6 +190,9 @@
             self._reach.note_failed(part.number, call)
             self._mark_failed(part, exc)
             return None
+        except LogRecordRefusedError:
+            self._reach.note_answered(part.number, call, boot_time())
+            raise
         except LogOutcomeUnknownError as exc:
             self._reach.note_failed(part.number, call)
             self._backoff *= _BACKOFF_FACTOR
--- a/src/firhook/services/_follower.py
+++ b/src/firhook/services/_follower.py
@@ -32,6 +32,7 @@
 from firhook.errors import (
     FirhookError,
     LogOutcomeUnknownError,
+    LogRecordRefusedError,
     LogTrimmedError,
     LogUnavailableError,
     PeerUnreachableError,
@@ -803,7 +804,7 @@
                 if not self._reachable:
                     pending.fail(append_timeout_error())
             offset = await pending.done
-        except LogUnavailableError as exc:
+        except (LogUnavailableError, LogRecordRefusedError) as exc:
             log("relay.refused", level="warning", key=record.key, error=exc.detail)
             return AppendReply(False)
         except LogOutcomeUnknownError as exc:
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -42,6 +42,7 @@
 from firhook.errors import (
     FirhookError,
     LogFencedError,
+    LogRecordRefusedError,
     LogSequenceError,
     RecordMalformedError,
 )
@@ -400,15 +401,31 @@
         self._held_jobs.discard(job_id)
         self._known_jobs.add(job_id)
         self._skipped_jobs.discard(job_id)
-        job = self.job_table.add(view.accepted, state, now, unix)
-        if job is not None and self._handles_changes:
-            self.load.note_arrival(job, now)
-        for row in self._held_ends.pop(job_id, {}).values():
-            self.job_table.apply_held_end(row, now, unix)
-        if view.cancelled:
-            self.job_table.cancel(job_id, unix)
+        try:
+            job = self.job_table.add(view.accepted, state, now, unix)
+            if job is not None and self._handles_changes:
+                self.load.note_arrival(job, now)
+            for row in self._held_ends.pop(job_id, {}).values():
+                self.job_table.apply_held_end(row, now, unix)
+            if view.cancelled:
+                self.job_table.cancel(job_id, unix)
+        except Exception as exc:
+            # Each lead would end at this job, and no other job would run.
+            self._set_aside(job_id, repr(exc))
+            return False
         return True
 
+    def _set_aside(self, job_id: str, why: str) -> None:
+        """Leave a job and its runs alone until its records were read again."""
+        log("job.set_aside", level="error", job=job_id, error=why)
+        self._meters.count("jobs_set_aside")
+        self.job_table.set_aside(job_id)
+        self._known_jobs.discard(job_id)
+        self._skipped_jobs.add(job_id)
+        # Ends of the job may be among those that the table has processed.
+        for link in self.links.values():
+            link.hold_ends()
+
     def _job_limits(self) -> JobLimits:
         """Return what the jobs may take on the smallest instance of the cell."""
         settings = self._instance.settings
@@ -782,6 +799,7 @@
         submissions, self._rewritten_submissions = self._rewritten_submissions, []
         if submissions:
             await self._append(submissions)
+        refused: set[str] = set()
         if jobs:
             began = boot_time()
             records = [
@@ -790,11 +808,19 @@
                 )
                 for job in jobs
             ]
-            await self._append(records)
+            refused = await self._append(records)
             self._meters.record_duration("store_state", "", boot_time() - began)
-        for link, stored in acks:
+        for key in refused:
+            self._set_aside(key.removeprefix(STATE_PREFIX), "its state was refused")
+        # An end of a job that was set aside is not stored, and is asked for again.
+        for link, stored in acks if not refused else ():
             link.set_ack(stored)
+        planned = [
+            r for r in planned if STATE_PREFIX + r.task.step.job.id not in refused
+        ]
         for job in jobs:
+            if STATE_PREFIX + job.id in refused:
+                continue
             if job.status.ended and not job.reported:
                 job.reported = True
                 self._note_job_end(job.id, job.status, job.accepted_at, job.queue.name)
@@ -819,18 +845,45 @@
         self._version_count += 1
         return self.newest_version
 
-    async def _append(self, records: Iterable[KeyedRecord]) -> None:
+    async def _append(self, records: Iterable[KeyedRecord]) -> set[str]:
         """Append records under this term's epoch, retrying until the store answers.
 
+        :return: the keys of the records that the store refuses for good.
         :raises LogFencedError: if another lead has begun.
         """
-        max_bytes = self._instance.settings.store_limits.append_bytes
-        for chunk in split_records(list(records), max_bytes):
+        limits = self._instance.settings.store_limits
+        fitting, refused = [], set()
+        for record in records:
+            if len(encode_keyed_record(record)) <= limits.record_bytes:
+                fitting.append(record)
+            else:
+                refused.add(record.key)
+        for chunk in split_records(fitting, limits.append_bytes):
+            refused |= await self._append_chunk(chunk)
+        for key in refused:
+            log("lead.record_refused", level="error", key=key)
+        return refused
+
+    async def _append_chunk(self, chunk: list[KeyedRecord]) -> set[str]:
+        """Append records at once, or in parts if the store refuses one of them.
+
+        :return: the keys of the records that it refuses.
+        """
+        if not chunk:
+            return set()
+        try:
             partition, offset = await self._writer.append(
                 [encode_keyed_record(r) for r in chunk]
             )
-            event = RecordsAppended(partition, offset, tuple(chunk))
-            self._instance.bus.publish(event)
+        except LogRecordRefusedError:
+            if len(chunk) == 1:
+                return {chunk[0].key}
+            middle = len(chunk) // 2
+            first = await self._append_chunk(chunk[:middle])
+            return first | await self._append_chunk(chunk[middle:])
+        event = RecordsAppended(partition, offset, tuple(chunk))
+        self._instance.bus.publish(event)
+        return set()
 
     async def _delete_keys(self, partition: int, keys: list[str]) -> bool:
         """Delete keys on one partition; return whether the store accepted it.
--- a/src/firhook/services/_worker_link.py
+++ b/src/firhook/services/_worker_link.py
@@ -210,6 +210,10 @@
         number = int(min(self.processed.number, self.held_end - 1))
         return EndCursor(self.incarnation, number)
 
+    def hold_ends(self) -> None:
+        """Acknowledge no further ends before the worker's next reply was handled."""
+        self.held_end = self.ack.number + 1
+
     def set_ack(self, stored: EndCursor) -> None:
         """Record that ends are stored; those of an earlier incarnation are ignored.
 
--- a/standins/model/_store.py
+++ b/standins/model/_store.py
@@ -11,6 +11,7 @@
     LogFencedError,
     LogMovedError,
     LogOutcomeUnknownError,
+    LogRecordRefusedError,
     LogSequenceError,
     LogTrimmedError,
     LogUnavailableError,
@@ -141,6 +142,9 @@
         bytes per second by instance; unlimited if absent.
     :ivar full_reads: number of reads of a full partition, by instance.
     :ivar max_read_records: the largest number of records in an answer.
+    :ivar record_bytes: the largest record that is accepted.
+    :ivar refused_keys: keys of which each record is refused for good.
+    :ivar refusals: number of appends that were refused for good.
     """
 
     def __init__(self, seed: int = 1) -> None:
@@ -158,6 +162,9 @@
         self.link_bytes_s: dict[str, float] = {}
         self.full_reads: Counter[str] = Counter()
         self.max_read_records = 1_000_000
+        self.record_bytes = 262_144
+        self.refused_keys: set[str] = set()
+        self.refusals = 0
         self.writes = 0
         self.reads = 0
 
@@ -179,7 +186,12 @@
         """Carry out a held append if its condition still holds."""
         try:
             self.add(append)
-        except (LogFencedError, LogSequenceError, LogMovedError):
+        except (
+            LogFencedError,
+            LogSequenceError,
+            LogMovedError,
+            LogRecordRefusedError,
+        ):
             return
 
     def add(self, append: ModelAppend) -> AppendResult:
@@ -188,7 +200,12 @@
         :raises LogFencedError: if a higher epoch was set.
         :raises LogSequenceError: if its sequence number is not the next one.
         :raises LogMovedError: if the partition does not end as expected.
+        :raises LogRecordRefusedError: if a record is too large.
         """
+        too_large = any(len(record) > self.record_bytes for record in append.records)
+        if too_large or self.refused_keys.intersection(append.keys):
+            self.refusals += 1
+            raise LogRecordRefusedError("a record is refused")
         part = self.partition(append.topic, append.partition)
         if append.expected_end is not None and part.end != append.expected_end:
             raise LogMovedError("unexpected end of the partition", end=part.end)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,7 +6,7 @@
 import pytest
 
 from firhook.address import Address
-from firhook.errors import LogOutcomeUnknownError
+from firhook.errors import LogOutcomeUnknownError, LogRecordRefusedError
 from firhook.platform._client import new_session
 from firhook.platform.store import HttpStore
 
@@ -92,3 +92,33 @@
     assert [r.key for r in newest.records] == ["mesh", "peer/a", "peer/b"]
     assert newest.end == 9
     assert asked == ["lead", "peer/a"]
+
+
+@pytest.mark.parametrize(
+    ("status", "error"),
+    [
+        (400, LogRecordRefusedError),
+        (413, LogRecordRefusedError),
+        (500, LogOutcomeUnknownError),
+    ],
+)
+def test_append_that_is_refused_each_time_is_told_from_one_without_an_answer(
+    status, error
+):
+    """The lead repeated the append of a record that was too large for ever."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 %d X\r\nContent-Length: 2\r\n\r\n{}" % status)
+        await writer.drain()
+        writer.close()
+
+    async def scenario():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        async with server, new_session() as session:
+            store = HttpStore(session, Address("127.0.0.1", port), TIMEOUT_S)
+            with pytest.raises(error):
+                await store.append("keyed.firhook", 0, [b"\x01kv"])
+
+    asyncio.run(scenario())
