Search for jobs that outgrow the memory or start after their cancellation

None of the model's searches could show the three faults: their jobs had at most four tasks a step, its store took records of any size and its instances had any amount of memory, and no caller cancelled a submission of unknown outcome.

The new kind "large" has steps of up to 2,000 tasks, instances with so little memory that the accepted jobs fill it, a store that carries out writes late or loses their answers, and callers that cancel after 504. It checks that the table of the lead and all replicas stay within the budget, that the store refuses no record for good, and that no task starts 3 s after its job's cancellation was answered. The kinds before it draw what they drew. The check that the lead handles each job counts the jobs that it holds back as handled; without a limit on the memory, as in all other scenarios, there are none.

--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -148,6 +148,7 @@
     :ivar drained_zones: the zones that get no new work.
     :ivar taken_over: whether the takeover is complete.
     :ivar takeover_stage: what the takeover waits for.
+    :ivar held_jobs: jobs of which nothing was started, and that have no room.
     :ivar waiting: reports on the steps that wait.
     :ivar hints: sends what is learned in the term to likely successors.
     :ivar load: makes the load tables.
@@ -179,7 +180,7 @@
         self.drained_zones = instance.config.drained_zones
         self._known_jobs: set[str] = set()
         self._skipped_jobs: set[str] = set()
-        self._held_jobs: set[str] = set()
+        self.held_jobs: set[str] = set()
         self._limits_due_at = 0.0
         self._held_ends: dict[str, dict[tuple[str, int], EndedRow]] = {}
         self._writer = FencedWriter(self._store, epoch, lead.note_proof)
@@ -394,11 +395,11 @@
             return False
         has_begun = state is not None or view.cancelled
         if not has_begun and not self.job_table.has_room(view.accepted):
-            if job_id not in self._held_jobs:
+            if job_id not in self.held_jobs:
                 log("job.held", level="warning", job=job_id)
-            self._held_jobs.add(job_id)
+            self.held_jobs.add(job_id)
             return False
-        self._held_jobs.discard(job_id)
+        self.held_jobs.discard(job_id)
         self._known_jobs.add(job_id)
         self._skipped_jobs.discard(job_id)
         try:
@@ -440,8 +441,8 @@
             self._limits_due_at = now + _LIMITS_INTERVAL_S
             self.job_table.limits = self._job_limits()
         views = self._replica.jobs
-        held = [(i, views[i]) for i in self._held_jobs if i in views]
-        self._held_jobs &= views.keys()
+        held = [(i, views[i]) for i in self.held_jobs if i in views]
+        self.held_jobs &= views.keys()
         for job_id, view in sorted(held, key=_accepted_at):
             accepted = view.accepted
             if accepted is None or not self.job_table.has_room(accepted):
--- a/standins/model/_checks.py
+++ b/standins/model/_checks.py
@@ -8,6 +8,8 @@
 ZONE_DRAIN_S = 5.0
 #: Time within which a lead that acts handles each accepted job in its replica.
 JOB_HANDLED_S = 3.0
+#: Time after the answer to a cancellation from which no task of the job may start.
+CANCEL_S = 3.0
 
 
 @attrs.frozen
@@ -30,6 +32,7 @@
     :ivar done: tasks whose end ``done`` was acknowledged.
     :ivar last_start: time of the last start of each task.
     :ivar duplicates: steps whose tasks may run more than once.
+    :ivar cancelled: when the cancellation of each job was answered.
     :ivar refused: jobs that were refused and must not run.
     :ivar drained_at: when each drained zone was drained.
     :ivar unhandled_since: since when the lead does not handle a job, by its epoch and
@@ -67,6 +70,8 @@
         job = task.partition(".")[0]
         if job in self.refused:
             self.record_violation(at, "refused_runs", task)
+        if at - self.cancelled.get(job, math.inf) > CANCEL_S:
+            self.record_violation(at, "after_cancel", task)
         others[worker, incarnation] = run
         self.last_start[task] = at
 
--- a/standins/model/_search.py
+++ b/standins/model/_search.py
@@ -57,6 +57,7 @@
         )
         if status in (429, 503):
             self.cell.checks.refused.add(job)
+        await self._handle_answer(job, prefix, status)
         if status != 200:
             return
         if failing:
@@ -71,6 +72,9 @@
                 if step.get("run_forever")
             ]
 
+    async def _handle_answer(self, job: str, prefix: str, status: int) -> None:
+        """Do what the caller does once a submission was answered."""
+
     def _job_fields(self, steps: list[dict[str, Any]]) -> dict[str, Any]:
         """Return what a job has beside its steps."""
         return {}
--- a/standins/model/_searches.py
+++ b/standins/model/_searches.py
@@ -1,5 +1,6 @@
 """The kinds of random searches."""
 
+from standins.model._large_search import LargeSearch
 from standins.model._search import (
     LastingSearch,
     LimitSearch,
@@ -10,6 +11,7 @@
 
 #: The kinds of searches by name.
 SEARCHES: dict[str, type[SearchScenario]] = {
+    "large": LargeSearch,
     "lasting": LastingSearch,
     "limits": LimitSearch,
     "starts": StartSearch,
