Give the jobs that wait for room and the room of a round modules of their own

The term of a lead and the round are long already; what holds jobs back and what counts the room for new tasks stand beside them now, and the door and the lead take their limits from one function.

--- a/src/firhook/cell/_job_table.py
+++ b/src/firhook/cell/_job_table.py
@@ -466,7 +466,7 @@
             # that no end of an earlier run follows one of a later run.
             if run.number <= step.failed_run:
                 return
-            step.failed_run, tasks = run.number, step.tasks
+            step.failed_run, tasks = run.number, list(step.tasks)
         for member in tasks:
             member.failures += 1
         if task.failures >= step.job.queue.max_attempts and not task.done:
--- a/src/firhook/cell/_replica.py
+++ b/src/firhook/cell/_replica.py
@@ -332,10 +332,11 @@
             return
         self.jobs[job_id] = job
         if job.is_over and job.accepted is not None and not job.accepted.is_digest:
-            self._drop_specification(job_id, job)
+            job.accepted = digest_of(job.accepted)
+            self._drop_specification(job_id)
         self.jobs_bytes += job.memory_bytes - before
 
-    def _drop_specification(self, job_id: str, job: JobView) -> None:
+    def _drop_specification(self, job_id: str) -> None:
         """Keep only the digest of the submission of a job that is over.
 
         Ended jobs are kept for minutes, and most of the memory that they took was that
@@ -346,7 +347,6 @@
             if key in part.entries:
                 offset, value = part.entries[key]
                 part.entries[key] = (offset, digest_of(value))
-        job.accepted = digest_of(job.accepted)
 
     def find(self, job_id: str) -> JobView | None:
         """Return an accepted job; ``None`` if there is none with this id."""
--- a/src/firhook/decide/_schedule.py
+++ b/src/firhook/decide/_schedule.py
@@ -11,7 +11,6 @@
 import attrs
 
 from firhook.cell import JobTable, Queue, Resources, Step, Task
-from firhook.cell.job_limits import active_memory_bytes
 from firhook.decide._advice_planner import AdvicePlanner
 from firhook.decide._blocked_steps import ALL_WORKERS, Obstacle
 from firhook.decide._gang_reservations import GangRooms, reserve_gang
@@ -20,6 +19,7 @@
 from firhook.decide._round_memory import RoundMemory
 from firhook.decide._share_order import place_by_share
 from firhook.decide._slack import AMPLE_SLACK_S, LATE_FACTOR
+from firhook.decide._start_room import StartRoom
 from firhook.decide._team_shares import TeamShares, build_shares
 from firhook.decide._wait_reasons import WaitReason
 from firhook.decide._worker_choice import fit_gang, pick_worker
@@ -151,9 +151,7 @@
         self._indexes: dict[tuple[str, str], RoomIndex] = {}
         self._team_use = dict(book.team_usage)
         self._placement_numbers: dict[str, int] = {}
-        # Bytes of the states of jobs, and of memory, for the tasks that become active.
-        self._new_row_bytes: Counter[str] = Counter()
-        self._new_active_bytes = 0
+        self._start_room = StartRoom(book)
         self.result = RoundResult(shares=self._shares)
 
     def run(self) -> RoundResult:
@@ -442,20 +440,6 @@
         for index in itertools.islice(step.idle, placed, placed + limit):
             yield step.idle[index]
 
-    def _startable_count(self, step: Step) -> int:
-        """Return how many tasks the records and the memory of a lead have room for.
-
-        Tasks that were started before take no more room than they have.
-        """
-        again, placed = len(step.tasks.waiting_again), self._placed_count(step)
-        job_id, row_bytes = step.job.id, step.row_bytes
-        in_state = step.job.startable_tasks(step)
-        in_state -= -(-self._new_row_bytes[job_id] // row_bytes)
-        free = self._book.limits.active_bytes - self._book.active_bytes
-        free = max(free - self._new_active_bytes, 0)
-        in_memory = free / active_memory_bytes(row_bytes)
-        return max(again - placed, 0) + max(int(min(in_state, in_memory)), 0)
-
     def _permitted_count(self, step: Step, idle: int) -> int:
         """Return how many more tasks of the step the team's limit permits.
 
@@ -528,7 +512,7 @@
         if not permitted:
             self._block(step, WaitReason.TEAM_LIMIT)
             return 0
-        startable = self._startable_count(step)
+        startable = self._start_room.count(step, self._placed_count(step))
         if not startable:
             self._record_wait(step, WaitReason.JOB_FULL)
             return 0
@@ -638,9 +622,7 @@
 
     def _add_placement(self, step: Step, chosen: list[tuple[Task, str, int]]) -> None:
         team, placements = step.job.team, self.result.placements
-        new = sum(task.last_run == 0 for task, _, _ in chosen)
-        self._new_row_bytes[step.job.id] += new * step.row_bytes
-        self._new_active_bytes += new * active_memory_bytes(step.row_bytes)
+        self._start_room.take(step, (task for task, _, _ in chosen))
         used = self._team_use.get(team, Resources())
         self._team_use[team] = used.add(step.spec.need, len(chosen))
         self._shares.take(team, step.spec.need, len(chosen))
@@ -660,7 +642,7 @@
         if self._permitted_count(step, len(step.idle)) < spec.count:
             self._block(step, WaitReason.TEAM_LIMIT)
             return False
-        if self._startable_count(step) < spec.count:
+        if self._start_room.count(step, 0) < spec.count:
             self._record_wait(step, WaitReason.JOB_FULL)
             return False
         index = self._index(step)
--- a/src/firhook/services/_job_room.py
+++ b/src/firhook/services/_job_room.py
@@ -1,11 +1,12 @@
 """Refuses submissions that the cell's instances could not hold."""
 
-from firhook.cell import AcceptedJob
+from firhook.cell import AcceptedJob, Replica
 from firhook.cell.job_limits import CANCEL_MEMORY_BYTES, JobLimits, find_excess
 from firhook.clock import boot_time
 from firhook.decide.job_budget import has_room, job_limits, smallest_memory_mb
 from firhook.errors import JobTooLargeError, NoRoomError
 from firhook.instance import InstanceService
+from firhook.platform.instance import InstanceSettings
 
 #: Time after which a submission of unknown outcome that was not read is not expected
 #: any more: longer than the store takes to carry out a call.
@@ -14,6 +15,12 @@
 _RETRY_S = 3.0
 
 
+def current_limits(settings: InstanceSettings, replica: Replica) -> JobLimits:
+    """Return what the jobs of a cell may take, as an instance knows the others."""
+    memory_mb = smallest_memory_mb(settings.memory_mb, replica.peers.values())
+    return job_limits(memory_mb, settings.store_limits.record_bytes)
+
+
 class JobRoom:
     """Compares submissions with what the smallest instance of the cell can hold.
 
@@ -27,9 +34,7 @@
 
     def limits(self) -> JobLimits:
         """Return what the jobs of the cell may take."""
-        peers = self._replica.peers.values()
-        memory_mb = smallest_memory_mb(self._settings.memory_mb, peers)
-        return job_limits(memory_mb, self._settings.store_limits.record_bytes)
+        return current_limits(self._settings, self._replica)
 
     def check_size(self, job: AcceptedJob) -> None:
         """Refuse a job that the cell can never hold.
--- a/src/firhook/services/_term.py
+++ b/src/firhook/services/_term.py
@@ -21,7 +21,6 @@
     RunEnd,
     WorkerEntry,
 )
-from firhook.cell.job_limits import JobLimits
 from firhook.cell.job_table import MAX_ORDER_DELAY_S, PROOF_S
 from firhook.cell.records import (
     JOB_PREFIX,
@@ -33,7 +32,6 @@
 from firhook.clock import boot_time, unix_time
 from firhook.decide.adviser_slots import SlotPlan
 from firhook.decide.estimates import Estimates
-from firhook.decide.job_budget import job_limits, smallest_memory_mb
 from firhook.decide.lost_calls import LostCalls
 from firhook.decide.stalls import stalled_runs
 from firhook.decide.tickets import TicketTable
@@ -60,7 +58,9 @@
 )
 from firhook.services._eviction import Evictor
 from firhook.services._fenced_writer import FencedWriter
+from firhook.services._held_jobs import HeldJobs
 from firhook.services._hints import HintStore, TermHints
+from firhook.services._job_room import current_limits
 from firhook.services._load import LoadReporter
 from firhook.services._order_sender import OrderSender
 from firhook.services._placer import Placer, PlaceRound
@@ -95,8 +95,6 @@
 #: A worker that left for good is forgotten after this.  Each order to it was sent
 #: within the first half, and is carried out within the second if at all.
 _FORGET_AFTER_S = 2 * MAX_ORDER_DELAY_S
-#: The interval at which the limits on what jobs may take are updated.
-_LIMITS_INTERVAL_S = 1.0
 #: The interval at which the lead appends a proof if it has nothing else to write.
 _PROOF_INTERVAL_S = 0.2
 #: Logs a failed background task of a term, such as an order or an adviser request.
@@ -106,12 +104,6 @@
 _OWNER_PRECEDENCE_S = 0.001
 
 
-def _accepted_at(row: tuple[str, JobView]) -> float:
-    """Return when a job was accepted, in seconds since 1970."""
-    accepted = row[1].accepted
-    return 0.0 if accepted is None else accepted.accepted_at
-
-
 class TermOwner(Protocol):
     """What a term needs from the lead service.
 
@@ -148,7 +140,7 @@
     :ivar drained_zones: the zones that get no new work.
     :ivar taken_over: whether the takeover is complete.
     :ivar takeover_stage: what the takeover waits for.
-    :ivar held_jobs: jobs of which nothing was started, and that have no room.
+    :ivar held_jobs: jobs that wait for room in the job table.
     :ivar waiting: reports on the steps that wait.
     :ivar hints: sends what is learned in the term to likely successors.
     :ivar load: makes the load tables.
@@ -176,12 +168,12 @@
         self.estimates = Estimates(instance.meters.count)
         config = instance.config.config
         assert config is not None
-        self.job_table = JobTable(config, self._job_limits())
+        limits = current_limits(instance.settings, self._replica)
+        self.job_table = JobTable(config, limits)
+        self.held_jobs = HeldJobs(instance, self.job_table)
         self.drained_zones = instance.config.drained_zones
         self._known_jobs: set[str] = set()
         self._skipped_jobs: set[str] = set()
-        self.held_jobs: set[str] = set()
-        self._limits_due_at = 0.0
         self._held_ends: dict[str, dict[tuple[str, int], EndedRow]] = {}
         self._writer = FencedWriter(self._store, epoch, lead.note_proof)
         self._version_count = 0
@@ -393,13 +385,8 @@
                 log("record.malformed", level="error", job=job_id, detail=exc.detail)
             self._skipped_jobs.add(job_id)
             return False
-        has_begun = state is not None or view.cancelled
-        if not has_begun and not self.job_table.has_room(view.accepted):
-            if job_id not in self.held_jobs:
-                log("job.held", level="warning", job=job_id)
-            self.held_jobs.add(job_id)
+        if self.held_jobs.must_wait(job_id, view):
             return False
-        self.held_jobs.discard(job_id)
         self._known_jobs.add(job_id)
         self._skipped_jobs.discard(job_id)
         try:
@@ -427,28 +414,6 @@
         for link in self.links.values():
             link.hold_ends()
 
-    def _job_limits(self) -> JobLimits:
-        """Return what the jobs may take on the smallest instance of the cell."""
-        settings = self._instance.settings
-        peers = self._replica.peers.values()
-        memory_mb = smallest_memory_mb(settings.memory_mb, peers)
-        return job_limits(memory_mb, settings.store_limits.record_bytes)
-
-    def _add_held_jobs(self) -> None:
-        """Add the jobs that were held back and now have room, the oldest first."""
-        now = boot_time()
-        if now >= self._limits_due_at:
-            self._limits_due_at = now + _LIMITS_INTERVAL_S
-            self.job_table.limits = self._job_limits()
-        views = self._replica.jobs
-        held = [(i, views[i]) for i in self.held_jobs if i in views]
-        self.held_jobs &= views.keys()
-        for job_id, view in sorted(held, key=_accepted_at):
-            accepted = view.accepted
-            if accepted is None or not self.job_table.has_room(accepted):
-                break
-            self._add_job(job_id, view, now, unix_time())
-
     async def _reload_skipped_jobs(self) -> None:
         """Read all records again while the records of some jobs cannot be decoded."""
         delay_s = _MIN_RELOAD_DELAY_S
@@ -724,7 +689,8 @@
             self._wake.clear()
             if self._writes_paused:
                 continue
-            self._add_held_jobs()
+            for job_id, view in self.held_jobs.take_fitting():
+                self._add_job(job_id, view, boot_time(), unix_time())
             self.job_table.tick(boot_time(), unix_time())
             self._expire_unlisted_workers()
             self._forget_gone_workers()
--- a/standins/model/_cell.py
+++ b/standins/model/_cell.py
@@ -575,7 +575,7 @@
             self.checks.unhandled(now(), 0, set())
             return
         jobs = {job_id for job_id, _ in lead.instance.replica.unfinished_jobs()}
-        handled = term.job_table.jobs.keys() | term.held_jobs
+        handled = term.job_table.jobs.keys() | term.held_jobs.ids
         self.checks.unhandled(now(), term.fence, jobs - handled)
 
     # Callers.
--- a/standins/model/_large_search.py
+++ b/standins/model/_large_search.py
@@ -100,13 +100,14 @@
         table = lead.lead.term.job_table if lead is not None else None
         if table is None:
             return
-        taken = table.jobs_bytes, table.active_bytes, table.repeat_bytes
-        most_lead = limits.jobs_bytes, limits.active_bytes, limits.repeat_bytes
+        pairs = (
+            (table.jobs_bytes, limits.jobs_bytes),
+            (table.active_bytes, limits.active_bytes),
+            (table.repeat_bytes, limits.repeat_bytes),
+        )
         # One job is held however large it is.
-        if len(table.jobs) > 1 and any(
-            a > b for a, b in zip(taken, most_lead, strict=True)
-        ):
-            self.cell.checks.record_violation(now(), "memory", f"lead: {taken}")
+        if len(table.jobs) > 1 and any(taken > most for taken, most in pairs):
+            self.cell.checks.record_violation(now(), "memory", f"lead: {pairs}")
 
     async def _settle(self) -> None:
         """End the jobs that would not end in time, so that there is room for others."""
--- a/tests/services/test_job_room.py
+++ b/tests/services/test_job_room.py
@@ -81,7 +81,7 @@
             part.add([encode_keyed_record(record)])
         await let_pass(cell, 3.0)
         for _ in range(2):
-            held = cell.lead().lead.term.held_jobs
+            held = cell.lead().lead.term.held_jobs.ids
             assert 10 < len(held) < 20
             cell.kill(cell.lead_name())
             await cell.until(lambda: cell.lead() is not None, 30.0)
@@ -92,7 +92,7 @@
             assert await cell.cancel(job) == 200
         await let_pass(cell, 5.0)
         term = cell.lead().lead.term
-        assert not term.held_jobs
+        assert not term.held_jobs.ids
         assert set(list(cell.accepted)[16:]) <= term.job_table.jobs.keys()
 
     run_scenario(scenario, memory_mb=MEMORY_MB, seed=seed)
