Do not refuse the repeat of a submission that may still appear

Cause: the same as of the late cancellation, an answer that rests on what an instance has read, while another one knows that a write of unknown outcome is under way.

Each instance now tells the others which submissions it answered with 504, or left without an answer. For 30 s a repeat that would be answered with 429 or 503 gets 504 there, which asks the caller to submit the same id again. A message that is lost, or an instance that ends before it sends it, leaves the repeat as before.

Evidence: test_repeat_of_a_submission_that_may_appear_is_not_refused_as_never_run fails without the new answer, for both refusals.

--- a/src/firhook/_peer_messages.py
+++ b/src/firhook/_peer_messages.py
@@ -257,6 +257,14 @@
     within_s: float
 
 
+@message
+@attrs.frozen(slots=True)
+class SubmissionUnresolved:
+    """The sender does not know whether a job's submission was or will be stored."""
+
+    job_id: str
+
+
 @message
 @attrs.frozen(slots=True)
 class AppendReply:
--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -58,7 +58,10 @@
 from firhook.services._load import LoadKeeper
 from firhook.services._lookups import Lookups
 from firhook.services._outage import OutageClock
+from firhook.services._unresolved import UnresolvedSubmissions
 
+#: Length of a job's id, which ends the path of its requests.
+_ID_LENGTH = 16
 #: Time limit of a request without a deadline of its own.
 _DEFAULT_TIMEOUT_S = 3.0
 #: An answer is sent at least this long before the caller stops waiting.
@@ -99,11 +102,13 @@
         self._lookups = Lookups(self)
         self.load = LoadKeeper(self)
         self._room = JobRoom(self)
+        self._unresolved = UnresolvedSubmissions(self)
         self._outage = OutageClock(self.settings.name)
 
     async def on_started(self) -> None:
         """Listen for the readiness probe and for callers."""
         self._lookups.register_handlers()
+        self._unresolved.register_handlers()
         await self._listen(self._serve_readiness, self.settings.probe)
         self.add_future(self._serve_callers())
 
@@ -170,15 +175,21 @@
     async def _handle(self, req: web.BaseRequest) -> web.Response:
         self._open_requests += 1
         began = boot_time()
+        submitted = req.path[-_ID_LENGTH:] if req.method == "POST" else ""
         try:
             resp = await self._dispatch(req)
-        except FirhookError as exc:
+        except FirhookError as failure:
+            exc = self._unresolved.revise(submitted, failure) if submitted else failure
             self._outage.set_retry(exc, began)
             self._log_refusal(req, exc, began)
             resp = problem_response(exc)
         except Exception as exc:
             log("request.failed", level="error", path=req.path, error=repr(exc))
             resp = problem_response(FirhookError(repr(exc), ran="unknown"))
+        except asyncio.CancelledError:
+            if submitted:
+                self._unresolved.note(submitted)
+            raise
         finally:
             self._open_requests -= 1
         if self.instance.stopping:
--- a/tests/services/test_late_submissions.py
+++ b/tests/services/test_late_submissions.py
@@ -1,5 +1,6 @@
 """A job whose cancellation was answered never starts, however late it appears."""
 
+import attrs
 import msgspec
 import pytest
 
@@ -178,3 +179,36 @@
     assert replica.jobs["1"].cancelled
     with pytest.raises(RecordMalformedError):
         replica.apply(9, key, b"\x01", 1)
+
+
+@pytest.mark.parametrize("refusal", ["store_busy", "stale_configuration"])
+def test_repeat_of_a_submission_that_may_appear_is_not_refused_as_never_run(refusal):
+    """The repeat got 503, which says that the job never runs, and the job ran."""
+
+    async def scenario(cell):
+        first, other = list(cell.instances.values())[:2]
+        await submit_late(cell, instance=first)
+        await pause(0.2)
+        if refusal == "store_busy":
+            cell.store.mode["*"] = "busy"
+        else:
+            view = other.instance.config
+            other.instance.config = attrs.evolve(view, read_at=view.read_at - 60.0)
+        assert await call(cell, "POST", instance=other) == 504
+        cell.store.mode.clear()
+        carry_out(cell)
+        await pause(3.0)
+        assert len(starts(cell)) == 2
+
+    run_scenario(scenario)
+
+
+def test_submission_is_refused_again_once_the_earlier_one_is_not_expected_any_more():
+    async def scenario(cell):
+        await submit_late(cell)
+        cell.store.held.clear()
+        await pause(31.0)
+        cell.store.mode["*"] = "busy"
+        assert await call(cell, "POST") == 503
+
+    run_scenario(scenario)
