Give early cancellations a part of the memory of their own

Callers would see (on the model): once the accepted jobs fill the memory, the cancellation of a job whose submission is under way was refused with 503, as both counted as one sum; and many such cancellations would have kept jobs out.

They have 5% of the memory now, beside the 60% for jobs. test_cancellations_of_ unknown_jobs_have_a_bounded_memory fills that part and then submits a job.

A job that was cancelled while its stored state listed no steps was not taken up by a new lead, so that its end was never stored and its records were never deleted; the replica asks the one question "is it over" for all of these now.

--- a/src/firhook/cell/_job_limits.py
+++ b/src/firhook/cell/_job_limits.py
@@ -40,12 +40,14 @@
 
     :param record_bytes: largest record that the store accepts.
     :param jobs_bytes: memory for accepted jobs, and for ended ones that are kept.
+    :param cancels_bytes: memory for cancellations of jobs that have not appeared.
     :param active_bytes: memory for active tasks.
     :param repeat_bytes: memory for the open occurrences of jobs beyond the first.
     """
 
     record_bytes: int = 262_144
     jobs_bytes: float = math.inf
+    cancels_bytes: float = math.inf
     active_bytes: float = math.inf
     repeat_bytes: float = math.inf
 
--- a/src/firhook/cell/_replica.py
+++ b/src/firhook/cell/_replica.py
@@ -166,6 +166,7 @@
 
     :ivar jobs: jobs by id.
     :ivar jobs_bytes: memory that the jobs take at most on an instance that leads.
+    :ivar cancels_bytes: memory that cancellations of jobs take that have not appeared.
     :ivar peers: instances by name.
     :ivar lead: the lead with the highest epoch of all that were applied; ``None`` if
         none was.
@@ -174,7 +175,7 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobView] = {}
-        self.jobs_bytes = 0
+        self.jobs_bytes = self.cancels_bytes = 0
         self.peers: dict[str, PeerRecord] = {}
         self.lead: LeadRecord | None = None
         self.mesh_keys: MeshKeys | None = None
@@ -315,7 +316,8 @@
         self, prefix: str, job_id: str, rest: str, values: list[Any]
     ) -> None:
         job = self.jobs.get(job_id) or JobView()
-        before = job.memory_bytes if job_id in self.jobs else 0
+        if job_id in self.jobs:
+            self._count(job, -1)
         if prefix == JOB_PREFIX:
             job.accepted = _earliest(values)
             if len(values) > 1:
@@ -328,13 +330,19 @@
             job.cancels = {**others, **added}
         if job.accepted is None and job.state is None and not job.cancels:
             self.jobs.pop(job_id, None)
-            self.jobs_bytes -= before
             return
         self.jobs[job_id] = job
         if job.is_over and job.accepted is not None and not job.accepted.is_digest:
             job.accepted = digest_of(job.accepted)
             self._drop_specification(job_id)
-        self.jobs_bytes += job.memory_bytes - before
+        self._count(job, 1)
+
+    def _count(self, job: JobView, sign: int) -> None:
+        """Add the memory of a job to the sums, or subtract it."""
+        if job.accepted is None:
+            self.cancels_bytes += sign * job.memory_bytes
+        else:
+            self.jobs_bytes += sign * job.memory_bytes
 
     def _drop_specification(self, job_id: str) -> None:
         """Keep only the digest of the submission of a job that is over.
@@ -359,9 +367,7 @@
         These include jobs that ended but have runs that are being stopped.
         """
         for job_id, job in self.jobs.items():
-            if job.accepted is None:
-                continue
-            if not job.status.ended or job.state is None or not job.state.has_no_steps:
+            if job.accepted is not None and not job.is_over:
                 yield job_id, job
 
     def pending_count(self, address: str) -> int:
--- a/src/firhook/decide/_job_budget.py
+++ b/src/firhook/decide/_job_budget.py
@@ -9,10 +9,10 @@
 #: Memory of an instance without jobs, in megabytes, and the part of its memory that is
 #: counted as available to it at least.
 _IDLE_MB, _LEAST_PART = 75.0, 0.25
-#: Parts of the rest for accepted jobs, active tasks and further occurrences.  What is
-#: left serves messages, reads of the store and submissions that others accept at the
-#: same moment.
-_JOBS_PART, _ACTIVE_PART, _REPEATS_PART = 0.6, 0.15, 0.05
+#: Parts of the rest for accepted jobs, cancellations of jobs that have not appeared,
+#: active tasks and further occurrences.  What is left serves messages, reads of the
+#: store and submissions that others accept at the same moment.
+_JOBS_PART, _CANCELS_PART, _ACTIVE_PART, _REPEATS_PART = 0.6, 0.05, 0.15, 0.05
 _MB = 1_000_000
 
 
@@ -34,7 +34,11 @@
     """
     free = max(memory_mb - _IDLE_MB, memory_mb * _LEAST_PART) * _MB
     return JobLimits(
-        record_bytes, free * _JOBS_PART, free * _ACTIVE_PART, free * _REPEATS_PART
+        record_bytes,
+        free * _JOBS_PART,
+        free * _CANCELS_PART,
+        free * _ACTIVE_PART,
+        free * _REPEATS_PART,
     )
 
 
--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -33,6 +33,7 @@
     KeyRefusedError,
     LogOutcomeUnknownError,
     LogUnavailableError,
+    NoRoomError,
     NotReadyError,
     OverloadedTeamError,
     QueueLateError,
@@ -62,6 +63,8 @@
 
 #: Length of a job's id, which ends the path of its requests.
 _ID_LENGTH = 16
+#: Retry delay while no cancellation of an unknown job can be stored.
+_CANCEL_RETRY_S = 3.0
 #: Time limit of a request without a deadline of its own.
 _DEFAULT_TIMEOUT_S = 3.0
 #: An answer is sent at least this long before the caller stops waiting.
@@ -366,10 +369,13 @@
     ) -> None:
         """Store a cancellation for a job that has not appeared.
 
-        :raises NoRoomError: if the instances hold as many jobs as they can.
+        :raises NoRoomError: if the instances hold as many of these as they can.
         """
         if not self._room.has_room_for_cancel():
-            raise self._room.refusal_error()
+            raise NoRoomError(
+                "too many jobs were cancelled that have not appeared",
+                retry_after_s=_CANCEL_RETRY_S,
+            )
         request = CancelRequest(*queue.owner(team))
         record = KeyedRecord(cancel_key(job_id, request.owner), encode_record(request))
         offset = await self.bus.ask(AppendRecord(record, until))
--- a/src/firhook/services/_job_room.py
+++ b/src/firhook/services/_job_room.py
@@ -69,8 +69,8 @@
 
     def has_room_for_cancel(self) -> bool:
         """Return whether another cancellation of an unknown job may be stored."""
-        taken = self._replica.jobs_bytes + CANCEL_MEMORY_BYTES
-        return taken <= self.limits().jobs_bytes
+        taken = self._replica.cancels_bytes + CANCEL_MEMORY_BYTES
+        return taken <= self.limits().cancels_bytes
 
     def note_submitted(self, job: AcceptedJob) -> None:
         """Record that a submission is about to be appended."""
--- a/tests/services/test_late_submissions.py
+++ b/tests/services/test_late_submissions.py
@@ -146,7 +146,8 @@
         assert all(JOB in replica.jobs for replica in replicas)
         await pause(30.0)
         for replica in replicas:
-            assert JOB not in replica.jobs and replica.jobs_bytes == 0
+            assert JOB not in replica.jobs
+            assert replica.jobs_bytes == replica.cancels_bytes == 0
         assert not starts(cell)
 
     run_virtual(scenario())
@@ -155,14 +156,17 @@
 def test_cancellations_of_unknown_jobs_have_a_bounded_memory():
     async def scenario(cell):
         statuses = []
-        for number in range(4000):
-            if number % 100 == 0:
+        for number in range(1000):
+            if number % 50 == 0:
                 await pause(0.5)
-            req = ModelRequest("DELETE", f"/plan/{number:016x}")
+            req = ModelRequest("DELETE", f"/plan/{number + 1000:016x}")
             statuses.append((await cell.any_instance().call(req))[0])
         assert set(statuses) == {410, 503}
-        replica = cell.lead().instance.replica
-        assert replica.jobs_bytes <= 3_000_000
+        for found in cell.instances.values():
+            assert 200_000 < found.instance.replica.cancels_bytes <= 250_000
+        job, status = await cell.submit([step(1)], work_s=0.2)
+        assert status == 200
+        await cell.until(lambda: cell.ended(job), 5.0)
 
     run_scenario(scenario, memory_mb=20.0)
 
