Limit the steps of all accepted jobs together, like their memory

Callers would see (measured on one process, not played): with 250 accepted jobs of 200 steps each, which the memory of 300 MB holds, a new lead adds 50,000 steps in 0.6 s and takes 1.05 s for its first round, on a busy machine. It may act for 0.75 s after a proof; on a slower processor no lead would ever start anything.

Cause: as of the lead's memory, each job was bounded and the sum was not.

What a job takes is a pair now, memory and steps, with one sum, one comparison and one limit at the door and on the lead. 12,500 steps a standard core take a third of the time that a proof lasts.

--- a/src/firhook/_errors.py
+++ b/src/firhook/_errors.py
@@ -236,7 +236,7 @@
     "NoRoomError",
     "job.no_room",
     503,
-    "The accepted jobs fill the memory of the smallest instance",
+    "The accepted jobs are as many as the instances can hold",
     "Submit the same id again after the time given; nothing was accepted.",
 )
 JobCancelledError = _define_error(
--- a/src/firhook/cell/_job_limits.py
+++ b/src/firhook/cell/_job_limits.py
@@ -31,7 +31,36 @@
 #: Memory for an active task with one run, in addition to its row in the state.
 _ACTIVE_MEMORY_BYTES = 1024
 #: Memory for a job that has ended, and for the cancellation of an unknown job.
-ENDED_MEMORY_BYTES, CANCEL_MEMORY_BYTES = 1600, 1024
+_ENDED_MEMORY_BYTES, CANCEL_MEMORY_BYTES = 1600, 1024
+
+
+@attrs.frozen(slots=True)
+class JobSize:
+    """What one or more jobs take on an instance that leads.
+
+    :param memory_bytes: memory, apart from active tasks and further occurrences.
+    :param steps: steps, which a takeover adds and a round looks at in one piece.
+    """
+
+    memory_bytes: float = 0
+    steps: float = 0
+
+    def __add__(self, other: "JobSize") -> "JobSize":
+        return JobSize(self.memory_bytes + other.memory_bytes, self.steps + other.steps)
+
+    def __sub__(self, other: "JobSize") -> "JobSize":
+        return JobSize(self.memory_bytes - other.memory_bytes, self.steps - other.steps)
+
+    def fits_in(self, limit: "JobSize", share: float = 1.0) -> bool:
+        """Return whether this is within a share of a limit."""
+        return (
+            self.memory_bytes <= limit.memory_bytes * share
+            and self.steps <= limit.steps * share
+        )
+
+
+#: What a job takes that has ended.
+ENDED_SIZE = JobSize(_ENDED_MEMORY_BYTES, 0)
 
 
 @attrs.frozen(slots=True)
@@ -39,14 +68,14 @@
     """Limits on what the jobs of a cell take together.
 
     :param record_bytes: largest record that the store accepts.
-    :param jobs_bytes: memory for accepted jobs, and for ended ones that are kept.
+    :param jobs: what accepted jobs may take, with ended ones that are kept.
     :param cancels_bytes: memory for cancellations of jobs that have not appeared.
     :param active_bytes: memory for active tasks.
     :param repeat_bytes: memory for the open occurrences of jobs beyond the first.
     """
 
     record_bytes: int = 262_144
-    jobs_bytes: float = math.inf
+    jobs: JobSize = JobSize(math.inf, math.inf)
     cancels_bytes: float = math.inf
     active_bytes: float = math.inf
     repeat_bytes: float = math.inf
@@ -129,22 +158,20 @@
     return ""
 
 
-def memory_bytes(spec: JobSpec) -> int:
-    """Return the memory that a job takes at most on an instance that leads.
-
-    Active tasks and further occurrences are not included.
-    """
+def job_size(spec: JobSpec) -> JobSize:
+    """Return what a job takes at most on an instance that leads."""
     text = len(spec.text) + sum(
         len(s.label) + len(s.data_rack) + len(s.image) for s in spec.steps
     )
     links = sum(len(step.after) for step in spec.steps)
-    return (
+    memory_bytes = (
         _JOB_MEMORY_BYTES
         + _STEP_MEMORY_BYTES * len(spec.steps)
         + _TASK_MEMORY_BYTES * spec.tasks
         + 4 * text
         + 16 * links
     )
+    return JobSize(memory_bytes, len(spec.steps))
 
 
 def repeat_memory_bytes(spec: JobSpec) -> int:
--- a/src/firhook/cell/_job_table.py
+++ b/src/firhook/cell/_job_table.py
@@ -15,6 +15,7 @@
 from firhook.cell._job_limits import (
     MAX_TASK_RUNS,
     JobLimits,
+    JobSize,
     active_memory_bytes,
     max_open_occurrences,
     repeat_memory_bytes,
@@ -43,7 +44,7 @@
     :ivar ended_runs: reported ends, which the lead's term logs and clears.
     :ivar voided: runs that were voided, each with the reason; the lead's term logs
         and clears them.
-    :ivar jobs_bytes: memory that the jobs take at most, apart from the next two.
+    :ivar jobs_size: what the jobs take at most, apart from the next two.
     :ivar active_bytes: memory that their active tasks take at most.
     :ivar repeat_bytes: memory that their open occurrences beyond the first take.
     """
@@ -65,7 +66,7 @@
         # oldest first.
         self._unstored_begins: dict[str, float] = {}
         self._periodic_jobs: dict[str, Job] = {}
-        self.jobs_bytes = 0
+        self.jobs_size = JobSize()
         self.active_bytes = 0
         self.repeat_bytes = 0
 
@@ -76,8 +77,8 @@
 
         A job that is larger than the limit is added if there is no other one.
         """
-        size = accepted.memory_bytes
-        return not self.jobs or self.jobs_bytes + size <= self.limits.jobs_bytes
+        together = self.jobs_size + accepted.size
+        return not self.jobs or together.fits_in(self.limits.jobs)
 
     def set_config(self, config: CellConfig) -> None:
         """Apply another version of the configuration."""
@@ -108,7 +109,7 @@
         job = Job(accepted, queue, now - age_s, self.limits)
         job.critical_path_s = max(job.critical_paths_s(), default=0.0)
         self.jobs[job.id] = job
-        self.jobs_bytes += accepted.memory_bytes
+        self.jobs_size += accepted.size
         if state is not None:
             self._restore(job, state, now, unix_now)
         if job.status.ended:
@@ -522,7 +523,7 @@
         self._periodic_jobs.pop(job.id, None)
         if self.jobs.pop(job.id, None) is None:
             return
-        self.jobs_bytes -= job.accepted.memory_bytes
+        self.jobs_size -= job.accepted.size
         self.repeat_bytes -= job.repeat_bytes
         for step in job.steps.values():
             active = len(step.tasks.active)
--- a/src/firhook/cell/_records.py
+++ b/src/firhook/cell/_records.py
@@ -20,7 +20,7 @@
 import msgspec
 
 from firhook.cell._config import Queue
-from firhook.cell._job_limits import memory_bytes
+from firhook.cell._job_limits import JobSize, job_size
 from firhook.cell._spec import JobSpec
 from firhook.errors import RecordMalformedError
 
@@ -97,8 +97,8 @@
     :param queue: the queue as it was configured then.  These values apply if the queue
         is later removed.
     :param accepted_at: seconds since 1970 by the accepting instance's clock.
-    :param size_bytes: memory that it takes at most on an instance that leads, also if
-        the specification is left out; 0 if an earlier build accepted it.
+    :param stored_size: what it takes at most on an instance that leads, also if the
+        specification is left out; ``None`` if an earlier build accepted it.
     """
 
     id: str
@@ -106,7 +106,7 @@
     queue: Queue
     accepted_at: float
     spec: JobSpec
-    size_bytes: int = 0
+    stored_size: JobSize | None = None
 
     @property
     def owner(self) -> tuple[str, str]:
@@ -119,9 +119,9 @@
         return not self.spec.steps
 
     @property
-    def memory_bytes(self) -> int:
-        """The memory that the job takes at most on an instance that leads."""
-        return self.size_bytes or memory_bytes(self.spec)
+    def size(self) -> JobSize:
+        """What the job takes at most on an instance that leads."""
+        return self.stored_size or job_size(self.spec)
 
 
 @attrs.frozen(slots=True)
--- a/src/firhook/cell/_replica.py
+++ b/src/firhook/cell/_replica.py
@@ -7,7 +7,7 @@
 import attrs
 
 from firhook.cell._config import Queue
-from firhook.cell._job_limits import CANCEL_MEMORY_BYTES, ENDED_MEMORY_BYTES
+from firhook.cell._job_limits import CANCEL_MEMORY_BYTES, ENDED_SIZE, JobSize
 from firhook.cell._records import (
     CANCEL_PREFIX,
     CLAIM_KEY,
@@ -80,11 +80,11 @@
         return state is not None and state.status.ended and state.has_no_steps
 
     @property
-    def memory_bytes(self) -> int:
-        """The memory that the job takes at most on an instance that leads."""
+    def size(self) -> JobSize:
+        """What the job takes at most on an instance that leads."""
         if self.accepted is None:
-            return CANCEL_MEMORY_BYTES * max(len(self.cancels), 1)
-        return ENDED_MEMORY_BYTES if self.is_over else self.accepted.memory_bytes
+            return JobSize(CANCEL_MEMORY_BYTES * max(len(self.cancels), 1), 0)
+        return ENDED_SIZE if self.is_over else self.accepted.size
 
     @property
     def status(self) -> JobStatus:
@@ -165,8 +165,8 @@
     then continue with the records that follow.
 
     :ivar jobs: jobs by id.
-    :ivar jobs_bytes: memory that the jobs take at most on an instance that leads.
-    :ivar cancels_bytes: memory that cancellations of jobs take that have not appeared.
+    :ivar jobs_size: what the jobs take at most on an instance that leads.
+    :ivar cancels_size: what the cancellations of jobs take that have not appeared.
     :ivar peers: instances by name.
     :ivar lead: the lead with the highest epoch of all that were applied; ``None`` if
         none was.
@@ -175,7 +175,7 @@
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobView] = {}
-        self.jobs_bytes = self.cancels_bytes = 0
+        self.jobs_size = self.cancels_size = JobSize()
         self.peers: dict[str, PeerRecord] = {}
         self.lead: LeadRecord | None = None
         self.mesh_keys: MeshKeys | None = None
@@ -317,7 +317,7 @@
     ) -> None:
         job = self.jobs.get(job_id) or JobView()
         if job_id in self.jobs:
-            self._count(job, -1)
+            self._count(job, JobSize() - job.size)
         if prefix == JOB_PREFIX:
             job.accepted = _earliest(values)
             if len(values) > 1:
@@ -335,14 +335,14 @@
         if job.is_over and job.accepted is not None and not job.accepted.is_digest:
             job.accepted = digest_of(job.accepted)
             self._drop_specification(job_id)
-        self._count(job, 1)
+        self._count(job, job.size)
 
-    def _count(self, job: JobView, sign: int) -> None:
-        """Add the memory of a job to the sums, or subtract it."""
+    def _count(self, job: JobView, change: JobSize) -> None:
+        """Add what a job takes to the sum that it belongs to."""
         if job.accepted is None:
-            self.cancels_bytes += sign * job.memory_bytes
+            self.cancels_size += change
         else:
-            self.jobs_bytes += sign * job.memory_bytes
+            self.jobs_size += change
 
     def _drop_specification(self, job_id: str) -> None:
         """Keep only the digest of the submission of a job that is over.
--- a/src/firhook/cell/job_limits.py
+++ b/src/firhook/cell/job_limits.py
@@ -4,16 +4,18 @@
     CANCEL_MEMORY_BYTES,
     MAX_TASK_RUNS,
     JobLimits,
+    JobSize,
     active_memory_bytes,
     find_excess,
-    memory_bytes,
+    job_size,
 )
 
 __all__ = [
     "CANCEL_MEMORY_BYTES",
     "MAX_TASK_RUNS",
     "JobLimits",
+    "JobSize",
     "active_memory_bytes",
     "find_excess",
-    "memory_bytes",
+    "job_size",
 ]
--- a/src/firhook/decide/_job_budget.py
+++ b/src/firhook/decide/_job_budget.py
@@ -1,10 +1,10 @@
-"""How much memory the cell's jobs may take, and whether another job fits."""
+"""What the cell's jobs may take, and whether another job fits."""
 
 import math
 from collections.abc import Iterable
 
 from firhook.cell import PeerRecord
-from firhook.cell.job_limits import JobLimits
+from firhook.cell.job_limits import JobLimits, JobSize
 
 #: Memory of an instance without jobs, in megabytes, and the part of its memory that is
 #: counted as available to it at least.
@@ -14,6 +14,11 @@
 #: store and submissions that others accept at the same moment.
 _JOBS_PART, _CANCELS_PART, _ACTIVE_PART, _REPEATS_PART = 0.6, 0.05, 0.15, 0.05
 _MB = 1_000_000
+#: Steps that a lead with one standard core adds, and looks at for the first time, in
+#: a third of the time for which it may act without a proof.
+_STEPS_PER_CORE = 12_500
+#: Steps that are accepted however weak the instances are.
+_LEAST_STEPS = 2_500
 
 
 def smallest_memory_mb(own_mb: float, peers: Iterable[PeerRecord]) -> float:
@@ -26,16 +31,18 @@
     return min([*known, own_mb] if own_mb > 0 else known, default=math.inf)
 
 
-def job_limits(memory_mb: float, record_bytes: int) -> JobLimits:
+def job_limits(memory_mb: float, strength: float, record_bytes: int) -> JobLimits:
     """Return what the jobs of a cell may take.
 
     :param memory_mb: memory of the smallest instance; infinite if it is not limited.
+    :param strength: processor capacity of the strongest instance, in standard cores.
     :param record_bytes: largest record that the store accepts.
     """
     free = max(memory_mb - _IDLE_MB, memory_mb * _LEAST_PART) * _MB
+    steps = max(_STEPS_PER_CORE * min(strength, 1.0), _LEAST_STEPS)
     return JobLimits(
         record_bytes,
-        free * _JOBS_PART,
+        JobSize(free * _JOBS_PART, steps),
         free * _CANCELS_PART,
         free * _ACTIVE_PART,
         free * _REPEATS_PART,
@@ -43,19 +50,18 @@
 
 
 def has_room(
-    size: int, known: int, unseen: int, instances: int, limits: JobLimits
+    size: JobSize, known: JobSize, unseen: JobSize, instances: int, limit: JobSize
 ) -> bool:
     """Return whether an instance may accept a job beside those accepted before.
 
     The other instances may accept jobs at the same moment, so that what this one
     accepted and has not read yet stays within its share of what is left.
 
-    :param size: memory that the job takes.
-    :param known: memory of the jobs that this instance has read.
-    :param unseen: memory of those that it accepted and has not read.
+    :param known: what the jobs take that this instance has read.
+    :param unseen: what those take that it accepted and has not read.
     :param instances: number of instances.
     """
-    left = limits.jobs_bytes - known
-    if known + unseen + size > limits.jobs_bytes:
+    if not (known + unseen + size).fits_in(limit):
         return False
-    return not unseen or unseen + size <= left / max(instances, 1)
+    is_first = unseen == JobSize()
+    return is_first or (unseen + size).fits_in(limit - known, 1 / max(instances, 1))
--- a/src/firhook/decide/job_budget.py
+++ b/src/firhook/decide/job_budget.py
@@ -1,4 +1,4 @@
-"""How much memory the cell's jobs may take, and whether another job fits."""
+"""What the cell's jobs may take, and whether another job fits."""
 
 from firhook.decide._job_budget import has_room, job_limits, smallest_memory_mb
 
--- a/src/firhook/services/_callers.py
+++ b/src/firhook/services/_callers.py
@@ -15,7 +15,7 @@
 )
 from firhook.address import Address
 from firhook.cell import AcceptedJob, CellConfig, Queue
-from firhook.cell.job_limits import memory_bytes
+from firhook.cell.job_limits import job_size
 from firhook.cell.records import (
     JOB_PREFIX,
     CancelRequest,
@@ -252,9 +252,7 @@
         if self._is_cancelled(queue, team, job_id):
             raise JobCancelledError(job_id)
         spec = decode_job(await _read_body(req, config.max_body_bytes))
-        accepted = AcceptedJob(
-            job_id, team, queue, unix_time(), spec, memory_bytes(spec)
-        )
+        accepted = AcceptedJob(job_id, team, queue, unix_time(), spec, job_size(spec))
         self._room.check_size(accepted)
         value = encode_record(accepted)
         if len(value) > self.settings.store_limits.record_bytes - 256:
--- a/src/firhook/services/_exposition.py
+++ b/src/firhook/services/_exposition.py
@@ -75,8 +75,9 @@
         gauges = {
             "config_age_seconds": min(boot_time() - view.read_at, 1e9),
             "config_version": view.config.version if view.config else 0,
-            "jobs_bytes": self._instance.replica.jobs_bytes,
+            "jobs_bytes": self._instance.replica.jobs_size.memory_bytes,
             "jobs_known": len(self._instance.replica.jobs),
+            "jobs_steps": self._instance.replica.jobs_size.steps,
             "replica_age_seconds": min(self._replica_age_s, 1e9),
         }
         for name, value in sorted(gauges.items()):
--- a/src/firhook/services/_job_room.py
+++ b/src/firhook/services/_job_room.py
@@ -1,7 +1,12 @@
 """Refuses submissions that the cell's instances could not hold."""
 
 from firhook.cell import AcceptedJob, Replica
-from firhook.cell.job_limits import CANCEL_MEMORY_BYTES, JobLimits, find_excess
+from firhook.cell.job_limits import (
+    CANCEL_MEMORY_BYTES,
+    JobLimits,
+    JobSize,
+    find_excess,
+)
 from firhook.clock import boot_time
 from firhook.decide.job_budget import has_room, job_limits, smallest_memory_mb
 from firhook.errors import JobTooLargeError, NoRoomError
@@ -17,8 +22,10 @@
 
 def current_limits(settings: InstanceSettings, replica: Replica) -> JobLimits:
     """Return what the jobs of a cell may take, as an instance knows the others."""
-    memory_mb = smallest_memory_mb(settings.memory_mb, replica.peers.values())
-    return job_limits(memory_mb, settings.store_limits.record_bytes)
+    peers = replica.peers.values()
+    memory_mb = smallest_memory_mb(settings.memory_mb, peers)
+    strength = max([settings.strength, *(peer.strength for peer in peers)])
+    return job_limits(memory_mb, strength, settings.store_limits.record_bytes)
 
 
 class JobRoom:
@@ -30,7 +37,7 @@
     def __init__(self, service: InstanceService) -> None:
         self._settings = service.settings
         self._replica = service.replica
-        self._unseen: dict[str, tuple[int, float]] = {}
+        self._unseen: dict[str, tuple[JobSize, float]] = {}
 
     def limits(self) -> JobLimits:
         """Return what the jobs of the cell may take."""
@@ -45,11 +52,8 @@
         excess = find_excess(job.spec, limits)
         if excess:
             raise JobTooLargeError(excess)
-        if job.memory_bytes > limits.jobs_bytes:
-            raise JobTooLargeError(
-                f"the job takes {job.memory_bytes} bytes of memory; all jobs together "
-                f"have {int(limits.jobs_bytes)}"
-            )
+        if not job.size.fits_in(limits.jobs):
+            raise JobTooLargeError(f"the job alone is {_describe(job.size, limits)}")
 
     def has_room(self, job: AcceptedJob) -> bool:
         """Return whether a job fits beside all that were accepted."""
@@ -59,22 +63,23 @@
             for job_id, row in self._unseen.items()
             if row[1] > now and self._replica.find(job_id) is None
         }
+        others = (row[0] for job_id, row in self._unseen.items() if job_id != job.id)
         return has_room(
-            job.memory_bytes,
-            self._replica.jobs_bytes,
-            sum(size for job_id, (size, _) in self._unseen.items() if job_id != job.id),
+            job.size,
+            self._replica.jobs_size,
+            sum(others, JobSize()),
             len(self._replica.peers),
-            self.limits(),
+            self.limits().jobs,
         )
 
     def has_room_for_cancel(self) -> bool:
         """Return whether another cancellation of an unknown job may be stored."""
-        taken = self._replica.cancels_bytes + CANCEL_MEMORY_BYTES
+        taken = self._replica.cancels_size.memory_bytes + CANCEL_MEMORY_BYTES
         return taken <= self.limits().cancels_bytes
 
     def note_submitted(self, job: AcceptedJob) -> None:
         """Record that a submission is about to be appended."""
-        self._unseen[job.id] = (job.memory_bytes, boot_time() + _UNSEEN_S)
+        self._unseen[job.id] = (job.size, boot_time() + _UNSEEN_S)
 
     def note_refused(self, job: AcceptedJob) -> None:
         """Record that a submission was certainly not stored."""
@@ -82,8 +87,13 @@
 
     def refusal_error(self) -> NoRoomError:
         """Return the error for a job that does not fit now."""
-        return NoRoomError(
-            f"accepted jobs take {self._replica.jobs_bytes} of "
-            f"{int(self.limits().jobs_bytes)} bytes of memory",
-            retry_after_s=_RETRY_S,
-        )
+        taken = _describe(self._replica.jobs_size, self.limits())
+        return NoRoomError(f"the accepted jobs are {taken}", retry_after_s=_RETRY_S)
+
+
+def _describe(size: JobSize, limits: JobLimits) -> str:
+    """Return what jobs take, beside what they may."""
+    return (
+        f"{size.memory_bytes:.0f} of {limits.jobs.memory_bytes:.0f} bytes of memory, "
+        f"{size.steps:.0f} of {limits.jobs.steps:.0f} steps"
+    )
--- a/standins/model/_large_search.py
+++ b/standins/model/_large_search.py
@@ -39,7 +39,9 @@
 
     def _prepare(self) -> None:
         self.cell.memory_mb = self.rng.choice((0.6, 1.2, 8.0))
-        self._limits = job_limits(self.cell.memory_mb, self.cell.store.record_bytes)
+        self._limits = job_limits(
+            self.cell.memory_mb, 1.0, self.cell.store.record_bytes
+        )
 
     def _step(self, number: int) -> dict[str, Any]:
         step = super()._step(number)
@@ -92,8 +94,9 @@
         limits = self._limits
         for name, found in self.cell.instances.items():
             # Each instance may accept one job above its share of what is left.
-            most = limits.jobs_bytes + len(self.cell.instances) * _LARGEST_JOB_BYTES
-            taken = found.instance.replica.jobs_bytes
+            most = limits.jobs.memory_bytes
+            most += len(self.cell.instances) * _LARGEST_JOB_BYTES
+            taken = found.instance.replica.jobs_size.memory_bytes
             if found.alive and taken > most:
                 self.cell.checks.record_violation(now(), "memory", f"{name}: {taken}")
         lead = self.cell.lead()
@@ -101,7 +104,7 @@
         if table is None:
             return
         pairs = (
-            (table.jobs_bytes, limits.jobs_bytes),
+            (table.jobs_size.memory_bytes, limits.jobs.memory_bytes),
             (table.active_bytes, limits.active_bytes),
             (table.repeat_bytes, limits.repeat_bytes),
         )
--- a/tests/cell/test_large_jobs.py
+++ b/tests/cell/test_large_jobs.py
@@ -17,7 +17,7 @@
     RunEnd,
     StepSpec,
 )
-from firhook.cell.job_limits import JobLimits, find_excess, memory_bytes
+from firhook.cell.job_limits import JobLimits, JobSize, find_excess, job_size
 from firhook.cell.records import (
     JOB_PREFIX,
     STATE_PREFIX,
@@ -34,7 +34,7 @@
 def large_job(steps=27, count=10_000, **more):
     step = StepSpec(count, Resources(100, 16), **more)
     spec = JobSpec("nightly", (step,) * steps)
-    return AcceptedJob(JOB, "a", QUEUE, START, spec, memory_bytes(spec))
+    return AcceptedJob(JOB, "a", QUEUE, START, spec, job_size(spec))
 
 
 def table_of(job, state=None, limits=None):
@@ -120,7 +120,7 @@
                 s.remaining for s in known.steps.values()
             ]
     assert ended == 12_000
-    assert table.active_bytes == table.jobs_bytes == 0
+    assert table.active_bytes == 0 and table.jobs_size == JobSize()
 
 
 STEPS = st.lists(
@@ -201,17 +201,18 @@
     """Ended jobs are kept for minutes with specifications that nobody needs."""
     replica, job = Replica(), large_job(200)
     replica.apply(0, JOB_PREFIX + JOB, encode_record(job), 1)
-    assert replica.jobs_bytes == job.memory_bytes > 2_000_000
+    assert replica.jobs_size == job.size == JobSize(job.size.memory_bytes, 200)
+    assert job.size.memory_bytes > 2_000_000
     state = JobState(2, START, version=1)
     replica.apply(0, STATE_PREFIX + JOB, encode_record(state), 0)
     assert replica.jobs[JOB].accepted.is_digest
-    assert replica.jobs_bytes < 2000
+    assert replica.jobs_size.fits_in(JobSize(2000, 0))
     # The record is read once more when the partition is read again.
     replica.apply(0, JOB_PREFIX + JOB, encode_record(job), 1)
     assert replica.jobs[JOB].accepted.is_digest
     for partition, prefix in ((1, JOB_PREFIX), (0, STATE_PREFIX)):
         replica.apply(1, prefix + JOB, None, partition)
-    assert replica.jobs_bytes == 0 and not replica.jobs
+    assert replica.jobs_size == JobSize() and not replica.jobs
 
 
 def test_repeated_occurrences_share_a_bounded_memory():
@@ -226,4 +227,4 @@
     assert table.repeat_bytes <= 210_000
     for job in list(table.jobs):
         table.cancel(job, START)
-    assert table.repeat_bytes == table.jobs_bytes == 0
+    assert table.repeat_bytes == 0 and table.jobs_size == JobSize()
--- a/tests/services/test_job_room.py
+++ b/tests/services/test_job_room.py
@@ -5,6 +5,7 @@
 import pytest
 
 from firhook.cell import Resources
+from firhook.cell.job_limits import JobSize
 from firhook.cell.records import JOB_PREFIX, encode_record
 from firhook.decide.job_budget import has_room, job_limits, smallest_memory_mb
 from firhook.platform.bodies import decode_job
@@ -14,15 +15,20 @@
 from tests.services.scenarios import run_scenario, step
 
 MEMORY_MB = 20.0
-LIMITS = job_limits(MEMORY_MB, 262_144)
+LIMITS = job_limits(MEMORY_MB, 1.0, 262_144)
 LARGE = [step(10_000, 100, estimated_ms=1) for _ in range(30)]
 PLAN = TaskPlan(500.0, Resources(100, 100))
 
 
+def patient_routes():
+    """Return queues whose work is never refused as it would end late."""
+    return [{**route, "target_duration_ms": 10**9} for route in config_body()["routes"]]
+
+
 def check_room(cell):
     lead = cell.lead()
     if lead is not None:
-        assert lead.lead.term.job_table.jobs_bytes <= LIMITS.jobs_bytes
+        assert lead.lead.term.job_table.jobs_size.fits_in(LIMITS.jobs)
 
 
 async def let_pass(cell, seconds):
@@ -33,11 +39,7 @@
 
 def test_jobs_are_refused_while_the_accepted_ones_fill_the_memory():
     async def scenario(cell):
-        # Work that ends late is refused as well.
-        routes = [
-            {**route, "target_duration_ms": 10**9} for route in config_body()["routes"]
-        ]
-        cell.configure(2, routes=routes)
+        cell.configure(2, routes=patient_routes())
         await pause(3.0)
         statuses = {}
         for _ in range(15):
@@ -48,7 +50,7 @@
         accepted = [job for job, status in statuses.items() if status == 200]
         assert len(accepted) > 4
         for found in cell.instances.values():
-            assert found.instance.replica.jobs_bytes <= LIMITS.jobs_bytes
+            assert found.instance.replica.jobs_size.fits_in(LIMITS.jobs)
         for job in accepted:
             assert await cell.cancel(job) == 200
         await cell.until(lambda: not cell.lead().lead.term.job_table.jobs, 10.0)
@@ -72,8 +74,13 @@
         spec = decode_job(body)
         part = cell.store.partition(CELL_TOPIC, 1)
         for number in range(20):
-            job = attrs.evolve(pattern, id=cell.new_job_id(), spec=spec)
-            job = attrs.evolve(job, accepted_at=job.accepted_at + number, size_bytes=0)
+            job = attrs.evolve(
+                pattern,
+                id=cell.new_job_id(),
+                spec=spec,
+                accepted_at=pattern.accepted_at + number,
+                stored_size=None,
+            )
             cell.accepted[job.id] = "/plan/"
             for k in range(len(LARGE)):
                 cell.plans[f"{job.id}.0.{k}"] = PLAN
@@ -124,10 +131,35 @@
 
 def test_instances_that_accept_at_once_stay_within_the_room_together():
     """Each may accept its share of what is left before it reads of the others'."""
-    limits = attrs.evolve(LIMITS, jobs_bytes=1000)
+    limit, job, known = JobSize(1000, 100), JobSize(20, 3), JobSize(400, 10)
     for instances in (1, 3, 10):
-        unseen = 0
-        while has_room(20, 400, unseen, instances, limits):
-            unseen += 20
-        assert 400 + unseen * instances <= 1000
-        assert unseen > 0
+        unseen = JobSize()
+        while has_room(job, known, unseen, instances, limit):
+            unseen += job
+        together = known
+        for _ in range(instances):
+            together += unseen
+        assert together.fits_in(limit)
+        assert unseen != JobSize()
+
+
+def test_jobs_of_many_steps_are_refused_before_a_round_takes_too_long():
+    """A takeover and its first round take a millisecond for each 50 steps.
+
+    With 50,000 of them no lead acted within the time that its proof lasts.
+    """
+
+    async def scenario(cell):
+        cell.configure(2, routes=patient_routes())
+        await pause(3.0)
+        statuses = []
+        for _ in range(20):
+            steps = [step(2, 100, estimated_ms=1) for _ in range(200)]
+            _, status = await cell.submit(steps, work_s=500.0, attempts=1)
+            statuses.append(status)
+            await pause(1.0)
+        assert statuses == [200] * 12 + [503] * 8
+        steps = cell.lead().instance.replica.jobs_size.steps
+        assert steps == cell.lead().lead.term.job_table.jobs_size.steps == 2400
+
+    run_scenario(scenario, strengths={f"i{n}": 0.2 for n in range(3)})
--- a/tests/services/test_late_submissions.py
+++ b/tests/services/test_late_submissions.py
@@ -5,6 +5,7 @@
 import pytest
 
 from firhook.cell import Replica, Resources
+from firhook.cell.job_limits import JobSize
 from firhook.cell.records import CancelRequest, cancel_key, encode_record
 from firhook.errors import RecordMalformedError
 from firhook.platform.instance import Bounds
@@ -147,7 +148,7 @@
         await pause(30.0)
         for replica in replicas:
             assert JOB not in replica.jobs
-            assert replica.jobs_bytes == replica.cancels_bytes == 0
+            assert replica.jobs_size == replica.cancels_size == JobSize()
         assert not starts(cell)
 
     run_virtual(scenario())
@@ -163,7 +164,8 @@
             statuses.append((await cell.any_instance().call(req))[0])
         assert set(statuses) == {410, 503}
         for found in cell.instances.values():
-            assert 200_000 < found.instance.replica.cancels_bytes <= 250_000
+            taken = found.instance.replica.cancels_size.memory_bytes
+            assert 200_000 < taken <= 250_000
         job, status = await cell.submit([step(1)], work_s=0.2)
         assert status == 200
         await cell.until(lambda: cell.ended(job), 5.0)
