--- a/tests/cell/test_large_jobs.py
+++ b/tests/cell/test_large_jobs.py
@@ -3,6 +3,7 @@
 import random
 import tracemalloc
 
+import attrs
 import pytest
 from hypothesis import assume, given, settings
 from hypothesis import strategies as st
@@ -16,7 +17,9 @@
     Resources,
     RunEnd,
     StepSpec,
+    TaskState,
 )
+from firhook.cell._records import WorkerIncarnation
 from firhook.cell.job_limits import JobLimits, JobSize, find_excess, job_size
 from firhook.cell.records import (
     JOB_PREFIX,
@@ -25,6 +28,7 @@
     decode_state_summary,
     encode_record,
 )
+from firhook.errors import RecordMalformedError
 from tests.cell.test_job_table_occurrences import CONFIG, JOB, QUEUE, START
 
 RECORD_BYTES = 262_144
@@ -228,3 +232,38 @@
     for job in list(table.jobs):
         table.cancel(job, START)
     assert table.repeat_bytes == 0 and table.jobs_size == JobSize()
+
+
+@attrs.frozen
+class EarlierStep:
+    """The fields of a step that builds without ranges know."""
+
+    occurrence: int
+    number: int
+    tasks: tuple[TaskState | None, ...]
+    failed_run: int = 0
+
+
+@attrs.frozen
+class EarlierState:
+    """The fields of a state up to its steps, as builds without ranges know them."""
+
+    status: int
+    ended_at: float
+    workers: tuple[WorkerIncarnation, ...]
+    steps: tuple[EarlierStep, ...]
+
+
+@pytest.mark.parametrize(("count", "is_read"), [(128, True), (129, False)])
+def test_earlier_builds_read_small_states_and_leave_large_jobs_alone(count, is_read):
+    """They would take a step whose tasks are not listed for one never started."""
+    table = table_of(large_job(1, count))
+    start(table, table.jobs[JOB].steps[0, 0], 3)
+    raw = stored(table.jobs[JOB])
+    if is_read:
+        (step,) = decode_record(EarlierState, raw).steps
+        assert [task is not None for task in step.tasks] == [True] * 3 + [False] * 125
+    else:
+        with pytest.raises(RecordMalformedError):
+            decode_record(EarlierState, raw)
+    assert decode_state_summary(raw).decode().steps[0].number == 0
