Let the soak's callers cancel submissions of unknown outcome

They repeated a submission until it was answered with a known outcome, and cancelled only what was accepted, so that the soak could not show a job that runs after its cancellation was answered. Half of them cancel now after an answer that leaves the outcome open; no task may start 3 s after that is answered, as for any cancelled job. The model's store answers a record that it refuses for good with 400, as the platform's does.

--- a/standins/model/_http.py
+++ b/standins/model/_http.py
@@ -17,6 +17,7 @@
     LogFencedError,
     LogMovedError,
     LogOutcomeUnknownError,
+    LogRecordRefusedError,
     LogSequenceError,
     LogTrimmedError,
     LogUnavailableError,
@@ -196,6 +197,8 @@
                 return await handler(req)
             except LogUnavailableError:
                 return web.Response(status=503)
+            except LogRecordRefusedError:
+                return web.Response(status=400)
             except LogOutcomeUnknownError:
                 return _abort_connection(req)
             except LogFencedError:
--- a/standins/soak/_callers.py
+++ b/standins/soak/_callers.py
@@ -190,6 +190,10 @@
                 return
             if status not in (0, 429, 503):
                 job.unknown = True
+                if int(job.id[-1], 16) % 2:
+                    # Half of the callers do not wait any longer.
+                    await self._cancel(http, job, rng)
+                    return
             await asyncio.sleep(rng.uniform(0.05, 0.3))
         if not job.unknown:
             self.fleet.model.checks.refused.add(job.id)
