--- a/src/firhook/platform/_jobs.py
+++ b/src/firhook/platform/_jobs.py
@@ -21,8 +21,8 @@
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 #: Longest specification that a worker accepts.
 MAX_SPECIFICATION_BYTES = 4000
-#: The largest steps of callers have some tens of tasks.  The limit keeps a job from
-#: filling an instance's memory.
+#: Limits of one step and of one job.  What jobs may take together is compared where
+#: they are accepted.
 MAX_TASKS = 10000
 MAX_STEPS = 200
 
