--- a/tests/cell/test_replica_drops.py
+++ b/tests/cell/test_replica_drops.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from firhook.cell import JobStatus, LeadRecord, Replica
+from firhook.cell import JobState, JobStatus, LeadRecord, Replica
 from firhook.cell.records import encode_record
 from tests.cell.test_replica import JOB, STATE
 
@@ -158,3 +158,16 @@
     for record in records[end:]:
         rebuilt.apply(*record)
     assert job_views(ordered) == job_views(rebuilt)
+
+
+def test_cancelled_job_whose_state_lists_no_steps_is_left_to_the_lead():
+    """A new lead did not take it up, so that its end was never stored or deleted."""
+    replica = Replica()
+    replica.apply(0, "job/1", ACCEPTED, 1)
+    state = JobState(int(JobStatus.RUNNING), version=1)
+    replica.apply(0, "state/1", encode_record(state), 0)
+    replica.apply(1, "cancel/1", b"\x01", 1)
+    assert [job_id for job_id, _ in replica.unfinished_jobs()] == ["1"]
+    ended = JobState(int(JobStatus.CANCELLED), 5.0, version=2)
+    replica.apply(1, "state/1", encode_record(ended), 0)
+    assert list(replica.unfinished_jobs()) == []
